--- /dev/null
+++ b/internal/wire/frames.go
@@ -0,0 +1,78 @@
+// Package wire carries protobuf messages between the system's own processes: one TCP connection with yamux between an
+// entry and an agent, one yamux stream for each request and one for control.
+package wire
+
+import (
+	"bufio"
+	"io"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// MaxFrameBytes bounds one frame; a peer that sends a larger one is wrong and loses its stream.
+	MaxFrameBytes = 1 << 20
+	// MaxControlBytes bounds one control batch, which may hold a whole snapshot of the declarations.
+	MaxControlBytes = 16 << 20
+	// ChunkBytes is the most body bytes that are sent in one frame.
+	ChunkBytes = 32 << 10
+
+	readBufferBytes = 2 << 10
+)
+
+var (
+	// ErrFrame says that a frame was too large or malformed.
+	ErrFrame = errors.New("wire: bad frame")
+	// ErrClosed says that the connection or stream ended between frames.
+	ErrClosed = errors.New("wire: closed")
+	// ErrBroken says that the connection or stream ended within a frame or by an error below.
+	ErrBroken = errors.New("wire: broken")
+)
+
+// FrameReader reads length-delimited messages.
+type FrameReader struct {
+	buffered *bufio.Reader
+	options  protodelim.UnmarshalOptions
+}
+
+// NewFrameReader returns a reader that accepts messages of up to limit bytes.
+func NewFrameReader(r io.Reader, limit int64) *FrameReader {
+	return &FrameReader{
+		buffered: bufio.NewReaderSize(r, readBufferBytes),
+		options:  protodelim.UnmarshalOptions{MaxSize: limit},
+	}
+}
+
+// Read fills m with the next message. It fails with ErrClosed at a clean end, ErrFrame or ErrBroken.
+func (r *FrameReader) Read(m proto.Message) error {
+	if _, err := r.buffered.Peek(1); err != nil {
+		return closedError(err)
+	}
+	err := r.options.UnmarshalFrom(r.buffered, m)
+	if err == nil {
+		return nil
+	}
+	var tooLarge *protodelim.SizeTooLargeError
+	if errors.As(err, &tooLarge) || errors.Is(err, proto.Error) {
+		return errors.Wrap(ErrFrame, err.Error())
+	}
+	return errors.Wrap(ErrBroken, err.Error())
+}
+
+// closedError tells a clean end from a broken one.
+func closedError(err error) error {
+	if errors.Is(err, io.EOF) {
+		return ErrClosed
+	}
+	return errors.Wrap(ErrBroken, err.Error())
+}
+
+// WriteFrame writes one length-delimited message with a single Write.
+func WriteFrame(w io.Writer, m proto.Message) error {
+	if _, err := protodelim.MarshalTo(w, m); err != nil {
+		return errors.Wrap(ErrBroken, err.Error())
+	}
+	return nil
+}
