--- /dev/null
+++ b/internal/loading/events.go
@@ -0,0 +1,228 @@
+// Package loading decides, beside one engine, which model versions and adapters the engine holds: the memory ledger, the
+// load queue and the sleeping and waking of replicas inside granted slots.
+//
+// Machine is a deterministic state machine without I/O: Step takes one event and returns the actions that the agent's
+// shell must carry out. The shell feeds the results back as events.
+package loading
+
+import (
+	"time"
+
+	"balsamsail/internal/endpoint"
+	"balsamsail/internal/replicas/replicaspb"
+	"balsamsail/internal/wire/wirepb"
+)
+
+// ModelSpec is what the machine must know of a declared model version.
+type ModelSpec struct {
+	// Model is "name@version".
+	Model        string
+	MemoryBytes  int64
+	KVFloorBytes int64
+	// Warm keeps the replica loaded while idle.
+	Warm bool
+	// ExpectedLoad is the declared time of a load from the store; 0 when not known.
+	ExpectedLoad time.Duration
+}
+
+// AdapterSpec is what the machine must know of a declared adapter.
+type AdapterSpec struct {
+	Adapter     string
+	Model       string
+	MemoryBytes int64
+}
+
+// Event is an input of the machine.
+type Event interface{ event() }
+
+// EngineRead is the engine's real state, read after start, after an unknown result and when the engine restarted.
+type EngineRead struct{ State endpoint.EngineState }
+
+// EngineLost says that the engine does not answer.
+type EngineLost struct{}
+
+// RowsRead is the result of a read of this engine's grants from the table itself: all rows that name the engine. A
+// machine loads nothing before it has seen one, because rows that peers pushed may be older than a release that a
+// predecessor of this agent confirmed.
+type RowsRead struct {
+	Rows     []*replicaspb.Row
+	Revision uint64
+}
+
+// RowSeen is one row pushed by a peer, in any order and possibly stale.
+type RowSeen struct{ Row *replicaspb.Row }
+
+// SpecsChanged replaces the declared models and adapters.
+type SpecsChanged struct {
+	Models   []ModelSpec
+	Adapters []AdapterSpec
+}
+
+// Demanded says that a request waits for a model version and, perhaps, an adapter.
+type Demanded struct {
+	Request        string
+	Model, Adapter string
+	Deadline       time.Time
+	Class          wirepb.Class
+}
+
+// DemandGone says that a waiting request was taken away: started, refused or cancelled.
+type DemandGone struct{ Request string }
+
+// Started and Finished bracket a running request, which pins its model and adapter.
+type Started struct{ Request, Model, Adapter string }
+
+// Finished ends what Started began.
+type Finished struct{ Request string }
+
+// PermitGiven allows one load from the weight store to start until Expires.
+type PermitGiven struct {
+	ID      string
+	Expires time.Time
+}
+
+// PermitDenied asks to come again at RetryAt.
+type PermitDenied struct {
+	ID      string
+	RetryAt time.Time
+}
+
+// OrderDone is the definite or unknown result of an order: Err is nil or one of endpoint's sentinels.
+type OrderDone struct {
+	ID  string
+	Err error
+}
+
+// Leaving says that the endpoint or the agent stops: no new load, running work goes on.
+type Leaving struct{}
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (EngineRead) event()   {}
+func (EngineLost) event()   {}
+func (RowsRead) event()     {}
+func (RowSeen) event()      {}
+func (SpecsChanged) event() {}
+func (Demanded) event()     {}
+func (DemandGone) event()   {}
+func (Started) event()      {}
+func (Finished) event()     {}
+func (PermitGiven) event()  {}
+func (PermitDenied) event() {}
+func (OrderDone) event()    {}
+func (Leaving) event()      {}
+func (Tick) event()         {}
+
+// Action is an output of the machine.
+type Action interface{ action() }
+
+// GiveOrder tells the shell to send an order and report OrderDone.
+type GiveOrder struct {
+	Order endpoint.Order
+	// FromStore is set when the load is expected to read the weight store.
+	FromStore bool
+}
+
+// ReadEngine tells the shell to read the engine's state and report EngineRead or EngineLost.
+type ReadEngine struct{}
+
+// ReadRows tells the shell to read this engine's grants from the table and report RowsRead.
+type ReadRows struct{}
+
+// AskPermit tells the shell to ask for a permit.
+type AskPermit struct {
+	ID       string
+	Kind     wirepb.PermitKind
+	Model    string
+	Deadline time.Time
+}
+
+// EndPermit tells the shell that a permit is no longer used.
+type EndPermit struct{ ID string }
+
+// Usable says that requests of a model version and adapter may run from now on; Adapter is empty for the model alone.
+type Usable struct{ Model, Adapter string }
+
+// Unusable says that no further request of the model version (or only of the adapter) may start.
+type Unusable struct{ Model, Adapter string }
+
+// RefuseDemand tells the shell to refuse all waiting requests of a model version and adapter (adapter empty: all).
+type RefuseDemand struct {
+	Model, Adapter string
+	Reason         wirepb.RefusalReason
+	RetryAfter     time.Duration
+	Detail         string
+}
+
+// ConfirmRelease tells the entries that the engine holds nothing of the model version and that this agent will load
+// nothing under revisions up to Revision.
+type ConfirmRelease struct {
+	Model    string
+	Revision uint64
+}
+
+// WantSlot asks the entries for another slot elsewhere.
+type WantSlot struct {
+	Model  string
+	Reason wirepb.RefusalReason
+}
+
+func (GiveOrder) action()      {}
+func (ReadEngine) action()     {}
+func (ReadRows) action()       {}
+func (AskPermit) action()      {}
+func (EndPermit) action()      {}
+func (Usable) action()         {}
+func (Unusable) action()       {}
+func (RefuseDemand) action()   {}
+func (ConfirmRelease) action() {}
+func (WantSlot) action()       {}
+
+// Options are the settings of a Machine.
+type Options struct {
+	Engine string
+	// MemoryBytes is the engine's memory that the ledger may hand out.
+	MemoryBytes int64
+	// ChecksFencing says that the engine refuses an order with an old fencing number.
+	ChecksFencing bool
+	// OrderLife is the longest time for which a sent order may still take effect.
+	OrderLife time.Duration
+	// StateInterval is the time between reads of the engine's state without a cause.
+	StateInterval time.Duration
+	// PermitPatience is how long a load waits for a permit before it starts without one, at a jittered time.
+	PermitPatience time.Duration
+	// Seed seeds the jitter.
+	Seed uint64
+}
+
+// ReplicaStatus is one replica's state as told to the entries.
+type ReplicaStatus struct {
+	Model    string
+	State    wirepb.ReplicaState
+	Adapters []string
+	Running  int
+	IdleFor  time.Duration
+	Revision uint64
+}
+
+// Status is the machine's state as told to the entries.
+type Status struct {
+	Ready            bool
+	Leaving          bool
+	MemoryBytes      int64
+	ReservedBytes    int64
+	LoadsInFlight    int
+	AdaptersInFlight int
+	Replicas         []ReplicaStatus
+	Cached           []string
+}
+
+// IdlePolicy says for how long an idle replica is kept loaded.
+type IdlePolicy interface {
+	// Observe notes the arrival of a request for a model version.
+	Observe(model string, now time.Time)
+	// Keep returns how long the model version stays loaded after its last request ended, given the time that a cold
+	// start takes and the share of the engine's memory that it holds.
+	Keep(model string, now time.Time, coldStart time.Duration, memoryShare float64) time.Duration
+}
