--- a/internal/wire/frames.go
+++ b/internal/wire/frames.go
@@ -5,9 +5,11 @@
 import (
 	"bufio"
 	"io"
+	"sync"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -69,9 +71,21 @@
 	return errors.Wrap(ErrBroken, err.Error())
 }
 
-// WriteFrame writes one length-delimited message with a single Write.
+// frameBuffers holds buffers of written frames for the next ones.
+var frameBuffers = sync.Pool{New: func() any { return new([]byte) }}
+
+// WriteFrame writes one length-delimited message with a single Write, so that it becomes one yamux frame.
 func WriteFrame(w io.Writer, m proto.Message) error {
-	if _, err := protodelim.MarshalTo(w, m); err != nil {
+	pooled := frameBuffers.Get().(*[]byte)
+	defer frameBuffers.Put(pooled)
+	size := proto.Size(m)
+	frame := protowire.AppendVarint((*pooled)[:0], uint64(size))
+	frame, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(frame, m)
+	if err != nil {
+		return errors.Wrap(ErrFrame, err.Error())
+	}
+	*pooled = frame
+	if _, err := w.Write(frame); err != nil {
 		return errors.Wrap(ErrBroken, err.Error())
 	}
 	return nil
