--- /dev/null
+++ b/internal/standin/platform/hosts.go
@@ -0,0 +1,145 @@
+package platform
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"balsamsail/internal/platform"
+	"balsamsail/internal/standin/control"
+)
+
+// HostFaults are the faults of the host list.
+type HostFaults struct {
+	// Outage answers every call with 503.
+	Outage bool `json:"outage"`
+	// LagSeconds is added to the list's lag.
+	LagSeconds float64 `json:"lag_seconds"`
+}
+
+// HostsAnswer is the answer to a read of the host list.
+type HostsAnswer struct {
+	Version uint64          `json:"version"`
+	Hosts   []platform.Host `json:"hosts"`
+}
+
+// hosts is a list that shows each change only after a lag.
+type hosts struct {
+	server     *Server
+	lag        time.Duration
+	goneListed time.Duration
+
+	mu      sync.Mutex
+	pending []hostChange
+	shown   map[string]hostChange
+	version uint64
+}
+
+type hostChange struct {
+	at   time.Time
+	host platform.Host
+}
+
+func newHosts(s *Server, o Options) *hosts {
+	h := &hosts{server: s, lag: o.HostsLag, goneListed: o.GoneListed, shown: map[string]hostChange{}}
+	for _, host := range o.Hosts {
+		h.shown[host.ID] = hostChange{at: s.clock.Now(), host: host}
+		h.version++
+	}
+	return h
+}
+
+func (h *hosts) mount(r chi.Router) {
+	r.Get("/hosts", h.get)
+	r.Put("/hosts/{id}", h.put)
+	r.Delete("/hosts/{id}", func(w http.ResponseWriter, r *http.Request) {
+		h.remove(chi.URLParam(r, "id"))
+		w.WriteHeader(http.StatusNoContent)
+	})
+}
+
+func (h *hosts) get(w http.ResponseWriter, _ *http.Request) {
+	if h.server.faults.Get().Hosts.Outage {
+		control.WriteError(w, http.StatusServiceUnavailable, "unavailable", "outage")
+		return
+	}
+	control.WriteJSON(w, http.StatusOK, h.list())
+}
+
+func (h *hosts) put(w http.ResponseWriter, r *http.Request) {
+	var host platform.Host
+	if err := control.ReadJSON(r, &host); err != nil {
+		control.WriteError(w, http.StatusBadRequest, "invalid", err.Error())
+		return
+	}
+	host.ID = chi.URLParam(r, "id")
+	h.set(host)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (h *hosts) set(host platform.Host) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.pending = append(h.pending, hostChange{at: h.server.clock.Now(), host: host})
+}
+
+// remove marks a host as gone.
+func (h *hosts) remove(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	host, known := h.latest(id)
+	if !known {
+		return
+	}
+	host.State = platform.HostGone
+	h.pending = append(h.pending, hostChange{at: h.server.clock.Now(), host: host})
+}
+
+func (h *hosts) latest(id string) (platform.Host, bool) {
+	for _, change := range slices.Backward(h.pending) {
+		if change.host.ID == id {
+			return change.host, true
+		}
+	}
+	change, ok := h.shown[id]
+	return change.host, ok
+}
+
+// list returns what the list shows now.
+func (h *hosts) list() HostsAnswer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	extra := h.server.faults.Get().Hosts.LagSeconds
+	h.advance(h.server.clock.Now().Add(-h.lag - time.Duration(extra*float64(time.Second))))
+	answer := HostsAnswer{Version: h.version, Hosts: []platform.Host{}}
+	for _, change := range h.shown {
+		answer.Hosts = append(answer.Hosts, change.host)
+	}
+	slices.SortFunc(answer.Hosts, func(a, b platform.Host) int { return strings.Compare(a.ID, b.ID) })
+	return answer
+}
+
+// advance shows the changes up to a time and drops the hosts that were gone for long.
+func (h *hosts) advance(until time.Time) {
+	for len(h.pending) > 0 && !h.pending[0].at.After(until) {
+		h.shown[h.pending[0].host.ID] = h.pending[0]
+		h.pending = h.pending[1:]
+		h.version++
+	}
+	for id, change := range h.shown {
+		if change.host.State == platform.HostGone && until.Sub(change.at) > h.goneListed {
+			delete(h.shown, id)
+			h.version++
+		}
+	}
+}
+
+// PutHost lists a host or changes its line, seen after the lag.
+func (s *Server) PutHost(host platform.Host) { s.hosts.set(host) }
+
+// RemoveHost marks a host as gone, seen after the lag.
+func (s *Server) RemoveHost(id string) { s.hosts.remove(id) }
--- /dev/null
+++ b/internal/standin/platform/table.go
@@ -0,0 +1,157 @@
+package platform
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/go-chi/chi/v5"
+
+	"balsamsail/internal/platform"
+	"balsamsail/internal/standin/control"
+)
+
+// table is a transactional table with one commit counter.
+type table struct {
+	store *store
+
+	mu       sync.Mutex
+	revision uint64
+	rows     map[string]platform.Row
+}
+
+func (t *table) mount(r chi.Router) {
+	r.Get("/table/row", t.get)
+	r.Get("/table/rows", t.list)
+	r.Post("/table/commit", t.commit)
+}
+
+func (t *table) get(w http.ResponseWriter, r *http.Request) {
+	t.store.read(w, r, func() {
+		t.mu.Lock()
+		row, ok := t.rows[r.URL.Query().Get("key")]
+		t.mu.Unlock()
+		if !ok {
+			control.WriteError(w, http.StatusNotFound, "not_found", "no such row")
+			return
+		}
+		control.WriteJSON(w, http.StatusOK, row)
+	})
+}
+
+func (t *table) list(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	if err != nil && query.Get("after") != "" {
+		control.WriteError(w, http.StatusBadRequest, "invalid", "after is not a revision")
+		return
+	}
+	t.store.read(w, r, func() { control.WriteJSON(w, http.StatusOK, t.snapshot(query.Get("prefix"), after)) })
+}
+
+func (t *table) snapshot(prefix string, after uint64) platform.Listing {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	listing := platform.Listing{Revision: t.revision, Rows: []platform.Row{}}
+	for key, row := range t.rows {
+		if strings.HasPrefix(key, prefix) && row.Revision > after {
+			listing.Rows = append(listing.Rows, row)
+		}
+	}
+	slices.SortFunc(listing.Rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	return listing
+}
+
+func (t *table) commit(w http.ResponseWriter, r *http.Request) {
+	var txn platform.Txn
+	if err := control.ReadJSON(r, &txn); err != nil {
+		control.WriteError(w, http.StatusBadRequest, "invalid", err.Error())
+		return
+	}
+	t.store.write(w, r, func() func() {
+		revision, conflict := t.apply(txn)
+		if conflict != nil {
+			return func() { control.WriteJSON(w, http.StatusConflict, conflict) }
+		}
+		return func() { control.WriteJSON(w, http.StatusOK, CommitAnswer{Revision: revision}) }
+	})
+}
+
+// CommitAnswer is the answer to a transaction that committed.
+type CommitAnswer struct {
+	Revision uint64 `json:"revision"`
+}
+
+// apply runs a transaction and returns its revision, or the row whose condition failed.
+func (t *table) apply(txn platform.Txn) (uint64, *platform.Condition) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, condition := range txn.Conditions {
+		if has := t.rows[condition.Key].Revision; has != condition.Revision {
+			t.store.count(func(c *StoreTruth) { c.Conflicts++ })
+			return 0, &platform.Condition{Key: condition.Key, Revision: has}
+		}
+	}
+	t.revision++
+	for _, key := range txn.Deletes {
+		delete(t.rows, key)
+	}
+	for _, put := range txn.Puts {
+		t.rows[put.Key] = platform.Row{Key: put.Key, Revision: t.revision, Value: put.Value}
+	}
+	t.store.countWrite()
+	return t.revision, nil
+}
+
+// Rows returns all rows of the table whose keys begin with prefix, past every fault.
+func (s *Server) Rows(prefix string) platform.Listing { return s.table.snapshot(prefix, 0) }
+
+// objects is a store of immutable blobs.
+type objects struct {
+	store *store
+
+	mu    sync.Mutex
+	blobs map[string][]byte
+}
+
+func (o *objects) mount(r chi.Router) {
+	r.Get("/objects/*", o.get)
+	r.Put("/objects/*", o.put)
+}
+
+func (o *objects) get(w http.ResponseWriter, r *http.Request) {
+	o.store.read(w, r, func() {
+		o.mu.Lock()
+		data, ok := o.blobs[chi.URLParam(r, "*")]
+		o.mu.Unlock()
+		if !ok {
+			control.WriteError(w, http.StatusNotFound, "not_found", "no such object")
+			return
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+		w.Write(data)
+	})
+}
+
+func (o *objects) put(w http.ResponseWriter, r *http.Request) {
+	name := chi.URLParam(r, "*")
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	o.store.write(w, r, func() func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		if has, ok := o.blobs[name]; ok && !bytes.Equal(has, data) {
+			o.store.count(func(t *StoreTruth) { t.Conflicts++ })
+			return func() { control.WriteError(w, http.StatusConflict, "exists", "the object has other content") }
+		}
+		o.blobs[name] = data
+		o.store.countWrite()
+		return func() { w.WriteHeader(http.StatusNoContent) }
+	})
+}
