--- /dev/null
+++ b/internal/process/server.go
@@ -0,0 +1,99 @@
+package process
+
+import (
+	"encoding/json"
+	"log/slog"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"balsamsail/internal/timeline"
+)
+
+// The paths that every process serves.
+const (
+	HealthPath   = "/healthz"
+	ReadyPath    = "/readyz"
+	MetricsPath  = "/metrics"
+	TimelinePath = "/timeline"
+)
+
+// ReadyFunc returns the reasons for which a process is not ready; none means ready. It must not block.
+type ReadyFunc func() []string
+
+// Readiness is the body of an answer under ReadyPath.
+type Readiness struct {
+	Process string   `json:"process"`
+	Ready   bool     `json:"ready"`
+	Reasons []string `json:"reasons,omitempty"`
+}
+
+// Options are the settings of a Server.
+type Options struct {
+	// Name names the process in its answers.
+	Name string
+	// Ready tells the readiness; nil means always ready.
+	Ready ReadyFunc
+	// Metrics is served under MetricsPath; nil leaves the path out. NewRegistry makes one.
+	Metrics prometheus.Gatherer
+	// Timeline serves TimelinePath; nil leaves the path out.
+	Timeline *timeline.Recorder
+	// Logger receives what goes wrong; nil discards it.
+	Logger *slog.Logger
+}
+
+// Server answers the operators' HTTP requests to one process. It implements http.Handler.
+type Server struct {
+	options Options
+	router  chi.Router
+}
+
+// NewServer returns a server with the paths that every process serves.
+func NewServer(options Options) *Server {
+	if options.Logger == nil {
+		options.Logger = slog.New(slog.DiscardHandler)
+	}
+	if options.Ready == nil {
+		options.Ready = func() []string { return nil }
+	}
+	s := &Server{options: options, router: chi.NewRouter()}
+	s.router.Get(HealthPath, s.health)
+	s.router.Get(ReadyPath, s.ready)
+	if options.Metrics != nil {
+		s.router.Method(http.MethodGet, MetricsPath, MetricsHandler(options.Metrics, options.Logger))
+	}
+	if options.Timeline != nil {
+		s.router.Method(http.MethodGet, TimelinePath, timeline.NewHandler(options.Timeline))
+	}
+	return s
+}
+
+// Router returns the router, so that a process adds its own paths before it serves.
+func (s *Server) Router() chi.Router { return s.router }
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
+
+// health answers as long as the process can answer at all.
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	if _, err := w.Write([]byte("ok\n")); err != nil {
+		s.options.Logger.Debug("answer not written", "path", HealthPath, "error", err)
+	}
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	reasons := s.options.Ready()
+	answer := Readiness{Process: s.options.Name, Ready: len(reasons) == 0, Reasons: reasons}
+	status := http.StatusOK
+	if !answer.Ready {
+		status = http.StatusServiceUnavailable
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(status)
+	if err := json.NewEncoder(w).Encode(answer); err != nil {
+		s.options.Logger.Debug("answer not written", "path", ReadyPath, "error", err)
+	}
+}
--- /dev/null
+++ b/internal/timeline/http.go
@@ -0,0 +1,80 @@
+package timeline
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+)
+
+// The query parameters of the time line over HTTP; those of Filter may repeat.
+const (
+	paramAfter    = "after"
+	paramStart    = "start"
+	paramRequest  = "request"
+	paramModel    = "model"
+	paramEndpoint = "endpoint"
+	paramKind     = "kind"
+)
+
+// ContentType is the media type of a time line over HTTP: JSON lines, first a Head and then Events.
+const ContentType = "application/jsonl"
+
+// Head is the first line of a time line over HTTP. It lets a reader resume and see gaps.
+type Head struct {
+	Process string `json:"process"`
+	// Start is the clock reading at which the recorder began: with another one, sequences have begun anew.
+	Start uint64 `json:"start"`
+	// Clock is the recorder's clock at the answer; each later event of the process has a greater reading.
+	Clock uint64 `json:"clock"`
+	// Oldest and Latest bound the kept sequences; Oldest is Latest+1 when nothing is kept.
+	Oldest uint64 `json:"oldest"`
+	Latest uint64 `json:"latest"`
+}
+
+// Handler serves the events of a recorder.
+type Handler struct{ recorder *Recorder }
+
+// NewHandler returns a handler of GET requests with the parameters after (sequence; 0 for all) and start (the Head.Start
+// to which after belongs; another one makes after void), and the filters request, model, endpoint and kind.
+func NewHandler(recorder *Recorder) *Handler { return &Handler{recorder: recorder} }
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, err := optionalUint(query.Get(paramAfter))
+	if err != nil {
+		http.Error(w, "after: a sequence number is wanted", http.StatusBadRequest)
+		return
+	}
+	start, err := optionalUint(query.Get(paramStart))
+	if err != nil {
+		http.Error(w, "start: a clock reading is wanted", http.StatusBadRequest)
+		return
+	}
+	head, events := h.recorder.Read(start, after)
+	w.Header().Set("Content-Type", ContentType)
+	w.Header().Set("Cache-Control", "no-store")
+	writeBatch(json.NewEncoder(w), head, events, filterFrom(query))
+}
+
+// writeBatch writes the lines of one answer; it stops at the first error, which means that the reader went away.
+func writeBatch(encoder *json.Encoder, head Head, events []Event, filter Filter) {
+	if encoder.Encode(head) != nil {
+		return
+	}
+	for i := range events {
+		if !filter.Match(&events[i]) {
+			continue
+		}
+		if encoder.Encode(&events[i]) != nil {
+			return
+		}
+	}
+}
+
+func optionalUint(s string) (uint64, error) {
+	if s == "" {
+		return 0, nil
+	}
+	return strconv.ParseUint(s, 10, 64)
+}
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -1,10 +1,14 @@
 // Package timeline records what happens in each process as events with a hybrid clock, so that the events of all
 // processes merge into one order that agrees with cause and effect.
+//
+// A Recorder keeps the latest events of its process within fixed memory, a Handler serves them over HTTP, and Collect
+// and Follower merge those of many processes.
 package timeline
 
 import (
-	"sync"
-	"time"
+	"cmp"
+	"strings"
+	"unsafe"
 )
 
 // Kind names what an event records.
@@ -25,83 +29,63 @@
 	Fields   map[string]string `json:"fields,omitempty"`
 }
 
-const counterBits = 16
-
-// HybridClock is a hybrid logical clock (Kulkarni et al., 2014): it follows the wall clock but never runs behind a
-// reading that the process has seen, so that an effect is never stamped before its cause.
-type HybridClock struct {
-	mu   sync.Mutex
-	last uint64
-	now  func() time.Time
-}
-
-// NewHybridClock returns a clock over the given wall clock.
-func NewHybridClock(now func() time.Time) *HybridClock { return &HybridClock{now: now} }
-
-// Now returns a reading above all that were returned or observed before.
-func (c *HybridClock) Now() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	wall := uint64(c.now().UnixMilli()) << counterBits
-	c.last = max(wall, c.last+1)
-	return c.last
-}
-
-// Observe moves the clock past a reading that came with a message.
-func (c *HybridClock) Observe(reading uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.last = max(c.last, reading)
-}
-
-// WallTime returns the wall-clock part of a reading.
-func WallTime(reading uint64) time.Time { return time.UnixMilli(int64(reading >> counterBits)) }
+// The bounds of one event; longer text is cut, and fields that do not fit are left out.
+const (
+	MaxNameBytes   = 128
+	MaxDetailBytes = 384
+	// MaxEventBytes is the most memory that one kept event takes.
+	MaxEventBytes = 1536
+)
 
-// Recorder keeps the latest events of a process in a ring of fixed size.
-type Recorder struct {
-	process string
-	clock   *HybridClock
+// Costs in memory of an event and its fields, in bytes.
+const (
+	eventBytes    = int(unsafe.Sizeof(Event{}))
+	fieldsBytes   = 48
+	perFieldBytes = 48
+)
 
-	mu       sync.Mutex
-	ring     []Event
-	sequence uint64
+// Compare orders events by clock, then process, then sequence. Causes come before their effects, because an effect's
+// clock is greater.
+func Compare(a, b Event) int {
+	return cmp.Or(
+		cmp.Compare(a.Clock, b.Clock),
+		strings.Compare(a.Process, b.Process),
+		cmp.Compare(a.Sequence, b.Sequence),
+	)
 }
 
-// NewRecorder returns a recorder that keeps the latest size events of the named process.
-func NewRecorder(process string, size int, clock *HybridClock) *Recorder {
-	return &Recorder{process: process, clock: clock, ring: make([]Event, size)}
+// size returns the memory that the event takes, in bytes. Text that it shares with others counts in full.
+func (e *Event) size() int {
+	n := eventBytes + len(e.Process) + len(e.Kind) + len(e.Request) + len(e.Model) + len(e.Endpoint) + len(e.Detail)
+	if len(e.Fields) > 0 {
+		n += fieldsBytes
+	}
+	for name, value := range e.Fields {
+		n += perFieldBytes + len(name) + len(value)
+	}
+	return n
 }
 
-// Clock returns the recorder's hybrid clock, to be read for and fed from messages.
-func (r *Recorder) Clock() *HybridClock { return r.clock }
-
-// Record stamps and keeps an event. A nil recorder drops it.
-func (r *Recorder) Record(e Event) {
-	if r == nil {
-		return
+// bound cuts the event down to MaxEventBytes.
+//
+// It guards against a caller's text (a path, an error of a library) that would fill the ring's memory with one event
+// and push out hundreds.
+func (e *Event) bound() {
+	e.Process = cut(e.Process, MaxNameBytes)
+	e.Kind = Kind(cut(string(e.Kind), MaxNameBytes))
+	e.Request = cut(e.Request, MaxNameBytes)
+	e.Model = cut(e.Model, MaxNameBytes)
+	e.Endpoint = cut(e.Endpoint, MaxNameBytes)
+	e.Detail = cut(e.Detail, MaxDetailBytes)
+	if e.size() > MaxEventBytes {
+		e.Fields = nil
 	}
-	e.Clock = r.clock.Now()
-	e.Process = r.process
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.sequence++
-	e.Sequence = r.sequence
-	r.ring[r.sequence%uint64(len(r.ring))] = e
 }
 
-// Since returns the kept events with a sequence above after, oldest first. When the ring has dropped some of them, the
-// first one's sequence shows the gap.
-func (r *Recorder) Since(after uint64) []Event {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	first := after + 1
-	size := uint64(len(r.ring))
-	if r.sequence >= size {
-		first = max(first, r.sequence-size+1)
-	}
-	var events []Event
-	for s := first; s <= r.sequence; s++ {
-		events = append(events, r.ring[s%size])
+// cut returns at most n bytes of s, as valid UTF-8 that does not keep the rest of s in memory.
+func cut(s string, n int) string {
+	if len(s) <= n {
+		return s
 	}
-	return events
+	return strings.ToValidUTF8(strings.Clone(s[:n]), "")
 }
