--- /dev/null
+++ b/internal/operator/handler.go
@@ -0,0 +1,138 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+)
+
+// Backend carries out the API's requests at an entry. Its errors are ErrNotFound, *ConflictError, *InvalidError,
+// *UnavailableError and *OutcomeUnknownError; any other one means that an edit was certainly not applied.
+type Backend interface {
+	Apply(ctx context.Context, request ApplyRequest) (Accepted, error)
+	Label(ctx context.Context, request LabelRequest) (Accepted, error)
+	Drain(ctx context.Context, request DrainRequest) (Accepted, error)
+	// Operation looks an edit up by its identifier.
+	Operation(ctx context.Context, id string) (Operation, error)
+	Objects(ctx context.Context, query ObjectQuery) (Objects, error)
+	Status(ctx context.Context) (Status, error)
+	// InForce tells where a revision is in force; 0 asks for the newest accepted one.
+	InForce(ctx context.Context, revision uint64) (InForce, error)
+	Processes(ctx context.Context) (ProcessList, error)
+}
+
+// NewHandler serves the API under PathPrefix.
+func NewHandler(backend Backend) http.Handler {
+	h := &handler{backend: backend}
+	router := chi.NewRouter()
+	router.Post(applyPath, edit(backend.Apply, func(r *ApplyRequest) *Edit { return &r.Edit }))
+	router.Post(labelPath, edit(backend.Label, func(r *LabelRequest) *Edit { return &r.Edit }))
+	router.Post(drainPath, edit(backend.Drain, func(r *DrainRequest) *Edit { return &r.Edit }))
+	router.Get(operationPath, h.operation)
+	router.Get(objectsPath, h.objects)
+	router.Get(statusPath, h.status)
+	router.Get(inForcePath, h.inForce)
+	router.Get(processesPath, h.processes)
+	return router
+}
+
+type handler struct{ backend Backend }
+
+// edit serves one kind of edit.
+//
+// The work goes on when the client goes away: an edit that is cut off half way would leave its outcome unknown for no
+// need. EditTimeout bounds it.
+func edit[R any](do func(context.Context, R) (Accepted, error), common func(*R) *Edit) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var request R
+		if err := readRequest(w, r, &request); err != nil {
+			writeError(w, err)
+			return
+		}
+		if e := common(&request); e.OperationID == "" {
+			e.OperationID = newOperationID()
+		}
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), EditTimeout)
+		defer cancel()
+		accepted, err := do(ctx, request)
+		writeAnswer(w, accepted, err)
+	}
+}
+
+func (h *handler) operation(w http.ResponseWriter, r *http.Request) {
+	id := r.URL.Query().Get(paramID)
+	if id == "" {
+		writeError(w, errors.Wrap(ErrRequest, "id: an operation identifier is wanted"))
+		return
+	}
+	operation, err := h.backend.Operation(r.Context(), id)
+	writeAnswer(w, operation, err)
+}
+
+func (h *handler) objects(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	objects, err := h.backend.Objects(r.Context(), ObjectQuery{Kind: query.Get(paramKind), Name: query.Get(paramName)})
+	if err == nil && query.Get(paramFormat) == formatINI {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		_ = WriteINI(w, objects) // The reader went away: nobody is left to be told.
+		return
+	}
+	writeAnswer(w, objects, err)
+}
+
+func (h *handler) status(w http.ResponseWriter, r *http.Request) {
+	status, err := h.backend.Status(r.Context())
+	writeAnswer(w, status, err)
+}
+
+func (h *handler) inForce(w http.ResponseWriter, r *http.Request) {
+	var revision uint64
+	if text := r.URL.Query().Get(paramRevision); text != "" {
+		parsed, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			writeError(w, errors.Wrap(ErrRequest, "revision: a number is wanted"))
+			return
+		}
+		revision = parsed
+	}
+	inForce, err := h.backend.InForce(r.Context(), revision)
+	writeAnswer(w, inForce, err)
+}
+
+func (h *handler) processes(w http.ResponseWriter, r *http.Request) {
+	processes, err := h.backend.Processes(r.Context())
+	writeAnswer(w, processes, err)
+}
+
+// readRequest reads a JSON body strictly, so that a misspelt field does not pass for an absent one.
+func readRequest(w http.ResponseWriter, r *http.Request, request any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxRequestBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(request); err != nil {
+		return errors.Wrap(ErrRequest, err.Error())
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return errors.Wrap(ErrRequest, "more than one JSON value")
+	}
+	return nil
+}
+
+func writeAnswer(w http.ResponseWriter, answer any, err error) {
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, answer)
+}
+
+func writeJSON(w http.ResponseWriter, status int, answer any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(answer) // The reader went away: nobody is left to be told.
+}
--- /dev/null
+++ b/internal/operator/output.go
@@ -0,0 +1,119 @@
+package operator
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+)
+
+// ErrOutput says that a command's output could not be written.
+var ErrOutput = errors.New("operator: output not written")
+
+// columnPadding is the number of spaces between two columns.
+const columnPadding = 2
+
+// WriteJSON writes any answer as indented JSON.
+func WriteJSON(w io.Writer, answer any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return outputError(encoder.Encode(answer))
+}
+
+// WriteINI writes declarations as INI text that Apply takes back.
+func WriteINI(w io.Writer, objects Objects) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "; revision %d\n", objects.Revision)
+	for _, object := range objects.Objects {
+		b.WriteByte('\n')
+		b.WriteString(strings.TrimSpace(object.INI))
+		b.WriteByte('\n')
+	}
+	_, err := io.WriteString(w, b.String())
+	return outputError(err)
+}
+
+// WriteAccepted writes what became of an accepted edit.
+func WriteAccepted(w io.Writer, accepted Accepted) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "accepted as revision %d (operation %s)\n", accepted.Revision, accepted.OperationID)
+	for _, key := range accepted.Changed {
+		fmt.Fprintf(&b, "  changed %s\n", key)
+	}
+	_, err := io.WriteString(w, b.String())
+	return outputError(err)
+}
+
+// WriteInForce writes where a revision is in force and names the processes where it is not.
+func WriteInForce(w io.Writer, inForce InForce) error {
+	missing := inForce.Missing()
+	table := newTable(w)
+	table.row("revision %d is in force in %d of %d live processes",
+		inForce.Revision, len(inForce.Processes)-len(missing), len(inForce.Processes))
+	if len(missing) > 0 {
+		table.row("NOT IN FORCE IN\tROLE\tDOMAIN\tADDRESS\tHAS\tNOTE")
+	}
+	for _, p := range missing {
+		note := "behind"
+		if p.Unreachable {
+			note = "does not answer"
+		}
+		table.row("%s\t%s\t%s\t%s\t%d\t%s", p.Process, p.Role, p.FailureDomain, p.Address, p.Revision, note)
+	}
+	return table.flush()
+}
+
+// WriteProcesses writes the live processes.
+func WriteProcesses(w io.Writer, list ProcessList) error {
+	table := newTable(w)
+	table.row("PROCESS\tROLE\tDOMAIN\tURL")
+	for _, p := range list.Processes {
+		table.row("%s\t%s\t%s\t%s", p.Name, p.Role, p.FailureDomain, p.URL)
+	}
+	return table.flush()
+}
+
+// table writes aligned columns and keeps the first error.
+type table struct {
+	writer *tabwriter.Writer
+	err    error
+}
+
+func newTable(w io.Writer) *table {
+	return &table{writer: tabwriter.NewWriter(w, 0, 0, columnPadding, ' ', 0)}
+}
+
+// row writes one line; tabs part the columns.
+func (t *table) row(format string, args ...any) {
+	if t.err == nil {
+		_, t.err = fmt.Fprintf(t.writer, format+"\n", args...)
+	}
+}
+
+func (t *table) flush() error {
+	if t.err == nil {
+		t.err = t.writer.Flush()
+	}
+	return outputError(t.err)
+}
+
+func outputError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return errors.Wrap(ErrOutput, err.Error())
+}
+
+// labelText writes labels in the order of their names.
+func labelText(labels map[string]string) string {
+	pairs := make([]string, 0, len(labels))
+	for name, value := range labels {
+		pairs = append(pairs, name+"="+value)
+	}
+	sort.Strings(pairs)
+	return strings.Join(pairs, ",")
+}
