--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -23,6 +23,10 @@
 	ErrLoadFailed = errors.New("endpoint: load failed")
 	// ErrUnauthorized says that the endpoint refused the credentials of an order.
 	ErrUnauthorized = errors.New("endpoint: unauthorized")
+	// ErrUnavailable says that the endpoint refused to take the call just now; it had no effect.
+	ErrUnavailable = errors.New("endpoint: unavailable")
+	// ErrInvalid says that the endpoint found the call malformed; it had no effect.
+	ErrInvalid = errors.New("endpoint: invalid call")
 	// ErrWrongAnswer says that an answer carried another request's identifier.
 	ErrWrongAnswer = errors.New("endpoint: answer to another request")
 )
--- a/internal/standin/control/control.go
+++ b/internal/standin/control/control.go
@@ -2,6 +2,7 @@
 package control
 
 import (
+	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
@@ -122,17 +123,20 @@
 // Lose cuts the connection in place of an answer, or of what is left of it. It does not return.
 func Lose() { panic(http.ErrAbortHandler) }
 
-// Sleep waits for d and says whether the request is still wanted then.
-func Sleep(r *http.Request, c clock.Clock, d time.Duration) bool {
+// Sleep waits for d and says whether the context still lasts then.
+func Sleep(ctx context.Context, c clock.Clock, d time.Duration) bool {
 	if d <= 0 {
-		return r.Context().Err() == nil
+		return ctx.Err() == nil
 	}
 	timer := c.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C():
-		return true
-	case <-r.Context().Done():
+		return ctx.Err() == nil
+	case <-ctx.Done():
 		return false
 	}
 }
+
+// Seconds returns a number of seconds as a duration.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/standin/engine/models.go
@@ -0,0 +1,253 @@
+package engine
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+
+	"balsamsail/internal/endpoint"
+	"balsamsail/internal/standin/control"
+)
+
+// model is one model version in an engine's memory.
+type model struct {
+	endpoint.LoadedModel
+	adapters map[string]*adapter
+	// ctx ends when the model is dropped or its load is given up.
+	ctx  context.Context
+	drop context.CancelFunc
+	// settled is closed when the load ends, and gone when the model is no longer in memory.
+	settled, gone chan struct{}
+	running       int
+}
+
+// adapter is one adapter of a loaded model.
+type adapter struct {
+	memoryBytes int64
+	loaded      bool
+	settled     chan struct{}
+}
+
+func (p *process) usedBytes() int64 {
+	used := p.options.KVBytes
+	for _, m := range p.models {
+		used += m.MemoryBytes
+		for _, a := range m.adapters {
+			used += a.memoryBytes
+		}
+	}
+	return used
+}
+
+func (p *process) loadedModels() []endpoint.LoadedModel {
+	models := []endpoint.LoadedModel{}
+	for _, name := range slices.Sorted(maps.Keys(p.models)) {
+		m := p.models[name]
+		listed := m.LoadedModel
+		for _, adapterName := range slices.Sorted(maps.Keys(m.adapters)) {
+			if m.adapters[adapterName].loaded {
+				listed.Adapters = append(listed.Adapters, adapterName)
+			}
+		}
+		models = append(models, listed)
+	}
+	return models
+}
+
+// load puts a model into memory. A load of a model that is loaded or being loaded joins it.
+func (s *Server) load(p *process, order endpoint.Order) error {
+	for {
+		s.mu.Lock()
+		m, ok := p.models[order.Model]
+		if !ok {
+			break
+		}
+		m.Fence = max(m.Fence, order.Fence)
+		state := m.State
+		s.mu.Unlock()
+		switch state {
+		case endpoint.EngineLoaded:
+			return nil
+		case endpoint.EngineLoading:
+			if !wait(p, m.settled) {
+				return errStopped
+			}
+		case endpoint.EngineUnloading:
+			if !wait(p, m.gone) {
+				return errStopped
+			}
+		}
+	}
+	// mu is held here, so that of two loads only one begins.
+	if err := s.reserve(p, order); err != nil {
+		s.mu.Unlock()
+		return err
+	}
+	m := p.begin(order)
+	s.note(HistoryLoadStarted, order)
+	s.mu.Unlock()
+	return s.finishLoad(p, m, order, s.transfer(m.ctx, order))
+}
+
+func (p *process) begin(order endpoint.Order) *model {
+	ctx, drop := context.WithCancel(p.ctx)
+	m := &model{
+		LoadedModel: endpoint.LoadedModel{
+			Model:       order.Model,
+			State:       endpoint.EngineLoading,
+			MemoryBytes: order.MemoryBytes,
+			Fence:       order.Fence,
+		},
+		adapters: map[string]*adapter{},
+		ctx:      ctx,
+		drop:     drop,
+		settled:  make(chan struct{}),
+		gone:     make(chan struct{}),
+	}
+	p.models[order.Model] = m
+	return m
+}
+
+func (s *Server) finishLoad(p *process, m *model, order endpoint.Order, err error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.ctx.Err() != nil {
+		return errStopped
+	}
+	defer close(m.settled)
+	if err != nil {
+		s.note(HistoryLoadFailed, order)
+		p.remove(m)
+		return err
+	}
+	m.State = endpoint.EngineLoaded
+	s.note(HistoryLoaded, order)
+	s.memoryCache.touch(m.Model, m.MemoryBytes)
+	s.diskCache.touch(m.Model, m.MemoryBytes)
+	return nil
+}
+
+// remove frees a model's memory.
+func (p *process) remove(m *model) {
+	m.drop()
+	delete(p.models, m.Model)
+	close(m.gone)
+}
+
+// unload drops a model, also in the middle of its load, and cuts the requests that it runs.
+func (s *Server) unload(p *process, order endpoint.Order) error {
+	s.mu.Lock()
+	m, ok := p.models[order.Model]
+	if !ok {
+		s.mu.Unlock()
+		return nil
+	}
+	m.Fence = max(m.Fence, order.Fence)
+	state := m.State
+	if state == endpoint.EngineLoaded {
+		m.State = endpoint.EngineUnloading
+		s.truth.CutByUnload += m.running
+		s.note(HistoryUnloadStarted, order)
+	}
+	m.drop()
+	s.mu.Unlock()
+	if state == endpoint.EngineLoaded {
+		return s.finishUnload(p, m, order)
+	}
+	if !wait(p, m.gone) {
+		return errStopped
+	}
+	return nil
+}
+
+func (s *Server) finishUnload(p *process, m *model, order endpoint.Order) error {
+	if !control.Sleep(p.ctx, s.clock, s.options.Unload) {
+		return errStopped
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.remove(m)
+	s.note(HistoryUnloaded, order)
+	return nil
+}
+
+// loadAdapter puts an adapter beside its model, which must be loaded.
+func (s *Server) loadAdapter(p *process, order endpoint.Order) error {
+	s.mu.Lock()
+	m, ok := p.models[order.Model]
+	if !ok || m.State != endpoint.EngineLoaded {
+		s.mu.Unlock()
+		return errLoadFailed("the adapter's model is not loaded")
+	}
+	if joined, ok := m.adapters[order.Adapter]; ok {
+		s.mu.Unlock()
+		return s.joinAdapter(p, m, order.Adapter, joined)
+	}
+	if err := s.reserve(p, order); err != nil {
+		s.mu.Unlock()
+		return err
+	}
+	a := &adapter{memoryBytes: order.MemoryBytes, settled: make(chan struct{})}
+	m.adapters[order.Adapter] = a
+	s.note(HistoryAdapterStarted, order)
+	s.mu.Unlock()
+
+	err := s.transfer(m.ctx, order)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.ctx.Err() != nil {
+		return errStopped
+	}
+	defer close(a.settled)
+	if err != nil {
+		delete(m.adapters, order.Adapter)
+		s.note(HistoryAdapterFailed, order)
+		return err
+	}
+	a.loaded = true
+	s.note(HistoryAdapterLoaded, order)
+	return nil
+}
+
+// joinAdapter waits for the load of an adapter that another order began.
+func (s *Server) joinAdapter(p *process, m *model, name string, a *adapter) error {
+	if !wait(p, a.settled) {
+		return errStopped
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m.adapters[name] != a {
+		return errLoadFailed("the load that this one joined failed")
+	}
+	return nil
+}
+
+func (s *Server) unloadAdapter(p *process, order endpoint.Order) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, ok := p.models[order.Model]
+	if !ok {
+		return nil
+	}
+	a, ok := m.adapters[order.Adapter]
+	if !ok {
+		return nil
+	}
+	if !a.loaded {
+		return &refusal{http.StatusServiceUnavailable, endpoint.CodeUnavailable, "the adapter is being loaded"}
+	}
+	delete(m.adapters, order.Adapter)
+	s.note(HistoryAdapterUnloaded, order)
+	return nil
+}
+
+// wait waits for a channel to close and returns false if the process ends first.
+func wait(p *process, closed <-chan struct{}) bool {
+	select {
+	case <-closed:
+		return true
+	case <-p.ctx.Done():
+		return false
+	}
+}
--- a/internal/standin/platform/hosts.go
+++ b/internal/standin/platform/hosts.go
@@ -114,7 +114,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	extra := h.server.faults.Get().Hosts.LagSeconds
-	h.advance(h.server.clock.Now().Add(-h.lag - time.Duration(extra*float64(time.Second))))
+	h.advance(h.server.clock.Now().Add(-h.lag - control.Seconds(extra)))
 	answer := HostsAnswer{Version: h.version, Hosts: []platform.Host{}}
 	for _, change := range h.shown {
 		answer.Hosts = append(answer.Hosts, change.host)
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"sync"
-	"time"
 
 	"golang.org/x/time/rate"
 
@@ -89,8 +88,8 @@
 // admit applies faults and the limit to a call. It answers and returns false if the call is not taken.
 func (s *store) admit(w http.ResponseWriter, r *http.Request, limiter *rate.Limiter) bool {
 	faults := s.faults()
-	latency := time.Duration(faults.LatencySeconds * float64(time.Second))
-	if latency > 0 && !control.Sleep(r, s.server.clock, s.server.faults.Exponential(latency)) {
+	latency := control.Seconds(faults.LatencySeconds)
+	if latency > 0 && !control.Sleep(r.Context(), s.server.clock, s.server.faults.Exponential(latency)) {
 		return false
 	}
 	if faults.Hang {
@@ -139,7 +138,7 @@
 	}
 	if s.hit(func(f *StoreFaults) *control.Chance { return &f.Delay }) {
 		s.count(func(t *StoreTruth) { t.Delayed++ })
-		timer := s.server.clock.NewTimer(time.Duration(s.faults().DelaySeconds * float64(time.Second)))
+		timer := s.server.clock.NewTimer(control.Seconds(s.faults().DelaySeconds))
 		go func() {
 			<-timer.C()
 			run()
--- a/internal/standin/platform/weights.go
+++ b/internal/standin/platform/weights.go
@@ -126,12 +126,12 @@
 
 // transfer waits until the transfer is complete, at a speed that follows the load, and says whether it was not cut.
 func (w *weights) transfer(r *http.Request, request FetchRequest) bool {
-	left := time.Duration(request.Seconds * float64(time.Second))
+	left := control.Seconds(request.Seconds)
 	last := w.server.clock.Now()
 	for left > 0 {
 		speed := w.speed(request.Kind)
 		step := min(time.Duration(float64(left)/speed), max(minStep, min(maxStep, left/stepShare)))
-		if !control.Sleep(r, w.server.clock, step) || w.server.faults.Get().Weights.Outage {
+		if !control.Sleep(r.Context(), w.server.clock, step) || w.server.faults.Get().Weights.Outage {
 			return false
 		}
 		now := w.server.clock.Now()
--- /dev/null
+++ b/internal/standin/service/service.go
@@ -0,0 +1,266 @@
+// Package service stands in for a plain service, for tests and the dev command: it takes any method and path, and keeps
+// the truth of which calls it ran and how often.
+//
+// A call is told from others by its marker, a "marker" in the query or in a JSON body; without one by its
+// Idempotency-Key, and without that by its X-Request-Id. POST /echo answers with the request's body; every other call
+// with JSON that holds a sequence number. The stand-in's own paths are GET /admin/report, GET, POST and DELETE of
+// /faults, and GET /truth.
+package service
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"golang.org/x/sync/semaphore"
+
+	"balsamsail/internal/clock"
+	"balsamsail/internal/endpoint"
+	"balsamsail/internal/standin/control"
+)
+
+// Options are the settings of the stand-in. A zero takes the default that is given with it.
+type Options struct {
+	// Clock is the source of time (the machine's).
+	Clock clock.Clock
+	// Seed seeds the chances of faults.
+	Seed uint64
+	// ServiceTime is how long a call takes (none).
+	ServiceTime time.Duration
+	// Concurrency is the number of calls that run at once (64); others wait.
+	Concurrency int
+	// HidesRequestID stops the service from echoing X-Request-Id.
+	HidesRequestID bool
+}
+
+const defaultConcurrency = 64
+
+// Faults are what can go wrong with a plain service.
+type Faults struct {
+	// SlowFactor makes each call that many times slower; 0 and 1 mean full speed.
+	SlowFactor float64 `json:"slow_factor"`
+	// Refuse refuses every call with 503.
+	Refuse bool `json:"refuse"`
+	// HangBefore never runs the call and never answers; HangAfter runs it and never answers.
+	HangBefore control.Chance `json:"hang_before"`
+	HangAfter  control.Chance `json:"hang_after"`
+	// CutBefore breaks the connection without running the call, CutAfter once it has run.
+	CutBefore control.Chance `json:"cut_before"`
+	CutAfter  control.Chance `json:"cut_after"`
+}
+
+// Call is one call that ran, by method, path and the key that tells it from others.
+type Call struct {
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Key    string `json:"key"`
+	// Executions is how often it ran.
+	Executions int `json:"executions"`
+}
+
+// Truth is what the service really ran.
+type Truth struct {
+	// Calls are in order of their first run.
+	Calls       []Call `json:"calls"`
+	Executions  int    `json:"executions"`
+	Refused     int    `json:"refused"`
+	GivenUp     int    `json:"given_up"`
+	PeakRunning int    `json:"peak_running"`
+}
+
+// Answer is the answer to every call but POST /echo.
+type Answer struct {
+	// Sequence is the number of runs up to and with this one.
+	Sequence int    `json:"sequence"`
+	Method   string `json:"method"`
+	Path     string `json:"path"`
+	Key      string `json:"key,omitempty"`
+}
+
+// Server is the stand-in.
+type Server struct {
+	options Options
+	faults  *control.Switch[Faults]
+	router  chi.Router
+	slots   *semaphore.Weighted
+
+	mu      sync.Mutex
+	running int
+	waiting int
+	truth   Truth
+	index   map[callID]int
+}
+
+type callID struct{ method, path, key string }
+
+// New returns a service that has run nothing.
+func New(o Options) *Server {
+	if o.Clock == nil {
+		o.Clock = clock.Real{}
+	}
+	if o.Concurrency == 0 {
+		o.Concurrency = defaultConcurrency
+	}
+	s := &Server{
+		options: o,
+		faults:  control.NewSwitch[Faults](o.Seed),
+		router:  chi.NewRouter(),
+		slots:   semaphore.NewWeighted(int64(o.Concurrency)),
+		index:   map[callID]int{},
+	}
+	s.faults.Mount(s.router)
+	s.router.Get("/truth", func(w http.ResponseWriter, _ *http.Request) {
+		control.WriteJSON(w, http.StatusOK, s.Truth())
+	})
+	s.router.Get(endpoint.PathReport, func(w http.ResponseWriter, _ *http.Request) {
+		control.WriteJSON(w, http.StatusOK, s.report())
+	})
+	s.router.HandleFunc("/*", s.serve)
+	return s
+}
+
+// Handler returns the server's HTTP interface.
+func (s *Server) Handler() http.Handler { return s.router }
+
+// Faults returns the switch of the faults.
+func (s *Server) Faults() *control.Switch[Faults] { return s.faults }
+
+// Truth returns what ran so far.
+func (s *Server) Truth() Truth {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	truth := s.truth
+	truth.Calls = slices.Clone(truth.Calls)
+	return truth
+}
+
+func (s *Server) report() endpoint.LoadReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return endpoint.LoadReport{Running: s.running, Waiting: s.waiting, ReportedAt: s.options.Clock.Now()}
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(endpoint.HeaderRequestID); id != "" && !s.options.HidesRequestID {
+		w.Header().Set(endpoint.HeaderRequestID, id)
+	}
+	if s.faults.Get().Refuse {
+		s.count(func(t *Truth) { t.Refused++ })
+		control.WriteError(w, http.StatusServiceUnavailable, endpoint.CodeUnavailable, "refusing")
+		return
+	}
+	s.hang(r, func(f *Faults) *control.Chance { return &f.HangBefore })
+	s.cut(func(f *Faults) *control.Chance { return &f.CutBefore })
+	if !s.acquire(r) {
+		s.count(func(t *Truth) { t.GivenUp++ })
+		return
+	}
+	defer s.release()
+	s.run(w, r)
+}
+
+// run executes a call and answers it. The call takes effect when its service time begins, and is then not given up
+// any more.
+func (s *Server) run(w http.ResponseWriter, r *http.Request) {
+	echo := r.Method == http.MethodPost && r.URL.Path == "/echo"
+	key, err := keyOf(r, echo)
+	if err != nil {
+		return
+	}
+	answer := s.execute(callID{r.Method, r.URL.Path, key})
+	duration := float64(s.options.ServiceTime) * max(1, s.faults.Get().SlowFactor)
+	control.Sleep(r.Context(), s.options.Clock, time.Duration(duration))
+	s.hang(r, func(f *Faults) *control.Chance { return &f.HangAfter })
+	s.cut(func(f *Faults) *control.Chance { return &f.CutAfter })
+	if !echo {
+		control.WriteJSON(w, http.StatusOK, answer)
+		return
+	}
+	// Without full duplex the server would read the whole body before it sends the answer's first byte.
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	w.Header().Set("Content-Type", r.Header.Get("Content-Type"))
+	if _, err := io.Copy(w, r.Body); err != nil {
+		control.Lose()
+	}
+}
+
+func (s *Server) execute(id callID) Answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.truth.Executions++
+	at, ok := s.index[id]
+	if !ok {
+		at = len(s.truth.Calls)
+		s.index[id] = at
+		s.truth.Calls = append(s.truth.Calls, Call{Method: id.method, Path: id.path, Key: id.key})
+	}
+	s.truth.Calls[at].Executions++
+	return Answer{Sequence: s.truth.Executions, Method: id.method, Path: id.path, Key: id.key}
+}
+
+// maxBody bounds a body in which a marker is looked for, in bytes.
+const maxBody = 16 << 20
+
+// keyOf returns what tells a call from others. It reads the body for a marker unless the body is to be streamed, and
+// fails if the body does not come whole: such a call is not run.
+func keyOf(r *http.Request, streamed bool) (string, error) {
+	marked := struct {
+		Marker string `json:"marker"`
+	}{Marker: r.URL.Query().Get("marker")}
+	if !streamed && marked.Marker == "" {
+		body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxBody))
+		if err != nil {
+			return "", err
+		}
+		// A body that is not JSON has no marker.
+		_ = json.NewDecoder(bytes.NewReader(body)).Decode(&marked)
+	}
+	for _, key := range []string{marked.Marker, r.Header.Get("Idempotency-Key")} {
+		if key != "" {
+			return key, nil
+		}
+	}
+	return r.Header.Get(endpoint.HeaderRequestID), nil
+}
+
+func (s *Server) acquire(r *http.Request) bool {
+	s.count(func(*Truth) { s.waiting++ })
+	err := s.slots.Acquire(r.Context(), 1)
+	s.count(func(t *Truth) {
+		s.waiting--
+		if err == nil {
+			s.running++
+			t.PeakRunning = max(t.PeakRunning, s.running)
+		}
+	})
+	return err == nil
+}
+
+func (s *Server) release() {
+	s.slots.Release(1)
+	s.count(func(*Truth) { s.running-- })
+}
+
+func (s *Server) hang(r *http.Request, choose func(*Faults) *control.Chance) {
+	if s.faults.Hit(choose) {
+		<-r.Context().Done()
+		control.Lose()
+	}
+}
+
+func (s *Server) cut(choose func(*Faults) *control.Chance) {
+	if s.faults.Hit(choose) {
+		control.Lose()
+	}
+}
+
+func (s *Server) count(change func(*Truth)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.truth)
+}
