declarations, settings/inifile: thin set, INI file and strict decoder

Set is an immutable view of one revision, held as sorted slices per kind; the operators' file is read and written by one schema of tagged structs. inifile decodes over ini.v1, which gives neither lines nor unknown keys.

--- /dev/null
+++ b/internal/declarations/limits.go
@@ -0,0 +1,25 @@
+package declarations
+
+import (
+	"sync"
+
+	pb "balsamsail/internal/declarations/declarationspb"
+	"balsamsail/internal/settings/inifile"
+)
+
+// defaultLimits are the limits of an empty section.
+var defaultLimits = sync.OnceValue(func() *pb.Limits {
+	var file fileSchema
+	if err := inifile.Decode(inifile.Parse("defaults", []byte("[limits]\n")), &file); err != nil {
+		panic(err)
+	}
+	return file.Limits.limits()
+})
+
+// Limits returns the declared limits, or the default ones where none are declared.
+func (s *Set) Limits() *pb.Limits {
+	if s.limits == nil {
+		return defaultLimits()
+	}
+	return s.limits
+}
--- /dev/null
+++ b/internal/settings/inifile/document.go
@@ -0,0 +1,206 @@
+package inifile
+
+import (
+	"bytes"
+	"fmt"
+	"sort"
+	"strings"
+
+	"gopkg.in/ini.v1"
+)
+
+// Place is where a key's value comes from.
+type Place struct {
+	File string
+	Line int
+}
+
+// Key is one setting of a section.
+type Key struct {
+	Name, Value string
+	Place       Place
+}
+
+// Section is one section of a file; `[model "x"]` has the kind "model" and the name "x".
+type Section struct {
+	Kind, Name string
+	Line       int
+	Keys       []Key
+}
+
+// Title returns the text between the section's brackets.
+func (s *Section) Title() string { return title(s.Kind, s.Name) }
+
+func title(kind, name string) string {
+	if name == "" {
+		return kind
+	}
+	return fmt.Sprintf(`%s "%s"`, kind, name)
+}
+
+// Document is a parsed file.
+type Document struct {
+	Name     string
+	Sections []Section
+	// Problems are the faults of syntax; what could be parsed is in Sections nevertheless.
+	Problems Problems
+}
+
+var loadOptions = ini.LoadOptions{
+	AllowNonUniqueSections:     true,
+	AllowShadows:               true,
+	AllowDuplicateShadowValues: true,
+	PreserveEmptyShadowValues:  true,
+	IgnoreContinuation:         true,
+	SpaceBeforeInlineComment:   true,
+	SkipUnrecognizableLines:    true,
+	KeyValueDelimiters:         "=",
+}
+
+const sectionForm = `[kind] or [kind "name"]`
+
+// Parse reads the sections and keys of a file; name is for messages.
+func Parse(name string, data []byte) *Document {
+	d := &Document{Name: name}
+	places := scanLines(data)
+	for _, line := range places.unrecognized {
+		d.report(Problem{Line: line, Text: "the line is neither a section, a key nor a comment", Allowed: "key = value"})
+	}
+	file, err := ini.LoadSources(loadOptions, data)
+	if err != nil {
+		d.report(Problem{Line: firstBrokenLine(data), Text: err.Error(), Allowed: sectionForm + " and key = value"})
+		return d
+	}
+	for i, section := range file.Sections() {
+		if i == 0 {
+			d.rejectKeysBeforeSections(section, places.at(0))
+			continue
+		}
+		d.add(section, places.at(i))
+	}
+	return d
+}
+
+func (d *Document) report(p Problem) {
+	if p.File == "" {
+		p.File = d.Name
+	}
+	d.Problems = append(d.Problems, p)
+}
+
+func (d *Document) rejectKeysBeforeSections(section *ini.Section, places sectionPlace) {
+	for _, key := range section.Keys() {
+		d.report(Problem{
+			Line: places.line(key.Name(), 0), Key: key.Name(), Text: "the key stands before the first section",
+			Allowed: sectionForm,
+		})
+	}
+}
+
+func (d *Document) add(parsed *ini.Section, places sectionPlace) {
+	kind, name, ok := splitTitle(parsed.Name())
+	if !ok {
+		d.report(Problem{Line: places.header, Section: parsed.Name(), Text: "the section's title is malformed", Allowed: sectionForm})
+		return
+	}
+	section := Section{Kind: kind, Name: name, Line: places.header}
+	for _, key := range parsed.Keys() {
+		for n, value := range key.ValueWithShadows() {
+			place := Place{File: d.Name, Line: places.line(key.Name(), n)}
+			d.checkKey(&section, key.Name(), value, n, place)
+			section.Keys = append(section.Keys, Key{Name: key.Name(), Value: value, Place: place})
+		}
+	}
+	d.checkRepeated(&section)
+	d.Sections = append(d.Sections, section)
+}
+
+func (d *Document) checkKey(section *Section, name, value string, n int, place Place) {
+	p := Problem{File: place.File, Line: place.Line, Section: section.Title(), Key: name}
+	if n > 0 {
+		p.Text, p.Allowed = "the key stands twice in the section", "once"
+		d.report(p)
+	}
+	if strings.Contains(value, "\n") {
+		p.Text, p.Allowed = "the value goes over several lines", "one line"
+		d.report(p)
+	}
+}
+
+func (d *Document) checkRepeated(section *Section) {
+	if first := d.Find(section.Kind, section.Name); first != nil {
+		d.report(Problem{
+			Line: section.Line, Section: section.Title(), Allowed: "once",
+			Text: fmt.Sprintf("the section stands twice, first on line %d", first.Line),
+		})
+	}
+}
+
+// Find returns the first section of a kind and name, or nil.
+func (d *Document) Find(kind, name string) *Section {
+	for i := range d.Sections {
+		if d.Sections[i].Kind == kind && d.Sections[i].Name == name {
+			return &d.Sections[i]
+		}
+	}
+	return nil
+}
+
+// Override sets a key of a section, which is made when the file lacks it. Origin names the flag or variable for messages.
+func (d *Document) Override(origin, sectionTitle, key, value string) {
+	kind, name, ok := splitTitle(sectionTitle)
+	if !ok {
+		d.report(Problem{File: origin, Section: sectionTitle, Key: key, Text: "the section's title is malformed", Allowed: sectionForm})
+		return
+	}
+	section := d.Find(kind, name)
+	if section == nil {
+		d.Sections = append(d.Sections, Section{Kind: kind, Name: name})
+		section = &d.Sections[len(d.Sections)-1]
+	}
+	section.set(Key{Name: key, Value: value, Place: Place{File: origin}})
+}
+
+func (s *Section) find(name string) *Key {
+	for i := range s.Keys {
+		if s.Keys[i].Name == name {
+			return &s.Keys[i]
+		}
+	}
+	return nil
+}
+
+func (s *Section) set(key Key) {
+	if old := s.find(key.Name); old != nil {
+		*old = key
+		return
+	}
+	s.Keys = append(s.Keys, key)
+}
+
+// splitTitle takes a title apart into kind and name.
+func splitTitle(text string) (kind, name string, ok bool) {
+	kind, quoted, named := strings.Cut(strings.TrimSpace(text), " ")
+	if kind == "" || strings.ContainsAny(kind, `"[]`) {
+		return "", "", false
+	}
+	if !named {
+		return kind, "", true
+	}
+	quoted = strings.TrimSpace(quoted)
+	if len(quoted) < 3 || quoted[0] != '"' || quoted[len(quoted)-1] != '"' {
+		return "", "", false
+	}
+	name = quoted[1 : len(quoted)-1]
+	return kind, name, !strings.ContainsAny(name, "\"[]\\")
+}
+
+// firstBrokenLine finds the line at which a file that can't be parsed goes wrong: the shortest beginning that fails.
+func firstBrokenLine(data []byte) int {
+	lines := bytes.SplitAfter(data, []byte("\n"))
+	broken := func(i int) bool {
+		_, err := ini.LoadSources(loadOptions, bytes.Join(lines[:i+1], nil))
+		return err != nil
+	}
+	return min(sort.Search(len(lines), broken)+1, len(lines))
+}
