replicas: grants decided, proposed and followed, thin

Cause: the whole path needs rows from declarations, and agents need to know which slots are theirs.

Weighed: RELEASING slots that may become GRANTED again (quicker when an operator reverts a label) against a one-way release. One way won: a confirmation then always belongs to one release, and giving a slot up for lack of room cannot turn back on itself. Slots name the host beside the engine: a replacement host may run an engine of the same name, and the slot of the old host, which is removable as soon as that host is gone, must not be its right to load.

Change: Decider (pure), Propose (compare-and-set, lost answers read back), Manager (follows rows, decides, proposes), replicaspb: Slot.host, hosts_version, releasing_revision, Row.declarations_revision.

Not there yet: rebalancing, the property test, benchmarks.

--- /dev/null
+++ b/internal/replicas/engines.go
@@ -0,0 +1,109 @@
+package replicas
+
+import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// engineIndex is what is worked out once for a set of engines.
+type engineIndex struct {
+	engines []EngineView
+	byName  map[string]int
+	hashes  []uint64
+	groups  map[string]*group
+	// groupsOf lists, for each engine, the groups that it belongs to.
+	groupsOf [][]*group
+	// mostSilent says that over half of the engines do not answer.
+	mostSilent bool
+}
+
+// group is the engines that one selector chooses and that may get slots: neither leaving nor drained.
+type group struct {
+	members []int
+	memory  int64
+	domains map[string]struct{}
+	// density is the share of the members' memory that the declared weights of the group's slots make up.
+	density float64
+}
+
+func newEngineIndex(engines []EngineView) *engineIndex {
+	x := &engineIndex{
+		engines:  engines,
+		byName:   make(map[string]int, len(engines)),
+		hashes:   make([]uint64, len(engines)),
+		groups:   map[string]*group{},
+		groupsOf: make([][]*group, len(engines)),
+	}
+	silent := 0
+	for i := range engines {
+		x.byName[engines[i].Name] = i
+		x.hashes[i] = xxhash.Sum64String(engines[i].Name)
+		if !engines[i].Reachable {
+			silent++
+		}
+	}
+	x.mostSilent = 2*silent > len(engines)
+	return x
+}
+
+// group returns the group of a selector.
+func (x *engineIndex) group(s Selector) *group {
+	key := s.String()
+	if g, ok := x.groups[key]; ok {
+		return g
+	}
+	g := &group{domains: map[string]struct{}{}}
+	for i := range x.engines {
+		e := &x.engines[i]
+		if e.Leaving || e.Drain || !s.Matches(e.Labels) {
+			continue
+		}
+		g.members = append(g.members, i)
+		g.memory += e.MemoryBytes
+		x.groupsOf[i] = append(x.groupsOf[i], g)
+		if e.Reachable {
+			g.domains[e.FailureDomain] = struct{}{}
+		}
+	}
+	x.groups[key] = g
+	return g
+}
+
+// holder returns the position of the engine that holds a slot, or -1 when it is not known. An engine of the same name on
+// another host is not the slot's holder.
+func (x *engineIndex) holder(engine, host string) int {
+	i, ok := x.byName[engine]
+	if !ok || x.engines[i].Host != host {
+		return -1
+	}
+	return i
+}
+
+// share returns how many bytes of declared weights an engine holds when the slots are spread evenly over the memory of
+// the engines that may hold them.
+func (x *engineIndex) share(engine int) float64 {
+	density := 0.0
+	for _, g := range x.groupsOf[engine] {
+		density += g.density
+	}
+	return density * float64(x.engines[engine].MemoryBytes)
+}
+
+// rendezvousScore is the weighted rendezvous hash of a model version and an engine: each engine is the highest for a
+// share of all model versions that is in proportion to its weight, and the order of two engines does not depend on any
+// third, so that an engine that comes or goes changes the choice only where it is the highest itself.
+func rendezvousScore(model, engine uint64, weight float64) float64 {
+	const mantissa = 53
+	h := mix(model ^ mix(engine))
+	u := (float64(h>>(64-mantissa)) + 0.5) / (1 << mantissa)
+	return -weight / math.Log(u)
+}
+
+// mix spreads the bits of a hash (the finalizer of SplitMix64).
+func mix(h uint64) uint64 {
+	h += 0x9e3779b97f4a7c15
+	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
+	h = (h ^ h>>27) * 0x94d049bb133111eb
+	return h ^ h>>31
+}
--- /dev/null
+++ b/internal/replicas/placement.go
@@ -0,0 +1,131 @@
+package replicas
+
+import (
+	"github.com/cespare/xxhash/v2"
+)
+
+// candidate is an engine that may get a slot of a model version.
+type candidate struct {
+	engine int
+	score  float64
+	// avoid says that the engine lately failed to serve the model version or has no room for it beside its warm ones.
+	avoid bool
+}
+
+// candidates returns the engines that may get a slot of a draft's model version.
+func (r *run) candidates(spec *ModelSpec, d *draft) []candidate {
+	hash := xxhash.Sum64String(spec.Model)
+	avoided := r.avoided(spec.Model)
+	var found []candidate
+	for _, i := range r.index.group(spec.Selector).members {
+		e := &r.index.engines[i]
+		if !r.eligible(spec, e) || d.holds(e.Name) {
+			continue
+		}
+		_, failed := avoided[e.Name]
+		crowded := r.warm[i]+spec.MemoryBytes > e.MemoryBytes
+		found = append(found, candidate{
+			engine: i,
+			score:  rendezvousScore(hash, r.index.hashes[i], float64(e.MemoryBytes)),
+			avoid:  failed || crowded,
+		})
+	}
+	return found
+}
+
+// eligible reports whether an engine of the model version's group may get a new slot.
+func (r *run) eligible(spec *ModelSpec, e *EngineView) bool {
+	return e.Reachable && e.MemoryBytes > 0 && e.MemoryBytes >= spec.MemoryBytes && listedLive(r.snapshot.Hosts, e.Host)
+}
+
+// pick returns the index of the best candidate, or -1 when there is none: not one to be avoided, in the failure domain
+// with the fewest slots of the model version, within its share of the declared weights, highest by rendezvous hashing.
+func (r *run) pick(spec *ModelSpec, found []candidate, domains map[string]int) int {
+	best := -1
+	var bestRank rank
+	for i := range found {
+		k := r.rank(spec, &found[i], domains)
+		if best < 0 || k.before(bestRank) {
+			best, bestRank = i, k
+		}
+	}
+	return best
+}
+
+// rank orders candidates; lower fields of higher places win.
+type rank struct {
+	avoid  bool
+	domain int
+	over   bool
+	// load counts only among engines over their share, score only among the others.
+	load  float64
+	score float64
+}
+
+func (r *run) rank(spec *ModelSpec, c *candidate, domains map[string]int) rank {
+	e := &r.index.engines[c.engine]
+	k := rank{avoid: c.avoid, domain: domains[e.FailureDomain], score: c.score}
+	if r.over(c.engine, spec.MemoryBytes, r.policy.PlaceBound) {
+		k.over = true
+		k.load = float64(r.load[c.engine]) / float64(e.MemoryBytes)
+	}
+	return k
+}
+
+func (k rank) before(o rank) bool {
+	if k.avoid != o.avoid {
+		return o.avoid
+	}
+	if k.domain != o.domain {
+		return k.domain < o.domain
+	}
+	if k.over != o.over {
+		return o.over
+	}
+	if k.load != o.load {
+		return k.load < o.load
+	}
+	return k.score > o.score
+}
+
+// over reports whether an engine would hold more than bound times its share of the declared weights if it got need more.
+// As weights do not split, one that comes as near to its share with them as without is not over it.
+func (r *run) over(engine int, need int64, bound float64) bool {
+	share := r.index.share(engine)
+	load := float64(r.load[engine])
+	return load+float64(need) > bound*share && load+float64(need)/2 > share
+}
+
+// domainCounts counts the slots of a draft that serve, by failure domain.
+func domainCounts(d *draft) map[string]int {
+	counts := map[string]int{}
+	for _, s := range d.slots {
+		if s.health == healthGood || s.health == healthFailing {
+			counts[s.slot.FailureDomain]++
+		}
+	}
+	return counts
+}
+
+// place grants up to n slots and returns how many it could.
+func (r *run) place(spec *ModelSpec, d *draft, n int, reason Reason) int {
+	if n <= 0 {
+		return 0
+	}
+	found := r.candidates(spec, d)
+	domains := domainCounts(d)
+	for placed := range n {
+		best := r.pick(spec, found, domains)
+		if best < 0 {
+			return placed
+		}
+		engine := found[best].engine
+		e := &r.index.engines[engine]
+		d.grant(e, engine, r.snapshot.Hosts, reason)
+		r.load[engine] += spec.MemoryBytes
+		domains[e.FailureDomain]++
+		found[best] = found[len(found)-1]
+		found = found[:len(found)-1]
+	}
+	return n
+}
--- /dev/null
+++ b/internal/replicas/propose_test.go
@@ -0,0 +1,67 @@
+package replicas
+
+import (
+	"context"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"balsamsail/internal/platform"
+)
+
+// firstChange returns a change that creates the row of m0@1.
+func firstChange(t *testing.T, operation string) Change {
+	t.Helper()
+	s := newSite(models(1), engines(2, "north", "east"))
+	changes := s.decide()
+	if len(changes) != 1 {
+		t.Fatalf("changes: %v", changes)
+	}
+	changes[0].Next.OperationId = operation
+	return changes[0]
+}
+
+// An operator sees a grant reported as made, or as not made, and the table says otherwise: the answer to a write was
+// lost, and the process claimed an outcome without looking.
+func TestProposeOutcomes(t *testing.T) {
+	lost := platform.ErrOutcomeUnknown
+	cases := []struct {
+		name       string
+		answer     error
+		takeEffect bool
+		raced      bool
+		want       error
+		stored     bool
+	}{
+		{name: "committed", stored: true},
+		{name: "answer lost after the write", answer: lost, takeEffect: true, stored: true},
+		{name: "answer lost, no write seen", answer: lost, want: ErrOutcomeUnknown},
+		{name: "refused for rate", answer: platform.ErrRateLimited, want: ErrUnavailable},
+		{name: "not taken", answer: platform.ErrUnavailable, want: ErrUnavailable},
+		{name: "malformed", answer: platform.ErrInvalid, want: ErrInvalid},
+		{name: "another process was first", raced: true, want: ErrConflict, stored: true},
+		{name: "answer lost, another process was first", raced: true, answer: lost, want: ErrOutcomeUnknown, stored: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := newMemoryTable()
+			if c.raced {
+				if _, err := Propose(context.Background(), table, firstChange(t, "other")); err != nil {
+					t.Fatal(err)
+				}
+			}
+			table.fault = func(platform.Txn) (error, bool) { return c.answer, c.takeEffect }
+			row, err := Propose(context.Background(), table, firstChange(t, "own"))
+			if !errors.Is(err, c.want) {
+				t.Errorf("error %v, want %v", err, c.want)
+			}
+			if c.want == nil && (row == nil || row.Revision == 0 || row.OperationId != "own") {
+				t.Errorf("row returned: %v", row)
+			}
+			stored := table.row(t, "m0@1")
+			if (stored != nil) != c.stored {
+				t.Errorf("row stored: %q", short(stored))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/replicas/run.go
@@ -0,0 +1,269 @@
+package replicas
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"balsamsail/internal/platform"
+	"balsamsail/internal/timeline"
+)
+
+// stamp tells whether anything that a decision rests on has changed.
+type stamp struct {
+	declared, head, engines, hosts, rows, demand uint64
+}
+
+// Run follows the table, decides and proposes until the context ends.
+func (m *Manager) Run(ctx context.Context) error {
+	m.started = m.clock.Now()
+	timer := m.clock.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-m.wake:
+			m.pause(ctx, m.options.Settle)
+		case <-timer.C():
+		}
+		timer.Reset(m.round(ctx))
+	}
+}
+
+// pause waits, or returns early when the context ends.
+func (m *Manager) pause(ctx context.Context, d time.Duration) {
+	timer := m.clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C():
+	}
+}
+
+// round reads, decides and proposes once, as far as each is due, and returns the time until the next round.
+func (m *Manager) round(ctx context.Context) time.Duration {
+	now := m.clock.Now()
+	if !now.Before(m.nextRead) {
+		m.readRows(ctx)
+		m.sample(m.clock.Now())
+	}
+	next := m.nextRead
+	if m.backoff == 0 && m.Complete() {
+		next = earlier(next, m.decide(ctx))
+	}
+	return max(next.Sub(m.clock.Now()), m.options.Settle)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.IsZero() || a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// readRows reads the rows that changed since the last read, or all of them when that is due.
+func (m *Manager) readRows(ctx context.Context) {
+	now := m.clock.Now()
+	after, complete := m.store.progress()
+	full := !complete || now.Sub(m.fullRead) >= m.options.FullInterval
+	if full {
+		after = 0
+	}
+	listing, err := m.table.List(ctx, KeyPrefix, after)
+	if err != nil {
+		m.failed(ctx, "read rows", err)
+		return
+	}
+	m.metrics.reads.WithLabelValues("ok").Inc()
+	m.recovered()
+	m.take(listing, full)
+	if full {
+		m.fullRead = now
+	}
+	m.nextRead = m.clock.Now().Add(m.options.Interval)
+}
+
+func (m *Manager) take(listing platform.Listing, full bool) {
+	now := m.clock.Now()
+	seen := make(map[string]struct{}, len(listing.Rows))
+	for _, r := range listing.Rows {
+		seen[ModelOfKey(r.Key)] = struct{}{}
+		row, err := DecodeRow(r)
+		if err != nil {
+			m.log.Error("row of the table cannot be read", "key", r.Key, "revision", r.Revision, "error", err)
+			continue
+		}
+		m.store.put(now, row)
+	}
+	if full {
+		rows, _ := m.store.views()
+		for model := range rows {
+			if _, ok := seen[model]; !ok {
+				m.store.drop(now, model, listing.Revision)
+			}
+		}
+	}
+	m.store.readTo(listing.Revision)
+}
+
+// failed notes that the table did not answer, and backs off.
+func (m *Manager) failed(ctx context.Context, what string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	m.metrics.reads.WithLabelValues("error").Inc()
+	if m.backoff == 0 {
+		m.log.Warn("table does not answer; grants stay as they are", "call", what, "error", err)
+		m.timeline.Record(timeline.Event{Kind: timeline.PlatformLost, Detail: what + ": " + err.Error()})
+	}
+	m.backoff = min(max(2*m.backoff, m.options.MinBackoff), m.options.MaxBackoff)
+	jittered := m.backoff/2 + time.Duration(m.random.Int64N(int64(m.backoff/2)+1))
+	m.nextRead = m.clock.Now().Add(jittered)
+}
+
+func (m *Manager) recovered() {
+	if m.backoff > 0 {
+		m.log.Info("table answers again")
+		m.timeline.Record(timeline.Event{Kind: timeline.PlatformBack})
+	}
+	m.backoff = 0
+}
+
+// sample notes the use of the model versions that have slots which might be taken back.
+func (m *Manager) sample(now time.Time) {
+	declared, ok := m.inputs.Declarations.Declared()
+	if !ok {
+		return
+	}
+	for i := range declared.Models {
+		spec := &declared.Models[i]
+		home, _ := m.options.Policy.bounds(*spec)
+		if len(m.store.row(spec.Model).GetSlots()) <= home {
+			m.demand.unsample(spec.Model)
+			continue
+		}
+		running, _ := m.inputs.Usage.Usage(spec.Model)
+		m.demand.sample(now, spec.Model, running)
+	}
+}
+
+// decide runs the decision if anything has changed, proposes what is this process's turn, and returns when to come again
+// at the latest (zero: at the next read).
+func (m *Manager) decide(ctx context.Context) time.Time {
+	declared, ok := m.inputs.Declarations.Declared()
+	if !ok {
+		return time.Time{}
+	}
+	now := m.clock.Now()
+	if seen := m.stamp(declared); seen != m.lastSeen || m.due(now) {
+		m.decision = m.decideNow(now, declared)
+		m.lastSeen = seen
+	}
+	ready, next := m.turns.ready(now, m.decision.Changes, m.inputs.Peers.Self(), m.inputs.Peers.Live())
+	if len(ready) > 0 {
+		m.propose(ctx, ready)
+		return m.clock.Now()
+	}
+	return earlier(next, m.decision.Again)
+}
+
+func (m *Manager) due(now time.Time) bool {
+	return !m.decision.Again.IsZero() && !now.Before(m.decision.Again)
+}
+
+func (m *Manager) stamp(declared Declared) stamp {
+	_, engines := m.inputs.Engines.Engines()
+	return stamp{
+		declared: declared.Revision,
+		head:     declared.Head.Revision,
+		engines:  engines,
+		hosts:    m.inputs.Engines.Hosts().Version,
+		rows:     m.store.at(),
+		demand:   m.demand.at(),
+	}
+}
+
+func (m *Manager) decideNow(now time.Time, declared Declared) Decision {
+	rows, _ := m.store.views()
+	engines, version := m.inputs.Engines.Engines()
+	s := &Snapshot{
+		Declared:       declared,
+		Rows:           rows,
+		Engines:        engines,
+		EnginesVersion: version,
+		Hosts:          m.inputs.Engines.Hosts(),
+		Since:          m.started,
+		Demand:         make(map[string]Demand, len(declared.Models)),
+		Releases:       m.demand.confirmed(rows),
+	}
+	for i := range declared.Models {
+		model := declared.Models[i].Model
+		demand := m.demand.demand(now, model)
+		_, demand.Usage.Loaded = m.inputs.Usage.Usage(model)
+		s.Demand[model] = demand
+	}
+	begin := m.clock.Now()
+	decision := m.decider.Decide(now, s)
+	m.metrics.decide.Observe(m.clock.Now().Sub(begin).Seconds())
+	m.metrics.count(rows)
+	return decision
+}
+
+// propose writes changes, several at once.
+func (m *Manager) propose(ctx context.Context, changes []Change) {
+	results := make([]error, len(changes))
+	var group errgroup.Group
+	group.SetLimit(m.options.ParallelWrites)
+	for i, c := range changes {
+		if m.limiter.Wait(ctx) != nil {
+			break
+		}
+		group.Go(func() error {
+			results[i] = m.proposeOne(ctx, c)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	for _, err := range results {
+		if errors.Is(err, ErrUnavailable) || errors.Is(err, ErrOutcomeUnknown) {
+			m.failed(ctx, "write row", err)
+			return
+		}
+	}
+}
+
+func (m *Manager) proposeOne(ctx context.Context, c Change) error {
+	if c.Next != nil {
+		c.Next.OperationId = m.operationID()
+	}
+	row, err := Propose(ctx, m.table, c)
+	m.metrics.proposals.WithLabelValues(resultOf(err)).Inc()
+	switch {
+	case err == nil:
+		m.committed(c, row)
+	case errors.Is(err, ErrConflict):
+		m.timeline.Record(timeline.Event{Kind: timeline.GrantConflict, Model: c.Model, Detail: c.String()})
+		m.reread(ctx, c.Model)
+	default:
+		m.log.Warn("grant not changed", "model", c.Model, "change", c.String(), "error", err)
+	}
+	return err
+}
+
+func resultOf(err error) string {
+	switch {
+	case err == nil:
+		return resultCommitted
+	case errors.Is(err, ErrConflict):
+		return resultConflict
+	case errors.Is(err, ErrUnavailable):
+		return resultUnavailable
+	case errors.Is(err, ErrInvalid):
+		return resultInvalid
+	default:
+		return resultUnknown
+	}
+}
