--- /dev/null
+++ b/internal/membership/link.go
@@ -0,0 +1,208 @@
+package membership
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"balsamsail/internal/timeline"
+	"balsamsail/internal/wire"
+	"balsamsail/internal/wire/wirepb"
+)
+
+// maxPendingBatches bounds the batches that wait for a slow agent; beyond it the connection is ended and starts over
+// with the whole state.
+const maxPendingBatches = 256
+
+// link keeps the connection to one agent.
+type link struct {
+	manager *Manager
+	name    string
+	address string
+	cancel  context.CancelFunc
+
+	mu      sync.Mutex
+	session *wire.Session
+	pending []*wirepb.ControlDown
+	wake    chan struct{}
+}
+
+func newLink(m *Manager, name, address string, cancel context.CancelFunc) *link {
+	return &link{manager: m, name: name, address: address, cancel: cancel, wake: make(chan struct{}, 1)}
+}
+
+func (l *link) stop() { l.cancel() }
+
+// open opens a stream on the present session.
+func (l *link) open(kind wirepb.StreamKind, limit int64) (*wire.Stream, error) {
+	l.mu.Lock()
+	session := l.session
+	l.mu.Unlock()
+	if session == nil {
+		return nil, ErrNotConnected
+	}
+	header := &wirepb.StreamHeader{
+		Kind:        kind,
+		Entry:       l.manager.options.EntryID,
+		Incarnation: l.manager.options.Incarnation,
+	}
+	return session.Open(header, limit)
+}
+
+// send queues a batch.
+func (l *link) send(down *wirepb.ControlDown) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.session == nil {
+		return
+	}
+	if len(l.pending) >= maxPendingBatches {
+		_ = l.session.Close()
+		return
+	}
+	l.pending = append(l.pending, down)
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run dials and serves until ctx ends.
+func (l *link) run(ctx context.Context) {
+	timer := l.manager.clock.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C():
+		}
+		l.connect(ctx)
+		timer.Reset(jitter(l.manager.options.RedialDelay))
+	}
+}
+
+// connect runs one connection to its end.
+func (l *link) connect(ctx context.Context) {
+	m := l.manager
+	session, err := wire.Dial(ctx, l.address, m.options.Wire, m.logger)
+	if err != nil {
+		m.metrics.dialFailures.Inc()
+		m.logger.Debug("agent not reached", "endpoint", l.name, "error", err)
+		return
+	}
+	defer func() { _ = session.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	defer stop()
+	l.setSession(session)
+	defer l.setSession(nil)
+	control, err := l.open(wirepb.StreamKind_CONTROL, wire.MaxControlBytes)
+	if err != nil {
+		return
+	}
+	m.metrics.connected.Inc()
+	defer m.metrics.connected.Dec()
+	m.recorder.Record(timeline.Event{Kind: "peer_connected", Endpoint: l.name})
+	m.observer.Connected(l.name)
+	var writer sync.WaitGroup
+	writer.Go(func() { l.writeBatches(ctx, session, control) })
+	err = l.readBatches(control)
+	_ = session.Close()
+	writer.Wait()
+	m.logger.Info("agent lost", "endpoint", l.name, "error", err)
+	m.recorder.Record(timeline.Event{Kind: "peer_lost", Endpoint: l.name, Detail: err.Error()})
+	m.lost(l.name, l)
+}
+
+func (l *link) setSession(s *wire.Session) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.session = s
+	l.pending = nil
+}
+
+// readBatches takes the agent's batches until the stream ends. An agent heartbeats, so silence beyond the limit means a
+// frozen agent or a half-open link; yamux's own probes are answered by a frozen process's kernel buffers only until they
+// fill, not by the process, so both bounds hold.
+func (l *link) readBatches(control *wire.Stream) error {
+	m := l.manager
+	for {
+		_ = control.SetReadDeadline(time.Now().Add(m.options.SilenceLimit))
+		up := &wirepb.ControlUp{}
+		if err := control.Read(up); err != nil {
+			return err
+		}
+		m.recorder.Clock().Observe(up.Clock)
+		m.metrics.batchesReceived.Inc()
+		m.reported(l.name, up)
+	}
+}
+
+// writeBatches sends queued batches, gathered for a moment, and heartbeats.
+func (l *link) writeBatches(ctx context.Context, session *wire.Session, control *wire.Stream) {
+	m := l.manager
+	heartbeat := time.NewTicker(m.options.HeartbeatInterval)
+	defer heartbeat.Stop()
+	sequence := uint64(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-session.Closed():
+			return
+		case <-heartbeat.C:
+		case <-l.wake:
+			pause(ctx, m.options.BatchDelay)
+		}
+		sequence++
+		batch := l.take()
+		batch.Sequence = sequence
+		batch.Clock = m.recorder.Clock().Now()
+		if err := control.Write(batch); err != nil {
+			_ = session.Close()
+			return
+		}
+		m.metrics.batchesSent.Inc()
+	}
+}
+
+// take merges the queued batches into one.
+func (l *link) take() *wirepb.ControlDown {
+	l.mu.Lock()
+	pending := l.pending
+	l.pending = nil
+	l.mu.Unlock()
+	merged := &wirepb.ControlDown{}
+	for _, d := range pending {
+		mergeDown(merged, d)
+	}
+	return merged
+}
+
+// mergeDown adds a later batch to an earlier one.
+func mergeDown(into, d *wirepb.ControlDown) {
+	if d.Snapshot != nil {
+		into.Snapshot = d.Snapshot
+		into.Deltas = nil
+	}
+	into.Deltas = append(into.Deltas, d.Deltas...)
+	into.Rows = append(into.Rows, d.Rows...)
+	into.Permits = append(into.Permits, d.Permits...)
+	if d.HostState != wirepb.HostState_HOST_STATE_UNSPECIFIED {
+		into.HostState = d.HostState
+	}
+	if len(d.Entries) > 0 {
+		into.Entries = d.Entries
+	}
+	into.WantState = into.WantState || d.WantState
+}
+
+// pause waits for d or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/membership/manager.go
@@ -0,0 +1,240 @@
+package membership
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"balsamsail/internal/clock"
+	"balsamsail/internal/platform"
+	"balsamsail/internal/timeline"
+	"balsamsail/internal/wire"
+	"balsamsail/internal/wire/wirepb"
+)
+
+// ErrNotConnected says that there is no working connection to an endpoint's agent.
+var ErrNotConnected = errors.New("membership: not connected")
+
+// Observer is told of what comes from agents. Calls come from several goroutines and must not block.
+type Observer interface {
+	// Connected is called when an agent's control stream is up, before its first report.
+	Connected(endpoint string)
+	// Reported is called with each batch, after the status in it was merged.
+	Reported(endpoint string, up *wirepb.ControlUp)
+	// Lost is called when the control stream has ended.
+	Lost(endpoint string)
+	// Changed is called when the set of hosts or their states changed.
+	Changed()
+}
+
+// Options are the settings of a Manager.
+type Options struct {
+	// EntryID names this entry; Incarnation rises with each start of it.
+	EntryID     string
+	Incarnation uint64
+	// ListInterval is the time between reads of the host list.
+	ListInterval time.Duration
+	// RedialDelay is the time between tries to reach an agent; it is jittered.
+	RedialDelay time.Duration
+	// HeartbeatInterval is the longest time between batches on a control stream, and SilenceLimit the silence after which
+	// the peer counts as lost.
+	HeartbeatInterval, SilenceLimit time.Duration
+	// BatchDelay is how long changes are gathered before a batch is sent.
+	BatchDelay time.Duration
+	Wire       wire.Options
+}
+
+// DefaultOptions returns the settings that suit a site of some tens of hosts.
+func DefaultOptions() Options {
+	return Options{
+		ListInterval:      time.Second,
+		RedialDelay:       300 * time.Millisecond,
+		HeartbeatInterval: time.Second,
+		SilenceLimit:      4 * time.Second,
+		BatchDelay:        10 * time.Millisecond,
+		Wire:              wire.DefaultOptions(),
+	}
+}
+
+// Manager is the shell around View.
+type Manager struct {
+	options  Options
+	hosts    platform.HostList
+	clock    clock.Clock
+	logger   *slog.Logger
+	recorder *timeline.Recorder
+	metrics  *metrics
+
+	endpoints atomic.Pointer[map[string]*Endpoint]
+	entries   atomic.Pointer[[]Entry]
+	listed    chan struct{}
+
+	mu       sync.Mutex
+	view     *View
+	links    map[string]*link
+	observer Observer
+	listOnce sync.Once
+}
+
+// NewManager returns a manager; Run starts it.
+func NewManager(o Options, hosts platform.HostList, c clock.Clock, logger *slog.Logger, r prometheus.Registerer, recorder *timeline.Recorder) *Manager {
+	m := &Manager{
+		options:  o,
+		hosts:    hosts,
+		clock:    c,
+		logger:   logger,
+		recorder: recorder,
+		metrics:  newMetrics(r),
+		listed:   make(chan struct{}),
+		view:     NewView(),
+		links:    map[string]*link{},
+	}
+	m.publish()
+	return m
+}
+
+// Observe sets the observer; it must be called before Run.
+func (m *Manager) Observe(o Observer) { m.observer = o }
+
+// Endpoints returns the endpoints by name. The map and its values must not be changed.
+func (m *Manager) Endpoints() map[string]*Endpoint { return *m.endpoints.Load() }
+
+// Entries returns the listed entries.
+func (m *Manager) Entries() []Entry { return *m.entries.Load() }
+
+// Listed is closed once the host list was read.
+func (m *Manager) Listed() <-chan struct{} { return m.listed }
+
+// Open opens a request stream to an endpoint's agent.
+func (m *Manager) Open(endpoint string) (*wire.Stream, error) {
+	m.mu.Lock()
+	l := m.links[endpoint]
+	m.mu.Unlock()
+	if l == nil {
+		return nil, ErrNotConnected
+	}
+	return l.open(wirepb.StreamKind_REQUEST, wire.MaxFrameBytes)
+}
+
+// Send queues a batch for an agent; batches to an agent that is not connected are dropped, because a new connection
+// starts with the whole state.
+func (m *Manager) Send(endpoint string, down *wirepb.ControlDown) {
+	m.mu.Lock()
+	l := m.links[endpoint]
+	m.mu.Unlock()
+	if l != nil {
+		l.send(down)
+	}
+}
+
+// Run reads the host list and keeps the connections until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	var links sync.WaitGroup
+	defer links.Wait()
+	timer := m.clock.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C():
+		}
+		m.readHosts(ctx, &links)
+		timer.Reset(jitter(m.options.ListInterval))
+	}
+}
+
+// readHosts reads the list once and starts and stops links accordingly. A failed read changes nothing: in an outage the
+// last list stays in force.
+func (m *Manager) readHosts(ctx context.Context, links *sync.WaitGroup) {
+	hosts, version, err := m.hosts.Hosts(ctx)
+	if err != nil {
+		m.metrics.listFailures.Inc()
+		m.logger.Debug("host list not read", "error", err)
+		return
+	}
+	m.mu.Lock()
+	taken := m.view.HostsRead(hosts, version)
+	if taken {
+		m.publish()
+		m.adjustLinks(ctx, links)
+	}
+	m.mu.Unlock()
+	m.listOnce.Do(func() { close(m.listed) })
+	if taken && m.observer != nil {
+		m.observer.Changed()
+	}
+}
+
+// adjustLinks starts a link to each listed endpoint and stops those to hosts that are gone or replaced.
+func (m *Manager) adjustLinks(ctx context.Context, links *sync.WaitGroup) {
+	for name, e := range m.view.Endpoints() {
+		l := m.links[name]
+		if l != nil && (e.Gone || l.address != e.Address) {
+			l.stop()
+			delete(m.links, name)
+			l = nil
+		}
+		if l != nil || e.Gone {
+			continue
+		}
+		m.startLink(ctx, links, name, e.Address)
+	}
+}
+
+func (m *Manager) startLink(ctx context.Context, links *sync.WaitGroup, name, address string) {
+	linkCtx, cancel := context.WithCancel(ctx)
+	l := newLink(m, name, address, cancel)
+	m.links[name] = l
+	links.Add(1)
+	go func() {
+		defer links.Done()
+		l.run(linkCtx)
+	}()
+}
+
+// publish makes the view's present state visible to readers. The caller holds mu.
+func (m *Manager) publish() {
+	endpoints := maps.Clone(m.view.Endpoints())
+	entries := m.view.Entries()
+	m.endpoints.Store(&endpoints)
+	m.entries.Store(&entries)
+}
+
+// reported merges a batch and tells the observer.
+func (m *Manager) reported(name string, up *wirepb.ControlUp) {
+	if up.Status != nil {
+		m.mu.Lock()
+		if m.view.Reported(m.clock.Now(), name, up.Status) {
+			m.publish()
+		}
+		m.mu.Unlock()
+	}
+	if m.observer != nil {
+		m.observer.Reported(name, up)
+	}
+}
+
+func (m *Manager) lost(name string, l *link) {
+	m.mu.Lock()
+	if m.links[name] == l {
+		m.view.Lost(name)
+		m.publish()
+	}
+	m.mu.Unlock()
+	if m.observer != nil {
+		m.observer.Lost(name)
+	}
+}
+
+// jitter spreads d over 0.75 to 1.25 of itself, so that processes started together do not call together.
+func jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.75 + rand.Float64()/2))
+}
--- /dev/null
+++ b/internal/membership/view.go
@@ -0,0 +1,197 @@
+// Package membership keeps, at an entry, which endpoints exist, which are leaving or gone, and what their agents say of
+// themselves.
+//
+// View is the deterministic part: it merges the platform's lagging host list with the agents' status reports. Manager
+// is the shell around it: it reads the list, keeps one connection with a control stream to each agent, and hands the
+// reports on.
+package membership
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"balsamsail/internal/platform"
+	"balsamsail/internal/wire/wirepb"
+)
+
+// Endpoint is an endpoint as an entry sees it. Values handed out are never changed afterwards.
+type Endpoint struct {
+	Name          string
+	HostID        string
+	Address       string
+	FailureDomain string
+	// Listed is the state in the host list; empty when the host is not listed any more.
+	Listed platform.HostState
+	// Connected says that the agent has a working control stream and has reported its whole status.
+	Connected bool
+	// Leaving says that the endpoint takes no new work: by the list, the agent's own word, or both.
+	Leaving bool
+	// Gone says that the platform has taken the host away: nothing runs there any more.
+	Gone bool
+	// ReportedAt is when the latest report came.
+	ReportedAt time.Time
+	// Status is the merged status, nil before the first report.
+	Status *wirepb.Status
+	// Replicas indexes Status.Replicas by model version.
+	Replicas map[string]*wirepb.Replica
+}
+
+// Entry is another entry host of the list.
+type Entry struct {
+	ID            string
+	FailureDomain string
+	Address       string
+	State         platform.HostState
+}
+
+// View merges host list and reports. It is not safe for concurrent use; the values it returns are.
+type View struct {
+	version   uint64
+	read      bool
+	endpoints map[string]*Endpoint
+	entries   []Entry
+}
+
+// NewView returns an empty view.
+func NewView() *View { return &View{endpoints: map[string]*Endpoint{}} }
+
+// Endpoint returns what is known of an endpoint.
+func (v *View) Endpoint(name string) (*Endpoint, bool) {
+	e, ok := v.endpoints[name]
+	return e, ok
+}
+
+// Endpoints returns all endpoints by name.
+func (v *View) Endpoints() map[string]*Endpoint { return v.endpoints }
+
+// Entries returns the listed entries that are not gone, by identifier.
+func (v *View) Entries() []Entry { return v.entries }
+
+// HostsRead takes in the host list and reports whether it was taken.
+//
+// A list of a lower version than one seen before is ignored: the list lags, and two reads may be answered by replicas of
+// the platform that lag differently, so that an older list would let a leaving host seem live again and get new work.
+func (v *View) HostsRead(hosts []platform.Host, version uint64) bool {
+	if v.read && version < v.version {
+		return false
+	}
+	v.read = true
+	v.version = version
+	listed := map[string]bool{}
+	v.entries = nil
+	for _, h := range hosts {
+		switch h.Role {
+		case platform.RoleEntry:
+			v.listEntry(h)
+		case platform.RoleEndpoint:
+			v.listEndpoint(h, listed)
+		}
+	}
+	v.dropUnlisted(listed)
+	slices.SortFunc(v.entries, func(a, b Entry) int { return strings.Compare(a.ID, b.ID) })
+	return true
+}
+
+func (v *View) listEntry(h platform.Host) {
+	if h.State == platform.HostGone {
+		return
+	}
+	v.entries = append(v.entries, Entry{ID: h.ID, FailureDomain: h.FailureDomain, Address: h.Address, State: h.State})
+}
+
+// listEndpoint takes in one listed endpoint host. Where a replacement host has taken over the endpoint's name, the live
+// host counts, not the gone one.
+func (v *View) listEndpoint(h platform.Host, listed map[string]bool) {
+	if listed[h.Endpoint] && h.State == platform.HostGone {
+		return
+	}
+	listed[h.Endpoint] = true
+	next := &Endpoint{Name: h.Endpoint}
+	if old, ok := v.endpoints[h.Endpoint]; ok && old.HostID == h.ID {
+		*next = *old
+	}
+	next.HostID = h.ID
+	next.Address = h.Address
+	next.FailureDomain = h.FailureDomain
+	next.Listed = h.State
+	next.Gone = h.State == platform.HostGone
+	next.Leaving = leaving(next)
+	v.endpoints[h.Endpoint] = next
+}
+
+// dropUnlisted marks endpoints that were listed and are not any more: the platform lists a host until it is terminated.
+func (v *View) dropUnlisted(listed map[string]bool) {
+	for name, e := range v.endpoints {
+		if listed[name] || e.Gone {
+			continue
+		}
+		next := *e
+		next.Listed = ""
+		next.Gone = true
+		next.Leaving = true
+		v.endpoints[name] = &next
+	}
+}
+
+// leaving joins the sources that say an endpoint stops. One of them suffices, so that the slowest does not matter.
+func leaving(e *Endpoint) bool {
+	if e.Gone || e.Listed == platform.HostLeaving {
+		return true
+	}
+	return e.Status.GetLeaving()
+}
+
+// Reported merges a status report. A change report before a whole one is not usable and is dropped.
+func (v *View) Reported(now time.Time, name string, status *wirepb.Status) bool {
+	old, ok := v.endpoints[name]
+	if !ok || status == nil {
+		return false
+	}
+	if !status.Full && (old.Status == nil || !old.Connected) {
+		return false
+	}
+	next := *old
+	next.Connected = true
+	next.ReportedAt = now
+	next.Replicas = mergeReplicas(old.Replicas, status)
+	next.Status = status
+	if !status.Full {
+		status.Labels = old.Status.GetLabels()
+	}
+	next.Leaving = leaving(&next)
+	v.endpoints[name] = &next
+	return true
+}
+
+// mergeReplicas applies the changed replicas to the earlier ones.
+func mergeReplicas(old map[string]*wirepb.Replica, status *wirepb.Status) map[string]*wirepb.Replica {
+	if !status.Full && len(status.Replicas) == 0 {
+		return old
+	}
+	merged := make(map[string]*wirepb.Replica, len(old)+len(status.Replicas))
+	if !status.Full {
+		for model, r := range old {
+			merged[model] = r
+		}
+	}
+	for _, r := range status.Replicas {
+		if r.State == wirepb.ReplicaState_ABSENT && r.Revision == 0 {
+			delete(merged, r.Model)
+			continue
+		}
+		merged[r.Model] = r
+	}
+	return merged
+}
+
+// Lost notes that the connection to an agent has ended.
+func (v *View) Lost(name string) {
+	old, ok := v.endpoints[name]
+	if !ok {
+		return
+	}
+	next := *old
+	next.Connected = false
+	v.endpoints[name] = &next
+}
--- a/internal/wire/frames.go
+++ b/internal/wire/frames.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"io"
+	"net"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -31,6 +32,8 @@
 	ErrClosed = errors.New("wire: closed")
 	// ErrBroken says that the connection or stream ended within a frame or by an error below.
 	ErrBroken = errors.New("wire: broken")
+	// ErrTimeout says that the read deadline passed.
+	ErrTimeout = errors.New("wire: read deadline passed")
 )
 
 // FrameReader reads length-delimited messages.
@@ -63,11 +66,15 @@
 	return errors.Wrap(ErrBroken, err.Error())
 }
 
-// closedError tells a clean end from a broken one.
+// closedError tells a clean end and a passed deadline from a broken stream.
 func closedError(err error) error {
 	if errors.Is(err, io.EOF) {
 		return ErrClosed
 	}
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return ErrTimeout
+	}
 	return errors.Wrap(ErrBroken, err.Error())
 }
 
