admission: queue by deadline with fair shares, times to come back, service times, limiter

Fair shares: the longest share gives up a place, also where the time up to the deadline is what is full.

--- /dev/null
+++ b/internal/admission/queue_test.go
@@ -0,0 +1,257 @@
+package admission
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"balsamsail/internal/wire/wirepb"
+)
+
+var (
+	start  = time.Date(2026, 1, 5, 7, 0, 0, 0, time.UTC)
+	target = Target{Model: "narrator@1"}
+	steady = Estimate{Ready: true, Service: time.Second, Concurrency: 1, First: 200 * time.Millisecond}
+)
+
+const (
+	interactive = wirepb.Class_INTERACTIVE
+	batch       = wirepb.Class_BATCH
+)
+
+// ask makes a request whose deadline lies the given time after start.
+func ask(id, caller string, class wirepb.Class, left time.Duration) Request {
+	return Request{ID: id, Target: target, Class: class, Caller: caller, Arrived: start, Deadline: start.Add(left)}
+}
+
+// drainInOrder takes out all that can start, one a second, and returns the identifiers in order.
+func drainInOrder(q *Queue) []string {
+	var ids []string
+	for {
+		r, _, ok := q.Next(start, target, steady)
+		if !ok {
+			return ids
+		}
+		ids = append(ids, r.ID)
+	}
+}
+
+func TestNextStartsInteractiveByDeadlineAndKeepsBatchMoving(t *testing.T) {
+	cases := []struct {
+		name   string
+		offers []Request
+		want   []string
+	}{
+		{"earliest deadline first", []Request{
+			ask("late", "a", interactive, time.Minute), ask("early", "b", interactive, 10*time.Second),
+		}, []string{"early", "late"}},
+		{"order of arrival among equals", []Request{
+			ask("1", "a", interactive, time.Minute), ask("2", "a", interactive, time.Minute),
+		}, []string{"1", "2"}},
+		{"interactive before batch whatever the deadline", []Request{
+			ask("audit", "a", batch, 20*time.Second), ask("kerb", "b", interactive, time.Minute),
+		}, []string{"kerb", "audit"}},
+		{"batch after a run of two", []Request{
+			ask("audit", "a", batch, time.Minute), ask("1", "b", interactive, time.Minute),
+			ask("2", "b", interactive, time.Minute), ask("3", "b", interactive, time.Minute),
+		}, []string{"1", "2", "audit", "3"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			q := NewQueue(Options{MaxWaiting: 10, BatchEvery: 2})
+			for _, r := range c.offers {
+				if _, refused := q.Offer(start, r, steady); refused != nil {
+					t.Fatalf("%s refused: %+v", r.ID, refused)
+				}
+			}
+			if got := drainInOrder(q); !slices.Equal(got, c.want) {
+				t.Errorf("started %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// A caller sends far more requests than the endpoint can serve; another sends one now and then. Without fair shares the
+// first caller's requests hold all places, or all the time up to the deadline, and the second is always refused.
+func TestOfferKeepsPlacesForOthers(t *testing.T) {
+	cases := []struct {
+		name     string
+		options  Options
+		waiting  []Request
+		offer    Request
+		refused  wirepb.RefusalReason
+		displace string
+	}{
+		{"room left", Options{MaxWaiting: 4}, []Request{ask("1", "a", interactive, time.Minute)},
+			ask("x", "a", interactive, time.Minute), 0, ""},
+		{"full of one caller", Options{MaxWaiting: 2},
+			[]Request{ask("1", "flood", interactive, time.Minute), ask("2", "flood", interactive, time.Minute)},
+			ask("x", "b", interactive, time.Minute), 0, "2"},
+		{"full and the caller itself is the heaviest", Options{MaxWaiting: 2},
+			[]Request{ask("1", "a", interactive, time.Minute), ask("2", "a", interactive, time.Minute)},
+			ask("x", "a", interactive, time.Minute), wirepb.RefusalReason_QUEUE_FULL, ""},
+		{"full of equal callers", Options{MaxWaiting: 2},
+			[]Request{ask("1", "a", interactive, time.Minute), ask("2", "b", interactive, time.Minute)},
+			ask("x", "c", interactive, time.Minute), wirepb.RefusalReason_QUEUE_FULL, ""},
+		{"interactive displaces batch", Options{MaxPerTarget: 2},
+			[]Request{ask("1", "a", batch, time.Minute), ask("2", "a", interactive, time.Minute)},
+			ask("x", "b", interactive, time.Minute), 0, "1"},
+		{"batch does not displace interactive", Options{MaxPerTarget: 1},
+			[]Request{ask("1", "a", interactive, time.Minute)},
+			ask("x", "b", batch, time.Minute), wirepb.RefusalReason_QUEUE_FULL, ""},
+		{"bound of one caller", Options{MaxWaiting: 9, MaxPerCaller: 1},
+			[]Request{ask("1", "a", interactive, time.Minute)},
+			ask("x", "a", interactive, time.Minute), wirepb.RefusalReason_QUEUE_FULL, ""},
+		{"no time behind a heavy caller", Options{MaxWaiting: 9},
+			[]Request{ask("1", "flood", interactive, 2*time.Second), ask("2", "flood", interactive, 2*time.Second)},
+			ask("x", "b", interactive, 2*time.Second), 0, "2"},
+		{"no time behind equal callers", Options{MaxWaiting: 9},
+			[]Request{ask("1", "a", interactive, time.Second)},
+			ask("x", "b", interactive, time.Second), wirepb.RefusalReason_DEADLINE, ""},
+		{"no time at all", Options{MaxWaiting: 9}, nil,
+			ask("x", "a", interactive, time.Second-1), wirepb.RefusalReason_DEADLINE, ""},
+		{"identifier in use", Options{MaxWaiting: 9}, []Request{ask("x", "a", interactive, time.Minute)},
+			ask("x", "a", interactive, time.Minute), wirepb.RefusalReason_CANCELLED, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			q := NewQueue(c.options)
+			for _, r := range c.waiting {
+				q.Offer(start, r, steady)
+			}
+			displaced, refused := q.Offer(start, c.offer, steady)
+			checkRefused(t, refused, c.refused)
+			if c.displace == "" && len(displaced) > 0 || c.displace != "" && (len(displaced) != 1 || displaced[0].ID != c.displace) {
+				t.Errorf("displaced %+v, want %q", displaced, c.displace)
+			}
+		})
+	}
+}
+
+func checkRefused(t *testing.T, refused *Refusal, want wirepb.RefusalReason) {
+	t.Helper()
+	switch {
+	case refused == nil && want != 0:
+		t.Errorf("accepted, want refused with %v", want)
+	case refused != nil && refused.Reason != want:
+		t.Errorf("refused with %v, want %v", refused.Reason, want)
+	case refused != nil && refused.RetryAfter < minRetryAfter:
+		t.Errorf("refused without a time to come back: %v", refused.RetryAfter)
+	}
+}
+
+// A narration waits for a model that is being woken. The load takes longer than expected, past the last moment at which
+// the narration could start; the inspector must hear so at that moment, not at the deadline and not never.
+func TestExpireRefusesAtOnceWhatCannotStartInTime(t *testing.T) {
+	cold := Estimate{ReadyIn: 2 * time.Second, Service: time.Second, Concurrency: 1}
+	cases := []struct {
+		name     string
+		at       time.Duration
+		estimate Estimate
+		want     []string
+	}{
+		{"still in time", 5 * time.Second, Estimate{Ready: true, Service: time.Second}, nil},
+		{"not after the last moment to start", 9*time.Second + 1, cold, []string{"1", "2"}},
+		{"load takes too long", time.Second, Estimate{ReadyIn: 9 * time.Second, Service: time.Second}, []string{"1", "2"}},
+		{"place in the queue leaves no hope", 0, Estimate{Ready: true, Service: 10 * time.Second, Whole: time.Second, Running: 1}, []string{"2"}},
+		{"due later than was thought", 9*time.Second + 1, Estimate{Ready: true, Service: time.Millisecond}, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			q := NewQueue(Options{MaxWaiting: 10})
+			q.Offer(start, ask("1", "a", interactive, 10*time.Second), cold)
+			q.Offer(start, ask("2", "b", interactive, 10*time.Second), cold)
+			var got []string
+			for _, r := range q.Expire(start.Add(c.at), func(Target) Estimate { return c.estimate }) {
+				got = append(got, r.ID)
+			}
+			if !slices.Equal(got, c.want) {
+				t.Errorf("expired %v, want %v", got, c.want)
+			}
+			if q.Len() != 2-len(c.want) {
+				t.Errorf("%d wait, want %d", q.Len(), 2-len(c.want))
+			}
+		})
+	}
+}
+
+func TestWakeIsTheFirstMomentAtWhichExpireRefuses(t *testing.T) {
+	q := NewQueue(Options{MaxWaiting: 10})
+	if !q.Wake().IsZero() {
+		t.Fatal("an empty queue wants to be woken")
+	}
+	q.Offer(start, ask("1", "a", interactive, 10*time.Second), steady)
+	estimate := func(Target) Estimate { return steady }
+	if early := q.Expire(q.Wake().Add(-1), estimate); len(early) > 0 {
+		t.Errorf("refused before Wake: %+v", early)
+	}
+	if refused := q.Expire(q.Wake(), estimate); len(refused) != 1 {
+		t.Errorf("Expire at Wake refused %d, want 1", len(refused))
+	}
+}
+
+// Requests for the adapters of one model run in one replica. If each adapter's line were judged alone, twenty of them
+// would each promise the whole replica, and most of the accepted requests would be refused later.
+func TestOfferCountsAllAdaptersOfTheReplica(t *testing.T) {
+	q := NewQueue(Options{MaxWaiting: 100})
+	accepted := 0
+	for i := range 20 {
+		r := ask(fmt.Sprint(i), fmt.Sprint("caller", i), interactive, 5*time.Second)
+		r.Target.Adapter = fmt.Sprint("adapter", i)
+		if _, refused := q.Offer(start, r, steady); refused == nil {
+			accepted++
+		}
+	}
+	if accepted != 5 {
+		t.Errorf("accepted %d requests of 1 s each within 5 s, want 5", accepted)
+	}
+	cold := ask("cold", "a", interactive, 20*time.Second)
+	cold.Target.Model = "other@1"
+	if _, refused := q.Offer(start, cold, steady); refused != nil {
+		t.Errorf("another model's request was refused: %+v", refused)
+	}
+	order := []string{}
+	for r, _, ok := q.NextAny(start, allReady); ok; r, _, ok = q.NextAny(start, allReady) {
+		order = append(order, r.ID)
+	}
+	if want := []string{"0", "1", "2", "3", "4", "cold"}; !slices.Equal(order, want) {
+		t.Errorf("NextAny started %v, want %v", order, want)
+	}
+}
+
+func allReady(Target) (Estimate, bool) { return steady, true }
+
+// An endpoint at five times its capacity refuses four of five requests. If all of them were told the same time they would
+// come back together; the check is that no half second gets more of them than the target serves in it, with some slack
+// for the jitter.
+func TestRefusalsSpreadTheReturn(t *testing.T) {
+	quick := Estimate{Ready: true, Service: 100 * time.Millisecond, Concurrency: 2}
+	q := NewQueue(Options{MaxWaiting: 1, Seed: 7})
+	q.Offer(start, ask("first", "a", interactive, time.Minute), quick)
+	returning := map[time.Duration]int{}
+	for i := range 400 {
+		_, refused := q.Offer(start, ask(fmt.Sprint(i), "a", interactive, time.Minute), quick)
+		returning[refused.RetryAfter.Truncate(time.Second/2)]++
+	}
+	for at, n := range returning {
+		if n > 18 {
+			t.Errorf("%d requests come back within 0.5 s from %v, capacity is 10", n, at)
+		}
+	}
+}
+
+func TestDrainTargetsRefusesOnlyThose(t *testing.T) {
+	q := NewQueue(Options{MaxWaiting: 10})
+	other := ask("other", "a", batch, time.Minute)
+	other.Target = Target{Service: "ledger"}
+	q.Offer(start, ask("1", "a", interactive, time.Minute), steady)
+	q.Offer(start, other, steady)
+	refused := q.DrainTargets(func(t Target) bool { return t == target }, wirepb.RefusalReason_LOAD_FAILED, time.Second, "")
+	if len(refused) != 1 || refused[0].ID != "1" || refused[0].RetryAfter < time.Second {
+		t.Errorf("refused %+v", refused)
+	}
+	if rest := q.Drain(wirepb.RefusalReason_LEAVING); len(rest) != 1 || q.Len() != 0 {
+		t.Errorf("drained %+v, %d left", rest, q.Len())
+	}
+}
