--- /dev/null
+++ b/internal/declarations/change.go
@@ -0,0 +1,136 @@
+package declarations
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	pb "balsamsail/internal/declarations/declarationspb"
+	"balsamsail/internal/selector"
+)
+
+// ErrNotDeclared says that an edit names a declaration that does not exist.
+var ErrNotDeclared = errors.New("declarations: not declared")
+
+// Change is what an edit does to a set.
+type Change struct {
+	Put    []*pb.Object
+	Delete []*pb.ObjectKey
+}
+
+// ChangeFunc works out an edit's change from the set that it is made on. It is called again when the edit is made on a
+// newer set than at first, so it must depend on its argument alone.
+type ChangeFunc func(base *Set) (Change, error)
+
+// PutObjects returns a change that puts and deletes objects.
+func PutObjects(put []*pb.Object, deleted []*pb.ObjectKey) ChangeFunc {
+	return func(*Set) (Change, error) { return Change{Put: put, Delete: deleted}, nil }
+}
+
+// PutFile returns a change that puts the declarations of an INI file and deletes others.
+func PutFile(name string, data []byte, deleted []*pb.ObjectKey) ChangeFunc {
+	return func(base *Set) (Change, error) {
+		without, err := base.Apply(&pb.Delta{Revision: base.revision + 1, Deleted: deleted})
+		if err != nil {
+			return Change{}, err
+		}
+		objects, err := without.ParseFile(name, data)
+		return Change{Put: objects, Delete: deleted}, err
+	}
+}
+
+// SetLabels returns a change that sets and removes labels of one declaration. An engine that isn't declared yet is
+// declared by it.
+func SetLabels(key *pb.ObjectKey, set map[string]string, remove []string) ChangeFunc {
+	return func(base *Set) (Change, error) {
+		for label, value := range set {
+			if err := selector.CheckLabel(label, value); err != nil {
+				return Change{}, errors.Wrap(ErrInvalid, err.Error())
+			}
+		}
+		object, err := base.editable(key)
+		if err != nil {
+			return Change{}, err
+		}
+		labels := labelsOf(object)
+		if labels == nil {
+			return Change{}, errors.Wrapf(ErrInvalid, "%s has no labels", keyText(key))
+		}
+		if *labels == nil {
+			*labels = map[string]string{}
+		}
+		maps.Copy(*labels, set)
+		for _, label := range remove {
+			delete(*labels, label)
+		}
+		return Change{Put: []*pb.Object{object}}, nil
+	}
+}
+
+// SetDrain returns a change that sets or ends the drain of an endpoint, which is declared by it if it wasn't.
+func SetDrain(endpoint string, drain bool) ChangeFunc {
+	return func(base *Set) (Change, error) {
+		object, err := base.editable(&pb.ObjectKey{Kind: KindEngine, Name: endpoint})
+		if err != nil {
+			return Change{}, err
+		}
+		object.GetEngine().Drain = drain
+		return Change{Put: []*pb.Object{object}}, nil
+	}
+}
+
+// editable returns a copy of a declaration.
+func (s *Set) editable(key *pb.ObjectKey) (*pb.Object, error) {
+	if object, ok := s.Object(key); ok {
+		return proto.Clone(object).(*pb.Object), nil
+	}
+	if key.GetKind() == KindEngine {
+		return EngineObject(&pb.Engine{Name: key.GetName()}), nil
+	}
+	return nil, errors.Wrap(ErrNotDeclared, keyText(key))
+}
+
+func labelsOf(object *pb.Object) *map[string]string {
+	switch kind := object.GetKind().(type) {
+	case *pb.Object_Model:
+		return &kind.Model.Labels
+	case *pb.Object_Adapter:
+		return &kind.Adapter.Labels
+	case *pb.Object_Engine:
+		return &kind.Engine.Labels
+	case *pb.Object_Service:
+		return &kind.Service.Labels
+	default:
+		return nil
+	}
+}
+
+// effective returns the part of a change that alters the set.
+func (s *Set) effective(change Change) Change {
+	var effect Change
+	for _, object := range change.Put {
+		if held, ok := s.Object(KeyOf(object)); !ok || !proto.Equal(held, object) {
+			effect.Put = append(effect.Put, object)
+		}
+	}
+	for _, key := range change.Delete {
+		put := slices.ContainsFunc(change.Put, func(o *pb.Object) bool { return proto.Equal(KeyOf(o), key) })
+		if _, ok := s.Object(key); ok && !put {
+			effect.Delete = append(effect.Delete, key)
+		}
+	}
+	return effect
+}
+
+func (c Change) empty() bool { return len(c.Put) == 0 && len(c.Delete) == 0 }
+
+// keys returns the declarations that the change touches.
+func (c Change) keys() []*pb.ObjectKey {
+	var keys []*pb.ObjectKey
+	for _, object := range c.Put {
+		keys = append(keys, KeyOf(object))
+	}
+	return append(keys, c.Delete...)
+}
--- /dev/null
+++ b/internal/declarations/edit.go
@@ -0,0 +1,142 @@
+package declarations
+
+import (
+	"context"
+	crand "crypto/rand"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"balsamsail/internal/platform"
+)
+
+// Edit makes one edit and returns once it is known to be made, or to be lost. The error is a *ConflictError when another
+// edit came first, an inifile.Problems or one that wraps ErrInvalid or ErrNotDeclared when the edit is wrong, one that
+// wraps ErrUnavailable when the table could not be reached, each of which had no effect; or a *UnknownError.
+func (s *Store) Edit(ctx context.Context, request EditRequest) (EditResult, error) {
+	start := s.clock.Now()
+	result, err := s.edit(ctx, request, start.Add(s.options.EditTimeout))
+	s.metrics.editTime.Observe(s.clock.Now().Sub(start).Seconds())
+	s.metrics.edits.WithLabelValues(outcomeOf(result, err)).Inc()
+	return result, err
+}
+
+func (s *Store) edit(ctx context.Context, request EditRequest, deadline time.Time) (EditResult, error) {
+	if request.Change == nil {
+		return EditResult{}, errors.Wrap(ErrInvalid, "the edit has no change")
+	}
+	if request.OperationID == "" {
+		request.OperationID = strings.ToLower(crand.Text())
+	}
+	ctx, cancel := context.WithTimeout(ctx, deadline.Sub(s.clock.Now()))
+	defer cancel()
+	if limit, ok := ctx.Deadline(); ok && limit.Before(deadline) {
+		deadline = limit
+	}
+	if err := s.editing.Acquire(ctx, 1); err != nil {
+		return EditResult{}, errors.Wrap(ErrUnavailable, "earlier edits wait for the table")
+	}
+	defer s.editing.Release(1)
+	e := &editor{request: request, deadline: deadline, keep: uint64(s.options.LogKeep), random: s.fork()}
+	return s.drive(ctx, e)
+}
+
+// fork returns a source of randomness for one edit.
+func (s *Store) fork() *rand.Rand {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return rand.New(rand.NewPCG(s.random.Uint64(), s.random.Uint64()))
+}
+
+// stepper is the machine that drive carries out.
+type stepper interface {
+	start() editAction
+	step(now time.Time, event editEvent) editAction
+}
+
+func (s *Store) drive(ctx context.Context, machine stepper) (EditResult, error) {
+	action := machine.start()
+	for {
+		var event editEvent
+		switch a := action.(type) {
+		case finish:
+			return a.result, a.err
+		case readView:
+			event = s.readForEdit(ctx)
+		case commitTxn:
+			event = s.commit(ctx, a.txn)
+		case wait:
+			event = s.wait(ctx, a.duration)
+		}
+		action = machine.step(s.clock.Now(), event)
+	}
+}
+
+func (s *Store) readForEdit(ctx context.Context) editEvent {
+	view, err := s.refresh(ctx)
+	if err != nil {
+		return readFailed{}
+	}
+	return view
+}
+
+// commit runs a transaction. What the platform doesn't name as without effect counts as lost.
+func (s *Store) commit(ctx context.Context, txn platform.Txn) editEvent {
+	_, err := s.table.Commit(ctx, txn)
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil:
+		return committed{}
+	case errors.As(err, &conflict):
+		return conflicted{}
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrRateLimited):
+		return refused{}
+	case errors.Is(err, platform.ErrInvalid):
+		return rejected{err: err}
+	default:
+		return answerLost{}
+	}
+}
+
+func (s *Store) wait(ctx context.Context, duration time.Duration) editEvent {
+	timer := s.clock.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return expired{}
+	case <-timer.C():
+		return waited{}
+	}
+}
+
+// OperationState is what is known of an edit.
+type OperationState string
+
+// The states of an operation.
+const (
+	// OperationMade: the edit is stored.
+	OperationMade OperationState = "made"
+	// OperationNever: the edit did not and will not take effect.
+	OperationNever OperationState = "never"
+	// OperationUnknown: the edit is not stored now and may still take effect.
+	OperationUnknown OperationState = "unknown"
+)
+
+// Operation looks an edit up by its identifier and, for one that was made, returns its revision. BasedOn is the revision
+// that the edit was made on, 0 if not known; without it an edit that is not stored can't be told from one on its way.
+// The error wraps ErrUnavailable when the table can't be read.
+func (s *Store) Operation(ctx context.Context, id string, basedOn uint64) (OperationState, uint64, error) {
+	view, err := s.refresh(ctx)
+	if err != nil {
+		return OperationUnknown, 0, err
+	}
+	if made := findOperation(view.history, id); made != nil {
+		return OperationMade, made.GetRevision(), nil
+	}
+	if basedOn != 0 && findRevision(view.history, basedOn+1) != nil {
+		return OperationNever, 0, nil
+	}
+	return OperationUnknown, 0, nil
+}
--- a/internal/declarations/errors.go
+++ b/internal/declarations/errors.go
@@ -40,3 +40,19 @@
 	}
 	return fmt.Sprintf("declarations: edit based on revision %d lost to %s; the newest revision is %d", e.BasedOn, winner, e.Revision)
 }
+
+// UnknownError says that the deadline passed while a write whose answer was lost could still take effect. It wraps
+// ErrOutcomeUnknown. Store.Operation tells later what became of the edit.
+type UnknownError struct {
+	OperationID string
+	// BasedOn is the revision on which the write is conditioned.
+	BasedOn uint64
+}
+
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("%v: operation %s may be made as revision %d; look it up by its identifier before trying again",
+		ErrOutcomeUnknown, e.OperationID, e.BasedOn+1)
+}
+
+// Unwrap returns ErrOutcomeUnknown.
+func (e *UnknownError) Unwrap() error { return ErrOutcomeUnknown }
