load: open-loop load, held streams and comparison with a direct way

The time that entry and agent add to a warm request has to be stated from runs, without coordinated omission. Weighed: taking latencies from the actual send; kept beside the ones from the planned time, because the load's own lag in sending is part of the latter on a busy machine and hides added times under a millisecond. Change: Run (Poisson or constant arrivals, burst, weights, class, deadline, expected content), Hold (many open streams), Compare (rounds each way in turn, with the spread of single rounds). Loopback only, checked in the URL and at the dial. Seen to fail: latencies taken from the send give a p50 of a few ms in the stall test, which wants 100 ms and more.

--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,389 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// serveOn starts a server and returns its URL.
+func serveOn(t *testing.T, handler http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+// event writes one token of a stream.
+func event(w http.ResponseWriter, token string) {
+	fmt.Fprintf(w, "data: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", token)
+	_ = http.NewResponseController(w).Flush()
+}
+
+func TestResultsAreToldApart(t *testing.T) {
+	whole := func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"choices":[{"message":{"content":"right"}}]}`)
+	}
+	stream := func(end string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			event(w, "ri")
+			event(w, "ght")
+			fmt.Fprint(w, end)
+		}
+	}
+	cases := []struct {
+		name    string
+		stream  bool
+		handler http.HandlerFunc
+		want    Part
+	}{
+		{name: "whole served", handler: whole, want: Part{Served: 3}},
+		{name: "stream served", stream: true, handler: stream("data: [DONE]\n\n"), want: Part{Served: 3}},
+		{name: "stream without its end", stream: true, handler: stream(""), want: Part{Truncated: 3}},
+		{
+			name: "connection cut in a stream", stream: true, want: Part{Truncated: 3},
+			handler: func(w http.ResponseWriter, _ *http.Request) {
+				event(w, "ri")
+				panic(http.ErrAbortHandler)
+			},
+		},
+		{
+			name: "connection cut after the last event", stream: true, want: Part{Truncated: 3},
+			handler: func(w http.ResponseWriter, _ *http.Request) {
+				event(w, "right")
+				fmt.Fprint(w, "data: [DONE]\n\n")
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			},
+		},
+		{
+			name: "whole answer cut", want: Part{Truncated: 3},
+			handler: func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Length", "100")
+				fmt.Fprint(w, `{"choices":`)
+			},
+		},
+		{
+			name: "answer to another request", want: Part{Wrong: 3},
+			handler: func(w http.ResponseWriter, _ *http.Request) {
+				fmt.Fprint(w, `{"choices":[{"message":{"content":"other"}}]}`)
+			},
+		},
+		{
+			name: "no answer", want: Part{Broken: 3},
+			handler: func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		},
+		{
+			name: "refused", want: Part{
+				Refused: 3, WithComeBack: 3,
+				Refusals: []CodeCount{{Status: 503, Code: "no_capacity", Outcome: "not_run", Count: 3}},
+			},
+			handler: func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Retry-After", "1")
+				w.Header().Set("X-Outcome", "not_run")
+				w.WriteHeader(http.StatusServiceUnavailable)
+				fmt.Fprint(w, `{"error":{"code":"no_capacity"}}`)
+			},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			report, err := Run(t.Context(), Options{
+				URL: serveOn(t, c.handler), Burst: 3,
+				Targets:  []Target{{Model: "m", Stream: c.stream}},
+				Expected: func(Call) string { return "right" },
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := report.Total
+			if got.Sent != 3 || got.Served != c.want.Served || got.Truncated != c.want.Truncated ||
+				got.Wrong != c.want.Wrong || got.Broken != c.want.Broken || got.Refused != c.want.Refused ||
+				got.WithComeBack != c.want.WithComeBack || fmt.Sprint(got.Refusals) != fmt.Sprint(c.want.Refusals) {
+				t.Fatalf("got %+v, want %+v", got, c.want)
+			}
+		})
+	}
+}
+
+// A server stalls for its first answer while requests keep coming due. A closed loop would send nothing meanwhile and
+// report one slow request; the callers of an open loop all wait, and the report must say so.
+func TestStallIsChargedToAllThatWaited(t *testing.T) {
+	const stall = 400 * time.Millisecond
+	var stalled atomic.Bool
+	url := serveOn(t, func(w http.ResponseWriter, _ *http.Request) {
+		if stalled.CompareAndSwap(false, true) {
+			time.Sleep(stall)
+		}
+		fmt.Fprint(w, "ok")
+	})
+	report, err := Run(t.Context(), Options{
+		URL: url, Rate: 100, Duration: stall, Arrivals: ArrivalsConstant, Concurrency: 1,
+		Targets: []Target{{Path: "/"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if report.Total.Served != report.Planned || report.Planned < 30 {
+		t.Fatalf("served %d of %d planned, want all of 30 and more", report.Total.Served, report.Planned)
+	}
+	if report.Total.FirstByte.P50 < 100 {
+		t.Fatalf("p50 to the first byte is %.1f ms: the requests that waited are not charged", report.Total.FirstByte.P50)
+	}
+}
+
+// A stream has to begin by its deadline and may go on; any other answer, a refusal too, has to end by it.
+func TestLate(t *testing.T) {
+	whole := &Target{Deadline: 100 * time.Millisecond}
+	stream := &Target{Deadline: 100 * time.Millisecond, Stream: true}
+	cases := []struct {
+		name string
+		outcome
+		wantLate int
+	}{
+		{"whole in time", outcome{target: whole, result: ResultServed, whole: 100 * time.Millisecond}, 0},
+		{"whole late", outcome{target: whole, result: ResultServed, whole: 101 * time.Millisecond}, 1},
+		{"refused late", outcome{target: stream, result: ResultRefused, whole: 101 * time.Millisecond}, 1},
+		{"broken late", outcome{target: stream, result: ResultBroken, whole: 101 * time.Millisecond}, 1},
+		{
+			"stream goes on after its deadline",
+			outcome{target: stream, result: ResultServed, firstToken: 99 * time.Millisecond, whole: time.Second}, 0,
+		},
+		{
+			"stream begins late",
+			outcome{target: stream, result: ResultServed, firstToken: 101 * time.Millisecond, whole: time.Second}, 1,
+		},
+		{"no deadline", outcome{target: &Target{}, result: ResultServed, whole: time.Hour}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRecorder("")
+			r.add(&c.outcome)
+			if r.late != c.wantLate {
+				t.Fatalf("late %d, want %d", r.late, c.wantLate)
+			}
+		})
+	}
+}
+
+func TestClassAndDeadlineAreSent(t *testing.T) {
+	url := serveOn(t, func(w http.ResponseWriter, r *http.Request) {
+		left, err := strconv.Atoi(r.Header.Get(DefaultDeadlineHeader))
+		if err != nil || left <= 0 || left > 60_000 || r.Header.Get(DefaultClassHeader) != "batch" {
+			w.WriteHeader(http.StatusBadRequest)
+		}
+	})
+	report, err := Run(t.Context(), Options{
+		URL: url, Burst: 1, Targets: []Target{{Path: "/", Class: "batch", Deadline: time.Minute}},
+	})
+	if err != nil || report.Total.Served != 1 {
+		t.Fatalf("got %+v, %v; want one served", report.Total, err)
+	}
+}
+
+func TestOnlyLoopbackIsSentTo(t *testing.T) {
+	cases := []struct {
+		url     string
+		wantErr error
+	}{
+		{url: "http://127.0.0.1:8080"},
+		{url: "http://127.9.9.9:8080"},
+		{url: "http://[::1]:8080"},
+		{url: "http://[::ffff:127.0.0.1]:8080"},
+		{url: "http://localhost:8080"},
+		{url: "http://10.0.0.1:8080", wantErr: ErrNotLoopback},
+		{url: "http://192.0.2.1", wantErr: ErrNotLoopback},
+		{url: "http://example.com", wantErr: ErrNotLoopback},
+		{url: "http://127.0.0.1.example.com", wantErr: ErrNotLoopback},
+		{url: "http://localhost@192.0.2.1", wantErr: ErrNotLoopback},
+		{url: "http://0.0.0.0:8080", wantErr: ErrNotLoopback},
+		{url: "https://127.0.0.1:8080", wantErr: ErrOptions},
+		{url: "127.0.0.1:8080", wantErr: ErrOptions},
+	}
+	for _, c := range cases {
+		t.Run(c.url, func(t *testing.T) {
+			if err := checkLoopback(c.url); !errors.Is(err, c.wantErr) {
+				t.Fatalf("error %v, want %v", err, c.wantErr)
+			}
+		})
+	}
+}
+
+// "localhost" may resolve to another machine: the dialer has to refuse what the check of the URL let through.
+func TestDialerRefusesOtherMachines(t *testing.T) {
+	transport := newTransport(1)
+	conn, err := transport.DialContext(t.Context(), "tcp", "192.0.2.1:80")
+	if !errors.Is(err, ErrNotLoopback) {
+		t.Fatalf("connection %v, error %v; want ErrNotLoopback", conn, err)
+	}
+}
+
+func TestSchedule(t *testing.T) {
+	cases := []struct {
+		name     string
+		options  Options
+		wantMin  int
+		wantMax  int
+		wantZero int
+	}{
+		{name: "constant", options: Options{Rate: 100, Duration: 10 * time.Second, Arrivals: ArrivalsConstant}, wantMin: 999, wantMax: 1000},
+		{name: "poisson", options: Options{Rate: 100, Duration: 10 * time.Second}, wantMin: 900, wantMax: 1100},
+		{name: "burst alone", options: Options{Burst: 50}, wantMin: 50, wantMax: 50, wantZero: 50},
+		{name: "burst and rate", options: Options{Burst: 50, Rate: 10, Duration: time.Second, Arrivals: ArrivalsConstant}, wantMin: 59, wantMax: 60, wantZero: 50},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			c.options.URL = "http://127.0.0.1:1"
+			c.options.Targets = []Target{{Model: "a", Weight: 3}, {Model: "b"}}
+			options, err := c.options.check()
+			if err != nil {
+				t.Fatal(err)
+			}
+			first, second := newSchedule(&options), newSchedule(&options)
+			var n, zero, last int
+			for {
+				call, ok := first.call()
+				again, _ := second.call()
+				if call != again {
+					t.Fatalf("the same options planned %+v and %+v", call, again)
+				}
+				if !ok {
+					break
+				}
+				if call.At == 0 {
+					zero++
+				}
+				if int(call.At) < last {
+					t.Fatalf("call %d is planned before the one before it", n)
+				}
+				last = int(call.At)
+				n++
+			}
+			if n < c.wantMin || n > c.wantMax || zero != c.wantZero {
+				t.Fatalf("%d calls, %d of them at the start; want %d to %d, %d", n, zero, c.wantMin, c.wantMax, c.wantZero)
+			}
+		})
+	}
+}
+
+func TestTargetsAreChosenByWeight(t *testing.T) {
+	options, err := Options{
+		URL: "http://127.0.0.1:1", Burst: 4000, Targets: []Target{{Model: "a", Weight: 3}, {Model: "b"}},
+	}.check()
+	if err != nil {
+		t.Fatal(err)
+	}
+	plan := newSchedule(&options)
+	var chosen [2]float64
+	for call, ok := plan.call(); ok; call, ok = plan.call() {
+		chosen[call.TargetIndex]++
+	}
+	if share := chosen[0] / 4000; math.Abs(share-0.75) > 0.03 {
+		t.Fatalf("the target of weight 3 of 4 got a share of %.3f", share)
+	}
+}
+
+func TestParseTarget(t *testing.T) {
+	cases := []struct {
+		text    string
+		want    Target
+		wantErr error
+	}{
+		{
+			text: "narrator@2,weight=3,class=batch,deadline=5s,stream=true,tokens=32",
+			want: Target{
+				Name: "narrator@2", Model: "narrator@2", Weight: 3, Class: "batch", Deadline: 5 * time.Second,
+				Stream: true, MaxTokens: 32, Method: http.MethodPost,
+			},
+		},
+		{
+			text: "/ledger/notices,method=PUT,body=100,name=notices",
+			want: Target{
+				Name: "notices", Path: "/ledger/notices", Method: http.MethodPut, BodyBytes: 100, Weight: 1,
+				MaxTokens: DefaultMaxTokens,
+			},
+		},
+		{text: "", wantErr: ErrOptions},
+		{text: "m,tokens=many", wantErr: ErrOptions},
+		{text: "m,colour=red", wantErr: ErrOptions},
+		{text: "m,weight=-1", wantErr: ErrOptions},
+	}
+	for _, c := range cases {
+		t.Run(c.text, func(t *testing.T) {
+			got, err := ParseTarget(c.text)
+			if got != c.want || !errors.Is(err, c.wantErr) {
+				t.Fatalf("got %+v, %v; want %+v, %v", got, err, c.want, c.wantErr)
+			}
+		})
+	}
+}
+
+// Streams are opened and stay open. One is refused and one breaks while held: both must show, and the run must neither
+// wait for them for ever nor count them as open.
+func TestHoldKeepsStreamsOpen(t *testing.T) {
+	var arrived atomic.Int64
+	release := make(chan struct{})
+	url := serveOn(t, func(w http.ResponseWriter, r *http.Request) {
+		switch arrived.Add(1) {
+		case 1:
+			http.Error(w, "full", http.StatusServiceUnavailable)
+		case 2:
+			event(w, "x")
+			<-release
+			panic(http.ErrAbortHandler)
+		default:
+			event(w, "x")
+			<-r.Context().Done()
+		}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	report, err := Hold(ctx, HoldOptions{
+		Options: Options{URL: url, Rate: 1000, Targets: []Target{{Model: "m", Stream: true}}},
+		Streams: 20, For: 500 * time.Millisecond, AllOpen: func() { close(release) },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if report.Planned != 20 || report.Open != 19 || report.Lost != 1 || report.Total.Refused != 1 || report.Total.Held != 18 {
+		t.Fatalf("got %+v, want 19 open, 1 lost, 1 refused and 18 held", report)
+	}
+}
+
+func TestCompareFindsTheAddedTime(t *testing.T) {
+	const added = 30 * time.Millisecond
+	answer := func(delay time.Duration) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(delay)
+			fmt.Fprint(w, "ok")
+		}
+	}
+	comparison, err := Compare(t.Context(), CompareOptions{
+		Via: Options{
+			URL: serveOn(t, answer(added)), Rate: 100, Duration: 200 * time.Millisecond, Targets: []Target{{Path: "/"}},
+		},
+		DirectURL: serveOn(t, answer(0)), Rounds: 2,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text strings.Builder
+	if err := comparison.Write(&text); err != nil {
+		t.Fatal(err)
+	}
+	for _, a := range comparison.Added {
+		if a.Measure == "whole answer" && a.P50 >= millis(added.Microseconds())/2 && a.P50Min <= a.P50Max {
+			return
+		}
+	}
+	t.Fatalf("the added time is not shown:\n%s", text.String())
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,215 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrOutput says that a report could not be written.
+var ErrOutput = errors.New("load: report not written")
+
+// CodeCount counts refusals with one status, code and outcome.
+type CodeCount struct {
+	Status int    `json:"status"`
+	Code   string `json:"code,omitempty"`
+	// Outcome says of the call's effect, such as "not_run".
+	Outcome string `json:"outcome,omitempty"`
+	Count   int    `json:"count"`
+}
+
+// Part reports on one target or on all.
+type Part struct {
+	Name      string      `json:"name"`
+	Sent      int         `json:"sent"`
+	Served    int         `json:"served"`
+	Held      int         `json:"held,omitempty"`
+	Refused   int         `json:"refused"`
+	Refusals  []CodeCount `json:"refusals,omitempty"`
+	Truncated int         `json:"truncated"`
+	Wrong     int         `json:"wrong_content"`
+	Broken    int         `json:"no_answer"`
+	TimedOut  int         `json:"timed_out"`
+	Unsent    int         `json:"not_sent"`
+	// Late counts answers of any kind after the deadline (of a stream: its first token), the worst by WorstOverrun
+	// milliseconds.
+	Late         int     `json:"late"`
+	WorstOverrun float64 `json:"worst_overrun_ms"`
+	// WithComeBack counts refusals that say when to try again.
+	WithComeBack    int     `json:"refused_with_time_to_come_back"`
+	ServedPerSecond float64 `json:"served_per_second"`
+	TokensPerSecond float64 `json:"tokens_per_second"`
+
+	// SendLag is how late the load itself was in sending.
+	SendLag Quantiles `json:"send_lag"`
+	// FirstByte counts from the planned time, FirstByteFromSend from the actual one.
+	FirstByte         Quantiles `json:"first_byte"`
+	FirstByteFromSend Quantiles `json:"first_byte_from_send"`
+	FirstToken        Quantiles `json:"first_token"`
+	BetweenTokens     Quantiles `json:"between_tokens"`
+	Whole             Quantiles `json:"whole"`
+	// RefusedAfter is the time to the end of a refusal.
+	RefusedAfter Quantiles `json:"refused_after"`
+}
+
+// Report is the result of a run.
+type Report struct {
+	URL     string  `json:"url"`
+	Seed    uint64  `json:"seed"`
+	Rate    float64 `json:"rate"`
+	Burst   int     `json:"burst,omitempty"`
+	Planned int     `json:"planned"`
+	// Elapsed is the time from the start to the end of the last call, in seconds.
+	Elapsed float64 `json:"elapsed_seconds"`
+	Total   Part    `json:"total"`
+	// Targets reports on each target where there are several.
+	Targets []Part `json:"targets,omitempty"`
+}
+
+func (r *recording) report(options *Options) Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	report := Report{
+		URL:     options.URL,
+		Seed:    options.Seed,
+		Rate:    options.Rate,
+		Burst:   options.Burst,
+		Planned: r.planned,
+		Elapsed: r.elapsed.Seconds(),
+		Total:   r.total.part(r.elapsed),
+	}
+	if len(r.targets) > 1 {
+		for _, target := range r.targets {
+			report.Targets = append(report.Targets, target.part(r.elapsed))
+		}
+	}
+	return report
+}
+
+func (r *recorder) part(elapsed time.Duration) Part {
+	p := Part{
+		Name:              r.name,
+		Served:            r.counts[ResultServed],
+		Held:              r.counts[ResultHeld],
+		Refused:           r.counts[ResultRefused],
+		Refusals:          r.sortedRefusals(),
+		Truncated:         r.counts[ResultTruncated],
+		Wrong:             r.counts[ResultWrong],
+		Broken:            r.counts[ResultBroken],
+		TimedOut:          r.counts[ResultTimeout],
+		Unsent:            r.counts[ResultUnsent],
+		Late:              r.late,
+		WorstOverrun:      millis(r.overrun.Microseconds()),
+		WithComeBack:      r.comeBack,
+		SendLag:           r.lag.quantiles(),
+		FirstByte:         r.firstByte.quantiles(),
+		FirstByteFromSend: r.firstByteFromSend.quantiles(),
+		FirstToken:        r.firstToken.quantiles(),
+		BetweenTokens:     r.betweenTokens.quantiles(),
+		Whole:             r.whole.quantiles(),
+		RefusedAfter:      r.refused.quantiles(),
+	}
+	p.Sent = p.Served + p.Held + p.Refused + p.Truncated + p.Wrong + p.Broken + p.TimedOut
+	if elapsed > 0 {
+		p.ServedPerSecond = float64(p.Served) / elapsed.Seconds()
+		p.TokensPerSecond = float64(r.tokens) / elapsed.Seconds()
+	}
+	return p
+}
+
+// WriteJSON writes a report of any kind as indented JSON.
+func WriteJSON(w io.Writer, report any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return outputError(encoder.Encode(report))
+}
+
+// Write writes the report as text.
+func (r Report) Write(w io.Writer) error {
+	t := newTable(w)
+	t.row("load of %s: %d planned at %.1f/s and %d at the start, seed %d, %.1f s",
+		r.URL, r.Planned, r.Rate, r.Burst, r.Seed, r.Elapsed)
+	r.Total.write(t)
+	for _, target := range r.Targets {
+		t.row("")
+		t.row("target %s", target.Name)
+		target.write(t)
+	}
+	return t.flush()
+}
+
+func (p Part) write(t *table) {
+	t.row("sent\t%d\tserved\t%d\trefused\t%d\tlate\t%d", p.Sent, p.Served, p.Refused, p.Late)
+	t.row("truncated\t%d\twrong content\t%d\tno answer\t%d\ttimed out\t%d", p.Truncated, p.Wrong, p.Broken, p.TimedOut)
+	t.row("not sent\t%d\theld\t%d\tserved/s\t%.1f\ttokens/s\t%.1f", p.Unsent, p.Held, p.ServedPerSecond, p.TokensPerSecond)
+	for _, refusal := range p.Refusals {
+		t.row("refused\t%d\tstatus\t%d\tcode\t%s\toutcome\t%s",
+			refusal.Count, refusal.Status, orNone(refusal.Code), orNone(refusal.Outcome))
+	}
+	if p.Refused > 0 {
+		t.row("refused with a time to come back\t%d", p.WithComeBack)
+	}
+	if p.Late > 0 {
+		t.row("worst overrun of a deadline\t%.3f ms", p.WorstOverrun)
+	}
+	t.row("milliseconds\tp50\tp90\tp99\tp99.9\tmax\tcount")
+	t.quantiles("first byte", p.FirstByte)
+	t.quantiles("first byte from send", p.FirstByteFromSend)
+	t.quantiles("first token", p.FirstToken)
+	t.quantiles("between tokens", p.BetweenTokens)
+	t.quantiles("whole answer", p.Whole)
+	t.quantiles("refused after", p.RefusedAfter)
+	t.quantiles("send lag", p.SendLag)
+}
+
+// orNone stands in for an empty cell.
+func orNone(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+// table writes aligned columns and keeps the first error.
+type table struct {
+	writer *tabwriter.Writer
+	err    error
+}
+
+const columnPadding = 2
+
+func newTable(w io.Writer) *table {
+	return &table{writer: tabwriter.NewWriter(w, 0, 0, columnPadding, ' ', 0)}
+}
+
+// row writes one line; tabs part the columns.
+func (t *table) row(format string, args ...any) {
+	if t.err == nil {
+		_, t.err = fmt.Fprintf(t.writer, format+"\n", args...)
+	}
+}
+
+// quantiles writes one distribution, if anything was recorded.
+func (t *table) quantiles(name string, q Quantiles) {
+	if q.Count > 0 {
+		t.row("%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%d", name, q.P50, q.P90, q.P99, q.P999, q.Max, q.Count)
+	}
+}
+
+func (t *table) flush() error {
+	if t.err == nil {
+		t.err = t.writer.Flush()
+	}
+	return outputError(t.err)
+}
+
+func outputError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return errors.Wrap(ErrOutput, err.Error())
+}
--- /dev/null
+++ b/internal/load/schedule.go
@@ -0,0 +1,83 @@
+package load
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// The streams of the seeded random source, so that the choice of targets does not change with the arrivals.
+const (
+	arrivalStream = 1
+	targetStream  = 2
+)
+
+// schedule plans the calls of a run, one by one. The same options give the same calls.
+type schedule struct {
+	options  *Options
+	arrivals *rand.Rand
+	choices  *rand.Rand
+	weight   float64
+	index    int
+	next     time.Duration
+}
+
+// newSchedule takes checked options.
+func newSchedule(options *Options) *schedule {
+	s := &schedule{
+		options:  options,
+		arrivals: rand.New(rand.NewPCG(options.Seed, arrivalStream)),
+		choices:  rand.New(rand.NewPCG(options.Seed, targetStream)),
+	}
+	for _, target := range options.Targets {
+		s.weight += target.Weight
+	}
+	s.next = s.gap()
+	return s
+}
+
+// call returns the next planned call, or false when there is none left.
+func (s *schedule) call() (Call, bool) {
+	at := time.Duration(0)
+	if s.index >= s.options.Burst {
+		if s.next >= s.options.Duration {
+			return Call{}, false
+		}
+		at = s.next
+		s.next += s.gap()
+	}
+	target := s.target()
+	call := Call{
+		Index:       s.index,
+		Target:      &s.options.Targets[target],
+		TargetIndex: target,
+		At:          at,
+		Message:     fmt.Sprintf("request %d of seed %d", s.index, s.options.Seed),
+	}
+	s.index++
+	return call, true
+}
+
+// gap returns the time between two arrivals; it is longer than the run when the rate is 0.
+func (s *schedule) gap() time.Duration {
+	if s.options.Rate == 0 {
+		return s.options.Duration
+	}
+	gap := float64(time.Second) / s.options.Rate
+	if s.options.Arrivals == ArrivalsPoisson {
+		gap *= s.arrivals.ExpFloat64()
+	}
+	return time.Duration(gap)
+}
+
+// target draws the index of a target by the weights.
+func (s *schedule) target() int {
+	rest := s.choices.Float64() * s.weight
+	for i := range s.options.Targets {
+		rest -= s.options.Targets[i].Weight
+		if rest < 0 {
+			return i
+		}
+	}
+	return len(s.options.Targets) - 1
+}
--- /dev/null
+++ b/internal/load/target.go
@@ -0,0 +1,113 @@
+package load
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Target is one kind of request of a run.
+type Target struct {
+	// Name names the target in the report; the model or path when empty.
+	Name string
+	// Weight is the target's share among all targets; 0 counts as 1.
+	Weight float64
+	// Class and Deadline are sent in the headers that Options name; empty and 0 send none. The deadline is sent as the
+	// time left when the call leaves. A stream must begin by it, any other answer end.
+	Class    string
+	Deadline time.Duration
+
+	// Model is asked for chat completions of MaxTokens tokens, as a stream or whole. Empty for a plain call.
+	Model     string
+	Stream    bool
+	MaxTokens int
+
+	// Path and Method make a plain call, with BodyBytes of body.
+	Path      string
+	Method    string
+	BodyBytes int
+}
+
+// The settings of a target in the form that ParseTarget reads.
+const (
+	keyWeight   = "weight"
+	keyClass    = "class"
+	keyDeadline = "deadline"
+	keyStream   = "stream"
+	keyTokens   = "tokens"
+	keyMethod   = "method"
+	keyBody     = "body"
+	keyName     = "name"
+)
+
+// ParseTarget reads a target from "MODEL,KEY=VALUE,..." or "/PATH,KEY=VALUE,...", with the keys name, weight, class,
+// deadline (a duration), stream (true or false), tokens, method and body (bytes). It fails with ErrOptions.
+func ParseTarget(text string) (Target, error) {
+	parts := strings.Split(text, ",")
+	target := Target{Model: parts[0]}
+	if strings.HasPrefix(parts[0], "/") {
+		target = Target{Path: parts[0]}
+	}
+	for _, part := range parts[1:] {
+		key, value, _ := strings.Cut(part, "=")
+		if err := target.set(key, value); err != nil {
+			return Target{}, errors.Wrapf(ErrOptions, "target %q: %s: %v", text, key, err)
+		}
+	}
+	checked, err := target.check()
+	if err != nil {
+		return Target{}, err
+	}
+	return checked, nil
+}
+
+var errUnknownKey = errors.New("allowed: name, weight, class, deadline, stream, tokens, method, body")
+
+func (t *Target) set(key, value string) (err error) {
+	switch key {
+	case keyName:
+		t.Name = value
+	case keyWeight:
+		t.Weight, err = strconv.ParseFloat(value, 64)
+	case keyClass:
+		t.Class = value
+	case keyDeadline:
+		t.Deadline, err = time.ParseDuration(value)
+	case keyStream:
+		t.Stream, err = strconv.ParseBool(value)
+	case keyTokens:
+		t.MaxTokens, err = strconv.Atoi(value)
+	case keyMethod:
+		t.Method = value
+	case keyBody:
+		t.BodyBytes, err = strconv.Atoi(value)
+	default:
+		err = errUnknownKey
+	}
+	return err
+}
+
+func (t Target) check() (Target, error) {
+	if (t.Model == "") == (t.Path == "") {
+		return t, errors.Wrapf(ErrOptions, "target %q: either a model or a path is wanted", t.Name)
+	}
+	if t.Weight < 0 || t.MaxTokens < 0 || t.BodyBytes < 0 || t.Deadline < 0 {
+		return t, errors.Wrapf(ErrOptions, "target %q: no setting may be negative", t.Name)
+	}
+	if t.Weight == 0 {
+		t.Weight = 1
+	}
+	if t.MaxTokens == 0 {
+		t.MaxTokens = DefaultMaxTokens
+	}
+	if t.Method == "" {
+		t.Method = http.MethodPost
+	}
+	if t.Name == "" {
+		t.Name = t.Model + t.Path
+	}
+	return t, nil
+}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -42,7 +42,7 @@
 }
 
 func (b *fakeBackend) Objects(_ context.Context, q ObjectQuery) (Objects, error) {
-	object := Object{ObjectKey: ObjectKey{q.Kind, q.Name}, INI: "[model \"m\"]\nversions = 1"}
+	object := Object{ObjectKey: ObjectKey(q), INI: "[model \"m\"]\nversions = 1"}
 	return Objects{Revision: 7, Objects: []Object{object}}, b.err
 }
 
