idle: keep-alive of least expected cost from each model's own gaps, and holds of batch requests

Weighed: a percentile of the gaps with loads ahead of demand (hybrid histogram policy) against the time of least expected cost under the operator's two weights, which takes the load's time and the memory share in; the latter stands.

--- /dev/null
+++ b/internal/loading/idle/policy_test.go
@@ -0,0 +1,179 @@
+package idle
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+var epoch = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+// taught returns a policy that saw a model's requests with a gap each, and the time of the last one.
+func taught(opts Options, model string, gaps ...time.Duration) (*Policy, time.Time) {
+	p := NewPolicy(opts)
+	now := epoch
+	p.Observe(model, now)
+	for _, gap := range gaps {
+		now = now.Add(gap)
+		p.Observe(model, now)
+	}
+	return p, now
+}
+
+// repeat returns n copies of a gap.
+func repeat(gap time.Duration, n int) []time.Duration {
+	gaps := make([]time.Duration, n)
+	for i := range gaps {
+		gaps[i] = gap
+	}
+	return gaps
+}
+
+func TestKeep(t *testing.T) {
+	const coldStart, share = 20 * time.Second, 0.25
+	weights := Options{ColdStartWeight: 15, IdleWeight: 1} // A cold start costs as much as 20 idle minutes.
+	cases := []struct {
+		name     string
+		opts     Options
+		gaps     []time.Duration
+		after    time.Duration
+		from, to time.Duration
+	}{
+		{name: "keeps over gaps that are cheaper than a cold start", opts: weights, gaps: repeat(5*time.Minute, 50), from: 5 * time.Minute, to: 10 * time.Minute},
+		{name: "drops at once before gaps that cost more", opts: weights, gaps: repeat(3*time.Hour, 50), from: 0, to: time.Minute},
+		{name: "keeps over the gaps in a session but not between them", opts: weights,
+			gaps: append(repeat(time.Minute, 100), repeat(4*time.Hour, 20)...), from: time.Minute, to: 3 * time.Minute},
+		{name: "does not keep what only held requests woke", opts: weights, gaps: repeat(5*time.Minute, 50), after: 6 * time.Hour, from: 0, to: 0},
+		{name: "no weight of cold starts drops at once", opts: Options{IdleWeight: 1}, gaps: repeat(5*time.Minute, 50), from: 0, to: 0},
+		{name: "no weight of idle time keeps for the longest time", opts: Options{ColdStartWeight: 1, Max: time.Hour}, gaps: repeat(5*time.Minute, 50), from: time.Hour, to: time.Hour},
+		{name: "bounded from below", opts: Options{IdleWeight: 1, Min: time.Minute}, gaps: repeat(5*time.Minute, 50), from: time.Minute, to: time.Minute},
+		{name: "bounded from above", opts: Options{ColdStartWeight: 1e9, IdleWeight: 1, Max: time.Minute}, gaps: repeat(5*time.Minute, 50), from: time.Minute, to: time.Minute},
+		{name: "a model with no gaps yet is kept for less than a cold start costs", opts: weights, from: time.Second, to: 20 * time.Minute},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p, last := taught(c.opts, "m@1", c.gaps...)
+			got := p.Keep("m@1", last.Add(c.after), coldStart, share)
+			if got < c.from || got > c.to {
+				t.Errorf("kept for %s, want %s to %s", got, c.from, c.to)
+			}
+		})
+	}
+}
+
+// A slow load and a small model are worth keeping for longer; what all models do helps one that is seldom asked for.
+func TestKeepFollowsCostAndNeighbours(t *testing.T) {
+	weights := Options{ColdStartWeight: 15, IdleWeight: 1}
+	p, last := taught(weights, "m@1", repeat(12*time.Minute, 50)...)
+	if fast, slow := p.Keep("m@1", last, 5*time.Second, 0.25), p.Keep("m@1", last, 40*time.Second, 0.25); fast >= slow {
+		t.Errorf("kept for %s with a fast load, %s with a slow one", fast, slow)
+	}
+	if large, small := p.Keep("m@1", last, 10*time.Second, 1), p.Keep("m@1", last, 10*time.Second, 0.05); large >= small {
+		t.Errorf("kept for %s with much memory, %s with little", large, small)
+	}
+	unknown := NewPolicy(weights).Keep("new@1", last, 40*time.Second, 0.25)
+	borrowed := p.Keep("new@1", last, 40*time.Second, 0.25)
+	if borrowed < 12*time.Minute || borrowed == unknown {
+		t.Errorf("a new model is kept for %s beside neighbours with gaps of 12m, for %s alone", borrowed, unknown)
+	}
+}
+
+// A model whose demand changed is judged by its new gaps after some half-lives, although the old ones were many more.
+func TestKeepForgets(t *testing.T) {
+	gaps := append(repeat(time.Minute, 2000), repeat(6*time.Hour, 120)...)
+	p, last := taught(Options{ColdStartWeight: 15, IdleWeight: 1, HalfLife: 24 * time.Hour}, "m@1", gaps...)
+	if got := p.Keep("m@1", last, 20*time.Second, 0.25); got > 0 {
+		t.Errorf("kept for %s after a month of gaps of 6h", got)
+	}
+}
+
+// The answer stays within its bounds and doesn't change while the model is idle; the memory stays within its own.
+func TestKeepProperties(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(20260105)
+	properties := gopter.NewProperties(parameters)
+	properties.Property("bounded, stable while idle", prop.ForAll(func(seed uint64) (bool, error) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		opts := Options{ColdStartWeight: math.Exp(rng.Float64() * 8), IdleWeight: rng.Float64(), Min: time.Second, Max: 8 * time.Hour, MaxModels: 5}
+		p := NewPolicy(opts)
+		now := epoch
+		for range 300 {
+			now = now.Add(time.Duration(math.Exp(rng.Float64()*11) * float64(time.Second)))
+			p.Observe(fmt.Sprint("m", rng.IntN(8)), now)
+		}
+		if len(p.models) > opts.MaxModels {
+			return false, fmt.Errorf("%d models remembered", len(p.models))
+		}
+		for model, h := range p.models {
+			keep := p.Keep(model, h.last, 20*time.Second, 0.3)
+			if keep < opts.Min || keep > opts.Max {
+				return false, fmt.Errorf("%s kept for %s", model, keep)
+			}
+			if again := p.Keep(model, h.last.Add(keep), 20*time.Second, 0.3); again != keep {
+				return false, fmt.Errorf("%s kept for %s, then for %s", model, keep, again)
+			}
+		}
+		return true, nil
+	}, gen.UInt64()))
+	properties.TestingRun(t)
+}
+
+func TestHoldUntil(t *testing.T) {
+	cases := []struct {
+		name              string
+		opts              HoldOptions
+		deadline          time.Duration
+		load              time.Duration
+		earliest, longest time.Duration
+	}{
+		{name: "waits for the greater part of the slack", deadline: 8 * time.Hour, load: 30 * time.Second, earliest: 230 * time.Minute, longest: 430 * time.Minute},
+		{name: "leaves the margin", deadline: 12 * time.Minute, load: time.Second, earliest: time.Minute, longest: 2 * time.Minute},
+		{name: "leaves several slow loads", deadline: 20 * time.Minute, load: 3 * time.Minute, earliest: time.Minute, longest: 2 * time.Minute},
+		{name: "a short deadline is not held", deadline: 5 * time.Minute, load: time.Second},
+		{name: "a missed deadline is not held", deadline: -time.Minute, load: time.Second},
+		{name: "bounded", opts: HoldOptions{Longest: time.Hour}, deadline: 8 * time.Hour, load: time.Second, earliest: time.Hour, longest: time.Hour},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for i := range 100 {
+				held := HoldUntil(fmt.Sprint("m", i), epoch, epoch.Add(c.deadline), c.load, c.opts).Sub(epoch)
+				if held < c.earliest || held > c.longest {
+					t.Errorf("held for %s, want %s to %s", held, c.earliest, c.longest)
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkPolicy(b *testing.B) {
+	for _, models := range []int{51, 500, 2_700} {
+		b.Run(fmt.Sprint("models=", models), func(b *testing.B) {
+			var before, after runtime.MemStats
+			names := make([]string, models)
+			for i := range names {
+				names[i] = fmt.Sprintf("model-%04d@1", i)
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			p := NewPolicy(Options{ColdStartWeight: 15, IdleWeight: 1})
+			for _, name := range names {
+				p.Observe(name, epoch)
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now := epoch.Add(time.Duration(i) * time.Second)
+				p.Observe(names[i%models], now)
+				p.Keep(names[i%models], now, 20*time.Second, 0.25)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(models), "B/model")
+		})
+	}
+}
