settings: the settings of each role, first version

Sections and keys follow the Options of the packages that take them. Overrides come from -set and from BALSAMSAIL__SECTION__KEY; ff's own flag parsing is left to the commands, since it stops at the first fault and gives no place.

--- a/internal/settings/inifile/types.go
+++ b/internal/settings/inifile/types.go
@@ -84,7 +84,7 @@
 func (a Address) MarshalText() ([]byte, error) { return []byte(a), nil }
 
 // Allowed says how an address is written.
-func (Address) Allowed() string { return "an IP address and port, e.g. 10.0.0.7:8080 or [::1]:0" }
+func (Address) Allowed() string { return "an IP address and port, such as 10.0.0.7:8080 or [::1]:0" }
 
 // URL is the base URL of an HTTP service, without a trailing slash.
 type URL string
@@ -111,7 +111,7 @@
 
 // Allowed says how a URL is written.
 func (URL) Allowed() string {
-	return "an http or https URL without user, query and fragment, e.g. http://10.0.0.9:7000"
+	return "an http or https URL without user, query and fragment, such as http://10.0.0.9:7000"
 }
 
 func splitList(text string) []string {
--- a/internal/settings/inifile/units.go
+++ b/internal/settings/inifile/units.go
@@ -15,7 +15,7 @@
 // Bytes is a size in bytes. In a file it is written with its unit.
 type Bytes int64
 
-const bytesAllowed = "a size with unit: B, KB, MB, GB, TB (powers of 1000), KiB, MiB, GiB, TiB (powers of 1024), e.g. 24GiB"
+const bytesAllowed = "a size with unit B, KB, MB, GB, TB (powers of 1000), KiB, MiB, GiB or TiB (powers of 1024), such as 24GiB"
 
 var byteUnits = []struct {
 	name string
@@ -82,7 +82,7 @@
 	return string(text)
 }
 
-const durationAllowed = "a duration with unit: ns, us, ms, s, m, h, e.g. 1m30s"
+const durationAllowed = "a duration with unit ns, us, ms, s, m or h, such as 1m30s"
 
 func parseDuration(text string) (time.Duration, error) {
 	d, err := time.ParseDuration(text)
--- /dev/null
+++ b/internal/settings/load.go
@@ -0,0 +1,117 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"balsamsail/internal/settings/inifile"
+)
+
+// ErrRead says that a settings file, or a file that it names, can't be read.
+var ErrRead = errors.New("settings: cannot read file")
+
+// Source is where settings come from.
+type Source struct {
+	// File names the file in messages, and Data is its text.
+	File string
+	Data []byte
+	// Sets are overrides of the form "section.key=value", or `kind "name".key=value` for a named section.
+	Sets []string
+	// Environment holds "NAME=value" pairs, as os.Environ returns them.
+	Environment []string
+}
+
+// ReadSource reads a file and takes the process's environment along.
+func ReadSource(path string, sets ...string) (Source, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Source{}, errors.Wrap(ErrRead, err.Error())
+	}
+	return Source{File: path, Data: data, Sets: sets, Environment: os.Environ()}, nil
+}
+
+// decode fills the target from the source. The error is an inifile.Problems.
+func (s Source) decode(target any) error {
+	document := inifile.Parse(s.File, s.Data)
+	for _, pair := range s.Environment {
+		overrideFromEnvironment(document, pair)
+	}
+	for _, set := range s.Sets {
+		overrideFromSet(document, set)
+	}
+	return inifile.Decode(document, target)
+}
+
+const (
+	environmentPrefix    = "BALSAMSAIL__"
+	environmentSeparator = "__"
+)
+
+func overrideFromEnvironment(document *inifile.Document, pair string) {
+	name, value, _ := strings.Cut(pair, "=")
+	rest, ours := strings.CutPrefix(name, environmentPrefix)
+	if !ours {
+		return
+	}
+	section, key, _ := strings.Cut(strings.ToLower(rest), environmentSeparator)
+	document.Override("environment variable "+name, section, key, value)
+}
+
+func overrideFromSet(document *inifile.Document, set string) {
+	place, value, assigned := strings.Cut(set, "=")
+	dot := strings.LastIndex(place, ".")
+	if !assigned || dot < 0 {
+		document.Problems = append(document.Problems, inifile.Problem{
+			File: "-set", Text: fmt.Sprintf("%q is malformed", set), Allowed: "section.key=value",
+		})
+		return
+	}
+	section, key := strings.TrimSpace(place[:dot]), strings.TrimSpace(place[dot+1:])
+	document.Override(fmt.Sprintf("-set %s", place), section, key, strings.TrimSpace(value))
+}
+
+func load[T any](path string, sets []string) (*T, error) {
+	source, err := ReadSource(path, sets...)
+	if err != nil {
+		return nil, err
+	}
+	target := new(T)
+	if err := source.decode(target); err != nil {
+		return nil, err
+	}
+	return target, nil
+}
+
+// LoadEntry reads the settings of an entry.
+func LoadEntry(path string, sets ...string) (*Entry, error) { return load[Entry](path, sets) }
+
+// LoadAgent reads the settings of an agent, and the credentials from the file that they name.
+func LoadAgent(path string, sets ...string) (*Agent, error) {
+	agent, err := load[Agent](path, sets)
+	if err != nil {
+		return nil, err
+	}
+	if agent.Endpoint.CredentialsFile == "" {
+		return agent, nil
+	}
+	agent.Credentials, err = ReadSecret(agent.Endpoint.CredentialsFile)
+	return agent, err
+}
+
+// LoadStandinPlatform reads the settings of the platform's stand-in.
+func LoadStandinPlatform(path string, sets ...string) (*StandinPlatform, error) {
+	return load[StandinPlatform](path, sets)
+}
+
+// LoadStandinEngine reads the settings of an engine's stand-in.
+func LoadStandinEngine(path string, sets ...string) (*StandinEngine, error) {
+	return load[StandinEngine](path, sets)
+}
+
+// LoadStandinService reads the settings of a plain service's stand-in.
+func LoadStandinService(path string, sets ...string) (*StandinService, error) {
+	return load[StandinService](path, sets)
+}
--- /dev/null
+++ b/internal/settings/secret.go
@@ -0,0 +1,50 @@
+package settings
+
+import (
+	"log/slog"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+const redacted = "[redacted]"
+
+// Secret holds credentials. It prints, logs and marshals as a fixed text; only Reveal returns it.
+type Secret struct{ value string }
+
+// NewSecret wraps credentials.
+func NewSecret(value string) Secret { return Secret{value: value} }
+
+const maxSecretBytes = 64 << 10
+
+// ReadSecret reads credentials from a file, without the blanks around them. An empty file is an error.
+func ReadSecret(path string) (Secret, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Secret{}, errors.Wrap(ErrRead, err.Error())
+	}
+	value := strings.TrimSpace(string(data))
+	if value == "" || len(data) > maxSecretBytes || strings.ContainsAny(value, "\r\n\x00") {
+		return Secret{}, errors.Wrapf(ErrRead, "%s does not hold credentials on one line", path)
+	}
+	return Secret{value: value}, nil
+}
+
+// Reveal returns the credentials.
+func (s Secret) Reveal() string { return s.value }
+
+// Empty reports whether there are no credentials.
+func (s Secret) Empty() bool { return s.value == "" }
+
+// String implements fmt.Stringer.
+func (s Secret) String() string { return redacted }
+
+// GoString implements fmt.GoStringer.
+func (s Secret) GoString() string { return redacted }
+
+// LogValue implements slog.LogValuer.
+func (s Secret) LogValue() slog.Value { return slog.StringValue(redacted) }
+
+// MarshalText implements encoding.TextMarshaler, which encoding/json uses too.
+func (s Secret) MarshalText() ([]byte, error) { return []byte(redacted), nil }
