--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -137,3 +137,8 @@
 type AgentDrain struct {
 	Timeout time.Duration `ini:"timeout" default:"2m" min:"1s" max:"24h" doc:"Longest wait for running requests."`
 }
+
+// Check implements inifile.Checker. It reads the credentials.
+func (a *Agent) Check(r *inifile.Reporter) {
+	a.Credentials = readCredentials(r.Section("endpoint", ""), a.Endpoint.CredentialsFile)
+}
--- a/internal/settings/inifile/format.go
+++ b/internal/settings/inifile/format.go
@@ -50,7 +50,19 @@
 		if key.optional && isEmpty(value) {
 			continue
 		}
-		fmt.Fprintln(b, strings.TrimRight(key.name+" = "+formatValue(value), " "))
+		fmt.Fprintln(b, strings.TrimRight(key.name+" = "+quote(formatValue(value)), " "))
+	}
+}
+
+// quote wraps a value that would otherwise lose a part that looks like a comment, its own quotes or blanks.
+func quote(text string) string {
+	switch {
+	case !strings.ContainsAny(text, "#;`'\"") && strings.TrimSpace(text) == text:
+		return text
+	case strings.Contains(text, "`"):
+		return `"""` + text + `"""`
+	default:
+		return "`" + text + "`"
 	}
 }
 
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -89,24 +89,14 @@
 func LoadEntry(path string, sets ...string) (*Entry, error) { return load[Entry](path, sets) }
 
 // LoadAgent reads the settings of an agent, and the credentials from the file that they name.
-func LoadAgent(path string, sets ...string) (*Agent, error) {
-	agent, err := load[Agent](path, sets)
-	if err != nil {
-		return nil, err
-	}
-	if agent.Endpoint.CredentialsFile == "" {
-		return agent, nil
-	}
-	agent.Credentials, err = ReadSecret(agent.Endpoint.CredentialsFile)
-	return agent, err
-}
+func LoadAgent(path string, sets ...string) (*Agent, error) { return load[Agent](path, sets) }
 
 // LoadStandinPlatform reads the settings of the platform's stand-in.
 func LoadStandinPlatform(path string, sets ...string) (*StandinPlatform, error) {
 	return load[StandinPlatform](path, sets)
 }
 
-// LoadStandinEngine reads the settings of an engine's stand-in.
+// LoadStandinEngine reads the settings of an engine's stand-in, and the credentials from the file that they name.
 func LoadStandinEngine(path string, sets ...string) (*StandinEngine, error) {
 	return load[StandinEngine](path, sets)
 }
--- a/internal/settings/secret.go
+++ b/internal/settings/secret.go
@@ -6,6 +6,8 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"balsamsail/internal/settings/inifile"
 )
 
 const redacted = "[redacted]"
@@ -48,3 +50,15 @@
 
 // MarshalText implements encoding.TextMarshaler, which encoding/json uses too.
 func (s Secret) MarshalText() ([]byte, error) { return []byte(redacted), nil }
+
+// readCredentials reads the file that a section's credentials_file names, if any, and reports one that can't be read.
+func readCredentials(r *inifile.Reporter, path string) Secret {
+	if path == "" {
+		return Secret{}
+	}
+	secret, err := ReadSecret(path)
+	if err != nil {
+		r.Report("credentials_file", err.Error(), "a readable file that holds the credentials on one line")
+	}
+	return secret
+}
--- a/internal/settings/standin.go
+++ b/internal/settings/standin.go
@@ -71,6 +71,14 @@
 	Standin Standin        `section:"standin" doc:"The process itself."`
 	Engine  EngineBehavior `section:"engine" doc:"How the engine behaves."`
 	Log     Log            `section:"log" doc:"Logs."`
+
+	// Credentials are read from the credentials file; empty where none is named.
+	Credentials Secret
+}
+
+// Check implements inifile.Checker. It reads the credentials.
+func (s *StandinEngine) Check(r *inifile.Reporter) {
+	s.Credentials = readCredentials(r.Section("engine", ""), s.Engine.CredentialsFile)
 }
 
 // EngineBehavior says how a stand-in engine behaves.
