--- /dev/null
+++ b/internal/admission/bench_test.go
@@ -0,0 +1,82 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+)
+
+var waitingSizes = []int{100, 10_000, 100_000}
+
+// fill offers n requests of many callers with scattered deadlines, spread evenly over the given number of adapters.
+func fill(b *testing.B, n, adapters int) (*Queue, []Request) {
+	b.Helper()
+	random := rand.New(rand.NewPCG(1, 1))
+	q := NewQueue(Options{MaxWaiting: n + 1})
+	requests := make([]Request, n+1)
+	for i := range requests {
+		left := time.Hour + time.Duration(random.Int64N(int64(time.Hour)))
+		requests[i] = ask(strconv.Itoa(i), fmt.Sprint("caller", i%997), interactive, left)
+		if adapters > 0 {
+			requests[i].Target.Adapter = strconv.Itoa(i % adapters)
+		}
+		if i < n {
+			q.Offer(start, requests[i], instant)
+		}
+	}
+	if q.Len() != n {
+		b.Fatalf("%d of %d wait", q.Len(), n)
+	}
+	return q, requests
+}
+
+var instant = Estimate{Ready: true, Service: time.Microsecond, Concurrency: 16, Running: 16}
+
+// BenchmarkQueue measures one offer and one removal in a queue that holds a steady number of requests; with adapters
+// their lines share one replica.
+func BenchmarkQueue(b *testing.B) {
+	for _, n := range waitingSizes {
+		for _, adapters := range []int{0, 50} {
+			b.Run(fmt.Sprintf("waiting=%d/adapters=%d", n, adapters), func(b *testing.B) {
+				q, requests := fill(b, n, adapters)
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					in := requests[(i+n)%(n+1)]
+					q.Offer(start, in, instant)
+					q.Remove(requests[i%(n+1)].ID)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkQueueNext measures one start and one offer.
+func BenchmarkQueueNext(b *testing.B) {
+	for _, n := range waitingSizes {
+		b.Run(fmt.Sprintf("waiting=%d", n), func(b *testing.B) {
+			q, _ := fill(b, n, 0)
+			b.ReportAllocs()
+			for b.Loop() {
+				r, _, _ := q.Next(start, target, instant)
+				q.Offer(start, r, instant)
+			}
+		})
+	}
+}
+
+// BenchmarkQueueExpire measures a look for requests to refuse when there are none.
+func BenchmarkQueueExpire(b *testing.B) {
+	estimate := func(Target) Estimate { return instant }
+	for _, n := range waitingSizes {
+		for _, adapters := range []int{0, 50} {
+			b.Run(fmt.Sprintf("waiting=%d/adapters=%d", n, adapters), func(b *testing.B) {
+				q, _ := fill(b, n, adapters)
+				for b.Loop() {
+					q.Expire(start, estimate)
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/admission/limiter_test.go
@@ -0,0 +1,88 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"balsamsail/internal/wire/wirepb"
+)
+
+func TestLimiterKeepsRoomForInteractive(t *testing.T) {
+	cases := []struct {
+		name                       string
+		interactiveHeld, batchHeld int
+		interactiveMore, batchMore bool
+	}{
+		{"empty", 0, 0, true, true},
+		{"batch at its bound", 0, 2, true, false},
+		{"full", 1, 2, false, false},
+		{"full of interactive", 3, 0, false, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := NewLimiter(LimiterOptions{MaxInFlight: 3, MaxBatch: 2})
+			hold(t, l, interactive, c.interactiveHeld)
+			hold(t, l, batch, c.batchHeld)
+			if got := l.Acquire(start, batch) == nil; got != c.batchMore {
+				t.Errorf("one more batch request: %v", got)
+			} else if got {
+				l.Release(start, batch)
+			}
+			if got := l.Acquire(start, interactive) == nil; got != c.interactiveMore {
+				t.Errorf("one more interactive request: %v", got)
+			}
+		})
+	}
+}
+
+func hold(t *testing.T, l *Limiter, class wirepb.Class, n int) {
+	t.Helper()
+	for range n {
+		if refused := l.Acquire(start, class); refused != nil {
+			t.Fatalf("refused below the bound: %+v", refused)
+		}
+	}
+}
+
+// A full entry refuses a hundred requests at once while one request ends every 100 ms. Told the same time they would all
+// be refused again; told the limiter's pace they come back one by one.
+func TestLimiterTellsItsPace(t *testing.T) {
+	l := NewLimiter(LimiterOptions{MaxInFlight: 1, Seed: 1})
+	now := start
+	for range 50 {
+		hold(t, l, interactive, 1)
+		now = now.Add(100 * time.Millisecond)
+		l.Release(now, interactive)
+	}
+	hold(t, l, interactive, 1)
+	latest := time.Duration(0)
+	for range 100 {
+		latest = max(latest, l.Acquire(now, interactive).RetryAfter)
+	}
+	if latest < 8*time.Second || latest > 15*time.Second {
+		t.Errorf("the last of 100 comes back after %v, want about 10 s", latest)
+	}
+}
+
+func TestServiceTimesLearnAndFallBackToTheModel(t *testing.T) {
+	s := NewServiceTimes()
+	adapter := Target{Model: target.Model, Adapter: "a"}
+	for range 50 {
+		s.Observe(target, 2*time.Second)
+		s.ObserveFirst(target, 100*time.Millisecond)
+	}
+	for _, seen := range []Target{target, adapter} {
+		var e Estimate
+		s.Fill(seen, &e)
+		if e.Service != 2*time.Second || e.Whole < e.Service || e.First < 100*time.Millisecond || e.First > 110*time.Millisecond {
+			t.Errorf("%v: %+v", seen, e)
+		}
+	}
+	s.Observe(adapter, time.Minute)
+	if got := s.Expected(adapter); got != time.Minute {
+		t.Errorf("the adapter's own time is %v", got)
+	}
+	if got := s.Expected(Target{Model: "never seen"}); got != 0 {
+		t.Errorf("a model never seen takes %v", got)
+	}
+}
--- a/internal/admission/line.go
+++ b/internal/admission/line.go
@@ -151,11 +151,14 @@
 	return largest, in
 }
 
-// heaviest returns the largest share of a class when a caller may displace a request from it: it must stay at least as
-// large as the caller's own, or two callers would displace each other in turn.
+// fairFactor is how many times a caller's share another's must be before it gives up a place. With 1, callers with equal
+// needs push each other out by the mere chance of their arrivals, after they waited.
+const fairFactor = 2
+
+// heaviest returns the largest share of a class when a caller may displace a request from it, or nil.
 func (l *line) heaviest(caller string, batch bool) (*share, *lane) {
 	s, in := l.largest(batch)
-	if s == nil || s.order.len() <= l.held(caller, batch)+1 {
+	if s == nil || s.order.len() < fairFactor*(l.held(caller, batch)+1) {
 		return nil, nil
 	}
 	return s, in
--- a/internal/admission/ordered.go
+++ b/internal/admission/ordered.go
@@ -211,15 +211,3 @@
 	o.renewAll(n.right)
 	o.renew(n)
 }
-
-// each calls visit for all waiters in order.
-func (o *ordered) each(visit func(*waiter)) { visitAll(o.root, visit) }
-
-func visitAll(n *node, visit func(*waiter)) {
-	if n == nil {
-		return
-	}
-	visitAll(n.left, visit)
-	visit(n.waiter)
-	visitAll(n.right, visit)
-}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -152,10 +152,10 @@
 	if victim != nil && victim.lane == in && victim.before(w) {
 		ahead--
 	}
-	if e.makes(now, w.request, e.delay(ahead)) {
+	if e.promises(now, w.request, ahead) {
 		return victim, true
 	}
-	if victim != nil || !e.makes(now, w.request, e.delay(ahead-1)) {
+	if victim != nil || !e.promises(now, w.request, ahead-1) {
 		return nil, false
 	}
 	s, of := l.heaviest(w.request.Caller, in.batch)
--- a/internal/admission/refuse.go
+++ b/internal/admission/refuse.go
@@ -83,7 +83,7 @@
 	return Refusal{
 		ID:         w.request.ID,
 		Reason:     reason,
-		RetryAfter: l.returns.take(now, capacity, e.spacing(), q.options.MaxRetryAfter),
+		RetryAfter: l.returns.take(now, capacity, e.returnSpacing(), q.options.MaxRetryAfter),
 		Detail:     detail,
 	}
 }
--- a/internal/admission/returns.go
+++ b/internal/admission/returns.go
@@ -34,12 +34,14 @@
 		place = r.next
 	}
 	away := place.Sub(now)
+	if away < limit {
+		r.next = place.Add(spacing)
+	}
+	away += r.draw(max(time.Duration(float64(away)*jitterShare), spacing))
 	if away >= limit {
 		return limit/2 + r.draw(limit/2)
 	}
-	r.next = place.Add(spacing)
-	jitter := max(time.Duration(float64(away)*jitterShare), spacing)
-	return min(away+r.draw(jitter), limit)
+	return away
 }
 
 func (r *returns) draw(d time.Duration) time.Duration {
