--- a/internal/atmostonce/exchange.go
+++ b/internal/atmostonce/exchange.go
@@ -47,12 +47,18 @@
 )
 
 // Exchange is the entry's side of one offer. It is not safe for concurrent use.
+//
+// A two-step request is offered, and sent a commit once the agent is ready. Until the commit is handed to the stream the
+// agent cannot start it, so that whatever ends the exchange before means "not run"; from then on only the agent's word
+// does. A one-step request may start as soon as it was offered, so that only the agent's word ever means "not run".
 type Exchange struct {
-	twoStep   bool
+	twoStep bool
+	// committed is set when the commit was handed to the stream.
 	committed bool
-	begun     bool
-	ended     bool
-	settled   bool
+	// begun is set when the answer began, ended when the attempt did, and settled when nothing more can follow.
+	begun   bool
+	ended   bool
+	settled bool
 }
 
 // NewExchange returns the state of an offer that is sent now.
@@ -69,18 +75,19 @@
 	if x.settled {
 		return nil
 	}
+	if x.withheld() && e.saysStarted() {
+		// The agent started a request that was not committed; it broke the protocol, and "not run" is no longer true.
+		x.committed = true
+	}
 	switch e {
-	case GotAccepted:
-		return nil
 	case GotReady:
 		return x.ready()
 	case GotHead:
 		x.begun = true
-		return nil
 	case GotTrailer:
 		return x.finish(EndServed, SettleServed)
 	case GotRefused, GotFailedClean:
-		return x.finish(EndNotRun, SettleNotRun)
+		return x.refused()
 	case GotFailedUnclear, StreamBroke:
 		return x.broke()
 	case GaveUp:
@@ -89,44 +96,61 @@
 	return nil
 }
 
+// withheld reports whether the request cannot have started because its commit was not sent.
+func (x *Exchange) withheld() bool { return x.twoStep && !x.committed }
+
+// saysStarted reports whether only a request that was started can bring the event.
+func (e ExchangeEvent) saysStarted() bool {
+	return e == GotHead || e == GotTrailer || e == GotFailedUnclear
+}
+
 func (x *Exchange) ready() []ExchangeAction {
-	if !x.twoStep || x.committed || x.ended {
+	if !x.withheld() {
 		return nil
 	}
 	x.committed = true
 	return []ExchangeAction{SendCommit}
 }
 
-// finish ends the attempt, or tells its fate when it ended before.
-func (x *Exchange) finish(end, settle ExchangeAction) []ExchangeAction {
-	x.settled = true
-	if x.ended {
-		return []ExchangeAction{settle}
+// refused ends the attempt by the agent's word; after the answer began that word is wrong.
+func (x *Exchange) refused() []ExchangeAction {
+	if x.begun {
+		return x.broke()
 	}
-	x.ended = true
-	return []ExchangeAction{end}
+	return x.finish(EndNotRun, SettleNotRun)
 }
 
 func (x *Exchange) broke() []ExchangeAction {
-	if x.twoStep && !x.committed {
+	if x.withheld() {
 		return x.finish(EndNotRun, SettleNotRun)
 	}
 	return x.finish(x.indefinite(), SettleUnknown)
 }
 
+// giveUp ends the attempt for the caller. A committed request that may run only once is not cancelled: its stream is kept
+// until its fate is known, so that its claim can say so.
 func (x *Exchange) giveUp() []ExchangeAction {
-	if x.ended {
+	switch {
+	case x.ended:
 		return x.finish(EndUnknown, SettleUnknown)
-	}
-	if x.twoStep && !x.committed {
+	case x.withheld():
 		return append([]ExchangeAction{SendCancel}, x.finish(EndNotRun, SettleNotRun)...)
-	}
-	x.ended = true
-	if x.twoStep {
+	case x.twoStep:
+		x.ended = true
 		return []ExchangeAction{x.indefinite()}
+	default:
+		return append([]ExchangeAction{SendCancel}, x.finish(x.indefinite(), SettleUnknown)...)
 	}
+}
+
+// finish ends the attempt, or tells its fate when it ended before.
+func (x *Exchange) finish(end, settle ExchangeAction) []ExchangeAction {
 	x.settled = true
-	return []ExchangeAction{SendCancel, x.indefinite()}
+	if x.ended {
+		return []ExchangeAction{settle}
+	}
+	x.ended = true
+	return []ExchangeAction{end}
 }
 
 func (x *Exchange) indefinite() ExchangeAction {
