--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -21,7 +21,7 @@
 const (
 	// ResultServed: a whole answer with the expected text.
 	ResultServed Result = "served"
-	// ResultRefused: an answer with an error status.
+	// ResultRefused: an answer with a status of 300 and above.
 	ResultRefused Result = "refused"
 	// ResultTruncated: an answer that began and was not completed.
 	ResultTruncated Result = "truncated"
@@ -102,7 +102,7 @@
 // read reads the answer into o.
 func (e *exchange) read(ctx, timed context.Context, response *http.Response, o *outcome) {
 	o.status = response.StatusCode
-	if response.StatusCode >= http.StatusBadRequest {
+	if response.StatusCode >= http.StatusMultipleChoices {
 		o.result = ResultRefused
 		o.code = errorCode(response)
 		o.outcome = response.Header.Get(outcomeHeader)
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -82,6 +82,16 @@
 			name: "no answer", want: Part{Broken: 3},
 			handler: func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
 		},
+		{
+			name: "a redirect is not followed", want: Part{Refused: 3, Refusals: []CodeCount{{Status: 307, Count: 3}}},
+			handler: func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != chatPath {
+					t.Errorf("sent again to %s", r.URL)
+				}
+				w.Header().Set("Location", "/elsewhere")
+				w.WriteHeader(http.StatusTemporaryRedirect)
+			},
+		},
 		{
 			name: "refused", want: Part{
 				Refused: 3, WithComeBack: 3,
@@ -220,10 +230,21 @@
 
 // "localhost" may resolve to another machine: the dialer has to refuse what the check of the URL let through.
 func TestDialerRefusesOtherMachines(t *testing.T) {
-	transport := newTransport(1)
-	conn, err := transport.DialContext(t.Context(), "tcp", "192.0.2.1:80")
-	if !errors.Is(err, ErrNotLoopback) {
-		t.Fatalf("connection %v, error %v; want ErrNotLoopback", conn, err)
+	cases := []struct {
+		address string
+		wantErr error
+	}{
+		{address: "127.0.0.1:80"},
+		{address: "[::1]:80"},
+		{address: "192.0.2.1:80", wantErr: ErrNotLoopback},
+		{address: "[2001:db8::1]:80", wantErr: ErrNotLoopback},
+	}
+	for _, c := range cases {
+		t.Run(c.address, func(t *testing.T) {
+			if err := newDialer().ControlContext(t.Context(), "tcp", c.address, nil); !errors.Is(err, c.wantErr) {
+				t.Fatalf("error %v, want %v", err, c.wantErr)
+			}
+		})
 	}
 }
 
--- a/internal/load/loopback.go
+++ b/internal/load/loopback.go
@@ -39,18 +39,21 @@
 	return nil
 }
 
-// newTransport returns a transport that connects to loopback addresses only.
-//
-// The dialer checks each address again: "localhost" may resolve to another machine, which the load must never reach.
-func newTransport(concurrency int) *http.Transport {
-	dialer := &net.Dialer{
+// newDialer returns a dialer that checks each address once more before it connects: "localhost" may resolve to another
+// machine, which the load must never reach.
+func newDialer() *net.Dialer {
+	return &net.Dialer{
 		Timeout: dialTimeout,
 		ControlContext: func(_ context.Context, _, address string, _ syscall.RawConn) error {
 			return checkLoopback("http://" + address)
 		},
 	}
+}
+
+// newTransport returns a transport that connects to loopback addresses only.
+func newTransport(concurrency int) *http.Transport {
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         newDialer().DialContext,
 		MaxIdleConns:        concurrency,
 		MaxIdleConnsPerHost: concurrency,
 		DisableCompression:  true,
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -25,9 +25,14 @@
 // NewClient returns a client of the entries with the given base URLs ("http://127.0.0.1:8080"), which it asks in turn:
 // a read goes to the next entry after any failure to answer, an edit only while none of it was sent.
 func NewClient(entries []string, httpClient *http.Client) *Client {
-	return &Client{entries: entries, http: httpClient}
+	once := *httpClient
+	once.CheckRedirect = keepRedirect
+	return &Client{entries: entries, http: &once}
 }
 
+// keepRedirect keeps net/http from sending an edit again to where a 307 or 308 answer points.
+func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Apply puts and deletes declarations. Its errors are those of Backend, ErrUnreachable and ErrAnswer; after
 // *OutcomeUnknownError the edit may have been applied.
 func (c *Client) Apply(ctx context.Context, request ApplyRequest) (Accepted, error) {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -212,37 +213,81 @@
 func TestWaitNamesWhereARevisionIsMissing(t *testing.T) {
 	cases := []struct {
 		name        string
-		lastCatches int64
+		lastCatches int
 		unreachable bool
+		fails       error
+		wantLooks   int
 		wantMissing int
 		wantErr     error
 	}{
-		{name: "all have it at once", lastCatches: 1},
-		{name: "one is late", lastCatches: 3},
-		{name: "one never gets it", lastCatches: 1 << 40, wantMissing: 1, wantErr: ErrNotInForce},
-		{name: "one does not answer", lastCatches: 1, unreachable: true, wantMissing: 1, wantErr: ErrNotInForce},
+		{name: "all have it at once", lastCatches: 1, wantLooks: 1},
+		{name: "one is late", lastCatches: 3, wantLooks: 3},
+		{name: "one never gets it", lastCatches: 1 << 40, wantLooks: 10, wantMissing: 1, wantErr: ErrNotInForce},
+		{name: "one does not answer", lastCatches: 1, unreachable: true, wantLooks: 10, wantMissing: 1, wantErr: ErrNotInForce},
+		{name: "no entry answers", fails: ErrUnreachable, wantLooks: 10, wantErr: ErrNotInForce},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			var looks atomic.Int64
-			backend := &fakeBackend{inForce: func() InForce {
-				second := ProcessRevision{Process: "agent-2", Unreachable: c.unreachable}
-				if looks.Add(1) >= c.lastCatches {
-					second.Revision = 5
+			synctest.Test(t, func(t *testing.T) {
+				looks := 0
+				backend := &fakeBackend{err: c.fails, inForce: func() InForce {
+					looks++
+					second := ProcessRevision{Process: "agent-2", Unreachable: c.unreachable}
+					if looks >= c.lastCatches {
+						second.Revision = 5
+					}
+					return InForce{Revision: 5, Processes: []ProcessRevision{{Process: "agent-1", Revision: 6}, second}}
+				}}
+				ctx, cancel := context.WithTimeout(t.Context(), 10*WaitInterval-1)
+				defer cancel()
+				got, err := Wait(ctx, backend, 5)
+				if !errors.Is(err, c.wantErr) || len(got.Missing()) != c.wantMissing || looks != c.wantLooks {
+					t.Fatalf("missing %+v after %d looks, %v; want %d after %d, %v",
+						got.Missing(), looks, err, c.wantMissing, c.wantLooks, c.wantErr)
 				}
-				return InForce{Revision: 5, Processes: []ProcessRevision{{Process: "agent-1", Revision: 6}, second}}
-			}}
-			client, _ := startAPI(t, backend)
-			ctx, cancel := context.WithTimeout(t.Context(), 5*WaitInterval)
-			defer cancel()
-			got, err := Wait(ctx, client, 5)
-			if !errors.Is(err, c.wantErr) || len(got.Missing()) != c.wantMissing {
-				t.Fatalf("missing %+v, %v; want %d and %v", got.Missing(), err, c.wantMissing, c.wantErr)
-			}
+			})
+		})
+	}
+}
+
+// The answer to an edit was lost. Settle looks until the outcome is known, and does not take "not stored now" for it.
+func TestSettle(t *testing.T) {
+	cases := []struct {
+		name  string
+		state OperationState
+		want  time.Duration
+	}{
+		{name: "applied", state: OperationApplied},
+		{name: "never", state: OperationNever},
+		{name: "stays unknown", state: OperationUnknown, want: time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				begin := time.Now()
+				got := Settle(ctx, &fakeBackend{operation: Operation{State: c.state}}, "op-1")
+				if got.State != c.state || time.Since(begin) != c.want {
+					t.Fatalf("got %+v after %s, want %s after %s", got, time.Since(begin), c.state, c.want)
+				}
+			})
 		})
 	}
 }
 
+// A balancer in front answers an edit with a redirect. Following it would send the edit a second time.
+func TestEditFollowsNoRedirect(t *testing.T) {
+	backend := &fakeBackend{}
+	_, live := startAPI(t, backend)
+	redirect := httptest.NewServer(http.RedirectHandler(live+applyPath, http.StatusTemporaryRedirect))
+	t.Cleanup(redirect.Close)
+	_, err := NewClient([]string{redirect.URL}, http.DefaultClient).Apply(t.Context(), ApplyRequest{INI: "x"})
+	if ExitCode(err) != ExitOutcomeUnknown || len(backend.applied) != 0 {
+		t.Fatalf("error %v, %d edits reached the other entry; want unknown and none", err, len(backend.applied))
+	}
+}
+
 func TestStatusTable(t *testing.T) {
 	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 	status := Status{
--- a/internal/operator/wait.go
+++ b/internal/operator/wait.go
@@ -10,12 +10,22 @@
 // WaitInterval is the time between two looks of Wait and Settle.
 const WaitInterval = 200 * time.Millisecond
 
+// InForceReader tells where a revision is in force. Client is one.
+type InForceReader interface {
+	InForce(ctx context.Context, revision uint64) (InForce, error)
+}
+
+// OperationReader looks edits up. Client is one.
+type OperationReader interface {
+	Operation(ctx context.Context, id string) (Operation, error)
+}
+
 // Wait returns when the revision is in force in every live process, with what it saw last. When ctx ends before, it
 // fails with ErrNotInForce and returns the last answer, whose Missing names the processes.
-func Wait(ctx context.Context, client *Client, revision uint64) (InForce, error) {
+func Wait(ctx context.Context, reader InForceReader, revision uint64) (InForce, error) {
 	last := InForce{Revision: revision}
 	for {
-		seen, err := client.InForce(ctx, revision)
+		seen, err := reader.InForce(ctx, revision)
 		if err == nil {
 			last = seen
 		}
@@ -37,10 +47,10 @@
 }
 
 // Settle looks an operation of unknown outcome up until it is known or ctx ends. It returns the operation as last seen.
-func Settle(ctx context.Context, client *Client, id string) Operation {
+func Settle(ctx context.Context, reader OperationReader, id string) Operation {
 	last := Operation{OperationID: id, State: OperationUnknown}
 	for {
-		seen, err := client.Operation(ctx, id)
+		seen, err := reader.Operation(ctx, id)
 		if err == nil {
 			last = seen
 		}
--- a/internal/process/server.go
+++ b/internal/process/server.go
@@ -16,7 +16,7 @@
 	HealthPath   = "/healthz"
 	ReadyPath    = "/readyz"
 	MetricsPath  = "/metrics"
-	TimelinePath = "/timeline"
+	TimelinePath = timeline.Path
 )
 
 // ReadyFunc returns the reasons for which a process is not ready; none means ready. It must not block.
