--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"slices"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -12,10 +13,11 @@
 type CompareOptions struct {
 	// Via is the run through the system; its Duration is that of one round.
 	Via Options
-	// DirectURL is the base URL of the endpoint, with a loopback address.
+	// DirectURL is the base URL of the endpoint, with a loopback address. It is asked for each target's ServedAs.
 	DirectURL string
-	// DirectTargets are the targets as the endpoint knows them, one for each of Via; nil takes those of Via.
-	DirectTargets []Target
+	// DirectPrefix is taken off the paths of plain calls, where the system routes by a prefix that the endpoint does not
+	// know.
+	DirectPrefix string
 	// Rounds is how often the load is sent each way.
 	Rounds int
 }
@@ -73,22 +75,29 @@
 	if o.Rounds < 0 {
 		return Options{}, Options{}, errors.Wrap(ErrOptions, "a number of rounds above 0 is wanted")
 	}
-	directOptions := o.Via
-	directOptions.URL = o.DirectURL
-	if o.DirectTargets != nil {
-		directOptions.Targets = o.DirectTargets
-	}
-	if len(directOptions.Targets) != len(o.Via.Targets) {
-		return Options{}, Options{}, errors.Wrap(ErrOptions, "one direct target for each target is wanted")
-	}
 	via, err := o.Via.check()
 	if err != nil {
-		return via, directOptions, err
+		return Options{}, Options{}, err
+	}
+	direct := via
+	direct.URL = o.DirectURL
+	direct.Targets = slices.Clone(via.Targets)
+	for i := range direct.Targets {
+		direct.Targets[i] = direct.Targets[i].direct(o.DirectPrefix)
 	}
-	direct, err := directOptions.check()
+	direct, err = direct.check()
 	return via, direct, err
 }
 
+// direct returns the target as the endpoint knows it.
+func (t Target) direct(prefix string) Target {
+	t.Model = t.ServedAs
+	if t.Path != "" {
+		t.Path = "/" + strings.TrimPrefix(strings.TrimPrefix(t.Path, prefix), "/")
+	}
+	return t
+}
+
 // leg is one of the two ways of a comparison.
 type leg struct {
 	options Options
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -322,7 +322,7 @@
 		{
 			text: "narrator@2,weight=3,class=batch,deadline=5s,stream=true,tokens=32",
 			want: Target{
-				Name: "narrator@2", Model: "narrator@2", Weight: 3, Class: "batch", Deadline: 5 * time.Second,
+				Name: "narrator@2", Model: "narrator@2", ServedAs: "narrator@2", Weight: 3, Class: "batch", Deadline: 5 * time.Second,
 				Stream: true, MaxTokens: 32, Method: http.MethodPost,
 			},
 		},
@@ -333,6 +333,13 @@
 				MaxTokens: DefaultMaxTokens,
 			},
 		},
+		{
+			text: "narrator,served-as=narrator@2",
+			want: Target{
+				Name: "narrator", Model: "narrator", ServedAs: "narrator@2", Weight: 1, Method: http.MethodPost,
+				MaxTokens: DefaultMaxTokens,
+			},
+		},
 		{text: "", wantErr: ErrOptions},
 		{text: "m,tokens=many", wantErr: ErrOptions},
 		{text: "m,colour=red", wantErr: ErrOptions},
@@ -382,17 +389,21 @@
 
 func TestCompareFindsTheAddedTime(t *testing.T) {
 	const added = 30 * time.Millisecond
-	answer := func(delay time.Duration) http.HandlerFunc {
-		return func(w http.ResponseWriter, _ *http.Request) {
+	answer := func(delay time.Duration, path string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
 			time.Sleep(delay)
+			if r.URL.Path != path {
+				t.Errorf("path %q, want %q", r.URL.Path, path)
+			}
 			fmt.Fprint(w, "ok")
 		}
 	}
 	comparison, err := Compare(t.Context(), CompareOptions{
 		Via: Options{
-			URL: serveOn(t, answer(added)), Rate: 100, Duration: 200 * time.Millisecond, Targets: []Target{{Path: "/"}},
+			URL: serveOn(t, answer(added, "/ledger/notices")), Rate: 100, Duration: 200 * time.Millisecond,
+			Targets: []Target{{Path: "/ledger/notices"}},
 		},
-		DirectURL: serveOn(t, answer(0)), Rounds: 2,
+		DirectURL: serveOn(t, answer(0, "/notices")), DirectPrefix: "/ledger/", Rounds: 2,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/load/target.go
+++ b/internal/load/target.go
@@ -21,7 +21,9 @@
 	Deadline time.Duration
 
 	// Model is asked for chat completions of MaxTokens tokens, as a stream or whole. Empty for a plain call.
-	Model     string
+	Model string
+	// ServedAs is the model's name as the endpoint gets it ("name@version"); Model when empty.
+	ServedAs  string
 	Stream    bool
 	MaxTokens int
 
@@ -41,10 +43,11 @@
 	keyMethod   = "method"
 	keyBody     = "body"
 	keyName     = "name"
+	keyServedAs = "served-as"
 )
 
 // ParseTarget reads a target from "MODEL,KEY=VALUE,..." or "/PATH,KEY=VALUE,...", with the keys name, weight, class,
-// deadline (a duration), stream (true or false), tokens, method and body (bytes). It fails with ErrOptions.
+// deadline (a duration), stream (true or false), tokens, served-as, method and body (bytes). It fails with ErrOptions.
 func ParseTarget(text string) (Target, error) {
 	parts := strings.Split(text, ",")
 	target := Target{Model: parts[0]}
@@ -64,12 +67,14 @@
 	return checked, nil
 }
 
-var errUnknownKey = errors.New("allowed: name, weight, class, deadline, stream, tokens, method, body")
+var errUnknownKey = errors.New("allowed: name, weight, class, deadline, stream, tokens, served-as, method, body")
 
 func (t *Target) set(key, value string) (err error) {
 	switch key {
 	case keyName:
 		t.Name = value
+	case keyServedAs:
+		t.ServedAs = value
 	case keyWeight:
 		t.Weight, err = strconv.ParseFloat(value, 64)
 	case keyClass:
@@ -106,6 +111,9 @@
 	if t.Method == "" {
 		t.Method = http.MethodPost
 	}
+	if t.ServedAs == "" {
+		t.ServedAs = t.Model
+	}
 	if t.Name == "" {
 		t.Name = t.Model + t.Path
 	}
