--- a/internal/loading/events.go
+++ b/internal/loading/events.go
@@ -19,8 +19,8 @@
 	Model        string
 	MemoryBytes  int64
 	KVFloorBytes int64
-	// Warm keeps the replica loaded while idle.
-	Warm bool
+	// WarmReplicas is how many replicas stay loaded while idle: those in the first GRANTED slots of the row.
+	WarmReplicas int
 	// ExpectedLoad is the declared time of a load from the store; 0 when not known.
 	ExpectedLoad time.Duration
 }
@@ -36,14 +36,22 @@
 type Event interface{ event() }
 
 // EngineRead is the engine's real state, read after start, after an unknown result and when the engine restarted.
-type EngineRead struct{ State endpoint.EngineState }
+type EngineRead struct {
+	// ID is that of the newest ReadEngine that was known when the read began; 0 means the one that is not answered yet,
+	// which is right for a shell that begins each read after the ReadEngine that asked for it.
+	ID    uint64
+	State endpoint.EngineState
+}
 
-// EngineLost says that the engine does not answer.
-type EngineLost struct{}
+// EngineLost says that the engine did not answer a read. ID is as in EngineRead.
+type EngineLost struct{ ID uint64 }
 
 // RowsRead is the result of a read of this engine's grants from the table itself: all rows that name the engine. A
 // machine loads nothing before it has seen one, because rows that peers pushed may be older than a release that a
 // predecessor of this agent confirmed.
+//
+// Before the first read the shell must write a row of its own to the table, so that Revision is above every revision that
+// a predecessor of this agent has seen: the fencing numbers of orders are derived from it.
 type RowsRead struct {
 	Rows     []*replicaspb.Row
 	Revision uint64
@@ -87,7 +95,8 @@
 	RetryAt time.Time
 }
 
-// OrderDone is the definite or unknown result of an order: Err is nil or one of endpoint's sentinels.
+// OrderDone is the definite or unknown result of an order: Err is nil or one of endpoint's sentinels. It must come for
+// each order, after the order has left the process or can no longer leave it.
 type OrderDone struct {
 	ID  string
 	Err error
@@ -124,8 +133,8 @@
 	FromStore bool
 }
 
-// ReadEngine tells the shell to read the engine's state and report EngineRead or EngineLost.
-type ReadEngine struct{}
+// ReadEngine tells the shell to begin a read of the engine's state and report EngineRead or EngineLost. IDs rise.
+type ReadEngine struct{ ID uint64 }
 
 // ReadRows tells the shell to read this engine's grants from the table and report RowsRead.
 type ReadRows struct{}
@@ -147,8 +156,10 @@
 // Unusable says that no further request of the model version (or only of the adapter) may start.
 type Unusable struct{ Model, Adapter string }
 
-// RefuseDemand tells the shell to refuse all waiting requests of a model version and adapter (adapter empty: all).
+// RefuseDemand tells the shell to refuse all waiting requests of a model version and adapter (adapter empty: all), or,
+// with Request set, only that one.
 type RefuseDemand struct {
+	Request        string
 	Model, Adapter string
 	Reason         wirepb.RefusalReason
 	RetryAfter     time.Duration
@@ -182,6 +193,8 @@
 // Options are the settings of a Machine.
 type Options struct {
 	Engine string
+	// Host is the engine's host; a slot is this engine's only if it names both.
+	Host string
 	// MemoryBytes is the engine's memory that the ledger may hand out.
 	MemoryBytes int64
 	// ChecksFencing says that the engine refuses an order with an old fencing number.
@@ -192,6 +205,8 @@
 	StateInterval time.Duration
 	// PermitPatience is how long a load waits for a permit before it starts without one, at a jittered time.
 	PermitPatience time.Duration
+	// LoadsAtOnce is how many model versions load at the same time (2).
+	LoadsAtOnce int
 	// Seed seeds the jitter.
 	Seed uint64
 }
