--- a/internal/declarations/check.go
+++ b/internal/declarations/check.go
@@ -86,9 +86,6 @@
 	if r.Valid("path_prefix") && !validPrefix(s.PathPrefix) {
 		r.Report("path_prefix", fmt.Sprintf("%q is not allowed", s.PathPrefix), prefixAllowed)
 	}
-	if r.Valid("endpoint_selector") && s.EndpointSelector == "" {
-		r.Report("endpoint_selector", "the selector is empty and would take every endpoint", s.EndpointSelector.Allowed())
-	}
 	for i, method := range s.IdempotentMethods {
 		if method == "" || strings.Trim(method, "ABCDEFGHIJKLMNOPQRSTUVWXYZ-") != "" {
 			r.Report("idempotent_methods", fmt.Sprintf("%q is no method", method), "methods in capitals, such as GET, PUT")
--- a/internal/declarations/holder.go
+++ b/internal/declarations/holder.go
@@ -76,7 +76,9 @@
 	}
 }
 
-func compareRevision(delta *pb.Delta, revision uint64) int { return cmp.Compare(delta.GetRevision(), revision) }
+func compareRevision(delta *pb.Delta, revision uint64) int {
+	return cmp.Compare(delta.GetRevision(), revision)
+}
 
 // remember is called with the lock held. Slices that view has returned are left as they are.
 func (h *holder) remember(delta *pb.Delta) {
--- a/internal/declarations/schema.go
+++ b/internal/declarations/schema.go
@@ -52,7 +52,7 @@
 type serviceSection struct {
 	Name              string           `name:"service's name"`
 	PathPrefix        string           `ini:"path_prefix" doc:"Requests whose path begins with it go to the service; begins and ends with /."`
-	EndpointSelector  inifile.Selector `ini:"endpoint_selector" doc:"Selector over endpoint labels; the endpoints that serve it."`
+	EndpointSelector  inifile.Selector `ini:"endpoint_selector" doc:"Selector over endpoint labels; the endpoints that serve it. An empty one would take every endpoint."`
 	Labels            inifile.Labels   `ini:"labels" optional:"true" doc:"Labels of the service."`
 	IdempotentMethods []string         `ini:"idempotent_methods" default:"GET, HEAD, OPTIONS" doc:"Methods that may be repeated; all others run at most once."`
 	MaxConcurrency    int32            `ini:"max_concurrency" default:"64" min:"1" max:"100000" doc:"Calls that one endpoint runs at once."`
--- a/internal/settings/inifile/document.go
+++ b/internal/settings/inifile/document.go
@@ -44,8 +44,13 @@
 	Sections []Section
 	// Problems are the faults of syntax; what could be parsed is in Sections nevertheless.
 	Problems Problems
+
+	// index holds the place in Sections of the first section of each kind and name.
+	index map[sectionID]int
 }
 
+type sectionID struct{ kind, name string }
+
 var loadOptions = ini.LoadOptions{
 	AllowNonUniqueSections:     true,
 	AllowShadows:               true,
@@ -61,7 +66,7 @@
 
 // Parse reads the sections and keys of a file; name is for messages.
 func Parse(name string, data []byte) *Document {
-	d := &Document{Name: name}
+	d := &Document{Name: name, index: map[sectionID]int{}}
 	places := scanLines(data)
 	for _, line := range places.unrecognized {
 		d.report(Problem{Line: line, Text: "the line is neither a section, a key nor a comment", Allowed: "key = value"})
@@ -112,6 +117,14 @@
 		}
 	}
 	d.checkRepeated(&section)
+	d.append(section)
+}
+
+func (d *Document) append(section Section) {
+	id := sectionID{section.Kind, section.Name}
+	if _, known := d.index[id]; !known {
+		d.index[id] = len(d.Sections)
+	}
 	d.Sections = append(d.Sections, section)
 }
 
@@ -138,10 +151,8 @@
 
 // Find returns the first section of a kind and name, or nil.
 func (d *Document) Find(kind, name string) *Section {
-	for i := range d.Sections {
-		if d.Sections[i].Kind == kind && d.Sections[i].Name == name {
-			return &d.Sections[i]
-		}
+	if i, ok := d.index[sectionID{kind, name}]; ok {
+		return &d.Sections[i]
 	}
 	return nil
 }
@@ -155,8 +166,8 @@
 	}
 	section := d.Find(kind, name)
 	if section == nil {
-		d.Sections = append(d.Sections, Section{Kind: kind, Name: name})
-		section = &d.Sections[len(d.Sections)-1]
+		d.append(Section{Kind: kind, Name: name})
+		section = d.Find(kind, name)
 	}
 	section.set(Key{Name: key, Value: value, Place: Place{File: origin}})
 }
--- a/internal/settings/inifile/values.go
+++ b/internal/settings/inifile/values.go
@@ -13,10 +13,7 @@
 	"github.com/pkg/errors"
 )
 
-var (
-	durationType = reflect.TypeFor[time.Duration]()
-	textType     = reflect.TypeFor[encoding.TextUnmarshaler]()
-)
+var durationType = reflect.TypeFor[time.Duration]()
 
 // describer says in words how values of a type are written.
 type describer interface{ Allowed() string }
