--- a/internal/load/hold.go
+++ b/internal/load/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"time"
 
@@ -32,6 +33,17 @@
 	Report
 }
 
+// Write writes the report as text.
+func (r HoldReport) Write(w io.Writer) error {
+	t := newTable(w)
+	t.row("streams\t%d\topen at once\t%d\tlost while held\t%d", r.Streams, r.Open, r.Lost)
+	t.row("opened in\t%.3f s\theld for\t%.3f s", r.OpenedIn, r.HeldFor)
+	if err := t.flush(); err != nil {
+		return err
+	}
+	return r.Report.Write(w)
+}
+
 // Hold opens many streams, keeps all of them open for a time and closes them. It fails like Run.
 func Hold(ctx context.Context, options HoldOptions) (HoldReport, error) {
 	options, err := options.check()
--- a/internal/operator/output.go
+++ b/internal/operator/output.go
@@ -117,3 +117,32 @@
 	sort.Strings(pairs)
 	return strings.Join(pairs, ",")
 }
+
+// WriteError writes what an error of the client means and what to do about it, with each place of a wrong text on its
+// own line.
+func WriteError(w io.Writer, err error) error {
+	_, answer := errorAnswer(err)
+	var b strings.Builder
+	switch {
+	case answer.Invalid != nil:
+		b.WriteString("not applied:\n")
+		for _, place := range answer.Invalid.Places {
+			fmt.Fprintf(&b, "  %s\n", place)
+		}
+	case answer.Unknown != nil:
+		fmt.Fprintf(&b, "OUTCOME UNKNOWN: the edit may have been applied or may still be: %s\noperation %s\n",
+			answer.Unknown.Reason, answer.Unknown.OperationID)
+	case errors.Is(err, ErrNotInForce):
+		fmt.Fprintf(&b, "accepted, and %s\n", strings.TrimPrefix(ErrNotInForce.Error(), errorPrefix))
+	default:
+		fmt.Fprintf(&b, "not applied: %s\n", strings.TrimPrefix(err.Error(), errorPrefix))
+	}
+	if answer.Next != "" {
+		fmt.Fprintf(&b, "next: %s\n", answer.Next)
+	}
+	_, writeErr := io.WriteString(w, b.String())
+	return outputError(writeErr)
+}
+
+// errorPrefix begins this package's errors.
+const errorPrefix = "operator: "
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
 )
 
 // fixedClock returns a clock that stands at a fixed wall-clock time.
@@ -94,6 +96,37 @@
 	}
 }
 
+func TestMetrics(t *testing.T) {
+	r := NewRecorder("p", 4, fixedClock())
+	for range 10 {
+		r.Record(Event{Kind: "x"})
+	}
+	r.Clock().Observe(^uint64(0))
+	registry := prometheus.NewPedanticRegistry()
+	if err := r.Register(registry); err != nil {
+		t.Fatal(err)
+	}
+	want := map[string]float64{
+		"balsamsail_timeline_recorded_events_total":         10,
+		"balsamsail_timeline_evicted_events_total":          6,
+		"balsamsail_timeline_rejected_clock_readings_total": 1,
+		"balsamsail_timeline_kept_bytes":                    float64(r.Bytes()),
+	}
+	families, err := registry.Gather()
+	if err != nil || len(families) != len(want) {
+		t.Fatalf("%d metrics, %v; want %d", len(families), err, len(want))
+	}
+	for _, family := range families {
+		metric := family.GetMetric()[0]
+		if got := metric.GetCounter().GetValue() + metric.GetGauge().GetValue(); got != want[family.GetName()] {
+			t.Errorf("%s is %v, want %v", family.GetName(), got, want[family.GetName()])
+		}
+	}
+	if err := r.Register(registry); !errors.Is(err, ErrMetrics) {
+		t.Fatalf("registered twice: %v, want ErrMetrics", err)
+	}
+}
+
 func TestNilRecorderDropsEvents(t *testing.T) {
 	var r *Recorder
 	r.Record(Event{Kind: "x"})
