--- a/internal/atmostonce/world_test.go
+++ b/internal/atmostonce/world_test.go
@@ -73,9 +73,8 @@
 	up        []ExchangeEvent
 	// cut and agentGone are set when the stream broke, agentGone also when the agent died.
 	cut, agentGone bool
-	// calling is set while the endpoint may still run the request, and runs counts how often it did.
-	calling bool
-	runs    int
+	// calls counts the endpoint calls that may still run the request, and runs how often one did.
+	calls, runs int
 }
 
 func (l *link) toAgent(actions []ExchangeAction) {
@@ -101,7 +100,7 @@
 	}
 	for _, a := range l.execution.Step(e) {
 		if a == StartCall {
-			l.calling = true
+			l.calls++
 		}
 		if frame, ok := frameOf[a]; ok && !l.cut {
 			l.up = append(l.up, frame)
@@ -369,20 +368,20 @@
 
 // stepCall lets the endpoint run the request, or the call end with or without it having run.
 func (w *world) stepCall(l *link) {
-	if !l.calling {
+	if l.calls == 0 {
 		return
 	}
 	switch w.random.IntN(4) {
 	case 0:
 		l.runs++
-		l.calling = false
+		l.calls--
 		l.atAgent(CallAnswered)
 	case 1:
 		l.runs++
-		l.calling = false
+		l.calls--
 		l.atAgent(CallFailedUnclear)
 	case 2:
-		l.calling = false
+		l.calls--
 		l.atAgent(CallFailedClean)
 	default:
 		// The endpoint runs the request after its agent gave up on the call.
@@ -396,9 +395,7 @@
 		write()
 	}
 	for _, l := range w.links {
-		if l.calling {
-			l.runs++
-		}
+		l.runs += l.calls
 	}
 }
 
