operator: an entry that is frozen holds no command up

Cause: a frozen entry takes the connection and never answers; the client waited for as long as the command's context, and asked no other entry.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -12,14 +12,26 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 )
 
+// The bounds of one exchange with one entry.
+const (
+	// readTimeout bounds a read, after which the next entry is asked.
+	readTimeout = 5 * time.Second
+	// answerTimeout bounds an edit; it leaves the entry time to answer after EditTimeout.
+	answerTimeout = EditTimeout + 5*time.Second
+)
+
 // Client speaks the API to one of several entries.
 type Client struct {
 	entries []string
 	http    *http.Client
+	// readTimeout and answerTimeout are the constants of these names, but in tests.
+	readTimeout   time.Duration
+	answerTimeout time.Duration
 }
 
 // NewClient returns a client of the entries with the given base URLs ("http://127.0.0.1:8080"), which it asks in turn:
@@ -27,7 +39,7 @@
 func NewClient(entries []string, httpClient *http.Client) *Client {
 	once := *httpClient
 	once.CheckRedirect = keepRedirect
-	return &Client{entries: entries, http: &once}
+	return &Client{entries: entries, http: &once, readTimeout: readTimeout, answerTimeout: answerTimeout}
 }
 
 // keepRedirect keeps net/http from sending an edit again to where a 307 or 308 answer points.
@@ -89,7 +101,7 @@
 	failure := error(ErrUnreachable)
 	for _, entry := range c.entries {
 		var accepted Accepted
-		sent, err := c.do(ctx, http.MethodPost, entry+path, body, &accepted)
+		sent, err := c.do(ctx, c.answerTimeout, http.MethodPost, entry+path, body, &accepted)
 		if err == nil {
 			return accepted, nil
 		}
@@ -116,7 +128,7 @@
 	failure := error(ErrUnreachable)
 	for _, entry := range c.entries {
 		var answer A
-		_, err := c.do(ctx, http.MethodGet, entry+path+"?"+query.Encode(), nil, &answer)
+		_, err := c.do(ctx, c.readTimeout, http.MethodGet, entry+path+"?"+query.Encode(), nil, &answer)
 		if err == nil {
 			return answer, nil
 		}
@@ -135,7 +147,14 @@
 func (e *brokenError) Error() string { return e.reason }
 
 // do makes one exchange. It reports whether any of the request may have been sent.
-func (c *Client) do(ctx context.Context, method, target string, body []byte, answer any) (bool, error) {
+//
+// The timeout guards against an entry that is frozen: it takes the connection and never answers, and the command would
+// hang although the other entries work.
+func (c *Client) do(
+	ctx context.Context, timeout time.Duration, method, target string, body []byte, answer any,
+) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
 	ctx = httptrace.WithClientTrace(ctx, trace)
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -190,6 +190,29 @@
 	}
 }
 
+// The first entry is frozen: it takes connections and never answers. Reads must go on to the second entry, and an edit
+// must end as unknown in bounded time, since the frozen entry may yet wake and apply it.
+func TestFrozenEntryIsNotWaitedForForEver(t *testing.T) {
+	frozen, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = frozen.Close() })
+	backend := &fakeBackend{}
+	_, live := startAPI(t, backend)
+	client := NewClient([]string{"http://" + frozen.Addr().String(), live}, http.DefaultClient)
+	client.readTimeout, client.answerTimeout = 50*time.Millisecond, 50*time.Millisecond
+	if status, err := client.Status(t.Context()); err != nil || status.Entry != "entry-1" {
+		t.Fatalf("status %+v, %v; want that of the live entry", status, err)
+	}
+	if _, err := client.Apply(t.Context(), ApplyRequest{INI: "x"}); ExitCode(err) != ExitOutcomeUnknown {
+		t.Fatalf("error %v, want outcome unknown", err)
+	}
+	if len(backend.applied) != 0 {
+		t.Fatalf("the edit was sent on: %+v", backend.applied)
+	}
+}
+
 func TestNoEntryReachableAppliesNothing(t *testing.T) {
 	client := NewClient([]string{"http://" + closedAddress(t)}, http.DefaultClient)
 	_, err := client.Drain(t.Context(), DrainRequest{Endpoint: "e1", Drain: true})
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -374,6 +374,26 @@
 	})
 }
 
+func BenchmarkExport(b *testing.B) {
+	for _, events := range []int{100, 1000, 4000} {
+		b.Run(fmt.Sprintf("events=%d", events), func(b *testing.B) {
+			r := NewRecorder("entry-1", events, NewHybridClock(time.Now))
+			for range events {
+				r.Record(Event{Kind: RequestOffered, Request: "0123456789abcdef", Model: "narrator@2", Endpoint: "engine-1"})
+			}
+			handler := NewHandler(r)
+			var written int
+			for b.Loop() {
+				answer := httptest.NewRecorder()
+				handler.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, Path, nil))
+				written = answer.Body.Len()
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*events), "ns/event")
+			b.ReportMetric(float64(written)/float64(events), "B/event")
+		})
+	}
+}
+
 func BenchmarkMerge(b *testing.B) {
 	for _, processes := range []int{10, 100, 1000} {
 		b.Run(fmt.Sprintf("processes=%d", processes), func(b *testing.B) {
