--- a/internal/loading/idle/histogram.go
+++ b/internal/loading/idle/histogram.go
@@ -36,25 +36,13 @@
 // histogram counts gaps, older ones for less.
 type histogram struct {
 	counts [bucketCount]float32
-	total  float32
 	aged   time.Time
 }
 
-// uniform returns a histogram that stands for one gap of unknown length.
-func uniform() histogram {
-	var h histogram
-	for i := range h.counts {
-		h.counts[i] = 1.0 / bucketCount
-	}
-	h.total = 1
-	return h
-}
-
 // add counts a gap that ended now.
 func (h *histogram) add(gap time.Duration, now time.Time, halfLife time.Duration) {
 	h.age(now, halfLife)
 	h.counts[bucketOf(gap)]++
-	h.total++
 }
 
 // age halves the counts once in a half-life.
@@ -70,32 +58,46 @@
 	for i := range h.counts {
 		h.counts[i] *= factor
 	}
-	h.total *= factor
 	h.aged = now
 }
 
-// mixedWith returns the counts with those of another histogram, which are scaled to a total of strength.
-func (h *histogram) mixedWith(other *histogram, strength float32) histogram {
-	mixed := *h
-	scale := strength / other.total
-	for i := range mixed.counts {
-		mixed.counts[i] += other.counts[i] * scale
+// hazards holds for each bucket the probability that a gap which reached the bucket ends in it.
+type hazards [bucketCount]float64
+
+// unknown returns the hazards of a gap of which nothing is known: on a logarithmic scale its likelihood falls linearly from
+// the shortest to the longest bucket. A flat likelihood gave up too early on models with few long gaps yet.
+func unknown() hazards {
+	var hz hazards
+	for i := range hz {
+		hz[i] = min(1, 2/float64(bucketCount-i))
+	}
+	return hz
+}
+
+// hazards estimates the hazards from the counts. In each bucket the prior weighs as much as strength gaps that reached it,
+// so that it decides where the model's own gaps say little: its few long ones.
+func (h *histogram) hazards(prior hazards, strength float64) hazards {
+	var hz hazards
+	reached := 0.0
+	for i := bucketCount - 1; i >= 0; i-- {
+		ended := float64(h.counts[i])
+		reached += ended
+		hz[i] = (ended + strength*prior[i]) / (reached + strength)
 	}
-	mixed.total += strength
-	return mixed
+	return hz
 }
 
 // cheapestKeep returns the keep-alive time of least expected cost: a gap that is longer than the time costs a cold start,
 // and the time for which the model is held idle costs idleRate a second.
-func (h *histogram) cheapestKeep(coldStartCost, idleRate float64) time.Duration {
+func (hz hazards) cheapestKeep(coldStartCost, idleRate float64) time.Duration {
 	best, bestCost := 0.0, coldStartCost
-	ended, heldForEnded := 0.0, 0.0
+	reached, heldForEnded := 1.0, 0.0
 	for i := range bucketCount {
-		share := float64(h.counts[i] / h.total)
-		ended += share
-		heldForEnded += share * (edges[i] + edges[i+1]) / 2
+		ended := reached * hz[i]
+		reached -= ended
+		heldForEnded += ended * (edges[i] + edges[i+1]) / 2
 		keep := edges[i+1]
-		cost := idleRate*(heldForEnded+(1-ended)*keep) + coldStartCost*(1-ended)
+		cost := idleRate*(heldForEnded+reached*keep) + coldStartCost*reached
 		if cost < bestCost {
 			best, bestCost = keep, cost
 		}
--- a/internal/loading/idle/policy.go
+++ b/internal/loading/idle/policy.go
@@ -22,8 +22,9 @@
 	DefaultMaxModels = 4096
 )
 
-// priorStrength is how many gaps of the model itself weigh as much as those of all models together.
-const priorStrength = 4
+// priorStrength is how many gaps weigh as much as what was known before: for a model what all models do, and for all
+// models what is assumed of a gap of which nothing is known.
+const priorStrength = 2
 
 // Options are the settings of a Policy. Only the ratio of the two weights matters for the choice.
 type Options struct {
@@ -71,12 +72,9 @@
 
 var _ loading.IdlePolicy = (*Policy)(nil)
 
-// NewPolicy returns a Policy that has seen no requests. It takes gaps of all lengths to be alike likely on a logarithmic
-// scale.
+// NewPolicy returns a Policy that has seen no requests.
 func NewPolicy(opts Options) *Policy {
-	p := &Policy{opts: opts.withDefaults(), models: map[string]*history{}}
-	p.all = uniform()
-	return p
+	return &Policy{opts: opts.withDefaults(), models: map[string]*history{}}
 }
 
 // Observe notes the arrival of a request for a model version whose caller waits. Requests that may be held back are not
@@ -116,13 +114,12 @@
 	if idleRate <= 0 {
 		return p.opts.Max
 	}
+	hz := p.all.hazards(unknown(), priorStrength)
 	h := p.models[model]
-	gaps := &p.all
 	if h != nil {
-		mixed := h.gaps.mixedWith(&p.all, priorStrength)
-		gaps = &mixed
+		hz = h.gaps.hazards(hz, priorStrength)
 	}
-	keep := min(max(gaps.cheapestKeep(coldStartCost, idleRate), p.opts.Min), p.opts.Max)
+	keep := min(max(hz.cheapestKeep(coldStartCost, idleRate), p.opts.Min), p.opts.Max)
 	if h != nil && now.Sub(h.last) > keep {
 		// The last caller was here longer ago than the model is worth keeping: only held requests woke it.
 		return p.opts.Min
