--- a/internal/replicas/decider.go
+++ b/internal/replicas/decider.go
@@ -44,8 +44,9 @@
 	specs    map[string]*ModelSpec
 	// load and warm are the declared weights of each engine's slots, and of those of them that stay loaded.
 	load, warm []int64
-	// moving is the number of model versions with a slot on its way out.
+	// moving is the number of model versions with a slot on its way out, and settled lists those whose slots are all good.
 	moving   int
+	settled  []settled
 	decision Decision
 }
 
@@ -142,11 +143,19 @@
 	} else {
 		r.settle(spec, d)
 	}
-	if d.count(healthReleasing, healthMisplaced, healthLeaving) > 0 {
+	r.note(spec, d)
+}
+
+// note takes a decided row into the decision.
+func (r *run) note(spec *ModelSpec, d *draft) {
+	switch {
+	case d.count(healthReleasing, healthMisplaced, healthLeaving) > 0:
 		r.moving++
+	case spec != nil && len(d.steps) == 0 && d.count(healthGood) == len(d.slots):
+		r.settled = append(r.settled, settled{spec: spec, draft: d})
 	}
 	if len(d.steps) > 0 {
-		r.decision.Changes = append(r.decision.Changes, d.change(r.snapshot.Declared, r.snapshot.Hosts))
+		r.decision.Changes = append(r.decision.Changes, d.change(r.snapshot.Declared))
 	}
 }
 
--- a/internal/replicas/demand.go
+++ b/internal/replicas/demand.go
@@ -13,7 +13,7 @@
 	mu       sync.Mutex
 	policy   Policy
 	wants    map[string]map[string]Want
-	releases map[string]map[Holder]uint64
+	releases map[string]map[Holder]confirmation
 	peaks    map[string]*peak
 	// sequence rises with each wish and each confirmation that says something new.
 	sequence uint64
@@ -23,27 +23,40 @@
 	return &demandBook{
 		policy:   policy,
 		wants:    map[string]map[string]Want{},
-		releases: map[string]map[Holder]uint64{},
+		releases: map[string]map[Holder]confirmation{},
 		peaks:    map[string]*peak{},
 	}
 }
 
+// confirmationLife is how long a confirmation is kept for which no slot is known: a process may hear of it before it has
+// read the row.
+const confirmationLife = time.Minute
+
+// confirmation is the highest revision that an engine has confirmed, and when it did.
+type confirmation struct {
+	revision uint64
+	at       time.Time
+}
+
 // released takes in a confirmation and reports whether it says something new.
-func (b *demandBook) released(r Release) bool {
+func (b *demandBook) released(now time.Time, r Release) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	holder := Holder{Engine: r.Engine, Host: r.Host}
-	if b.releases[r.Model][holder] >= r.Revision {
+	if b.releases[r.Model][holder].revision >= r.Revision {
 		return false
 	}
 	if b.releases[r.Model] == nil {
-		b.releases[r.Model] = map[Holder]uint64{}
+		b.releases[r.Model] = map[Holder]confirmation{}
 	}
-	b.releases[r.Model][holder] = r.Revision
+	b.releases[r.Model][holder] = confirmation{revision: r.Revision, at: now}
 	b.sequence++
 	return true
 }
 
+// wantWindow is the time over which waiting and refused requests are added up.
+const wantWindow = time.Second
+
 // wanted takes in a wish.
 func (b *demandBook) wanted(now time.Time, engine, model string, reason wirepb.RefusalReason, waiting int) {
 	b.mu.Lock()
@@ -55,7 +68,11 @@
 	if w.Reason != reason || now.Sub(w.Last) >= b.policy.WantLife {
 		w = Want{Engine: engine, Reason: reason, First: now}
 	}
-	w.Waiting = waiting
+	if now.Sub(w.window) >= wantWindow {
+		w.window = now
+		w.Waiting = 0
+	}
+	w.Waiting += waiting
 	w.Last = now
 	b.wants[model][engine] = w
 	b.sequence++
@@ -102,25 +119,25 @@
 	return d
 }
 
-// confirmed returns the releases of the model versions that have a row and forgets all others.
-func (b *demandBook) confirmed(rows map[string]RowView) map[string]map[Holder]uint64 {
+// confirmed returns the confirmations, and forgets those for which there is no slot any more.
+func (b *demandBook) confirmed(now time.Time, rows map[string]RowView) map[string]map[Holder]uint64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	copied := make(map[string]map[Holder]uint64, len(b.releases))
 	for model, holders := range b.releases {
-		row := rows[model].Row
-		kept := map[Holder]uint64{}
-		for h, revision := range holders {
-			if SlotOf(row, h.Engine, h.Host) != nil {
-				kept[h] = revision
+		for h, c := range holders {
+			if SlotOf(rows[model].Row, h.Engine, h.Host) == nil && now.Sub(c.at) >= confirmationLife {
+				delete(holders, h)
+				continue
+			}
+			if copied[model] == nil {
+				copied[model] = map[Holder]uint64{}
 			}
+			copied[model][h] = c.revision
 		}
-		if len(kept) == 0 {
+		if len(holders) == 0 {
 			delete(b.releases, model)
-			continue
 		}
-		b.releases[model] = kept
-		copied[model] = kept
 	}
 	return copied
 }
--- a/internal/replicas/draft.go
+++ b/internal/replicas/draft.go
@@ -6,7 +6,6 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"balsamsail/internal/platform"
 	"balsamsail/internal/replicas/replicaspb"
 )
 
@@ -30,7 +29,9 @@
 
 // slotDraft is one slot of a row that is being decided.
 type slotDraft struct {
-	slot   *replicaspb.Slot
+	slot *replicaspb.Slot
+	// before is the slot as it is in the row; nil for a new one.
+	before *replicaspb.Slot
 	engine int
 	health health
 	reason Reason
@@ -52,7 +53,7 @@
 func newDraft(model string, view RowView) *draft {
 	d := &draft{model: model, row: view.Row, since: view.Since}
 	for _, s := range view.Row.GetSlots() {
-		d.slots = append(d.slots, &slotDraft{slot: s, engine: -1})
+		d.slots = append(d.slots, &slotDraft{slot: s, before: s, engine: -1})
 	}
 	return d
 }
@@ -83,9 +84,7 @@
 		State:         replicaspb.SlotState_GRANTED,
 		FailureDomain: e.FailureDomain,
 		Host:          e.Host,
-	}
-	if _, listed := hosts.States[e.Host]; listed {
-		slot.HostsVersion = hosts.Version
+		HostsVersion:  hosts.Version,
 	}
 	at := slices.IndexFunc(d.slots, func(s *slotDraft) bool {
 		return s.health != healthGood && s.health != healthReleasing
@@ -108,19 +107,22 @@
 	return n
 }
 
-// holds reports whether an engine of that name has a slot, in whatever state and on whatever host.
+// holds reports whether an engine of that name has a slot, in whatever state and on whatever host, or had one before this
+// change: in no step from one row to the next does a RELEASING slot become GRANTED.
 func (d *draft) holds(engine string) bool {
-	return slices.ContainsFunc(d.slots, func(s *slotDraft) bool { return s.slot.Engine == engine })
+	named := func(s *replicaspb.Slot) bool { return s.Engine == engine }
+	return slices.ContainsFunc(d.row.GetSlots(), named) ||
+		slices.ContainsFunc(d.slots, func(s *slotDraft) bool { return named(s.slot) })
 }
 
 // change returns the change that the draft amounts to.
-func (d *draft) change(declared Declared, hosts HostsView) Change {
+func (d *draft) change(declared Declared) Change {
 	next := &replicaspb.Row{
 		Model:                d.model,
 		DeclarationsRevision: max(declared.Revision, d.row.GetDeclarationsRevision()),
 	}
 	for _, s := range d.slots {
-		next.Slots = append(next.Slots, d.stamp(s, hosts))
+		next.Slots = append(next.Slots, d.stamp(s))
 	}
 	return Change{
 		Model:    d.model,
@@ -131,30 +133,15 @@
 	}
 }
 
-// stamp fills in what only a later write can know of a slot: the revision at which it became RELEASING, and the version
-// of the host list when the host was not listed yet at the grant.
-func (d *draft) stamp(s *slotDraft, hosts HostsView) *replicaspb.Slot {
-	_, listed := hosts.States[s.slot.Host]
-	late := listed && s.slot.HostsVersion == 0
-	kept := s.health == healthReleasing && s.slot.ReleasingRevision == 0 && slices.Contains(d.row.GetSlots(), s.slot)
-	if !late && !kept {
+// stamp fills in what only a later write can know of a slot: the revision at which it became RELEASING.
+func (d *draft) stamp(s *slotDraft) *replicaspb.Slot {
+	if s.before.GetState() != replicaspb.SlotState_RELEASING || s.slot.ReleasingRevision > 0 {
 		return s.slot
 	}
 	slot := proto.CloneOf(s.slot)
-	if late {
-		slot.HostsVersion = hosts.Version
-	}
-	if kept {
-		slot.ReleasingRevision = d.row.Revision
-	}
+	slot.ReleasingRevision = d.row.Revision
 	return slot
 }
 
 // gone reports whether the host of a slot is known to be gone.
 func gone(hosts HostsView, s *replicaspb.Slot) bool { return hosts.Gone(s.Host, s.HostsVersion) }
-
-// listedLive reports whether an engine's host may get slots: one known to be gone or leaving may not.
-func listedLive(hosts HostsView, host string) bool {
-	state, listed := hosts.States[host]
-	return !listed || state == platform.HostLive
-}
--- a/internal/replicas/helpers_test.go
+++ b/internal/replicas/helpers_test.go
@@ -34,6 +34,8 @@
 	fault func(platform.Txn) (err error, takeEffect bool)
 	// down makes all calls fail.
 	down bool
+	// observe, when set, is told of each row that a commit changes.
+	observe func(before, after platform.Row)
 }
 
 func newMemoryTable() *memoryTable { return &memoryTable{rows: map[string]platform.Row{}} }
@@ -97,14 +99,25 @@
 	}
 	t.revision++
 	for _, p := range txn.Puts {
-		t.rows[p.Key] = platform.Row{Key: p.Key, Revision: t.revision, Value: p.Value}
+		t.replace(p.Key, platform.Row{Key: p.Key, Revision: t.revision, Value: p.Value})
 	}
 	for _, key := range txn.Deletes {
-		delete(t.rows, key)
+		t.replace(key, platform.Row{})
 	}
 	return t.revision, nil
 }
 
+func (t *memoryTable) replace(key string, after platform.Row) {
+	before := t.rows[key]
+	t.rows[key] = after
+	if after.Key == "" {
+		delete(t.rows, key)
+	}
+	if t.observe != nil {
+		t.observe(before, after)
+	}
+}
+
 // row returns a model version's row, or nil.
 func (t *memoryTable) row(tb testing.TB, model string) *replicaspb.Row {
 	tb.Helper()
--- a/internal/replicas/inputs.go
+++ b/internal/replicas/inputs.go
@@ -8,8 +8,8 @@
 
 // EngineSource hands out what is known of engines and hosts.
 type EngineSource interface {
-	// Engines returns all known engines and a version that differs whenever they do. A slice that was handed out is not
-	// changed.
+	// Engines returns all known engines and a version that differs whenever any field of any of them does. A slice that was
+	// handed out is not changed. It is called often and should hand out the same slice while nothing has changed.
 	Engines() ([]EngineView, uint64)
 	// Hosts returns the host list as last read.
 	Hosts() HostsView
--- a/internal/replicas/manager.go
+++ b/internal/replicas/manager.go
@@ -25,8 +25,10 @@
 	// Interval is the time between reads of the changed rows, and FullInterval that between reads of all rows, which show
 	// deletions.
 	Interval, FullInterval time.Duration
-	// Settle is how long inputs are gathered before a decision.
-	Settle time.Duration
+	// Settle is how long inputs are gathered before a decision, and DecideShare the share of a processor that decisions may
+	// take: a costly decision makes the next one wait.
+	Settle      time.Duration
+	DecideShare float64
 	// TurnStep is how much longer each process waits than the one before it in the order of proposing.
 	TurnStep time.Duration
 	// WritesPerSecond and WriteBurst bound this process's writes to the table.
@@ -47,6 +49,7 @@
 		Interval:        time.Second,
 		FullInterval:    30 * time.Second,
 		Settle:          20 * time.Millisecond,
+		DecideShare:     0.02,
 		TurnStep:        500 * time.Millisecond,
 		WritesPerSecond: 50,
 		WriteBurst:      100,
@@ -83,6 +86,8 @@
 	backoff  time.Duration
 	lastSeen stamp
 	decision Decision
+	// notBefore is when the next decision may be taken.
+	notBefore time.Time
 }
 
 // NewManager returns a Manager; it does nothing before Run.
@@ -118,7 +123,7 @@
 // Released takes in an engine's confirmation. Confirmations are kept in memory only: an agent repeats them to each
 // process that connects for as long as a row that it sees has its slot RELEASING.
 func (m *Manager) Released(r Release) {
-	if m.demand.released(r) {
+	if m.demand.released(m.clock.Now(), r) {
 		m.Notify()
 	}
 }
--- a/internal/replicas/metrics.go
+++ b/internal/replicas/metrics.go
@@ -6,8 +6,9 @@
 	"balsamsail/internal/replicas/replicaspb"
 )
 
-// The values of the result label of proposals.
+// The values of the result label.
 const (
+	resultOK          = "ok"
 	resultCommitted   = "committed"
 	resultConflict    = "conflict"
 	resultUnavailable = "unavailable"
--- a/internal/replicas/outcome.go
+++ b/internal/replicas/outcome.go
@@ -21,21 +21,17 @@
 	for _, s := range c.Steps {
 		m.metrics.steps.WithLabelValues(string(s.Action), string(s.Reason)).Inc()
 		m.timeline.Record(timeline.Event{
-			Kind: kindOf(s.Action), Model: c.Model, Endpoint: s.Engine, Detail: string(s.Reason),
+			Kind: kinds[s.Action], Model: c.Model, Endpoint: s.Engine, Detail: string(s.Reason),
 		})
 	}
 	m.log.Info("grant changed", "model", c.Model, "revision", row.GetRevision(), "change", c.String())
 }
 
-func kindOf(a Action) timeline.Kind {
-	switch a {
-	case Grant:
-		return timeline.SlotGranted
-	case StartRelease:
-		return timeline.SlotReleasing
-	default:
-		return timeline.SlotRemoved
-	}
+// kinds are the time-line events of the actions.
+var kinds = map[Action]timeline.Kind{
+	Grant:        timeline.SlotGranted,
+	StartRelease: timeline.SlotReleasing,
+	Remove:       timeline.SlotRemoved,
 }
 
 // reread brings one row up to date after a conflict.
--- a/internal/replicas/placement.go
+++ b/internal/replicas/placement.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/cespare/xxhash/v2"
+
+	"balsamsail/internal/platform"
 )
 
 // candidate is an engine that may get a slot of a model version.
@@ -34,8 +36,13 @@
 }
 
 // eligible reports whether an engine of the model version's group may get a new slot.
+//
+// Its host must be in the host list as this process has read it. A slot of a host that the deciding process never saw
+// there could not be told from one of a host that came, died and was dropped from the list while no process looked; it
+// would count for ever.
 func (r *run) eligible(spec *ModelSpec, e *EngineView) bool {
-	return e.Reachable && e.MemoryBytes > 0 && e.MemoryBytes >= spec.MemoryBytes && listedLive(r.snapshot.Hosts, e.Host)
+	listed := r.snapshot.Hosts.States[e.Host] == platform.HostLive
+	return listed && e.Reachable && e.MemoryBytes > 0 && e.MemoryBytes >= spec.MemoryBytes
 }
 
 // pick returns the index of the best candidate, or -1 when there is none: not one to be avoided, in the failure domain
--- a/internal/replicas/rebalance.go
+++ b/internal/replicas/rebalance.go
@@ -1,12 +1,163 @@
 package replicas
 
-// movingShare is the share of the model versions that may have a slot on its way out before a slot is moved only for the
-// sake of balance.
+import "slices"
+
+// movingShare is the part of the model versions (one in so many) that may have a slot on its way out before a slot is
+// moved only for a better place.
 const movingShare = 10
 
-// rebalance moves one idle slot for the sake of balance.
+// rebalance moves one idle slot to a better place, when there is nothing else to do: out of a failure domain that two
+// slots of the model version share while another domain has none, or off an engine that holds far more than its share
+// of the declared weights, as all do when an engine has joined.
+//
+// One move per decision, only to a strictly better place, and only while few model versions are moving: a change of many
+// engines at once then costs a bounded rate of writes, and no move is ever answered by one back. A model version whose
+// only slot would have to go first is left where it is.
 func (r *run) rebalance() {
-	if r.moving > len(r.specs)/movingShare || len(r.decision.Changes) > 0 {
+	if len(r.decision.Changes) > 0 || r.moving*movingShare >= max(len(r.specs), movingShare) {
+		return
+	}
+	if r.spread() {
 		return
 	}
+	r.level()
+}
+
+// settled is a declared model version whose slots are all good.
+type settled struct {
+	spec  *ModelSpec
+	draft *draft
+}
+
+// spread moves a slot out of a failure domain that has two more than another.
+func (r *run) spread() bool {
+	for _, t := range r.settled {
+		domain, crowded := r.crowdedDomain(t)
+		if !crowded {
+			continue
+		}
+		for _, s := range slices.Backward(t.draft.slots) {
+			if s.slot.FailureDomain == domain && r.movable(t, s) && r.move(t, s, ReasonSpread) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// crowdedDomain returns the failure domain with the most slots of a model version, if another one of the domains that
+// its selector reaches has at least two less.
+func (r *run) crowdedDomain(t settled) (string, bool) {
+	counts := domainCounts(t.draft)
+	least := len(t.draft.slots)
+	for domain := range r.index.group(t.spec.Selector).domains {
+		least = min(least, counts[domain])
+	}
+	for _, s := range t.draft.slots {
+		if counts[s.slot.FailureDomain] >= least+2 {
+			return s.slot.FailureDomain, true
+		}
+	}
+	return "", false
+}
+
+// level moves a slot off the engine that is furthest over its share.
+func (r *run) level() {
+	type overloaded struct {
+		settled
+		slot  *slotDraft
+		ratio float64
+	}
+	var found []overloaded
+	for _, t := range r.settled {
+		for _, s := range t.draft.slots {
+			if s.engine < 0 || !r.movable(t, s) || !r.overWith(s.engine, t.spec.MemoryBytes) {
+				continue
+			}
+			ratio := float64(r.load[s.engine]) / r.index.share(s.engine)
+			found = append(found, overloaded{settled: t, slot: s, ratio: ratio})
+		}
+	}
+	slices.SortStableFunc(found, func(a, b overloaded) int {
+		if a.ratio > b.ratio {
+			return -1
+		}
+		if a.ratio < b.ratio {
+			return 1
+		}
+		return 0
+	})
+	const tries = 8
+	for i := range min(len(found), tries) {
+		if r.move(found[i].settled, found[i].slot, ReasonBalance) {
+			return
+		}
+	}
+}
+
+// overWith reports whether an engine that holds a slot of the given weight is far over its share by it.
+func (r *run) overWith(engine int, need int64) bool {
+	r.load[engine] -= need
+	over := r.over(engine, need, r.policy.MoveBound)
+	r.load[engine] += need
+	return over
+}
+
+// movable reports whether a slot may move: it holds nothing, and its model version has another slot or room for one.
+func (r *run) movable(t settled, s *slotDraft) bool {
+	_, most := r.policy.bounds(*t.spec)
+	return s.engine >= 0 && !s.loaded && (len(t.draft.slots) > 1 || most > 1)
+}
+
+// move replaces a slot by one in a strictly better place, if there is one.
+func (r *run) move(t settled, s *slotDraft, reason Reason) bool {
+	need := t.spec.MemoryBytes
+	others := *t.draft
+	others.slots = slices.DeleteFunc(slices.Clone(t.draft.slots), func(o *slotDraft) bool { return o == s })
+	r.load[s.engine] -= need
+	target := r.better(t.spec, &others, s, reason)
+	r.load[s.engine] += need
+	if target < 0 {
+		return false
+	}
+	d := t.draft
+	_, most := r.policy.bounds(*t.spec)
+	room := most > len(d.slots)
+	d.release(s, reason)
+	if room {
+		d.grant(&r.index.engines[target], target, r.snapshot.Hosts, ReasonReplace)
+	}
+	r.decision.Changes = append(r.decision.Changes, d.change(r.snapshot.Declared))
+	return true
+}
+
+// better returns the engine that would get the slot if it were placed anew, or -1 when that is no better than where the
+// slot is. The draft and the loads are those without the slot.
+func (r *run) better(spec *ModelSpec, others *draft, s *slotDraft, reason Reason) int {
+	found := r.candidates(spec, others)
+	domains := domainCounts(others)
+	best := r.pick(spec, found, domains)
+	if best < 0 || found[best].engine == s.engine || found[best].avoid {
+		return -1
+	}
+	target := found[best].engine
+	here := domains[s.slot.FailureDomain]
+	there := domains[r.index.engines[target].FailureDomain]
+	if reason == ReasonSpread {
+		return targetIf(target, there < here)
+	}
+	relieved := r.loadShare(target, spec.MemoryBytes) < r.loadShare(s.engine, spec.MemoryBytes)
+	return targetIf(target, there <= here && relieved && !r.over(target, spec.MemoryBytes, r.policy.PlaceBound))
+}
+
+func targetIf(target int, ok bool) int {
+	if !ok {
+		return -1
+	}
+	return target
+}
+
+// loadShare returns what part of an engine's memory the declared weights of its slots and of one more would make up.
+func (r *run) loadShare(engine int, need int64) float64 {
+	return float64(r.load[engine]+need) / float64(r.index.engines[engine].MemoryBytes)
 }
--- a/internal/replicas/run.go
+++ b/internal/replicas/run.go
@@ -7,7 +7,6 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
-	"balsamsail/internal/platform"
 	"balsamsail/internal/timeline"
 )
 
@@ -74,47 +73,26 @@
 	}
 	listing, err := m.table.List(ctx, KeyPrefix, after)
 	if err != nil {
+		m.metrics.reads.WithLabelValues(resultUnavailable).Inc()
 		m.failed(ctx, "read rows", err)
 		return
 	}
-	m.metrics.reads.WithLabelValues("ok").Inc()
+	m.metrics.reads.WithLabelValues(resultOK).Inc()
 	m.recovered()
-	m.take(listing, full)
+	for _, key := range m.store.take(m.clock.Now(), listing, full) {
+		m.log.Error("row of the table cannot be read", "key", key, "error", ErrCorruptRow)
+	}
 	if full {
 		m.fullRead = now
 	}
 	m.nextRead = m.clock.Now().Add(m.options.Interval)
 }
 
-func (m *Manager) take(listing platform.Listing, full bool) {
-	now := m.clock.Now()
-	seen := make(map[string]struct{}, len(listing.Rows))
-	for _, r := range listing.Rows {
-		seen[ModelOfKey(r.Key)] = struct{}{}
-		row, err := DecodeRow(r)
-		if err != nil {
-			m.log.Error("row of the table cannot be read", "key", r.Key, "revision", r.Revision, "error", err)
-			continue
-		}
-		m.store.put(now, row)
-	}
-	if full {
-		rows, _ := m.store.views()
-		for model := range rows {
-			if _, ok := seen[model]; !ok {
-				m.store.drop(now, model, listing.Revision)
-			}
-		}
-	}
-	m.store.readTo(listing.Revision)
-}
-
 // failed notes that the table did not answer, and backs off.
 func (m *Manager) failed(ctx context.Context, what string, err error) {
 	if ctx.Err() != nil {
 		return
 	}
-	m.metrics.reads.WithLabelValues("error").Inc()
 	if m.backoff == 0 {
 		m.log.Warn("table does not answer; grants stay as they are", "call", what, "error", err)
 		m.timeline.Record(timeline.Event{Kind: timeline.PlatformLost, Detail: what + ": " + err.Error()})
@@ -159,12 +137,16 @@
 	}
 	now := m.clock.Now()
 	if seen := m.stamp(declared); seen != m.lastSeen || m.due(now) {
+		if now.Before(m.notBefore) {
+			return m.notBefore
+		}
 		m.decision = m.decideNow(now, declared)
 		m.lastSeen = seen
 	}
 	ready, next := m.turns.ready(now, m.decision.Changes, m.inputs.Peers.Self(), m.inputs.Peers.Live())
 	if len(ready) > 0 {
 		m.propose(ctx, ready)
+		m.turns.proposed(m.clock.Now(), ready)
 		return m.clock.Now()
 	}
 	return earlier(next, m.decision.Again)
@@ -197,7 +179,7 @@
 		Hosts:          m.inputs.Engines.Hosts(),
 		Since:          m.started,
 		Demand:         make(map[string]Demand, len(declared.Models)),
-		Releases:       m.demand.confirmed(rows),
+		Releases:       m.demand.confirmed(now, rows),
 	}
 	for i := range declared.Models {
 		model := declared.Models[i].Model
@@ -207,7 +189,9 @@
 	}
 	begin := m.clock.Now()
 	decision := m.decider.Decide(now, s)
-	m.metrics.decide.Observe(m.clock.Now().Sub(begin).Seconds())
+	took := m.clock.Now().Sub(begin)
+	m.notBefore = now.Add(time.Duration(float64(took) / m.options.DecideShare))
+	m.metrics.decide.Observe(took.Seconds())
 	m.metrics.count(rows)
 	return decision
 }
--- a/internal/replicas/snapshot.go
+++ b/internal/replicas/snapshot.go
@@ -44,7 +44,8 @@
 type EngineView struct {
 	Name          string
 	FailureDomain string
-	// Host is the identifier of the host that the engine runs on.
+	// Host is the identifier of the host that the engine runs on. Only an engine whose host is listed as live in the host
+	// list gets slots.
 	Host   string
 	Labels map[string]string
 	// MemoryBytes is the engine's accelerator memory; 0 when not known.
@@ -78,14 +79,17 @@
 	return seen > 0 && v.Version > seen
 }
 
-// Want is an engine's wish for another slot elsewhere, because it cannot serve a model version's demand.
+// Want is a wish for another slot elsewhere, because an engine cannot serve a model version's demand.
 type Want struct {
+	// Engine is empty when an entry found no engine at all.
 	Engine string
 	Reason wirepb.RefusalReason
-	// Waiting is the number of requests that waited or were refused, by the latest message.
+	// Waiting is the number of requests that waited or were refused within the last second in which the engine said so.
 	Waiting int
 	// First and Last are when the engine first and last said so, without a longer pause between.
 	First, Last time.Time
+	// window is when the second of Waiting began.
+	window time.Time
 }
 
 // Usage is how much a model version's replicas are used.
--- a/internal/replicas/store.go
+++ b/internal/replicas/store.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"balsamsail/internal/platform"
 	"balsamsail/internal/replicas/replicaspb"
 )
 
@@ -83,6 +84,36 @@
 	}
 }
 
+// take takes in a listing, of all rows or of those that changed since the last one, and returns the keys of rows that
+// cannot be read.
+func (s *store) take(now time.Time, listing platform.Listing, full bool) (corrupt []string) {
+	listed := make(map[string]struct{}, len(listing.Rows))
+	for _, r := range listing.Rows {
+		listed[ModelOfKey(r.Key)] = struct{}{}
+		row, err := DecodeRow(r)
+		if err != nil {
+			corrupt = append(corrupt, r.Key)
+			continue
+		}
+		s.put(now, row)
+	}
+	if full {
+		s.dropUnlisted(now, listed, listing.Revision)
+	}
+	s.readTo(listing.Revision)
+	return corrupt
+}
+
+// dropUnlisted forgets the rows that a listing of all rows does not have.
+func (s *store) dropUnlisted(now time.Time, listed map[string]struct{}, revision uint64) {
+	rows, _ := s.views()
+	for model := range rows {
+		if _, ok := listed[model]; !ok {
+			s.drop(now, model, revision)
+		}
+	}
+}
+
 // readTo notes that all rows up to a table revision have been read.
 func (s *store) readTo(revision uint64) {
 	s.mu.Lock()
--- a/internal/replicas/turn.go
+++ b/internal/replicas/turn.go
@@ -1,7 +1,6 @@
 package replicas
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -48,10 +47,23 @@
 	return ready, next
 }
 
+// proposed makes changes that were just proposed wait before they are proposed again, should they still be decided from
+// the same rows: the declarations that they were decided from may be out of date, or the write may be on its way.
+func (t *turns) proposed(now time.Time, changes []Change) {
+	for _, c := range changes {
+		wait := time.Duration((1 + t.jitter()) * float64(t.step))
+		t.due[c.Model] = turn{revision: c.Expected, at: now.Add(wait)}
+	}
+}
+
 // forget drops the model versions for which no change is decided any more.
 func (t *turns) forget(changes []Change) {
+	decided := make(map[string]struct{}, len(changes))
+	for _, c := range changes {
+		decided[c.Model] = struct{}{}
+	}
 	for model := range t.due {
-		if !slices.ContainsFunc(changes, func(c Change) bool { return c.Model == model }) {
+		if _, ok := decided[model]; !ok {
 			delete(t.due, model)
 		}
 	}
