texttable: one table writer for load and operator; status ends with the grid

The same 20 lines stood in load and operator, and the text of a faulty place in operator and settings/inifile. Change: internal/texttable; operator.Place prints through inifile.Problem ("; allowed:" in place of brackets, tests changed to that text); WriteStatus ends with WriteMatrix. load: Hold's timeout never cuts the streams that it holds.

--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"balsamsail/internal/texttable"
 )
 
 // CompareOptions are the settings of Compare.
@@ -170,15 +172,15 @@
 
 // Write writes the comparison as text.
 func (c Comparison) Write(w io.Writer) error {
-	t := newTable(w)
-	t.row("time added by %s to %s, over %d rounds each way in turn", c.Via.URL, c.Direct.URL, c.Rounds)
-	t.row("milliseconds\tp50\t(rounds)\tp99\t(rounds)")
+	t := texttable.New(w)
+	t.Row("time added by %s to %s, over %d rounds each way in turn", c.Via.URL, c.Direct.URL, c.Rounds)
+	t.Row("milliseconds\tp50\t(rounds)\tp99\t(rounds)")
 	for _, a := range c.Added {
-		t.row("%s\t%.3f\t%.3f to %.3f\t%.3f\t%.3f to %.3f", a.Measure, a.P50, a.P50Min, a.P50Max, a.P99, a.P99Min, a.P99Max)
+		t.Row("%s\t%.3f\t%.3f to %.3f\t%.3f\t%.3f to %.3f", a.Measure, a.P50, a.P50Min, a.P50Max, a.P99, a.P99Min, a.P99Max)
 	}
-	t.row("")
-	if err := t.flush(); err != nil {
-		return err
+	t.Row("")
+	if err := t.Flush(); err != nil {
+		return outputError(err)
 	}
 	if err := c.Via.Write(w); err != nil {
 		return err
--- a/internal/load/hold.go
+++ b/internal/load/hold.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"balsamsail/internal/texttable"
 )
 
 // HoldOptions are the settings of Hold.
@@ -35,11 +37,11 @@
 
 // Write writes the report as text.
 func (r HoldReport) Write(w io.Writer) error {
-	t := newTable(w)
-	t.row("streams\t%d\topen at once\t%d\tlost while held\t%d", r.Streams, r.Open, r.Lost)
-	t.row("opened in\t%.3f s\theld for\t%.3f s", r.OpenedIn, r.HeldFor)
-	if err := t.flush(); err != nil {
-		return err
+	t := texttable.New(w)
+	t.Row("streams\t%d\topen at once\t%d\tlost while held\t%d", r.Streams, r.Open, r.Lost)
+	t.Row("opened in\t%.3f s\theld for\t%.3f s", r.OpenedIn, r.HeldFor)
+	if err := t.Flush(); err != nil {
+		return outputError(err)
 	}
 	return r.Report.Write(w)
 }
@@ -86,9 +88,8 @@
 	o.Concurrency = o.Streams
 	// Half a gap more, so that the last stream falls within the duration.
 	o.Duration = time.Duration((float64(o.Streams) + 0.5) / o.Rate * float64(time.Second))
-	if o.Timeout == 0 {
-		o.Timeout = o.Duration + o.For + DefaultTimeout
-	}
+	// A shorter timeout would cut the streams that are to be held.
+	o.Timeout = max(o.Timeout, o.Duration+o.For+DefaultTimeout)
 	checked, err := o.Options.check()
 	o.Options = checked
 	for _, target := range o.Targets {
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -2,12 +2,12 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"io"
-	"text/tabwriter"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"balsamsail/internal/texttable"
 )
 
 // ErrOutput says that a report could not be written.
@@ -130,40 +130,40 @@
 
 // Write writes the report as text.
 func (r Report) Write(w io.Writer) error {
-	t := newTable(w)
-	t.row("load of %s: %d planned at %.1f/s and %d at the start, seed %d, %.1f s",
+	t := texttable.New(w)
+	t.Row("load of %s: %d planned at %.1f/s and %d at the start, seed %d, %.1f s",
 		r.URL, r.Planned, r.Rate, r.Burst, r.Seed, r.Elapsed)
 	r.Total.write(t)
 	for _, target := range r.Targets {
-		t.row("")
-		t.row("target %s", target.Name)
+		t.Row("")
+		t.Row("target %s", target.Name)
 		target.write(t)
 	}
-	return t.flush()
+	return outputError(t.Flush())
 }
 
-func (p Part) write(t *table) {
-	t.row("sent\t%d\tserved\t%d\trefused\t%d\tlate\t%d", p.Sent, p.Served, p.Refused, p.Late)
-	t.row("truncated\t%d\twrong content\t%d\tno answer\t%d\ttimed out\t%d", p.Truncated, p.Wrong, p.Broken, p.TimedOut)
-	t.row("not sent\t%d\theld\t%d\tserved/s\t%.1f\ttokens/s\t%.1f", p.Unsent, p.Held, p.ServedPerSecond, p.TokensPerSecond)
+func (p Part) write(t *texttable.Table) {
+	t.Row("sent\t%d\tserved\t%d\trefused\t%d\tlate\t%d", p.Sent, p.Served, p.Refused, p.Late)
+	t.Row("truncated\t%d\twrong content\t%d\tno answer\t%d\ttimed out\t%d", p.Truncated, p.Wrong, p.Broken, p.TimedOut)
+	t.Row("not sent\t%d\theld\t%d\tserved/s\t%.1f\ttokens/s\t%.1f", p.Unsent, p.Held, p.ServedPerSecond, p.TokensPerSecond)
 	for _, refusal := range p.Refusals {
-		t.row("refused\t%d\tstatus\t%d\tcode\t%s\toutcome\t%s",
+		t.Row("refused\t%d\tstatus\t%d\tcode\t%s\toutcome\t%s",
 			refusal.Count, refusal.Status, orNone(refusal.Code), orNone(refusal.Outcome))
 	}
 	if p.Refused > 0 {
-		t.row("refused with a time to come back\t%d", p.WithComeBack)
+		t.Row("refused with a time to come back\t%d", p.WithComeBack)
 	}
 	if p.Late > 0 {
-		t.row("worst overrun of a deadline\t%.3f ms", p.WorstOverrun)
+		t.Row("worst overrun of a deadline\t%.3f ms", p.WorstOverrun)
 	}
-	t.row("milliseconds\tp50\tp90\tp99\tp99.9\tmax\tcount")
-	t.quantiles("first byte", p.FirstByte)
-	t.quantiles("first byte from send", p.FirstByteFromSend)
-	t.quantiles("first token", p.FirstToken)
-	t.quantiles("between tokens", p.BetweenTokens)
-	t.quantiles("whole answer", p.Whole)
-	t.quantiles("refused after", p.RefusedAfter)
-	t.quantiles("send lag", p.SendLag)
+	t.Row("milliseconds\tp50\tp90\tp99\tp99.9\tmax\tcount")
+	writeQuantiles(t, "first byte", p.FirstByte)
+	writeQuantiles(t, "first byte from send", p.FirstByteFromSend)
+	writeQuantiles(t, "first token", p.FirstToken)
+	writeQuantiles(t, "between tokens", p.BetweenTokens)
+	writeQuantiles(t, "whole answer", p.Whole)
+	writeQuantiles(t, "refused after", p.RefusedAfter)
+	writeQuantiles(t, "send lag", p.SendLag)
 }
 
 // orNone stands in for an empty cell.
@@ -174,37 +174,11 @@
 	return s
 }
 
-// table writes aligned columns and keeps the first error.
-type table struct {
-	writer *tabwriter.Writer
-	err    error
-}
-
-const columnPadding = 2
-
-func newTable(w io.Writer) *table {
-	return &table{writer: tabwriter.NewWriter(w, 0, 0, columnPadding, ' ', 0)}
-}
-
-// row writes one line; tabs part the columns.
-func (t *table) row(format string, args ...any) {
-	if t.err == nil {
-		_, t.err = fmt.Fprintf(t.writer, format+"\n", args...)
-	}
-}
-
-// quantiles writes one distribution, if anything was recorded.
-func (t *table) quantiles(name string, q Quantiles) {
+// writeQuantiles writes one distribution, if anything was recorded.
+func writeQuantiles(t *texttable.Table, name string, q Quantiles) {
 	if q.Count > 0 {
-		t.row("%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%d", name, q.P50, q.P90, q.P99, q.P999, q.Max, q.Count)
-	}
-}
-
-func (t *table) flush() error {
-	if t.err == nil {
-		t.err = t.writer.Flush()
+		t.Row("%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%d", name, q.P50, q.P90, q.P99, q.P999, q.Max, q.Count)
 	}
-	return outputError(t.err)
 }
 
 func outputError(err error) error {
--- a/internal/operator/errors.go
+++ b/internal/operator/errors.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"balsamsail/internal/settings/inifile"
 )
 
 var (
@@ -50,25 +52,10 @@
 }
 
 func (p Place) String() string {
-	var b strings.Builder
-	b.WriteString(p.File)
-	if p.Line > 0 {
-		fmt.Fprintf(&b, ":%d", p.Line)
-	}
-	if b.Len() > 0 {
-		b.WriteString(": ")
-	}
-	if p.Section != "" {
-		fmt.Fprintf(&b, "[%s] ", p.Section)
-	}
-	if p.Key != "" {
-		fmt.Fprintf(&b, "%s: ", p.Key)
-	}
-	b.WriteString(p.Problem)
-	if p.Allowed != "" {
-		fmt.Fprintf(&b, " (allowed: %s)", p.Allowed)
+	problem := inifile.Problem{
+		File: p.File, Line: p.Line, Section: p.Section, Key: p.Key, Text: p.Problem, Allowed: p.Allowed,
 	}
-	return b.String()
+	return strings.TrimPrefix(problem.String(), ": ") // Where there is no file.
 }
 
 // InvalidError says that an edit is wrong in itself; nothing was changed.
--- a/internal/operator/matrix.go
+++ b/internal/operator/matrix.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"strings"
+
+	"balsamsail/internal/texttable"
 )
 
 // cells are the letters that stand for states in the grid.
@@ -28,18 +30,18 @@
 // WriteMatrix writes the grid of models by engines, one letter a cell; engines are numbered and named below.
 func WriteMatrix(w io.Writer, status Status) error {
 	engines := engineNames(status)
-	table := newTable(w)
-	table.row("%s", matrixHead(len(engines)))
+	table := texttable.New(w)
+	table.Row("%s", matrixHead(len(engines)))
 	for _, model := range status.Models {
-		table.row("%s\t%s", model.Model, strings.Join(matrixRow(model, engines), "\t"))
+		table.Row("%s\t%s", model.Model, strings.Join(matrixRow(model, engines), "\t"))
 	}
-	table.row("")
+	table.Row("")
 	for i, name := range engines {
-		table.row("%d\t%s", i+1, name)
+		table.Row("%d\t%s", i+1, name)
 	}
-	table.row("")
-	table.row("%s", matrixLegend)
-	return table.flush()
+	table.Row("")
+	table.Row("%s", matrixLegend)
+	return outputError(table.Flush())
 }
 
 func engineNames(status Status) []string {
--- a/internal/operator/output.go
+++ b/internal/operator/output.go
@@ -6,17 +6,15 @@
 	"io"
 	"sort"
 	"strings"
-	"text/tabwriter"
 
 	"github.com/pkg/errors"
+
+	"balsamsail/internal/texttable"
 )
 
 // ErrOutput says that a command's output could not be written.
 var ErrOutput = errors.New("operator: output not written")
 
-// columnPadding is the number of spaces between two columns.
-const columnPadding = 2
-
 // WriteJSON writes any answer as indented JSON.
 func WriteJSON(w io.Writer, answer any) error {
 	encoder := json.NewEncoder(w)
@@ -51,54 +49,30 @@
 // WriteInForce writes where a revision is in force and names the processes where it is not.
 func WriteInForce(w io.Writer, inForce InForce) error {
 	missing := inForce.Missing()
-	table := newTable(w)
-	table.row("revision %d is in force in %d of %d live processes",
+	table := texttable.New(w)
+	table.Row("revision %d is in force in %d of %d live processes",
 		inForce.Revision, len(inForce.Processes)-len(missing), len(inForce.Processes))
 	if len(missing) > 0 {
-		table.row("NOT IN FORCE IN\tROLE\tDOMAIN\tADDRESS\tHAS\tNOTE")
+		table.Row("NOT IN FORCE IN\tROLE\tDOMAIN\tADDRESS\tHAS\tNOTE")
 	}
 	for _, p := range missing {
 		note := "behind"
 		if p.Unreachable {
 			note = "does not answer"
 		}
-		table.row("%s\t%s\t%s\t%s\t%d\t%s", p.Process, p.Role, p.FailureDomain, p.Address, p.Revision, note)
+		table.Row("%s\t%s\t%s\t%s\t%d\t%s", p.Process, p.Role, p.FailureDomain, p.Address, p.Revision, note)
 	}
-	return table.flush()
+	return outputError(table.Flush())
 }
 
 // WriteProcesses writes the live processes.
 func WriteProcesses(w io.Writer, list ProcessList) error {
-	table := newTable(w)
-	table.row("PROCESS\tROLE\tDOMAIN\tURL")
+	table := texttable.New(w)
+	table.Row("PROCESS\tROLE\tDOMAIN\tURL")
 	for _, p := range list.Processes {
-		table.row("%s\t%s\t%s\t%s", p.Name, p.Role, p.FailureDomain, p.URL)
-	}
-	return table.flush()
-}
-
-// table writes aligned columns and keeps the first error.
-type table struct {
-	writer *tabwriter.Writer
-	err    error
-}
-
-func newTable(w io.Writer) *table {
-	return &table{writer: tabwriter.NewWriter(w, 0, 0, columnPadding, ' ', 0)}
-}
-
-// row writes one line; tabs part the columns.
-func (t *table) row(format string, args ...any) {
-	if t.err == nil {
-		_, t.err = fmt.Fprintf(t.writer, format+"\n", args...)
-	}
-}
-
-func (t *table) flush() error {
-	if t.err == nil {
-		t.err = t.writer.Flush()
+		table.Row("%s\t%s\t%s\t%s", p.Name, p.Role, p.FailureDomain, p.URL)
 	}
-	return outputError(t.err)
+	return outputError(table.Flush())
 }
 
 func outputError(err error) error {
--- a/internal/operator/output_test.go
+++ b/internal/operator/output_test.go
@@ -41,6 +41,14 @@
 
 ENDPOINT  KIND    DOMAIN   STATE  MEMORY         RUNNING  WAITING  REVISION  LABELS   WHY
 e1        engine  amman-a  ready  20.0/80.0 GiB  0        0        41        a=1,b=2  -
+
+MODEL       1
+narrator@2  i
+audit@1     .
+
+1  e1
+
+L loaded  i idle  l loading  g granted and asleep  u unloading  r releasing  ? unknown  . none
 `
 	if b.String() != want {
 		t.Fatalf("got\n%s\nwant\n%s", b.String(), want)
@@ -88,7 +96,7 @@
 				{File: "a.ini", Line: 3, Section: `model "m"`, Key: "memory", Problem: "no unit", Allowed: "MiB, GiB"},
 				{File: "a.ini", Problem: "no section"},
 			}},
-			want: "not applied:\n  a.ini:3: [model \"m\"] memory: no unit (allowed: MiB, GiB)\n  a.ini: no section\nnext: " + nextInvalid + "\n",
+			want: "not applied:\n  a.ini:3: [model \"m\"] memory: no unit; allowed: MiB, GiB\n  a.ini: no section\nnext: " + nextInvalid + "\n",
 		},
 		{
 			name: "unknown gives the identifier",
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -5,6 +5,8 @@
 	"io"
 	"strings"
 	"time"
+
+	"balsamsail/internal/texttable"
 )
 
 // none stands in for an empty cell, so that columns stay easy to split.
@@ -39,7 +41,7 @@
 	return c
 }
 
-// WriteStatus writes the models, each with its replicas and the reason, and the endpoints.
+// WriteStatus writes the models, each with its replicas and the reason, the endpoints, and the grid of WriteMatrix.
 func WriteStatus(w io.Writer, status Status) error {
 	if err := writeSummary(w, status); err != nil {
 		return err
@@ -47,7 +49,13 @@
 	if err := writeModels(w, status); err != nil {
 		return err
 	}
-	return writeEndpoints(w, status)
+	if err := writeEndpoints(w, status); err != nil {
+		return err
+	}
+	if _, err := io.WriteString(w, "\n"); err != nil {
+		return outputError(err)
+	}
+	return WriteMatrix(w, status)
 }
 
 func writeSummary(w io.Writer, status Status) error {
@@ -62,23 +70,23 @@
 }
 
 func writeModels(w io.Writer, status Status) error {
-	table := newTable(w)
-	table.row("\nMODEL\tMIN/MAX/WARM\tELIGIBLE\tSLOTS\tLOADED\tQUEUED\tENGINE\tSTATE\tRUNNING\tWAITING\tWHY")
+	table := texttable.New(w)
+	table.Row("\nMODEL\tMIN/MAX/WARM\tELIGIBLE\tSLOTS\tLOADED\tQUEUED\tENGINE\tSTATE\tRUNNING\tWAITING\tWHY")
 	for _, model := range status.Models {
 		count := model.Count()
 		head := fmt.Sprintf("%s\t%d/%d/%d\t%d\t%d\t%d\t%d", model.Model, model.MinReplicas, model.MaxReplicas,
 			model.WarmReplicas, model.Eligible, len(model.Replicas), count.Loaded+count.Idle, model.Queued)
 		if len(model.Replicas) == 0 {
-			table.row("%s\t%s\t%s\t%s\t%s\t%s", head, none, none, none, none, orNone(model.Why))
+			table.Row("%s\t%s\t%s\t%s\t%s\t%s", head, none, none, none, none, orNone(model.Why))
 		}
 		for _, replica := range model.Replicas {
-			table.row("%s\t%s\t%s\t%d\t%d\t%s", head, replica.Engine, stateText(status.At, replica),
+			table.Row("%s\t%s\t%s\t%d\t%d\t%s", head, replica.Engine, stateText(status.At, replica),
 				replica.Running, replica.Queued, orNone(joinReasons(replica.Why, model.Why)))
 			head = strings.Repeat("\t", strings.Count(head, "\t"))
 			model.Why = ""
 		}
 	}
-	return table.flush()
+	return outputError(table.Flush())
 }
 
 // stateText adds to an idle replica for how long it has been so.
@@ -90,14 +98,14 @@
 }
 
 func writeEndpoints(w io.Writer, status Status) error {
-	table := newTable(w)
-	table.row("\nENDPOINT\tKIND\tDOMAIN\tSTATE\tMEMORY\tRUNNING\tWAITING\tREVISION\tLABELS\tWHY")
+	table := texttable.New(w)
+	table.Row("\nENDPOINT\tKIND\tDOMAIN\tSTATE\tMEMORY\tRUNNING\tWAITING\tREVISION\tLABELS\tWHY")
 	for _, e := range status.Endpoints {
-		table.row("%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\t%s", e.Endpoint, e.Kind, orNone(e.FailureDomain), e.state(),
+		table.Row("%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\t%s", e.Endpoint, e.Kind, orNone(e.FailureDomain), e.state(),
 			memoryText(e.ReservedBytes, e.MemoryBytes), e.Running, e.Queued, e.Revision,
 			orNone(labelText(e.Labels)), orNone(e.Why))
 	}
-	return table.flush()
+	return outputError(table.Flush())
 }
 
 // state names the state of an endpoint that matters most.
