--- /dev/null
+++ b/cmd/balsamsail/roles.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+
+	"balsamsail/internal/app"
+	"balsamsail/internal/settings"
+)
+
+// setList gathers repeated -set flags.
+type setList []string
+
+// String implements flag.Value.
+func (s *setList) String() string { return fmt.Sprint(*s) }
+
+// Set implements flag.Value.
+func (s *setList) Set(v string) error {
+	*s = append(*s, v)
+	return nil
+}
+
+// settingsFlags are the flags of all commands that read a settings file.
+type settingsFlags struct {
+	file string
+	sets setList
+}
+
+func (f *settingsFlags) register(flags *flag.FlagSet) {
+	flags.StringVar(&f.file, "config", "", "settings `file` (INI)")
+	flags.Var(&f.sets, "set", "override a setting: `section.key=value`; may be repeated")
+}
+
+func (f *settingsFlags) check() error {
+	if f.file == "" {
+		return errors.Wrap(errUsage, "-config is missing")
+	}
+	return nil
+}
+
+// roleCommand returns a command that runs a role from its settings file.
+func roleCommand[S any](name, help string, role settings.Role, load func(string, ...string) (*S, error), run func(context.Context, *S, app.Output) error) *ffcli.Command {
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	var f settingsFlags
+	f.register(flags)
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: name + " -config FILE [-set section.key=value]",
+		ShortHelp:  help,
+		LongHelp:   "All settings with their units, bounds and defaults:\n\n" + settings.Describe(role),
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			if err := f.check(); err != nil {
+				return err
+			}
+			s, err := load(f.file, f.sets...)
+			if err != nil {
+				return err
+			}
+			return run(ctx, s, app.StandardOutput())
+		},
+	}
+}
+
+func entryCommand() *ffcli.Command {
+	return roleCommand("entry", "run an entry", settings.RoleEntry, settings.LoadEntry, app.RunEntry)
+}
+
+func agentCommand() *ffcli.Command {
+	return roleCommand("agent", "run the agent beside an endpoint", settings.RoleAgent, settings.LoadAgent, app.RunAgent)
+}
+
+func standinCommand() *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "standin",
+		ShortUsage: "standin platform|engine|service -config FILE",
+		ShortHelp:  "run a stand-in of an outside system, for trials and tests",
+		FlagSet:    flag.NewFlagSet("standin", flag.ContinueOnError),
+		Exec:       func(context.Context, []string) error { return flag.ErrHelp },
+		Subcommands: []*ffcli.Command{
+			roleCommand("platform", "stand in for the platform's services", settings.RoleStandinPlatform,
+				settings.LoadStandinPlatform, app.RunStandinPlatform),
+			roleCommand("engine", "stand in for a model engine", settings.RoleStandinEngine,
+				settings.LoadStandinEngine, app.RunStandinEngine),
+			roleCommand("service", "stand in for a plain service", settings.RoleStandinService,
+				settings.LoadStandinService, app.RunStandinService),
+		},
+	}
+}
+
+func checkCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("check", flag.ContinueOnError)
+	var f settingsFlags
+	f.register(flags)
+	return &ffcli.Command{
+		Name:       "check",
+		ShortUsage: "check -config FILE",
+		ShortHelp:  "check a settings file without starting anything",
+		FlagSet:    flags,
+		Exec: func(context.Context, []string) error {
+			if err := f.check(); err != nil {
+				return err
+			}
+			role, err := settings.CheckFile(f.file, f.sets...)
+			if err != nil {
+				return err
+			}
+			fmt.Printf("%s: the settings of %s are valid\n", f.file, role)
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/internal/agent/actions.go
@@ -0,0 +1,156 @@
+package agent
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"balsamsail/internal/endpoint"
+	"balsamsail/internal/loading"
+	"balsamsail/internal/timeline"
+)
+
+// actions carries out the loading machine's actions and feeds their results back.
+type actions struct {
+	ctx   context.Context
+	agent *Agent
+	reads chan struct{}
+	rows  chan struct{}
+}
+
+func newActions(ctx context.Context, a *Agent) *actions {
+	return &actions{ctx: ctx, agent: a, reads: make(chan struct{}, 1), rows: make(chan struct{}, 1)}
+}
+
+// perform implements performer.
+func (x *actions) perform(list []loading.Action) {
+	for _, action := range list {
+		x.performOne(action)
+	}
+}
+
+func (x *actions) performOne(action loading.Action) {
+	a := x.agent
+	switch action := action.(type) {
+	case loading.GiveOrder:
+		go x.order(action)
+	case loading.ReadEngine:
+		nudge(x.reads)
+	case loading.ReadRows:
+		nudge(x.rows)
+	case loading.AskPermit:
+		a.askPermit(action)
+	case loading.EndPermit:
+		a.endPermit(action.ID)
+	case loading.ConfirmRelease:
+		a.confirmRelease(action)
+	case loading.WantSlot:
+		a.wantSlot(action)
+	}
+}
+
+// nudge wakes the receiver of a channel of capacity one.
+func nudge(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// order gives one order and reports its result. The order is not cancelled when the agent stops: its answer would be
+// lost and the next agent would have to wait out the order's life.
+func (x *actions) order(g loading.GiveOrder) {
+	a := x.agent
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), a.options.OrderTimeout)
+	defer cancel()
+	a.recordOrder(orderKinds[g.Order.Kind], g.Order, "")
+	began := a.clock.Now()
+	err := a.engine.Do(ctx, g.Order)
+	took := a.clock.Now().Sub(began)
+	a.metrics.observeOrder(g.Order.Kind, took, err)
+	if err != nil {
+		a.logger.Warn("order failed", "kind", g.Order.Kind, "model", g.Order.Model, "adapter", g.Order.Adapter, "error", err)
+	}
+	a.recordOrder(resultKind(g.Order.Kind, err), g.Order, detail(err))
+	a.core.step(loading.OrderDone{ID: g.Order.ID, Err: err})
+}
+
+// orderKinds maps orders to the events of their sending.
+var orderKinds = map[endpoint.OrderKind]timeline.Kind{
+	endpoint.OrderLoad:          timeline.LoadOrdered,
+	endpoint.OrderLoadAdapter:   timeline.LoadOrdered,
+	endpoint.OrderUnload:        timeline.UnloadOrdered,
+	endpoint.OrderUnloadAdapter: timeline.UnloadOrdered,
+}
+
+// resultKind is the event of an order's end.
+func resultKind(kind endpoint.OrderKind, err error) timeline.Kind {
+	load := kind == endpoint.OrderLoad || kind == endpoint.OrderLoadAdapter
+	unknown := errors.Is(err, endpoint.ErrOutcomeUnknown)
+	switch {
+	case load && err == nil:
+		return timeline.Loaded
+	case load && unknown:
+		return timeline.LoadUnknown
+	case load:
+		return timeline.LoadFailed
+	case err == nil:
+		return timeline.Unloaded
+	case unknown:
+		return timeline.UnloadUnknown
+	default:
+		return timeline.UnloadFailed
+	}
+}
+
+func (a *Agent) recordOrder(kind timeline.Kind, o endpoint.Order, detail string) {
+	model := o.Model
+	if o.Adapter != "" {
+		model = o.Adapter
+	}
+	a.recorder.Record(timeline.Event{Kind: kind, Model: model, Endpoint: a.options.Endpoint, Detail: detail})
+}
+
+func detail(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// runEngineReads reads the engine's state whenever the machine asks.
+func (a *Agent) runEngineReads(ctx context.Context) {
+	x := a.core.perform.(*actions)
+	nudge(x.reads)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-x.reads:
+		}
+		readCtx, cancel := context.WithTimeout(ctx, a.options.OrderTimeout)
+		state, err := a.engine.State(readCtx)
+		cancel()
+		if err != nil {
+			a.logger.Debug("engine state not read", "error", err)
+			a.core.step(loading.EngineLost{})
+			continue
+		}
+		a.core.step(loading.EngineRead{State: state})
+	}
+}
+
+// runProbe checks that a plain service answers.
+func (a *Agent) runProbe(ctx context.Context) {
+	timer := a.clock.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C():
+		}
+		a.core.setUp(a.probe(ctx))
+		timer.Reset(a.options.ProbeInterval)
+	}
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,241 @@
+// Package agent is the process beside one endpoint: the only one that gives the endpoint orders. It queues the requests
+// that entries offer, loads and unloads models within the granted slots, and drains when the endpoint leaves.
+//
+// core joins the deciding slices under one lock; the rest of the package is the shell around it: request streams,
+// control streams, orders, and the reads of the engine's state and of the table.
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"balsamsail/internal/admission"
+	"balsamsail/internal/clock"
+	"balsamsail/internal/declarations"
+	"balsamsail/internal/endpoint"
+	"balsamsail/internal/loading"
+	"balsamsail/internal/platform"
+	"balsamsail/internal/timeline"
+	"balsamsail/internal/wire"
+	"balsamsail/internal/wire/wirepb"
+)
+
+// ErrDrainTimeout says that requests were still running when the time for draining was over.
+var ErrDrainTimeout = errors.New("agent: requests still running at the end of the drain time")
+
+// The kinds of endpoints.
+const (
+	KindEngine  = "engine"
+	KindService = "service"
+)
+
+// Options are the settings of an Agent.
+type Options struct {
+	// Endpoint is the endpoint's name and Kind KindEngine or KindService.
+	Endpoint, Kind string
+	FailureDomain  string
+	Labels         map[string]string
+	// Host is the identifier of the host in the platform's list.
+	Host string
+	// OperatorAddress is where the agent serves metrics and the time line, told to the entries.
+	OperatorAddress string
+	// Incarnation rises with each start of the agent.
+	Incarnation uint64
+	// Capacity is how many requests run at once where nothing else is declared.
+	Capacity int
+	Queue    admission.Options
+	Loading  loading.Options
+	Wire     wire.Options
+	// HeartbeatInterval is the longest time between batches on a control stream.
+	HeartbeatInterval time.Duration
+	// BatchDelay is how long changes are gathered before a batch is sent.
+	BatchDelay time.Duration
+	// OrderTimeout bounds the wait for an order's answer.
+	OrderTimeout time.Duration
+	// ProbeInterval is the time between checks that a plain service answers.
+	ProbeInterval time.Duration
+	// CommitTimeout bounds the wait for an entry's commit after Ready.
+	CommitTimeout time.Duration
+	// MaxAnswer bounds the time of one answer once begun.
+	MaxAnswer time.Duration
+	// DrainTimeout bounds the wait for running requests at a stop.
+	DrainTimeout time.Duration
+	// TableRetry is the time between reads of the grants while the table does not answer.
+	TableRetry time.Duration
+}
+
+// Dependencies are what an Agent works with.
+type Dependencies struct {
+	Engine     endpoint.Engine
+	Caller     endpoint.Caller
+	Table      platform.Table
+	Policy     loading.IdlePolicy
+	Clock      clock.Clock
+	Logger     *slog.Logger
+	Registerer prometheus.Registerer
+	Recorder   *timeline.Recorder
+}
+
+// Agent is the process beside one endpoint.
+type Agent struct {
+	options  Options
+	engine   endpoint.Engine
+	caller   endpoint.Caller
+	table    platform.Table
+	clock    clock.Clock
+	logger   *slog.Logger
+	recorder *timeline.Recorder
+	metrics  *metrics
+
+	core     *core
+	receiver *declarations.Receiver
+	requests sync.WaitGroup
+
+	mu       sync.Mutex
+	entries  map[string]*controlStream
+	released map[string]uint64
+}
+
+// New returns an agent; Run starts it.
+func New(o Options, d Dependencies) *Agent {
+	a := &Agent{
+		options:  o,
+		engine:   d.Engine,
+		caller:   d.Caller,
+		table:    d.Table,
+		clock:    d.Clock,
+		logger:   d.Logger,
+		recorder: d.Recorder,
+		metrics:  newMetrics(d.Registerer),
+		receiver: declarations.NewReceiver(),
+		entries:  map[string]*controlStream{},
+		released: map[string]uint64{},
+	}
+	var machine *loading.Machine
+	if o.Kind == KindEngine {
+		machine = loading.NewMachine(o.Loading, d.Policy)
+	}
+	a.core = newCore(d.Clock, admission.NewQueue(o.Queue), machine, d.Policy, o.Capacity)
+	a.core.changed = a.stir
+	return a
+}
+
+// Ready returns nil once the agent knows its endpoint's state and takes offers, else what is missing.
+func (a *Agent) Ready() []string {
+	if a.core.isReady() {
+		return nil
+	}
+	return []string{"the endpoint's state is not known yet"}
+}
+
+// Leave stops the taking of new work; what runs is finished. It may be called more than once.
+func (a *Agent) Leave() {
+	a.recorder.Record(timeline.Event{Kind: timeline.DrainStarted, Endpoint: a.options.Endpoint})
+	a.core.leave()
+}
+
+// Run serves on the listener until ctx ends, then drains: it takes no new work, lets running requests end within the
+// drain time, and returns.
+//
+// The listener must have been made without address reuse among processes: that no second agent gives the same endpoint
+// orders rests on the kernel, which lets only one process hold the address for as long as that process exists, frozen or
+// not. So nothing is ordered before the listener is held.
+func (a *Agent) Run(ctx context.Context, listener net.Listener) error {
+	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopServing()
+	actions := newActions(serving, a)
+	a.core.perform = actions
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	defer stopServing()
+	served := make(chan error, 1)
+	tasks.Go(func() { served <- wire.Serve(serving, listener, a.options.Wire, a.logger, a.serveStream) })
+	tasks.Go(func() { a.runTimer(serving) })
+	a.start(serving, &tasks)
+	select {
+	case err := <-served:
+		return err
+	case <-ctx.Done():
+	}
+	a.Leave()
+	return a.drain()
+}
+
+// start begins the reads that the endpoint's kind needs.
+func (a *Agent) start(ctx context.Context, tasks *sync.WaitGroup) {
+	if a.options.Kind == KindService {
+		tasks.Go(func() { a.runProbe(ctx) })
+		return
+	}
+	a.core.step(loading.Tick{})
+	tasks.Go(func() { a.runEngineReads(ctx) })
+	tasks.Go(func() { a.runRowReads(ctx) })
+}
+
+// drain waits for the running requests.
+func (a *Agent) drain() error {
+	done := make(chan struct{})
+	go func() {
+		a.requests.Wait()
+		close(done)
+	}()
+	timer := a.clock.NewTimer(a.options.DrainTimeout)
+	defer timer.Stop()
+	select {
+	case <-done:
+		a.recorder.Record(timeline.Event{Kind: timeline.DrainDone, Endpoint: a.options.Endpoint})
+		return nil
+	case <-timer.C():
+		return ErrDrainTimeout
+	}
+}
+
+// serveStream serves one stream that an entry opened.
+func (a *Agent) serveStream(ctx context.Context, header *wirepb.StreamHeader, stream *wire.Stream) {
+	switch header.Kind {
+	case wirepb.StreamKind_REQUEST:
+		a.requests.Add(1)
+		defer a.requests.Done()
+		a.serveRequest(ctx, stream)
+	case wirepb.StreamKind_CONTROL:
+		a.serveControl(ctx, header, stream)
+	default:
+		a.logger.Warn("stream of an unknown kind", "kind", header.Kind, "entry", header.Entry)
+	}
+}
+
+// runTimer lets time pass in the core.
+func (a *Agent) runTimer(ctx context.Context) {
+	const longest = 250 * time.Millisecond
+	timer := a.clock.NewTimer(0)
+	defer timer.Stop()
+	var meter idleMeter
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C():
+		}
+		meter.observe(a.clock.Now(), a.core.status(), a.metrics.addIdle)
+		wait := longest
+		if next := a.core.expire(); !next.IsZero() {
+			wait = min(longest, max(time.Millisecond, next.Sub(a.clock.Now())))
+		}
+		timer.Reset(wait)
+	}
+}
+
+// stir wakes the control streams' writers.
+func (a *Agent) stir() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, e := range a.entries {
+		e.stir()
+	}
+}
--- /dev/null
+++ b/internal/agent/control.go
@@ -0,0 +1,358 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"balsamsail/internal/admission"
+	"balsamsail/internal/loading"
+	"balsamsail/internal/replicas/replicaspb"
+	"balsamsail/internal/timeline"
+	"balsamsail/internal/wire"
+	"balsamsail/internal/wire/wirepb"
+)
+
+// maxPendingPerKind bounds what waits for a slow entry; the oldest are dropped, because the machine repeats them.
+const maxPendingPerKind = 1024
+
+// controlStream is the control stream of one entry.
+type controlStream struct {
+	entry       string
+	incarnation uint64
+	wake        chan struct{}
+
+	mu      sync.Mutex
+	pending wirepb.ControlUp
+	sent    statusMemo
+}
+
+func newControlStream(header *wirepb.StreamHeader) *controlStream {
+	return &controlStream{entry: header.Entry, incarnation: header.Incarnation, wake: make(chan struct{}, 1)}
+}
+
+func (s *controlStream) stir() { nudge(s.wake) }
+
+// queue adds to the next batch.
+func (s *controlStream) queue(add func(*wirepb.ControlUp)) {
+	s.mu.Lock()
+	add(&s.pending)
+	trim(&s.pending)
+	s.mu.Unlock()
+	s.stir()
+}
+
+// trim drops the oldest of what has grown beyond its bound.
+func trim(up *wirepb.ControlUp) {
+	up.PermitRequests = newest(up.PermitRequests)
+	up.PermitsDone = newest(up.PermitsDone)
+	up.Releases = newest(up.Releases)
+	up.Wanted = newest(up.Wanted)
+}
+
+func newest[T any](list []T) []T {
+	if len(list) <= maxPendingPerKind {
+		return list
+	}
+	return list[len(list)-maxPendingPerKind:]
+}
+
+// take returns the queued parts of the next batch.
+func (s *controlStream) take() *wirepb.ControlUp {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	up := &wirepb.ControlUp{
+		Acknowledged:   s.pending.Acknowledged,
+		PermitRequests: s.pending.PermitRequests,
+		PermitsDone:    s.pending.PermitsDone,
+		Releases:       s.pending.Releases,
+		Wanted:         s.pending.Wanted,
+		Snapshot:       s.pending.Snapshot,
+		Rows:           s.pending.Rows,
+		WantSnapshot:   s.pending.WantSnapshot,
+	}
+	s.pending.PermitRequests = nil
+	s.pending.PermitsDone = nil
+	s.pending.Releases = nil
+	s.pending.Wanted = nil
+	s.pending.Snapshot = nil
+	s.pending.Rows = nil
+	s.pending.WantSnapshot = false
+	return up
+}
+
+// serveControl runs one entry's control stream.
+func (a *Agent) serveControl(ctx context.Context, header *wirepb.StreamHeader, stream *wire.Stream) {
+	s := newControlStream(header)
+	stream.SetLimit(wire.MaxControlBytes)
+	a.mu.Lock()
+	a.entries[header.Entry] = s
+	a.mu.Unlock()
+	a.recorder.Record(timeline.Event{Kind: timeline.PeerConnected, Detail: header.Entry})
+	ctx, cancel := context.WithCancel(ctx)
+	var writer sync.WaitGroup
+	writer.Go(func() {
+		a.writeControl(ctx, s, stream)
+		_ = stream.Close()
+	})
+	err := a.readControl(s, stream)
+	cancel()
+	writer.Wait()
+	a.mu.Lock()
+	if a.entries[header.Entry] == s {
+		delete(a.entries, header.Entry)
+	}
+	a.mu.Unlock()
+	a.recorder.Record(timeline.Event{Kind: timeline.PeerLost, Detail: header.Entry})
+	a.logger.Info("control stream ended", "entry", header.Entry, "error", err)
+}
+
+// readControl takes an entry's batches until the stream ends. Entries heartbeat; silence means a frozen entry or a cut
+// link.
+func (a *Agent) readControl(s *controlStream, stream *wire.Stream) error {
+	const silentHeartbeats = 4
+	for {
+		_ = stream.SetReadDeadline(time.Now().Add(silentHeartbeats * a.options.HeartbeatInterval))
+		down := &wirepb.ControlDown{}
+		if err := stream.Read(down); err != nil {
+			return err
+		}
+		a.recorder.Clock().Observe(down.Clock)
+		a.applyDown(s, down)
+	}
+}
+
+// applyDown carries out one batch.
+func (a *Agent) applyDown(s *controlStream, down *wirepb.ControlDown) {
+	s.queue(func(up *wirepb.ControlUp) { up.Acknowledged = down.Sequence })
+	a.applyDeclarations(s, down)
+	for _, row := range down.Rows {
+		a.core.step(loading.RowSeen{Row: row})
+	}
+	for _, p := range down.Permits {
+		a.applyPermit(p)
+	}
+	if down.HostState == wirepb.HostState_HOST_LEAVING {
+		a.Leave()
+	}
+	if down.WantState {
+		a.answerState(s)
+	}
+}
+
+// applyDeclarations takes in snapshots and deltas; the receiver ignores what is not above the revision it holds.
+func (a *Agent) applyDeclarations(s *controlStream, down *wirepb.ControlDown) {
+	changed := false
+	if down.Snapshot != nil {
+		changed = a.receiver.ApplySnapshot(down.Snapshot)
+	}
+	for _, d := range down.Deltas {
+		applied, gap := a.receiver.ApplyDelta(d)
+		changed = changed || applied
+		if gap {
+			s.queue(func(up *wirepb.ControlUp) { up.WantSnapshot = true })
+		}
+	}
+	if !changed {
+		return
+	}
+	set := a.receiver.Current()
+	a.core.setLimits(concurrencyLimits(set))
+	a.core.step(specsOf(set))
+	a.recorder.Record(timeline.Event{Kind: timeline.DeclarationApplied, Detail: revisionText(set.Revision())})
+}
+
+// applyPermit hands a permit or its denial to the machine.
+func (a *Agent) applyPermit(p *wirepb.Permit) {
+	now := a.clock.Now()
+	if p.ValidMicros > 0 {
+		a.core.step(loading.PermitGiven{ID: p.Id, Expires: now.Add(micros(p.ValidMicros))})
+		return
+	}
+	a.core.step(loading.PermitDenied{ID: p.Id, RetryAt: now.Add(micros(p.RetryAfterMicros))})
+}
+
+// answerState sends what the agent holds to an entry that cannot read the table.
+func (a *Agent) answerState(s *controlStream) {
+	snapshot := a.receiver.Snapshot()
+	rows := a.core.rows()
+	s.queue(func(up *wirepb.ControlUp) {
+		up.Snapshot = snapshot
+		up.Rows = rows
+	})
+}
+
+// writeControl sends batches when something changed and as heartbeats.
+func (a *Agent) writeControl(ctx context.Context, s *controlStream, stream *wire.Stream) {
+	heartbeat := time.NewTicker(a.options.HeartbeatInterval)
+	defer heartbeat.Stop()
+	s.stir()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-heartbeat.C:
+		case <-s.wake:
+			pause(ctx, a.options.BatchDelay)
+		}
+		up := s.take()
+		up.Clock = a.recorder.Clock().Now()
+		up.Status = s.sent.change(a.status())
+		if err := stream.Write(up); err != nil {
+			return
+		}
+	}
+}
+
+// pause waits for d or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// wait waits for d on the agent's clock or the end of ctx.
+func (a *Agent) wait(ctx context.Context, d time.Duration) {
+	timer := a.clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C():
+	}
+}
+
+func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
+// broadcast queues something for every connected entry.
+func (a *Agent) broadcast(add func(*wirepb.ControlUp)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, s := range a.entries {
+		s.queue(add)
+	}
+}
+
+// issuer returns the entry that hands out permits to this agent: the highest of the connected ones by rendezvous
+// hashing, so that agents with the same connections ask the same entry.
+func (a *Agent) issuer() *controlStream {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var best *controlStream
+	highest := uint64(0)
+	for name, s := range a.entries {
+		if weight := xxhash.Sum64String("permits/" + name); best == nil || weight > highest {
+			best, highest = s, weight
+		}
+	}
+	return best
+}
+
+// askPermit asks the issuer for a permit. Without one the machine's patience runs out and the load starts all the same.
+func (a *Agent) askPermit(action loading.AskPermit) {
+	s := a.issuer()
+	if s == nil {
+		return
+	}
+	request := &wirepb.PermitRequest{
+		Id:          action.ID,
+		Kind:        action.Kind,
+		Model:       action.Model,
+		SlackMicros: action.Deadline.Sub(a.clock.Now()).Microseconds(),
+	}
+	s.queue(func(up *wirepb.ControlUp) { up.PermitRequests = append(up.PermitRequests, request) })
+}
+
+func (a *Agent) endPermit(id string) {
+	a.broadcast(func(up *wirepb.ControlUp) { up.PermitsDone = append(up.PermitsDone, id) })
+}
+
+func (a *Agent) confirmRelease(action loading.ConfirmRelease) {
+	release := &wirepb.SlotRelease{Model: action.Model, Revision: action.Revision}
+	a.broadcast(func(up *wirepb.ControlUp) { up.Releases = append(up.Releases, release) })
+}
+
+func (a *Agent) wantSlot(action loading.WantSlot) {
+	wanted := &wirepb.SlotWanted{Model: action.Model, Reason: action.Reason, Demand: 1}
+	a.broadcast(func(up *wirepb.ControlUp) { up.Wanted = append(up.Wanted, wanted) })
+}
+
+// status is the agent's whole state.
+func (a *Agent) status() *wirepb.Status {
+	status := a.core.status()
+	status.Endpoint = a.options.Endpoint
+	status.Kind = a.options.Kind
+	status.FailureDomain = a.options.FailureDomain
+	status.Labels = a.options.Labels
+	status.Incarnation = a.options.Incarnation
+	status.OperatorAddress = a.options.OperatorAddress
+	status.DeclarationsRevision = a.receiver.Revision()
+	return status
+}
+
+// status is the part of the agent's state that the core knows.
+func (c *core) status() *wirepb.Status {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	status := &wirepb.Status{
+		Leaving: c.leaving,
+		Ready:   c.up,
+		Load:    c.loadLocked(admission.Target{}),
+	}
+	if c.machine == nil {
+		return status
+	}
+	s := c.machine.Status(c.clock.Now())
+	status.Ready = s.Ready
+	status.MemoryBytes = s.MemoryBytes
+	status.MemoryReservedBytes = s.ReservedBytes
+	status.LoadsInFlight = int32(s.LoadsInFlight)
+	status.AdaptersInFlight = int32(s.AdaptersInFlight)
+	status.Cached = s.Cached
+	for _, r := range s.Replicas {
+		status.Replicas = append(status.Replicas, &wirepb.Replica{
+			Model:      r.Model,
+			State:      r.State,
+			Running:    int32(c.runningOf(admission.Target{Model: r.Model})),
+			Queued:     int32(c.queuedOf(r.Model)),
+			IdleMillis: r.IdleFor.Milliseconds(),
+			Adapters:   r.Adapters,
+			Revision:   r.Revision,
+		})
+	}
+	return status
+}
+
+// rows are the rows of grants that the machine holds.
+func (c *core) rows() []*replicaspb.Row {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.machine == nil {
+		return nil
+	}
+	return c.machine.Rows()
+}
+
+func (c *core) queuedOf(model string) int {
+	n := 0
+	for _, w := range c.waiting {
+		if w.request.Target.Model == model {
+			n++
+		}
+	}
+	return n
+}
+
+// isReady reports whether the endpoint's state is known and offers are taken.
+func (c *core) isReady() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.machine == nil {
+		return c.up
+	}
+	return c.machine.Status(c.clock.Now()).Ready
+}
--- /dev/null
+++ b/internal/agent/core.go
@@ -0,0 +1,467 @@
+package agent
+
+import (
+	"sync"
+	"time"
+
+	"balsamsail/internal/admission"
+	"balsamsail/internal/clock"
+	"balsamsail/internal/loading"
+	"balsamsail/internal/wire/wirepb"
+)
+
+// decision is what becomes of a waiting request: it starts, or it is refused.
+type decision struct {
+	refusal *admission.Refusal
+	cold    bool
+}
+
+// waiting is a request in the agent's queue.
+type waiting struct {
+	request admission.Request
+	decided chan decision
+	// cold is set when the target could not run at once.
+	cold bool
+}
+
+// newWaiting returns a request that has not been offered to the core yet.
+func newWaiting(r admission.Request) *waiting {
+	return &waiting{request: r, decided: make(chan decision, 1)}
+}
+
+// decide delivers the decision; only the first one counts.
+func (w *waiting) decide(d decision) {
+	select {
+	case w.decided <- d:
+	default:
+	}
+}
+
+// performer carries out the machine's actions. It is called without the core's lock and must not block.
+type performer interface {
+	perform(actions []loading.Action)
+}
+
+// core joins the queue of waiting requests with the loading machine: one lock, no I/O.
+type core struct {
+	clock    clock.Clock
+	perform  performer
+	changed  func()
+	capacity int
+
+	mu      sync.Mutex
+	queue   *admission.Queue
+	times   *admission.ServiceTimes
+	machine *loading.Machine
+	policy  loading.IdlePolicy
+	limits  map[string]int
+	waiting map[string]*waiting
+	running map[string]admission.Target
+	busy    map[admission.Target]int
+	usable  map[admission.Target]bool
+	leaving bool
+	up      bool
+}
+
+// newCore returns the core of an engine's agent, or of a plain service's when machine is nil.
+func newCore(c clock.Clock, queue *admission.Queue, machine *loading.Machine, policy loading.IdlePolicy, capacity int) *core {
+	return &core{
+		clock:    c,
+		queue:    queue,
+		times:    admission.NewServiceTimes(),
+		machine:  machine,
+		policy:   policy,
+		capacity: capacity,
+		limits:   map[string]int{},
+		waiting:  map[string]*waiting{},
+		running:  map[string]admission.Target{},
+		busy:     map[admission.Target]int{},
+		usable:   map[admission.Target]bool{},
+	}
+}
+
+// offer takes a request into the queue or refuses it at once.
+func (c *core) offer(w *waiting) *admission.Refusal {
+	c.mu.Lock()
+	refusal, actions := c.offerLocked(w)
+	c.mu.Unlock()
+	c.perform.perform(actions)
+	c.changed()
+	return refusal
+}
+
+func (c *core) offerLocked(w *waiting) (*admission.Refusal, []loading.Action) {
+	now := c.clock.Now()
+	r := w.request
+	if refusal := c.unavailable(r); refusal != nil {
+		return refusal, nil
+	}
+	displaced, refusal := c.queue.Offer(now, r, c.estimate(r.Target))
+	c.refuseAll(displaced)
+	if refusal != nil {
+		return refusal, nil
+	}
+	w.cold = !c.isUsable(r.Target)
+	c.waiting[r.ID] = w
+	return nil, c.demand(now, r)
+}
+
+// unavailable refuses a request that this endpoint cannot take whatever its queue.
+func (c *core) unavailable(r admission.Request) *admission.Refusal {
+	if c.leaving {
+		return &admission.Refusal{ID: r.ID, Reason: wirepb.RefusalReason_LEAVING, Detail: "the endpoint is leaving"}
+	}
+	if c.machine == nil && !c.up {
+		return &admission.Refusal{
+			ID:         r.ID,
+			Reason:     wirepb.RefusalReason_ENDPOINT_UNREACHABLE,
+			RetryAfter: time.Second,
+			Detail:     "the endpoint does not answer",
+		}
+	}
+	if c.machine == nil && r.Target.Service == "" || c.machine != nil && r.Target.Model == "" {
+		return &admission.Refusal{ID: r.ID, Reason: wirepb.RefusalReason_UNKNOWN_TARGET, Detail: "not served here"}
+	}
+	return nil
+}
+
+// demand tells the machine of a waiting request and starts what can run.
+func (c *core) demand(now time.Time, r admission.Request) []loading.Action {
+	if c.machine == nil {
+		c.pump(now)
+		return nil
+	}
+	c.policy.Observe(r.Target.Model, now)
+	actions := c.stepLocked(now, loading.Demanded{
+		Request:  r.ID,
+		Model:    r.Target.Model,
+		Adapter:  r.Target.Adapter,
+		Deadline: r.Deadline,
+		Class:    r.Class,
+	})
+	return append(actions, c.pump(now)...)
+}
+
+// cancel takes a waiting request away; it reports whether the request was still waiting, that is, certainly not run.
+func (c *core) cancel(id string) bool {
+	c.mu.Lock()
+	_, ok := c.waiting[id]
+	var actions []loading.Action
+	if ok {
+		actions = c.removeLocked(id)
+	}
+	c.mu.Unlock()
+	c.perform.perform(actions)
+	return ok
+}
+
+// removeLocked takes a waiting request out of the queue and its demand out of the machine.
+func (c *core) removeLocked(id string) []loading.Action {
+	delete(c.waiting, id)
+	c.queue.Remove(id)
+	if c.machine == nil {
+		return nil
+	}
+	return c.stepLocked(c.clock.Now(), loading.DemandGone{Request: id})
+}
+
+// spent is how long a request ran: to its first answer bytes and to its end, 0 where it did not get there.
+type spent struct{ first, whole time.Duration }
+
+// finish ends a running request.
+func (c *core) finish(id string, took spent) {
+	c.mu.Lock()
+	now := c.clock.Now()
+	target, ok := c.running[id]
+	if !ok {
+		c.mu.Unlock()
+		return
+	}
+	delete(c.running, id)
+	c.busy[target]--
+	if c.busy[target] == 0 {
+		delete(c.busy, target)
+	}
+	c.learn(target, took)
+	var actions []loading.Action
+	if c.machine != nil {
+		actions = c.stepLocked(now, loading.Finished{Request: id})
+	}
+	actions = append(actions, c.pump(now)...)
+	c.mu.Unlock()
+	c.perform.perform(actions)
+	c.changed()
+}
+
+// learn notes how long a request of a target ran.
+func (c *core) learn(t admission.Target, took spent) {
+	if took.first > 0 {
+		c.times.ObserveFirst(t, took.first)
+	}
+	if took.whole > 0 {
+		c.times.Observe(t, took.whole)
+	}
+}
+
+// step gives the machine an event.
+func (c *core) step(e loading.Event) {
+	if c.machine == nil {
+		return
+	}
+	c.mu.Lock()
+	actions := c.stepLocked(c.clock.Now(), e)
+	c.mu.Unlock()
+	c.perform.perform(actions)
+	c.changed()
+}
+
+// stepLocked gives the machine an event, applies the actions that concern the queue and returns all of them.
+func (c *core) stepLocked(now time.Time, e loading.Event) []loading.Action {
+	actions := c.machine.Step(now, e)
+	for _, a := range actions {
+		actions = append(actions, c.applyLocked(now, a)...)
+	}
+	return actions
+}
+
+// applyLocked carries out an action on the queue.
+func (c *core) applyLocked(now time.Time, a loading.Action) []loading.Action {
+	switch a := a.(type) {
+	case loading.Usable:
+		target := admission.Target{Model: a.Model, Adapter: a.Adapter}
+		c.usable[target] = true
+		return c.pump(now)
+	case loading.Unusable:
+		c.setUnusable(a)
+	case loading.RefuseDemand:
+		c.refuseDemand(a)
+	}
+	return nil
+}
+
+func (c *core) setUnusable(a loading.Unusable) {
+	for target := range c.usable {
+		if target.Model == a.Model && (a.Adapter == "" || target.Adapter == a.Adapter) {
+			delete(c.usable, target)
+		}
+	}
+}
+
+// refuseDemand refuses the waiting requests that an action names.
+func (c *core) refuseDemand(a loading.RefuseDemand) {
+	for id, w := range c.waiting {
+		if !concerns(a, w.request) {
+			continue
+		}
+		delete(c.waiting, id)
+		c.queue.Remove(id)
+		w.decide(decision{refusal: &admission.Refusal{
+			ID:         id,
+			Reason:     a.Reason,
+			RetryAfter: a.RetryAfter,
+			Detail:     a.Detail,
+		}})
+	}
+}
+
+// concerns reports whether a refusal of demand is meant for a request.
+func concerns(a loading.RefuseDemand, r admission.Request) bool {
+	if a.Request != "" {
+		return a.Request == r.ID
+	}
+	t := r.Target
+	return t.Model == a.Model && (a.Adapter == "" || t.Adapter == a.Adapter)
+}
+
+// refuseAll delivers refusals that the queue decided and withdraws their demands.
+func (c *core) refuseAll(refusals []admission.Refusal) []loading.Action {
+	var actions []loading.Action
+	for _, r := range refusals {
+		w, ok := c.waiting[r.ID]
+		if !ok {
+			continue
+		}
+		refusal := r
+		w.decide(decision{refusal: &refusal})
+		actions = append(actions, c.removeLocked(r.ID)...)
+	}
+	return actions
+}
+
+// pump starts waiting requests, the most urgent first, while their targets can run and have room.
+func (c *core) pump(now time.Time) []loading.Action {
+	var actions []loading.Action
+	for {
+		r, expired, ok := c.queue.NextAny(now, c.startable)
+		actions = append(actions, c.refuseAll(expired)...)
+		if !ok {
+			return actions
+		}
+		actions = append(actions, c.startLocked(now, r)...)
+	}
+}
+
+// startable tells the queue whether a target's next request may start now.
+func (c *core) startable(t admission.Target) (admission.Estimate, bool) {
+	if !c.isUsable(t) || !c.hasRoom(t) {
+		return admission.Estimate{}, false
+	}
+	return c.estimate(t), true
+}
+
+// startLocked moves a request from waiting to running.
+func (c *core) startLocked(now time.Time, r admission.Request) []loading.Action {
+	w := c.waiting[r.ID]
+	delete(c.waiting, r.ID)
+	c.running[r.ID] = r.Target
+	c.busy[r.Target]++
+	var actions []loading.Action
+	if c.machine != nil {
+		actions = c.stepLocked(now, loading.Started{Request: r.ID, Model: r.Target.Model, Adapter: r.Target.Adapter})
+	}
+	w.decide(decision{cold: w.cold})
+	return actions
+}
+
+func (c *core) isUsable(t admission.Target) bool {
+	if c.machine == nil {
+		return c.up
+	}
+	return c.usable[t]
+}
+
+// hasRoom reports whether one more request of the target may run. Requests with and without adapters share the
+// replica's batch.
+func (c *core) hasRoom(t admission.Target) bool { return c.runningOf(t) < c.limit(t) }
+
+// limit is how many requests run at once at the target's replica or service.
+func (c *core) limit(t admission.Target) int {
+	name := t.Model
+	if t.Service != "" {
+		name = t.Service
+	}
+	if limit := c.limits[name]; limit > 0 {
+		return limit
+	}
+	return c.capacity
+}
+
+// runningOf counts the requests that run at the target's replica or service.
+func (c *core) runningOf(t admission.Target) int {
+	n := 0
+	for other, count := range c.busy {
+		if other.Model == t.Model && other.Service == t.Service {
+			n += count
+		}
+	}
+	return n
+}
+
+// estimate is what the queue is told of a target.
+func (c *core) estimate(t admission.Target) admission.Estimate {
+	e := admission.Estimate{Ready: c.isUsable(t), Concurrency: c.limit(t), Running: c.runningOf(t)}
+	c.times.Fill(t, &e)
+	return e
+}
+
+// expire refuses what cannot be served in time any more and lets the machine's time pass. It returns when it is needed
+// next.
+func (c *core) expire() time.Time {
+	c.mu.Lock()
+	now := c.clock.Now()
+	actions := c.refuseAll(c.queue.Expire(now, c.estimate))
+	next := c.queue.Wake()
+	if c.machine != nil {
+		actions = append(actions, c.stepLocked(now, loading.Tick{})...)
+		next = earlier(next, c.machine.NextDeadline())
+	}
+	c.mu.Unlock()
+	c.perform.perform(actions)
+	return next
+}
+
+// earlier returns the earlier of two times, of which the zero time is none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// leave refuses what waits and takes nothing more; what runs goes on.
+func (c *core) leave() {
+	c.mu.Lock()
+	if c.leaving {
+		c.mu.Unlock()
+		return
+	}
+	c.leaving = true
+	actions := c.refuseAll(c.queue.Drain(wirepb.RefusalReason_LEAVING))
+	if c.machine != nil {
+		actions = append(actions, c.stepLocked(c.clock.Now(), loading.Leaving{})...)
+	}
+	c.mu.Unlock()
+	c.perform.perform(actions)
+	c.changed()
+}
+
+// setUp notes whether a plain service answers.
+func (c *core) setUp(up bool) {
+	c.mu.Lock()
+	changed := c.up != up
+	c.up = up
+	c.mu.Unlock()
+	if changed {
+		c.changed()
+	}
+}
+
+// setLimits replaces the concurrency limits by model version.
+func (c *core) setLimits(limits map[string]int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limits = limits
+}
+
+// accepted is what an accepted request's entry is told.
+func (c *core) accepted(w *waiting) *wirepb.Accepted {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	load := c.loadLocked(w.request.Target)
+	if wait := c.readyIn(w); wait.Microseconds() > load.WaitMicros {
+		load.WaitMicros = wait.Microseconds()
+	}
+	return &wirepb.Accepted{Load: load, Cold: w.cold}
+}
+
+// readyIn is the expected time until a request's target can run, 0 when it can now or nothing is known.
+func (c *core) readyIn(w *waiting) time.Duration {
+	t := w.request.Target
+	if !w.cold || c.machine == nil {
+		return 0
+	}
+	at, known := c.machine.ReadyAt(t.Model, t.Adapter, w.request.Deadline)
+	if !known {
+		return 0
+	}
+	return max(0, at.Sub(c.clock.Now()))
+}
+
+// load is what answers and reports say of the endpoint's load.
+func (c *core) load(t admission.Target) *wirepb.Load {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.loadLocked(t)
+}
+
+func (c *core) loadLocked(t admission.Target) *wirepb.Load {
+	wait := time.Duration(0)
+	if t != (admission.Target{}) {
+		wait = c.queue.Wait(t, wirepb.Class_INTERACTIVE, c.estimate(t))
+	}
+	return &wirepb.Load{
+		Running:    int32(len(c.running)),
+		Queued:     int32(c.queue.Len()),
+		WaitMicros: wait.Microseconds(),
+	}
+}
--- /dev/null
+++ b/internal/agent/relay.go
@@ -0,0 +1,173 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"balsamsail/internal/clock"
+	"balsamsail/internal/timeline"
+	"balsamsail/internal/wire"
+	"balsamsail/internal/wire/wirepb"
+)
+
+const (
+	eventStream = "text/event-stream"
+	// streamEnd is the last event of a streamed chat completion.
+	streamEnd = "data: [DONE]"
+	// streamTailBytes is how much of a streamed answer's end is kept to look for streamEnd.
+	streamTailBytes = 64
+)
+
+// errNoStreamEnd says that a streamed answer stopped before its last event.
+var errNoStreamEnd = errors.New("agent: streamed answer without its last event")
+
+// watch cancels an execution whose answer has not begun, or not ended, by the deadline.
+type watch struct {
+	stopped chan struct{}
+	timer   clock.Timer
+}
+
+// newWatch starts a watch that cancels after left.
+func newWatch(c clock.Clock, left time.Duration, cancel context.CancelFunc) *watch {
+	w := &watch{stopped: make(chan struct{}), timer: c.NewTimer(left)}
+	go func() {
+		select {
+		case <-w.timer.C():
+			cancel()
+		case <-w.stopped:
+		}
+	}()
+	return w
+}
+
+// stop ends the watch. It may be called more than once, by one goroutine.
+func (w *watch) stop() {
+	w.timer.Stop()
+	select {
+	case <-w.stopped:
+	default:
+		close(w.stopped)
+	}
+}
+
+// relay passes one answer of the endpoint to the entry.
+type relay struct {
+	exchange *exchange
+	response *http.Response
+	began    time.Time
+	cold     bool
+	watch    *watch
+	// first is the time to the first body bytes.
+	first    time.Duration
+	length   uint64
+	checksum *xxhash.Digest
+	tail     *tailCheck
+}
+
+// run passes head, body and trailer.
+func (r *relay) run() error {
+	x := r.exchange
+	r.checksum = xxhash.New()
+	r.tail = newTailCheck(r.response, x.offer.Model != "")
+	if err := r.sendHead(); err != nil {
+		return err
+	}
+	if err := r.sendBody(); err != nil {
+		return err
+	}
+	if err := r.tail.err(); err != nil {
+		return err
+	}
+	x.record(timeline.RequestCompleted, "")
+	trailer := &wirepb.Trailer{Length: r.length, Checksum: r.checksum.Sum64(), Load: x.agent.core.load(x.target)}
+	return x.send(&wirepb.FromAgent{Frame: &wirepb.FromAgent_Trailer{Trailer: trailer}})
+}
+
+func (r *relay) sendHead() error {
+	x := r.exchange
+	head := &wirepb.Head{
+		Status:      int32(r.response.StatusCode),
+		Cold:        r.cold,
+		QueueMicros: r.began.Sub(x.began).Microseconds(),
+	}
+	for name, values := range r.response.Header {
+		for _, value := range values {
+			head.Headers = append(head.Headers, &wirepb.Header{Name: name, Value: value})
+		}
+	}
+	x.record(timeline.RequestHead, r.response.Status)
+	return x.send(&wirepb.FromAgent{Frame: &wirepb.FromAgent_Head{Head: head}})
+}
+
+// sendBody passes the body as it comes.
+func (r *relay) sendBody() error {
+	buffer := make([]byte, wire.ChunkBytes)
+	for {
+		n, err := r.response.Body.Read(buffer)
+		if n > 0 {
+			if err := r.sendChunk(buffer[:n]); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "agent: answer broke")
+		}
+	}
+}
+
+func (r *relay) sendChunk(data []byte) error {
+	x := r.exchange
+	if r.first == 0 {
+		r.first = x.agent.clock.Now().Sub(r.began)
+		if x.offer.Stream {
+			r.watch.stop()
+		}
+	}
+	r.length += uint64(len(data))
+	_, _ = r.checksum.Write(data)
+	r.tail.add(data)
+	chunk := &wirepb.BodyChunk{Data: data}
+	if err := x.send(&wirepb.FromAgent{Frame: &wirepb.FromAgent_Body{Body: chunk}}); err != nil {
+		return errors.Wrap(errWithdrawn, err.Error())
+	}
+	return nil
+}
+
+// tailCheck checks that a streamed chat completion ends with its last event: an engine that dies politely ends the body
+// as if it were whole.
+type tailCheck struct {
+	wanted bool
+	tail   []byte
+}
+
+func newTailCheck(response *http.Response, model bool) *tailCheck {
+	streamed := strings.HasPrefix(response.Header.Get("Content-Type"), eventStream)
+	return &tailCheck{wanted: model && streamed && response.StatusCode == http.StatusOK}
+}
+
+func (t *tailCheck) add(data []byte) {
+	if !t.wanted {
+		return
+	}
+	t.tail = append(t.tail, data...)
+	if len(t.tail) > streamTailBytes {
+		t.tail = append(t.tail[:0], t.tail[len(t.tail)-streamTailBytes:]...)
+	}
+}
+
+func (t *tailCheck) err() error {
+	if !t.wanted || bytes.Contains(t.tail, []byte(streamEnd)) {
+		return nil
+	}
+	return errNoStreamEnd
+}
--- /dev/null
+++ b/internal/app/standin.go
@@ -0,0 +1,127 @@
+package app
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"balsamsail/internal/platform"
+	"balsamsail/internal/process"
+	"balsamsail/internal/settings"
+	standinengine "balsamsail/internal/standin/engine"
+	standinplatform "balsamsail/internal/standin/platform"
+	standinservice "balsamsail/internal/standin/service"
+)
+
+// standinDrain bounds the wait for running requests when a stand-in stops.
+const standinDrain = 5 * time.Second
+
+// RunStandinPlatform runs the stand-in of the platform's services until ctx ends.
+func RunStandinPlatform(ctx context.Context, s *settings.StandinPlatform, out Output) error {
+	server := standinplatform.New(standinplatform.Options{
+		Seed:    uint64(s.Standin.Seed),
+		Table:   standinplatform.StoreLimits{ReadsPerSecond: s.Table.ReadsPerSecond, WritesPerSecond: s.Table.WritesPerSecond},
+		Objects: standinplatform.StoreLimits{ReadsPerSecond: s.Objects.ReadsPerSecond, WritesPerSecond: s.Objects.WritesPerSecond},
+		Weights: standinplatform.WeightLimits{
+			Loads:          s.Weights.Loads,
+			LoadsPerSecond: s.Weights.LoadsPerSecond,
+			Adapters:       s.Weights.Adapters,
+		},
+		HostsLag:   s.List.Lag,
+		GoneListed: s.List.GoneListed,
+		Hosts:      listedHosts(s.Hosts),
+	})
+	return runStandin(ctx, s.Standin, s.Log, server.Handler(), out)
+}
+
+func listedHosts(hosts []settings.StandinHost) []platform.Host {
+	var list []platform.Host
+	for _, h := range hosts {
+		list = append(list, platform.Host{
+			ID:            h.ID,
+			Role:          platform.HostRole(h.Role),
+			State:         platform.HostState(h.State),
+			FailureDomain: h.FailureDomain,
+			Address:       string(h.Address),
+			Endpoint:      h.Endpoint,
+		})
+	}
+	return list
+}
+
+// RunStandinEngine runs the stand-in of an engine until ctx ends.
+func RunStandinEngine(ctx context.Context, s *settings.StandinEngine, out Output) error {
+	o, err := engineOptions(s)
+	if err != nil {
+		return err
+	}
+	return runStandin(ctx, s.Standin, s.Log, standinengine.New(o).Handler(), out)
+}
+
+func engineOptions(s *settings.StandinEngine) (standinengine.Options, error) {
+	b := s.Engine
+	o := standinengine.Options{
+		Seed:             uint64(s.Standin.Seed),
+		Name:             s.Standin.Name,
+		MemoryBytes:      int64(b.Memory),
+		KVBytes:          int64(b.KV),
+		MemoryCacheBytes: int64(b.MemoryCache),
+		DiskCacheBytes:   int64(b.DiskCache),
+		LoadFromMemory:   b.LoadFromMemory,
+		LoadFromDisk:     b.LoadFromDisk,
+		LoadFromStore:    b.LoadFromStore,
+		LoadAdapter:      b.LoadAdapter,
+		Unload:           b.Unload,
+		WeightsURL:       string(b.WeightsURL),
+		MaxBatch:         b.MaxBatch,
+		MaxRunning:       b.MaxRunning,
+		MaxWaiting:       b.MaxWaiting,
+		FirstToken:       b.FirstToken,
+		BetweenTokens:    b.BetweenTokens,
+		DefaultTokens:    b.DefaultTokens,
+		PrefixEntries:    b.PrefixEntries,
+		Fencing:          standinengine.FencingMode(b.Fencing),
+		Overcommit:       standinengine.OvercommitMode(b.Overcommit),
+		ReportLag:        b.ReportLag,
+		EventLag:         b.EventLag,
+	}
+	if b.CredentialsFile == "" {
+		return o, nil
+	}
+	secret, err := settings.ReadSecret(b.CredentialsFile)
+	o.Token = secret.Reveal()
+	return o, err
+}
+
+// RunStandinService runs the stand-in of a plain service until ctx ends.
+func RunStandinService(ctx context.Context, s *settings.StandinService, out Output) error {
+	server := standinservice.New(standinservice.Options{
+		Seed:           uint64(s.Standin.Seed),
+		ServiceTime:    s.Service.ServiceTime,
+		Concurrency:    s.Service.Concurrency,
+		HidesRequestID: s.Service.HidesRequestID,
+	})
+	return runStandin(ctx, s.Standin, s.Log, server.Handler(), out)
+}
+
+func runStandin(ctx context.Context, s settings.Standin, log settings.Log, handler http.Handler, out Output) error {
+	logger, err := newLogger(log, out, s.Name)
+	if err != nil {
+		return err
+	}
+	listener, err := listen(s.Listen)
+	if err != nil {
+		return err
+	}
+	logger.Info("listening", "address", listener.Addr())
+	err = process.Serve(ctx, listener, handler, process.ServeOptions{DrainTimeout: standinDrain, Logger: logger})
+	if errors.Is(err, process.ErrDrainTimeout) {
+		// A stand-in may be told to hang, so that calls to it may never end.
+		logger.Log(ctx, slog.LevelInfo, "calls were cut at the stop")
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/entry/coordinator.go
@@ -0,0 +1,325 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"balsamsail/internal/loading/permits"
+	"balsamsail/internal/platform"
+	"balsamsail/internal/replicas"
+	"balsamsail/internal/replicas/replicaspb"
+	"balsamsail/internal/timeline"
+	"balsamsail/internal/wire/wirepb"
+)
+
+// coordinator passes what the entry knows to the agents and what the agents say to the deciding slices. It implements
+// membership.Observer.
+type coordinator struct {
+	entry *Entry
+	// version rises with each change of what is known of endpoints.
+	version atomic.Uint64
+
+	mu     sync.Mutex
+	budget *permits.Budget
+	wake   chan struct{}
+	// told is the declarations' revision that each connected agent was last sent.
+	told map[string]uint64
+	// since is when an endpoint's reachability last changed.
+	since map[string]reachability
+}
+
+// reachability is whether an endpoint answers, and since when.
+type reachability struct {
+	reachable bool
+	since     time.Time
+}
+
+func newCoordinator(e *Entry) *coordinator {
+	return &coordinator{
+		entry:  e,
+		budget: permits.NewBudget(e.options.Permits),
+		wake:   make(chan struct{}, 1),
+		told:   map[string]uint64{},
+		since:  map[string]reachability{},
+	}
+}
+
+// Connected implements membership.Observer: a new connection starts with the whole state.
+func (c *coordinator) Connected(endpoint string) {
+	e := c.entry
+	set := e.store.Current()
+	down := &wirepb.ControlDown{
+		Rows:      e.grants.RowsOf(endpoint),
+		Entries:   c.entries(),
+		HostState: c.hostState(endpoint),
+		WantState: !e.store.Ready(),
+	}
+	if set.Revision() > 0 {
+		down.Snapshot = set.Snapshot()
+	}
+	c.mu.Lock()
+	c.told[endpoint] = set.Revision()
+	c.mu.Unlock()
+	e.members.Send(endpoint, down)
+}
+
+// Reported implements membership.Observer.
+func (c *coordinator) Reported(endpoint string, up *wirepb.ControlUp) {
+	e := c.entry
+	now := e.clock.Now()
+	ep := e.members.Endpoints()[endpoint]
+	for _, r := range up.Releases {
+		if ep != nil {
+			e.grants.Released(replicas.Release{Engine: endpoint, Host: ep.HostID, Model: r.Model, Revision: r.Revision})
+		}
+	}
+	for _, w := range up.Wanted {
+		e.grants.Wanted(endpoint, w.Model, w.Reason, int(w.Demand))
+	}
+	if up.Snapshot != nil {
+		if err := e.store.Learn(up.Snapshot, nil); err != nil {
+			e.logger.Warn("declarations of a peer not taken", "endpoint", endpoint, "error", err)
+		}
+	}
+	if up.WantSnapshot {
+		e.members.Send(endpoint, &wirepb.ControlDown{Snapshot: e.store.Current().Snapshot()})
+	}
+	c.permits(now, endpoint, up)
+	c.noteReachability(now, endpoint)
+	e.changes.announce()
+}
+
+// permits hands the agent's asking and its loads in flight to the budget.
+func (c *coordinator) permits(now time.Time, endpoint string, up *wirepb.ControlUp) {
+	c.mu.Lock()
+	for _, id := range up.PermitsDone {
+		c.budget.Done(now, endpoint, id)
+	}
+	if s := up.Status; s != nil {
+		c.budget.InFlight(now, endpoint, int(s.LoadsInFlight), int(s.AdaptersInFlight))
+	}
+	for _, r := range up.PermitRequests {
+		c.budget.Request(now, endpoint, r)
+	}
+	c.mu.Unlock()
+	if len(up.PermitRequests) > 0 || len(up.PermitsDone) > 0 {
+		c.nudge()
+	}
+}
+
+// Lost implements membership.Observer.
+func (c *coordinator) Lost(endpoint string) {
+	now := c.entry.clock.Now()
+	c.mu.Lock()
+	c.budget.AgentGone(now, endpoint)
+	delete(c.told, endpoint)
+	c.mu.Unlock()
+	c.noteReachability(now, endpoint)
+	c.entry.changes.announce()
+	c.nudge()
+}
+
+// Changed implements membership.Observer.
+func (c *coordinator) Changed() {
+	e := c.entry
+	c.version.Add(1)
+	for name, ep := range e.members.Endpoints() {
+		if ep.Connected && ep.Listed == platform.HostLeaving && !ep.Status.GetLeaving() {
+			e.members.Send(name, &wirepb.ControlDown{HostState: wirepb.HostState_HOST_LEAVING})
+		}
+	}
+	e.grants.Notify()
+	e.changes.announce()
+}
+
+// noteReachability keeps since when an endpoint answers or not, and tells the grants of a change.
+func (c *coordinator) noteReachability(now time.Time, endpoint string) {
+	ep := c.entry.members.Endpoints()[endpoint]
+	reachable := ep != nil && ep.Connected && ep.Status.GetReady()
+	c.mu.Lock()
+	old, known := c.since[endpoint]
+	changed := !known || old.reachable != reachable
+	if changed {
+		c.since[endpoint] = reachability{reachable: reachable, since: now}
+	}
+	c.mu.Unlock()
+	if changed {
+		c.version.Add(1)
+		c.entry.grants.Notify()
+	}
+}
+
+func (c *coordinator) nudge() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// want tells the grants that a request found no engine.
+func (c *coordinator) want(model string, reason wirepb.RefusalReason) {
+	c.entry.grants.Wanted("", model, reason, 1)
+}
+
+// hostState is what an agent is told of its own host.
+func (c *coordinator) hostState(endpoint string) wirepb.HostState {
+	ep := c.entry.members.Endpoints()[endpoint]
+	if ep != nil && ep.Listed == platform.HostLeaving {
+		return wirepb.HostState_HOST_LEAVING
+	}
+	return wirepb.HostState_LIVE
+}
+
+// entries are the identifiers of the listed entries.
+func (c *coordinator) entries() []string {
+	var ids []string
+	for _, e := range c.entry.members.Entries() {
+		ids = append(ids, e.ID)
+	}
+	return ids
+}
+
+// run pushes declarations, rows and permits until ctx ends.
+func (c *coordinator) run(ctx context.Context) {
+	var tasks sync.WaitGroup
+	tasks.Go(func() { c.pushDeclarations(ctx) })
+	tasks.Go(func() { c.pushRows(ctx) })
+	tasks.Go(func() { c.pushPermits(ctx) })
+	tasks.Wait()
+}
+
+// pushDeclarations sends each new revision to the connected agents.
+func (c *coordinator) pushDeclarations(ctx context.Context) {
+	e := c.entry
+	for {
+		changed := e.store.Changed()
+		c.applyLimits()
+		for name, ep := range e.members.Endpoints() {
+			if ep.Connected {
+				c.pushTo(name)
+			}
+		}
+		e.grants.Notify()
+		e.changes.announce()
+		e.recorder.Record(timeline.Event{Kind: timeline.DeclarationApplied, Detail: revisionText(e.store.Current().Revision())})
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// pushTo sends an agent the deltas since what it was last sent, or a snapshot.
+func (c *coordinator) pushTo(endpoint string) {
+	e := c.entry
+	set := e.store.Current()
+	c.mu.Lock()
+	told := c.told[endpoint]
+	c.told[endpoint] = max(told, set.Revision())
+	c.mu.Unlock()
+	if told >= set.Revision() {
+		return
+	}
+	deltas, ok := e.store.DeltasSince(told)
+	if !ok || told == 0 {
+		e.members.Send(endpoint, &wirepb.ControlDown{Snapshot: set.Snapshot()})
+		return
+	}
+	e.members.Send(endpoint, &wirepb.ControlDown{Deltas: deltas})
+}
+
+// applyLimits sets the declared budget of the weight store.
+func (c *coordinator) applyLimits() {
+	limits := c.entry.store.Current().Limits()
+	o := c.entry.options.Permits
+	if limits.GetStoreLoadsPerSecond() > 0 {
+		o.LoadsPerSecond = limits.GetStoreLoadsPerSecond()
+	}
+	if limits.GetStoreLoadsAtOnce() > 0 {
+		o.LoadsAtOnce = int(limits.GetStoreLoadsAtOnce())
+	}
+	if limits.GetAdaptersInTransit() > 0 {
+		o.AdaptersInTransit = int(limits.GetAdaptersInTransit())
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.budget.SetLimits(o)
+}
+
+// pushRows sends changed rows to the agents that they name or have named.
+func (c *coordinator) pushRows(ctx context.Context) {
+	e := c.entry
+	watch, stop := e.grants.Watch()
+	defer stop()
+	named := map[string]map[string]bool{}
+	point := uint64(0)
+	for {
+		rows, deleted, next := e.grants.Changed(point)
+		point = next
+		for _, row := range rows {
+			c.pushRow(named, row)
+		}
+		for _, model := range deleted {
+			delete(named, model)
+		}
+		if len(rows) > 0 {
+			e.changes.announce()
+		}
+		select {
+		case <-watch:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// pushRow sends one row to the engines that it names now or named before.
+func (c *coordinator) pushRow(named map[string]map[string]bool, row *replicaspb.Row) {
+	before := named[row.Model]
+	now := map[string]bool{}
+	for _, s := range row.Slots {
+		now[s.Engine] = true
+	}
+	named[row.Model] = now
+	down := &wirepb.ControlDown{Rows: []*replicaspb.Row{row}}
+	for engine := range now {
+		c.entry.members.Send(engine, down)
+	}
+	for engine := range before {
+		if !now[engine] {
+			c.entry.members.Send(engine, down)
+		}
+	}
+}
+
+// pushPermits answers the agents' asking for permits.
+func (c *coordinator) pushPermits(ctx context.Context) {
+	const longest = time.Second
+	e := c.entry
+	timer := e.clock.NewTimer(longest)
+	defer timer.Stop()
+	for {
+		now := e.clock.Now()
+		c.mu.Lock()
+		grants := c.budget.Decide(now)
+		next := c.budget.Next()
+		c.mu.Unlock()
+		for _, g := range grants {
+			e.members.Send(g.Agent, &wirepb.ControlDown{Permits: []*wirepb.Permit{g.Permit}})
+		}
+		wait := longest
+		if !next.IsZero() {
+			wait = min(longest, max(time.Millisecond, next.Sub(now)))
+		}
+		timer.Reset(wait)
+		select {
+		case <-c.wake:
+		case <-timer.C():
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/inputs.go
@@ -0,0 +1,119 @@
+package entry
+
+import (
+	"strconv"
+
+	"balsamsail/internal/declarations"
+	"balsamsail/internal/membership"
+	"balsamsail/internal/platform"
+	"balsamsail/internal/replicas"
+	"balsamsail/internal/wire/wirepb"
+)
+
+// grantInputs hands the entry's view to the replicas slice.
+type grantInputs struct{ entry *Entry }
+
+// GrantInputs returns what the grants are decided from.
+func (e *Entry) GrantInputs() replicas.Inputs {
+	in := grantInputs{entry: e}
+	return replicas.Inputs{Declarations: in, Engines: in, Peers: in, Usage: in}
+}
+
+// Declared implements replicas.DeclarationSource.
+func (g grantInputs) Declared() (replicas.Declared, bool) {
+	set, headRow, ok := g.entry.store.Declared()
+	if !ok {
+		return replicas.Declared{}, false
+	}
+	declared := replicas.Declared{
+		Revision: set.Revision(),
+		Head:     platform.Condition{Key: declarations.HeadKey, Revision: headRow},
+	}
+	for _, m := range set.Models() {
+		for _, version := range m.Versions {
+			declared.Models = append(declared.Models, replicas.ModelSpec{
+				Model:       declarations.ModelVersion(m.Name, version),
+				Selector:    m.Engines,
+				MemoryBytes: m.MemoryBytes + m.KvFloorBytes,
+				Min:         int(m.MinReplicas),
+				Max:         int(m.MaxReplicas),
+				Warm:        int(m.WarmReplicas),
+				Concurrency: int(m.MaxConcurrency),
+			})
+		}
+	}
+	return declared, true
+}
+
+// Engines implements replicas.EngineSource.
+func (g grantInputs) Engines() ([]replicas.EngineView, uint64) {
+	e := g.entry
+	version := e.coordinator.version.Load() + e.store.Current().Revision()<<32
+	var views []replicas.EngineView
+	for _, ep := range e.members.Endpoints() {
+		if ep.Status.GetKind() == kindEngine && !ep.Gone {
+			views = append(views, g.view(ep))
+		}
+	}
+	return views, version
+}
+
+func (g grantInputs) view(ep *membership.Endpoint) replicas.EngineView {
+	c := g.entry.coordinator
+	c.mu.Lock()
+	reach := c.since[ep.Name]
+	c.mu.Unlock()
+	return replicas.EngineView{
+		Name:          ep.Name,
+		FailureDomain: ep.FailureDomain,
+		Host:          ep.HostID,
+		Labels:        g.entry.labels(ep),
+		MemoryBytes:   ep.Status.GetMemoryBytes(),
+		Reachable:     reach.reachable,
+		Since:         reach.since,
+		Leaving:       ep.Leaving,
+		Drain:         g.entry.drained(ep.Name),
+	}
+}
+
+// Hosts implements replicas.EngineSource.
+func (g grantInputs) Hosts() replicas.HostsView {
+	version, states := g.entry.members.Hosts()
+	return replicas.HostsView{Version: version, States: states}
+}
+
+// Self implements replicas.PeerSource.
+func (g grantInputs) Self() string { return g.entry.options.ID }
+
+// Live implements replicas.PeerSource.
+func (g grantInputs) Live() []string {
+	ids := []string{}
+	for _, peer := range g.entry.members.Entries() {
+		if peer.State == platform.HostLive {
+			ids = append(ids, peer.ID)
+		}
+	}
+	if !contains(ids, g.entry.options.ID) {
+		ids = append(ids, g.entry.options.ID)
+	}
+	return ids
+}
+
+// Usage implements replicas.UsageSource.
+func (g grantInputs) Usage(model string) (int, []string) {
+	used := 0
+	var loaded []string
+	for name, ep := range g.entry.members.Endpoints() {
+		r := ep.Replicas[model]
+		if r == nil || !ep.Connected {
+			continue
+		}
+		used += int(r.Running + r.Queued)
+		if r.State == wirepb.ReplicaState_LOADED || r.State == wirepb.ReplicaState_LOADING {
+			loaded = append(loaded, name)
+		}
+	}
+	return used, loaded
+}
+
+func revisionText(revision uint64) string { return "revision " + strconv.FormatUint(revision, 10) }
--- /dev/null
+++ b/internal/entry/metrics.go
@@ -0,0 +1,100 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"balsamsail/internal/wire/wirepb"
+)
+
+// metrics are the entry's metrics.
+type metrics struct {
+	requests       *prometheus.CounterVec
+	errors         *prometheus.CounterVec
+	retries        prometheus.Counter
+	mismatches     prometheus.Counter
+	duration       *prometheus.HistogramVec
+	coldFirstToken prometheus.Histogram
+	warmFirstToken prometheus.Histogram
+}
+
+// firstTokenBuckets span warm answers of milliseconds to cold starts of minutes.
+var firstTokenBuckets = prometheus.ExponentialBuckets(0.005, 2, 16)
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	m := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "balsamsail_entry_requests_total",
+			Help: "Requests by class and result.",
+		}, []string{"class", "result"}),
+		errors: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "balsamsail_entry_errors_total",
+			Help: "Error answers by code.",
+		}, []string{"code"}),
+		retries: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "balsamsail_entry_retries_total",
+			Help: "Attempts after the first one.",
+		}),
+		mismatches: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "balsamsail_entry_answer_mismatches_total",
+			Help: "Answers whose length or checksum did not match their trailer.",
+		}),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "balsamsail_entry_request_seconds",
+			Help:    "Time from a request's arrival to the end of its answer, by class.",
+			Buckets: firstTokenBuckets,
+		}, []string{"class"}),
+		coldFirstToken: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "balsamsail_entry_cold_first_byte_seconds",
+			Help:    "Time to the first byte of the answer of requests that waited for a load.",
+			Buckets: firstTokenBuckets,
+		}),
+		warmFirstToken: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "balsamsail_entry_warm_first_byte_seconds",
+			Help:    "Time to the first byte of the answer of requests that waited for no load.",
+			Buckets: firstTokenBuckets,
+		}),
+	}
+	r.MustRegister(m.requests, m.errors, m.retries, m.mismatches, m.duration, m.coldFirstToken, m.warmFirstToken)
+	return m
+}
+
+// The results of a request.
+const (
+	resultServed  = "served"
+	resultNotRun  = "not_run"
+	resultUnknown = "outcome_unknown"
+	resultCut     = "cut"
+)
+
+func (m *metrics) observeRequest(rq *request, res result, took time.Duration) {
+	word := resultServed
+	switch {
+	case res.cut:
+		word = resultCut
+	case res.err != nil && res.err.outcome == OutcomeNotRun:
+		word = resultNotRun
+	case res.err != nil:
+		word = resultUnknown
+	}
+	m.requests.WithLabelValues(className(rq.class), word).Inc()
+	m.duration.WithLabelValues(className(rq.class)).Observe(took.Seconds())
+}
+
+func className(c wirepb.Class) string {
+	if c == wirepb.Class_BATCH {
+		return classBatch
+	}
+	return classInteractive
+}
+
+// noteFirstByte observes the time to the first byte of an answer.
+func (e *Entry) noteFirstByte(rq *request, cold bool) {
+	took := e.clock.Now().Sub(rq.received).Seconds()
+	if cold {
+		e.metrics.coldFirstToken.Observe(took)
+		return
+	}
+	e.metrics.warmFirstToken.Observe(took)
+}
--- /dev/null
+++ b/internal/entry/peers.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"balsamsail/internal/operator"
+	"balsamsail/internal/platform"
+)
+
+const (
+	// SelfPath is where an entry tells which revision is in force in it.
+	SelfPath = operator.PathPrefix + "/self"
+	// peerPatience bounds the asking of another entry.
+	peerPatience = time.Second
+	// maxPeerAnswer bounds another entry's answer in bytes.
+	maxPeerAnswer = 64 << 10
+)
+
+// errPeer says that another entry did not answer as it should.
+var errPeer = errors.New("entry: peer did not answer")
+
+// ServeSelf serves SelfPath.
+func (e *Entry) ServeSelf(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(e.self())
+}
+
+func (e *Entry) self() operator.ProcessRevision {
+	return operator.ProcessRevision{
+		Process:       e.options.ID,
+		Role:          string(platform.RoleEntry),
+		FailureDomain: e.options.FailureDomain,
+		Revision:      e.store.Current().Revision(),
+	}
+}
+
+// InForce implements operator.Backend: it asks the other entries, and takes the agents' word from their reports. A
+// process that is listed and does not answer is named as unreachable, not left out: it may still act on an older
+// revision.
+func (o *Operator) InForce(ctx context.Context, revision uint64) (operator.InForce, error) {
+	e := o.entry
+	answer := operator.InForce{Revision: revision}
+	if revision == 0 {
+		answer.Revision = e.store.Current().Revision()
+	}
+	answer.Processes = append(e.entryRevisions(ctx), e.agentRevisions()...)
+	slices.SortFunc(answer.Processes, func(a, b operator.ProcessRevision) int { return strings.Compare(a.Process, b.Process) })
+	return answer, nil
+}
+
+// entryRevisions asks all listed entries at once.
+func (e *Entry) entryRevisions(ctx context.Context) []operator.ProcessRevision {
+	list := []operator.ProcessRevision{e.self()}
+	var mu sync.Mutex
+	var asking sync.WaitGroup
+	for _, peer := range e.members.Entries() {
+		if peer.ID == e.options.ID {
+			continue
+		}
+		asking.Go(func() {
+			answer, err := askPeer(ctx, peer.Address)
+			if err != nil {
+				answer.Unreachable = true
+			}
+			answer.Process = peer.ID
+			answer.Role = string(platform.RoleEntry)
+			answer.FailureDomain = peer.FailureDomain
+			answer.Address = peer.Address
+			mu.Lock()
+			defer mu.Unlock()
+			list = append(list, answer)
+		})
+	}
+	asking.Wait()
+	return list
+}
+
+func askPeer(ctx context.Context, address string) (operator.ProcessRevision, error) {
+	var answer operator.ProcessRevision
+	ctx, cancel := context.WithTimeout(ctx, peerPatience)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+SelfPath, http.NoBody)
+	if err != nil {
+		return answer, errors.Wrap(errPeer, err.Error())
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return answer, errors.Wrap(errPeer, err.Error())
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return answer, errors.Wrap(errPeer, response.Status)
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxPeerAnswer)).Decode(&answer); err != nil {
+		return answer, errors.Wrap(errPeer, err.Error())
+	}
+	return answer, nil
+}
+
+// agentRevisions are the revisions that the agents of endpoints that are not gone last told.
+func (e *Entry) agentRevisions() []operator.ProcessRevision {
+	var list []operator.ProcessRevision
+	for _, ep := range e.members.Endpoints() {
+		if ep.Gone {
+			continue
+		}
+		list = append(list, operator.ProcessRevision{
+			Process:       ep.Name,
+			Role:          agentRole,
+			FailureDomain: ep.FailureDomain,
+			Address:       ep.Address,
+			Revision:      ep.Status.GetDeclarationsRevision(),
+			Unreachable:   !ep.Connected,
+		})
+	}
+	return list
+}
+
+// agentRole is the role of agents in answers to operators.
+const agentRole = "agent"
+
+// Processes implements operator.Backend.
+func (o *Operator) Processes(context.Context) (operator.ProcessList, error) {
+	e := o.entry
+	var list operator.ProcessList
+	for _, peer := range e.members.Entries() {
+		list.Processes = append(list.Processes, operator.Process{
+			Name:          peer.ID,
+			Role:          string(platform.RoleEntry),
+			FailureDomain: peer.FailureDomain,
+			URL:           "http://" + peer.Address,
+		})
+	}
+	for _, ep := range e.members.Endpoints() {
+		address := ep.Status.GetOperatorAddress()
+		if ep.Gone || address == "" {
+			continue
+		}
+		list.Processes = append(list.Processes, operator.Process{
+			Name:          ep.Name,
+			Role:          agentRole,
+			FailureDomain: ep.FailureDomain,
+			URL:           "http://" + address,
+		})
+	}
+	slices.SortFunc(list.Processes, func(a, b operator.Process) int { return strings.Compare(a.Name, b.Name) })
+	return list, nil
+}
--- /dev/null
+++ b/internal/entry/service.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"time"
+
+	"balsamsail/internal/admission"
+	"balsamsail/internal/declarations"
+	"balsamsail/internal/wire"
+)
+
+// serveService serves the calls of plain services.
+func (e *Entry) serveService(w http.ResponseWriter, r *http.Request) {
+	id := e.newRequestID()
+	now := e.clock.Now()
+	service, ok := e.store.Current().ServiceFor(r.URL.Path)
+	if !ok {
+		e.answerError(w, id, notRun(http.StatusNotFound, CodeNotFound, "no service has this path", 0))
+		return
+	}
+	class, deadline, refusal := classAndDeadline(r.Header, e.serviceDeadlines(service), now)
+	if refusal == nil {
+		refusal = e.checkLength(service, r.ContentLength)
+	}
+	if refusal != nil {
+		e.answerError(w, id, refusal)
+		return
+	}
+	rq := &request{
+		id:         id,
+		target:     admission.Target{Service: service.Name},
+		class:      class,
+		deadline:   deadline,
+		received:   now,
+		idempotent: service.Idempotent(r.Method),
+		method:     r.Method,
+		path:       servicePath(r, service.PathPrefix),
+		headers:    forwardedHeaders(r.Header),
+		caller:     callerKey(r),
+		length:     r.ContentLength,
+	}
+	body := http.MaxBytesReader(w, r.Body, e.bodyLimit(service))
+	first, rest, err := splitBody(body)
+	if err != nil {
+		e.answerError(w, id, badRequest("the body ended early"))
+		return
+	}
+	rq.body, rq.rest = first, rest
+	if rest == nil {
+		rq.length = int64(len(first))
+	}
+	e.serve(w, r, rq)
+}
+
+// serviceDeadlines are the default deadlines of a service's calls.
+func (e *Entry) serviceDeadlines(service *declarations.Service) Deadlines {
+	if ms := service.DefaultDeadlineMillis; ms > 0 {
+		d := time.Duration(ms) * time.Millisecond
+		return Deadlines{Interactive: d, Batch: d}
+	}
+	return e.deadlines()
+}
+
+func (e *Entry) bodyLimit(service *declarations.Service) int64 {
+	if service.MaxBodyBytes > 0 {
+		return service.MaxBodyBytes
+	}
+	return e.options.MaxBody
+}
+
+// checkLength refuses a body that is declared too large before any of it is read.
+func (e *Entry) checkLength(service *declarations.Service, length int64) *apiError {
+	if length > e.bodyLimit(service) {
+		return notRun(http.StatusRequestEntityTooLarge, CodeBodyTooLarge, "the body is over the service's limit", 0)
+	}
+	return nil
+}
+
+// firstPart splits a body that is held whole into what goes with the offer and the rest.
+func firstPart(body []byte) ([]byte, io.Reader) {
+	if len(body) <= wire.MaxFrameBytes/2 {
+		return body, nil
+	}
+	return body[:wire.ChunkBytes], bytes.NewReader(body[wire.ChunkBytes:])
+}
--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -109,6 +109,13 @@
 // Entries returns the listed entries.
 func (m *Manager) Entries() []Entry { return *m.entries.Load() }
 
+// Hosts returns the version of the host list and the states of its hosts. The map must not be changed.
+func (m *Manager) Hosts() (uint64, map[string]platform.HostState) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.Hosts()
+}
+
 // Listed is closed once the host list was read.
 func (m *Manager) Listed() <-chan struct{} { return m.listed }
 
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -49,6 +49,7 @@
 type View struct {
 	version   uint64
 	read      bool
+	hosts     map[string]platform.HostState
 	endpoints map[string]*Endpoint
 	entries   []Entry
 }
@@ -68,6 +69,9 @@
 // Entries returns the listed entries that are not gone, by identifier.
 func (v *View) Entries() []Entry { return v.entries }
 
+// Hosts returns the version of the host list that was last taken and the states of the hosts in it.
+func (v *View) Hosts() (uint64, map[string]platform.HostState) { return v.version, v.hosts }
+
 // HostsRead takes in the host list and reports whether it was taken.
 //
 // A list of a lower version than one seen before is ignored: the list lags, and two reads may be answered by replicas of
@@ -80,7 +84,9 @@
 	v.version = version
 	listed := map[string]bool{}
 	v.entries = nil
+	v.hosts = make(map[string]platform.HostState, len(hosts))
 	for _, h := range hosts {
+		v.hosts[h.ID] = h.State
 		switch h.Role {
 		case platform.RoleEntry:
 			v.listEntry(h)
--- a/internal/process/logger.go
+++ b/internal/process/logger.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	options := &slog.HandlerOptions{Level: parsed}
+	options := &slog.HandlerOptions{Level: parsed, ReplaceAttr: plainErrors}
 	switch format {
 	case LogText:
 		return slog.New(slog.NewTextHandler(w, options)), nil
@@ -42,6 +42,14 @@
 	}
 }
 
+// plainErrors writes an error as its message: the stack that pkg/errors keeps would make each record a page long.
+func plainErrors(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		a.Value = slog.StringValue(err.Error())
+	}
+	return a
+}
+
 // parseLevel accepts the four plain names only, not slog's offsets such as "info+2".
 func parseLevel(name string) (slog.Level, error) {
 	switch strings.ToLower(name) {
--- a/internal/wire/frames.go
+++ b/internal/wire/frames.go
@@ -50,6 +50,9 @@
 	}
 }
 
+// SetLimit bounds the next messages to limit bytes.
+func (r *FrameReader) SetLimit(limit int64) { r.options.MaxSize = limit }
+
 // Read fills m with the next message. It fails with ErrClosed at a clean end, ErrFrame or ErrBroken.
 func (r *FrameReader) Read(m proto.Message) error {
 	if _, err := r.buffered.Peek(1); err != nil {
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -61,7 +61,7 @@
 // serveStream reads the header and hands the stream to the handler.
 func (s *server) serveStream(ctx context.Context, raw *yamux.Stream) {
 	defer s.running.Done()
-	stream := newStream(raw, MaxControlBytes)
+	stream := newStream(raw, MaxFrameBytes)
 	defer func() { _ = stream.Close() }()
 	header := &wirepb.StreamHeader{}
 	// A peer that opens streams and says nothing must not hold them for ever.
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -113,6 +113,9 @@
 // Write sends one message. Only one goroutine may write at a time.
 func (s *Stream) Write(m proto.Message) error { return WriteFrame(s.raw, m) }
 
+// SetLimit bounds the next messages to limit bytes.
+func (s *Stream) SetLimit(limit int64) { s.reader.SetLimit(limit) }
+
 // SetReadDeadline bounds the next reads; the zero time removes the bound.
 func (s *Stream) SetReadDeadline(t time.Time) error { return s.raw.SetReadDeadline(t) }
 
