--- a/internal/loading/idle/policy.go
+++ b/internal/loading/idle/policy.go
@@ -26,7 +26,8 @@
 // models what is assumed of a gap of which nothing is known.
 const priorStrength = 2
 
-// Options are the settings of a Policy. Only the ratio of the two weights matters for the choice.
+// Options are the settings of a Policy. Only the ratio of the two weights matters for the choice; both zero mean the
+// defaults.
 type Options struct {
 	// ColdStartWeight is the cost of one second that a request waits for a cold start.
 	ColdStartWeight float64
@@ -74,7 +75,9 @@
 
 // NewPolicy returns a Policy that has seen no requests.
 func NewPolicy(opts Options) *Policy {
-	return &Policy{opts: opts.withDefaults(), models: map[string]*history{}}
+	p := &Policy{opts: opts.withDefaults(), models: map[string]*history{}}
+	p.SetWeights(opts.ColdStartWeight, opts.IdleWeight)
+	return p
 }
 
 // Observe notes the arrival of a request for a model version whose caller waits. Requests that may be held back are not
--- a/internal/loading/idle/policy_test.go
+++ b/internal/loading/idle/policy_test.go
@@ -85,6 +85,24 @@
 	}
 }
 
+// Declared weights come and change while the policy runs; before any are declared it neither drops at once nor keeps for
+// ever.
+func TestSetWeights(t *testing.T) {
+	p, last := taught(Options{}, "m@1", repeat(12*time.Minute, 50)...)
+	keep := func() time.Duration { return p.Keep("m@1", last, 20*time.Second, 0.25) }
+	if got := keep(); got < 12*time.Minute || got > 20*time.Minute {
+		t.Errorf("kept for %s without declared weights", got)
+	}
+	p.SetWeights(2, 1)
+	if got := keep(); got > time.Minute {
+		t.Errorf("kept for %s when idle time is dear", got)
+	}
+	p.SetWeights(0, 0)
+	if got := keep(); got < 12*time.Minute {
+		t.Errorf("kept for %s after the weights were withdrawn", got)
+	}
+}
+
 // A model whose demand changed is judged by its new gaps after some half-lives, although the old ones were many more.
 func TestKeepForgets(t *testing.T) {
 	gaps := append(repeat(time.Minute, 2000), repeat(6*time.Hour, 120)...)
--- a/internal/loading/permits/budget_test.go
+++ b/internal/loading/permits/budget_test.go
@@ -134,6 +134,11 @@
 			b.Decide(at(0))
 			return b.Decide(at(14))
 		}},
+		{name: "a limit that nobody declared is none", want: []string{"a", "b"}, opts: func(o *Options) { o.LoadsAtOnce = 0 }, play: func(b *Budget) []Grant {
+			b.Request(at(0), "e1", ask("a", time.Minute))
+			b.Request(at(0), "e2", ask("b", time.Hour))
+			return b.Decide(at(0))
+		}},
 		{name: "adapters have their own limit", want: []string{"a", "b"}, play: func(b *Budget) []Grant {
 			b.Request(at(0), "e1", ask("a", time.Minute))
 			adapter := ask("b", time.Minute)
--- a/internal/loading/permits/decide.go
+++ b/internal/loading/permits/decide.go
@@ -1,6 +1,7 @@
 package permits
 
 import (
+	"math"
 	"time"
 
 	"balsamsail/internal/wire/wirepb"
@@ -36,12 +37,17 @@
 	}
 }
 
-// limit returns how many loads of a kind may be in flight.
+// limit returns how many loads of a kind may be in flight. A limit that nobody has declared is none: if it were taken for
+// zero, the issuer would deny each cold start until the agents lose their patience.
 func (b *Budget) limit(k kind) int {
+	limit := b.opts.LoadsAtOnce
 	if k == adapters {
-		return b.opts.AdaptersInTransit
+		limit = b.opts.AdaptersInTransit
 	}
-	return b.opts.LoadsAtOnce
+	if limit <= 0 {
+		return math.MaxInt
+	}
+	return limit
 }
 
 // paced tells whether the store's rate forbids a start now.
--- a/internal/loading/permits/options.go
+++ b/internal/loading/permits/options.go
@@ -20,16 +20,16 @@
 type Options struct {
 	// LoadsPerSecond is the rate at which loads of weights may start; 0 means no limit of the rate.
 	LoadsPerSecond float64
-	// LoadsAtOnce is the number of loads of weights that may be in flight.
+	// LoadsAtOnce is the number of loads of weights that may be in flight; 0 means no limit.
 	LoadsAtOnce int
-	// AdaptersInTransit is the number of adapters that may be in flight.
+	// AdaptersInTransit is the number of adapters that may be in flight; 0 means no limit.
 	AdaptersInTransit int
 	// Lease is how long a permit or a report counts without a sign of life from its agent (optional).
 	Lease time.Duration
 	// StartWithin is the time in which a permit must be used (optional).
 	StartWithin time.Duration
 	// MinRetry and MaxRetry bound the time after which a denied agent asks again (optional). MaxRetry is below the
-	// agents' patience, so that an agent which is told to wait doesn't start without a permit meanwhile.
+	// agents' patience, so that an agent hears from the issuer before it takes it for gone.
 	MinRetry, MaxRetry time.Duration
 	// MaxPending bounds the requests that wait, and also the agents and the models that are remembered (optional).
 	MaxPending int
--- a/internal/loading/permits/store_test.go
+++ b/internal/loading/permits/store_test.go
@@ -25,8 +25,11 @@
 	interactive      bool
 	// work is how long the load takes at full speed; arrives and slack say when it is asked for and how long it may wait.
 	work, arrives, slack time.Duration
+	// jitter spreads the agents' patience.
+	jitter float64
 
 	nextAsk   time.Duration
+	giveUp    time.Duration
 	running   bool
 	remaining time.Duration
 	started   time.Duration
@@ -45,6 +48,10 @@
 	issuers issuers
 	// changeAt is when the issuer changes; zero for never. Waiting agents ask the new one a heartbeat later.
 	changeAt time.Duration
+	// patience is how long an agent waits for a permit before it starts without one, at a time between once and twice that
+	// long; zero for ever. With extend set, each answer of an issuer begins it anew.
+	patience time.Duration
+	extend   bool
 
 	now       time.Duration
 	lastStart time.Duration
@@ -60,6 +67,7 @@
 	nextBeat := heartbeat
 	for i := range s.loads {
 		s.loads[i].nextAsk = s.loads[i].arrives
+		s.loads[i].giveUp = s.givesUp(s.loads[i], s.loads[i].arrives)
 	}
 	for steps := 0; !s.allReady(); steps++ {
 		if steps > 1_000_000 {
@@ -77,6 +85,14 @@
 	return s.now
 }
 
+// givesUp returns when an agent starts without a permit if it gets no further answer.
+func (s *store) givesUp(l *modelLoad, from time.Duration) time.Duration {
+	if s.patience == 0 {
+		return math.MaxInt64
+	}
+	return from + s.patience + time.Duration(l.jitter*float64(s.patience))
+}
+
 func (s *store) allReady() bool {
 	return !slices.ContainsFunc(s.loads, func(l *modelLoad) bool { return l.ready == 0 })
 }
@@ -105,7 +121,7 @@
 		case l.running:
 			next = min(next, max(s.now, l.started)+time.Duration(math.Ceil(float64(l.remaining)/speed)))
 		case l.ready == 0:
-			next = min(next, max(s.now, l.nextAsk))
+			next = min(next, max(s.now, min(l.nextAsk, l.giveUp)))
 		}
 	}
 	if s.changeAt > s.now {
@@ -174,7 +190,7 @@
 // ask sends the requests that are due, or starts the loads at once where there is no issuer.
 func (s *store) ask() {
 	for _, l := range s.loads {
-		if l.ready > 0 || l.running || s.now < l.nextAsk {
+		if l.ready > 0 || l.running || s.now < min(l.nextAsk, l.giveUp) {
 			continue
 		}
 		b := s.issuers(s.now, l.agent)
@@ -182,6 +198,11 @@
 			s.start(l)
 			continue
 		}
+		if s.now >= l.giveUp {
+			b.Done(epoch.Add(s.now), l.agent, l.id)
+			s.start(l)
+			continue
+		}
 		s.seen[b] = true
 		s.messages++
 		l.nextAsk = math.MaxInt64
@@ -205,6 +226,9 @@
 				s.start(l)
 			default:
 				l.nextAsk = s.now + time.Duration(g.Permit.GetRetryAfterMicros())*time.Microsecond
+				if s.extend {
+					l.giveUp = s.givesUp(l, l.nextAsk)
+				}
 			}
 		}
 	}
@@ -237,7 +261,7 @@
 		loads[i] = &modelLoad{
 			agent: fmt.Sprintf("engine-%03d", i), id: "1", model: fmt.Sprintf("model-%03d", i), kind: kind,
 			interactive: interactive, slack: slack,
-			work: between(work[0], work[1]), arrives: between(0, time.Second),
+			work: between(work[0], work[1]), arrives: between(0, time.Second), jitter: rng.Float64(),
 		}
 	}
 	return loads
--- a/internal/loading/permits/storm_test.go
+++ b/internal/loading/permits/storm_test.go
@@ -88,14 +88,22 @@
 			without := play(s(noIssuer, 0))
 			with := play(s(one(d.options), 0))
 			two := play(s(split(d.options), 0))
+			patience := func(extend bool) outcome {
+				st := s(one(d.options), 0)
+				st.patience, st.extend = 5*time.Second, extend
+				return play(st)
+			}
+			impatient, extended := patience(false), patience(true)
+			impatient.log(t, d.name+" patience 5 s")
+			extended.log(t, d.name+" patience 5 s from each answer")
 			change := play(s(successor(d.options, 5*time.Second), 5*time.Second))
 			without.log(t, d.name+" no permits")
 			with.log(t, d.name+" permits")
 			two.log(t, d.name+" two issuers")
 			change.log(t, d.name+" issuer changes at 5 s")
 
-			if with.most > d.options.LoadsAtOnce {
-				t.Errorf("%s seed %d: %d loads in flight, limit %d", d.name, seed, with.most, d.options.LoadsAtOnce)
+			if with.most > d.options.LoadsAtOnce || extended.most > d.options.LoadsAtOnce {
+				t.Errorf("%s seed %d: %d and %d loads in flight, limit %d", d.name, seed, with.most, extended.most, d.options.LoadsAtOnce)
 			}
 			if with.interactiveP99 >= without.interactiveP99 {
 				t.Errorf("%s seed %d: interactive p99 %s with permits, %s without", d.name, seed, with.interactiveP99, without.interactiveP99)
