loading: property over random interleavings, and what it found

Found by the property and mended: a model's load ordered while an adapter's order was in flight from before a restart; a model dropped from the ledger because a restart was read by a read that began before its load ended; two orders of one agent that overtake each other on the way to an engine that checks fencing, of which the first was taken for a failed load; a request that became unusable after its deadline and was answered one step late.

--- a/internal/loading/engine.go
+++ b/internal/loading/engine.go
@@ -152,14 +152,21 @@
 	}
 }
 
+// holdingLostEngine makes what the former incarnation held unknown, for the read that told of the restart to settle. An
+// order that ended after that read began may have been carried out by either incarnation; then the next read settles it.
 func (m *Machine) holdingLostEngine(h *holding) {
 	h.shown = shownNothing
-	switch {
-	case h.order != nil:
-	case m.liveLoadDoubt(h):
+	if h.order != nil {
+		return
+	}
+	if m.liveLoadDoubt(h) {
 		m.revive(h)
-	case h.state == loaded:
-		m.setAbsent(h)
+	}
+	if h.state == loaded {
+		h.state = unknown
+	}
+	if m.reads.step < h.settled {
+		m.wantRead()
 	}
 }
 
--- a/internal/loading/holding.go
+++ b/internal/loading/holding.go
@@ -90,6 +90,9 @@
 	// keepUntil is when the idle replica is due to be unloaded; zero when not worked out.
 	keepUntil time.Time
 	keep      time.Duration
+	// warmAt is when a load that only keeps the replica warm may be tried again, after crowded tries without room.
+	warmAt  time.Time
+	crowded int
 	// adaptersAt is when the idle adapters are looked at next.
 	adaptersAt time.Time
 	times      loadTimes
--- a/internal/loading/idle.go
+++ b/internal/loading/idle.go
@@ -80,7 +80,7 @@
 	if !m.canOrder() || !m.mayOrder(h) || m.now.Before(h.unloadAt) {
 		return false
 	}
-	if h.running > 0 || r.order != nil || !h.isAdapter() && r.adapterOrder() {
+	if h.running > 0 || r.order != nil || h.isAdapter() && r.state != loaded || !h.isAdapter() && r.adapterOrder() {
 		return false
 	}
 	m.giveUnload(h)
--- a/internal/loading/machine.go
+++ b/internal/loading/machine.go
@@ -99,6 +99,7 @@
 	m.barrier()
 	m.plan()
 	m.tendDirty()
+	m.expireDemands()
 	m.askReads()
 	actions := m.actions
 	m.actions = nil
--- a/internal/loading/order.go
+++ b/internal/loading/order.go
@@ -17,8 +17,8 @@
 	incarnation string
 	sentAt      time.Time
 	fromStore   bool
-	// permit is the permit that the load uses.
-	permit string
+	// permit is the permit that the load uses; its identifier is empty when there is none.
+	permit permit
 	// held is the state that the order found.
 	held state
 	// unknown is set when the order ended without a definite result, at endedAt.
--- a/internal/loading/orders.go
+++ b/internal/loading/orders.go
@@ -122,7 +122,12 @@
 		return
 	}
 	h.order = nil
-	m.endPermit(o.permit)
+	if m.overtaken(o, e.Err) {
+		delete(m.orders, o.ID)
+		m.giveAgain(o)
+		return
+	}
+	m.endPermit(o.permit.id)
 	if result == outcomeUnknown {
 		m.doubt(o)
 		return
@@ -142,6 +147,31 @@
 	m.withoutEffect(o, e.Err)
 }
 
+// overtaken reports whether the engine refused an order only because a later one of this agent reached it first.
+func (m *Machine) overtaken(o *order, err error) bool {
+	return errors.Is(err, endpoint.ErrFenced) && o.Fence < m.fence.last && o.incarnation == m.engine.incarnation
+}
+
+// giveAgain returns to the state before an order that was overtaken, with the permit that the load had. It is no
+// failure: what asked for the order asks for it again.
+func (m *Machine) giveAgain(o *order) {
+	h := o.holding
+	h.state = o.held
+	if o.held == absent {
+		m.setAbsent(h)
+	}
+	if o.held == unknown {
+		m.wantRead()
+	}
+	if !o.isLoad() {
+		return
+	}
+	h.permit = o.permit
+	if o.permit.id != "" {
+		m.permits[o.permit.id] = h
+	}
+}
+
 // learnLate takes in a definite result of an order that had been given up.
 func (m *Machine) learnLate(o *order) {
 	delete(m.orders, o.ID)
@@ -184,6 +214,7 @@
 	h := o.holding
 	if o.isLoad() {
 		h.failures = 0
+		h.replica.crowded = 0
 		m.observeLoad(o)
 		m.setLoaded(h)
 		return
@@ -254,7 +285,7 @@
 	var target *replica
 	for model := range m.models {
 		r := m.replica(model)
-		if r.state != absent || !m.mayOrder(&r.holding) {
+		if r.state != absent || r.running > 0 || r.adapterOrder() || !m.mayOrder(&r.holding) {
 			continue
 		}
 		if target == nil || m.preferBarrier(r, target) {
--- a/internal/loading/permit.go
+++ b/internal/loading/permit.go
@@ -112,26 +112,23 @@
 // permitInUse reports whether a load that is in flight uses a permit.
 func (m *Machine) permitInUse(id string) bool {
 	for _, o := range m.orders {
-		if o.permit == id && !o.unknown {
+		if o.permit.id == id && !o.unknown {
 			return true
 		}
 	}
 	return false
 }
 
-// usePermit moves a holding's permit to the load that starts and returns its identifier, empty when there is none.
-func (m *Machine) usePermit(h *holding) string {
+// usePermit moves a holding's permit to the load that starts. A load that starts without one gives up asking.
+func (m *Machine) usePermit(h *holding) permit {
 	p := h.permit
 	h.permit = permit{}
-	if p.id == "" {
-		return ""
-	}
 	delete(m.permits, p.id)
 	if p.given {
-		return p.id
+		return p
 	}
-	m.emit(EndPermit{ID: p.id})
-	return ""
+	m.endPermit(p.id)
+	return permit{}
 }
 
 // dropPermit gives up a permit, or the wish for one, of a load that is not wanted any more.
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -20,10 +20,10 @@
 	if !m.slots.read || !m.granted(r) || !m.isDeclared(h) || m.now.Before(h.retryAt) {
 		return false
 	}
-	if h.isAdapter() && (r.state != loaded || r.order != nil) {
+	if h.isAdapter() && (r.state != loaded || r.order != nil) || !h.isAdapter() && r.adapterOrder() {
 		return false
 	}
-	return h.waiting > 0 || m.now.Before(h.wishUntil) || !h.isAdapter() && m.warm(r)
+	return h.waiting > 0 || m.now.Before(h.wishUntil) || !h.isAdapter() && m.warm(r) && !m.now.Before(r.warmAt)
 }
 
 // mayReissue reports whether a load may be ordered for something whose state is unknown: the engine refuses the earlier
@@ -118,8 +118,12 @@
 		m.refuseWaiting(h, refusalNoMemory, retrySoon)
 		return
 	}
-	m.emit(WantSlot{Model: h.replica.model, Reason: refusalNoMemory.reason})
-	m.backOff(h)
+	if r := h.replica; m.warm(r) && !h.isAdapter() {
+		m.emit(WantSlot{Model: r.model, Reason: refusalNoMemory.reason})
+		r.crowded++
+		r.warmAt = m.now.Add(m.backOffTime(r.crowded))
+		m.wakeAt(r, r.warmAt)
+	}
 }
 
 // loadsInFlight counts the loads of model versions that are under way.
@@ -158,10 +162,14 @@
 	maxBackOff = 2 * time.Minute
 )
 
-// backOff sets when a load may be tried again: later after each failure, and not at the same time for all engines.
+// backOff sets when a load may be tried again.
 func (m *Machine) backOff(h *holding) {
-	wait := float64(minBackOff) * math.Pow(2, float64(min(h.failures, 16)))
-	wait = min(wait, float64(maxBackOff))
-	h.retryAt = m.now.Add(time.Duration(wait * (0.5 + 0.5*m.random.Float64())))
+	h.retryAt = m.now.Add(m.backOffTime(h.failures))
 	m.wakeAt(h.replica, h.retryAt)
 }
+
+// backOffTime returns a time that is longer after each failure, and not the same for all engines.
+func (m *Machine) backOffTime(failures int) time.Duration {
+	wait := min(float64(minBackOff)*math.Pow(2, float64(failures)), float64(maxBackOff))
+	return time.Duration(wait * (0.5 + 0.5*m.random.Float64()))
+}
--- /dev/null
+++ b/internal/loading/property_test.go
@@ -0,0 +1,272 @@
+package loading
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"balsamsail/internal/endpoint"
+)
+
+// pick removes and returns a random item.
+func pick[T any](w *simWorld, items *[]T) T {
+	i := w.random.IntN(len(*items))
+	item := (*items)[i]
+	*items = slices.Delete(*items, i, i+1)
+	return item
+}
+
+// turn lets one random thing happen.
+func (w *simWorld) turn() {
+	switch n := w.random.IntN(100); {
+	case n < 12:
+		w.passTime([]time.Duration{0, time.Millisecond, 50 * time.Millisecond, time.Second, simLife}[w.random.IntN(5)])
+	case n < 40:
+		w.moveOrder()
+	case n < 52:
+		w.moveRead()
+	case n < 60:
+		w.moveEvent()
+	case n < 70:
+		w.demand()
+	case n < 80:
+		w.moveRequest()
+	case n < 86:
+		w.moveRow()
+	case n < 92:
+		w.moveConfirmation()
+	case n < 96:
+		w.movePermit()
+	case w.calm:
+	case n < 98 && w.random.IntN(3) == 0:
+		w.logf("engine restarts")
+		w.engine.restart()
+		// What ran is cut by the restart; the shell learns of it later.
+		for _, id := range sortedKeys(w.running) {
+			w.pending = append(w.pending, Finished{Request: id})
+		}
+		w.running = map[string]simTarget{}
+	case n < 99 && w.random.IntN(4) == 0:
+		w.startAgent()
+	}
+}
+
+// passTime advances the time; the machine is stepped when it asked for it and not otherwise.
+func (w *simWorld) passTime(d time.Duration) {
+	end := w.now.Add(d)
+	for {
+		next := w.machine.NextDeadline()
+		if next.IsZero() || next.After(end) {
+			break
+		}
+		w.now = later(w.now, next)
+		w.engine.settle(w.now)
+		w.step(Tick{})
+		if !w.machine.NextDeadline().After(w.now) {
+			w.engine.violate("the machine asks for a step at once, for ever")
+			break
+		}
+	}
+	w.now = end
+	w.engine.settle(w.now)
+}
+
+// moveOrder brings an order one stage further.
+func (w *simWorld) moveOrder() {
+	if len(w.engine.orders) == 0 {
+		return
+	}
+	o := w.engine.orders[w.random.IntN(len(w.engine.orders))]
+	lost := !w.calm && w.random.IntN(8) == 0
+	switch {
+	case !o.sent && lost:
+		w.finishOrder(o, endpoint.ErrUnreachable)
+	case !o.sent:
+		o.sent = true
+	case !o.abandoned && lost:
+		w.abandon(o)
+		w.step(OrderDone{ID: o.ID, Err: endpoint.ErrOutcomeUnknown})
+	case !o.arrived:
+		w.logf("engine gets %+v", o.Order)
+		w.engine.arrive(o)
+	case !o.answered:
+		w.logf("engine works on %+v", o.Order)
+		w.engine.work(o)
+	case !o.abandoned:
+		w.finishOrder(o, o.answer)
+	}
+	w.engine.settle(w.now)
+}
+
+func (w *simWorld) finishOrder(o *simOrder, answer error) {
+	w.engine.orders = slices.DeleteFunc(w.engine.orders, func(x *simOrder) bool { return x == o })
+	w.event(OrderDone{ID: o.ID, Err: answer})
+}
+
+// event gives the machine an event and remembers it to repeat it later.
+func (w *simWorld) event(e Event) {
+	w.old = append(w.old, e)
+	w.step(e)
+}
+
+// moveRead lets the engine look at a read, or its answer reach the agent.
+func (w *simWorld) moveRead() {
+	if len(w.reads) > 0 && w.random.IntN(2) == 0 {
+		read := pick(w, &w.reads)
+		if !w.calm && w.random.IntN(10) == 0 {
+			w.pending = append(w.pending, EngineLost{ID: read.ID})
+			return
+		}
+		w.pending = append(w.pending, EngineRead{ID: read.ID, State: w.engine.state()})
+		return
+	}
+	w.moveEvent()
+}
+
+// moveEvent delivers one of the pending events, or an old one once more.
+func (w *simWorld) moveEvent() {
+	if len(w.old) > 0 && !w.calm && w.random.IntN(10) == 0 {
+		w.step(w.old[w.random.IntN(len(w.old))])
+		return
+	}
+	if w.askedRow && w.random.IntN(3) == 0 {
+		w.askedRow = false
+		w.pending = append(w.pending, w.readTable())
+	}
+	if len(w.pending) > 0 {
+		w.event(pick(w, &w.pending))
+	}
+}
+
+func (w *simWorld) demand() {
+	w.requests++
+	e := Demanded{
+		Request:  fmt.Sprint("r", w.requests),
+		Model:    simModels[w.random.IntN(len(simModels))].Model,
+		Deadline: w.now.Add(time.Duration(1+w.random.IntN(30_000)) * time.Millisecond),
+	}
+	if w.random.IntN(2) == 0 {
+		a := simAdapters[w.random.IntN(len(simAdapters))]
+		e.Model, e.Adapter = a.Model, a.Adapter
+	}
+	w.demands[e.Request] = e
+	w.step(e)
+}
+
+// moveRequest starts, ends or withdraws a request.
+func (w *simWorld) moveRequest() {
+	for _, id := range sortedKeys(w.demands) {
+		t := simTarget{w.demands[id].Model, w.demands[id].Adapter}
+		if w.usable[t] && w.random.IntN(3) > 0 {
+			delete(w.demands, id)
+			w.running[id] = t
+			w.step(Started{Request: id, Model: t.model, Adapter: t.adapter})
+			return
+		}
+		if w.random.IntN(20) == 0 {
+			delete(w.demands, id)
+			w.event(DemandGone{Request: id})
+			return
+		}
+	}
+	for _, id := range sortedKeys(w.running) {
+		if w.random.IntN(2) == 0 {
+			delete(w.running, id)
+			w.event(Finished{Request: id})
+			return
+		}
+	}
+}
+
+// moveRow changes a row, or shows the agent a version of one, the newest or an old one.
+func (w *simWorld) moveRow() {
+	model := simModels[w.random.IntN(len(simModels))].Model
+	if !w.calm && w.random.IntN(3) == 0 {
+		w.changeRow(model)
+		return
+	}
+	versions := w.rows[model]
+	if len(versions) == 0 {
+		return
+	}
+	row := versions[len(versions)-1]
+	if !w.calm && w.random.IntN(2) == 0 {
+		row = versions[w.random.IntN(len(versions))]
+	}
+	w.step(RowSeen{Row: row})
+}
+
+// moveConfirmation delivers, loses or repeats a confirmation.
+func (w *simWorld) moveConfirmation() {
+	if len(w.late) == 0 {
+		return
+	}
+	c := pick(w, &w.late)
+	if !w.calm && w.random.IntN(4) == 0 {
+		return
+	}
+	w.confirmed[c.Model] = max(w.confirmed[c.Model], c.Revision)
+	w.changeRowIfReleased(c.Model)
+}
+
+func (w *simWorld) changeRowIfReleased(model string) {
+	if len(w.row(model).Slots) > 0 && w.confirmed[model] >= w.releasing[model] && w.releasing[model] > 0 &&
+		w.row(model).Slots[0].State == 2 {
+		w.changeRow(model)
+	}
+}
+
+func (w *simWorld) movePermit() {
+	if len(w.permits) == 0 {
+		return
+	}
+	p := pick(w, &w.permits)
+	switch w.random.IntN(3) {
+	case 0:
+		w.event(PermitGiven{ID: p.ID, Expires: w.now.Add(time.Second)})
+	case 1:
+		w.event(PermitDenied{ID: p.ID, RetryAt: w.now.Add(time.Second)})
+	}
+}
+
+// runSim runs one seed and returns what went wrong, or "".
+func runSim(w *simWorld, turns int) string {
+	for range turns {
+		w.turn()
+		if wrong := w.check(); wrong != "" {
+			return wrong
+		}
+	}
+	return ""
+}
+
+// TestPropertyNoInterleavingBreaksTheRules lets orders arrive late and out of order, answers get lost, engines restart
+// and agents follow one another, in thousands of random interleavings. After each turn the engine holds nothing without
+// a slot, its memory is not overcommitted, fencing numbers have risen, no model version has two orders in flight, no
+// request was cut by an unload, and no waiting request is beyond its deadline without an answer.
+func TestPropertyNoInterleavingBreaksTheRules(t *testing.T) {
+	const turns = 400
+	seeds, steps := 0, 0
+	for _, f := range []fencing{fencingIgnored, fencingDurable, fencingVolatile} {
+		parameters := gopter.DefaultTestParametersWithSeed(20261202 + int64(f))
+		parameters.MinSuccessfulTests = 1000
+		properties := gopter.NewProperties(parameters)
+		properties.Property(fmt.Sprint("fencing ", f), prop.ForAllNoShrink(func(seed uint64) string {
+			w := newSimWorld(seed, f)
+			wrong := runSim(w, turns)
+			seeds++
+			steps += w.steps
+			if wrong != "" {
+				return fmt.Sprintf("seed %d: %s", seed, wrong)
+			}
+			return ""
+		}, gen.UInt64()))
+		properties.TestingRun(t)
+	}
+	t.Logf("%d seeds, %d steps", seeds, steps)
+}
--- a/internal/loading/room.go
+++ b/internal/loading/room.go
@@ -126,7 +126,7 @@
 			models = append(models, &r.holding)
 		}
 		for _, a := range r.adapters {
-			if m.mayEvict(a) && r.order == nil {
+			if m.mayEvict(a) && r.state == loaded && r.order == nil {
 				adapters = append(adapters, a)
 			}
 		}
--- a/internal/loading/slots.go
+++ b/internal/loading/slots.go
@@ -21,8 +21,6 @@
 	slot *replicaspb.Slot
 	// revision is the table revision as of which slot is known.
 	revision uint64
-	// confirmed is the highest revision for which a release was confirmed. Nothing is loaded under it or an older one.
-	confirmed uint64
 	// owed is set when a confirmation is due as soon as the engine holds nothing.
 	owed bool
 }
@@ -77,15 +75,16 @@
 }
 
 // rowSeen takes in a row. fromTable says that it was read from the table itself.
+//
+// A release is confirmed for the newest revision known, and no row up to that is ever accepted again: so nothing is
+// loaded under a revision for which a release was confirmed.
 func (m *Machine) rowSeen(row *replicaspb.Row, fromTable bool) {
 	m.fence.observeRevision(row.Revision)
 	g := m.slots.grant(row.Model)
 	switch {
-	case row.Revision <= g.confirmed:
-		m.seenAgain(g, row)
-	case row.Revision == g.revision:
-		m.seenAgain(g, row)
-	case row.Revision < g.revision:
+	case row.Revision == g.revision && g.row != nil:
+		m.seenAgain(g)
+	case row.Revision <= g.revision:
 	case !fromTable && m.slots.read && row.Revision <= m.slots.revision:
 	default:
 		m.acceptRow(g, row)
@@ -93,16 +92,9 @@
 	m.touch(m.replica(row.Model))
 }
 
-// seenAgain repeats the confirmation of a release: the first one may have been lost on its way. A row that an accepted
-// newer one has replaced asks for nothing.
-func (m *Machine) seenAgain(g *grant, row *replicaspb.Row) {
-	if g.revision > row.Revision && g.revision > g.confirmed {
-		return
-	}
-	slot := replicas.SlotOf(row, m.options.Engine, m.options.Host)
-	if slot.GetState() == replicaspb.SlotState_RELEASING {
-		g.owed = true
-	}
+// seenAgain repeats the confirmation of a release: the first one may have been lost on its way.
+func (m *Machine) seenAgain(g *grant) {
+	g.owed = g.owed || g.slot.GetState() == replicaspb.SlotState_RELEASING
 }
 
 // acceptRow makes a row the newest one known.
--- a/internal/loading/tend.go
+++ b/internal/loading/tend.go
@@ -55,8 +55,10 @@
 		m.updateWanting(a)
 		m.dropIdleRecord(a)
 	}
-	if m.now.Before(r.retryAt) {
-		m.wakeAt(r, r.retryAt)
+	for _, at := range []time.Time{r.retryAt, r.warmAt} {
+		if m.now.Before(at) {
+			m.wakeAt(r, at)
+		}
 	}
 }
 
@@ -115,7 +117,6 @@
 		return
 	}
 	g.owed = false
-	g.confirmed = g.revision
 	m.emit(ConfirmRelease{Model: r.model, Revision: g.revision})
 }
 
