--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -50,8 +50,10 @@
 	// Capacity is how many requests run at once where nothing else is declared.
 	Capacity int
 	Queue    admission.Options
-	Loading  loading.Options
-	Wire     wire.Options
+	// LongestHold bounds how long a batch request waits for others before it wakes a model.
+	LongestHold time.Duration
+	Loading     loading.Options
+	Wire        wire.Options
 	// HeartbeatInterval is the longest time between batches on a control stream.
 	HeartbeatInterval time.Duration
 	// BatchDelay is how long changes are gathered before a batch is sent.
@@ -75,13 +77,20 @@
 	Engine     endpoint.Engine
 	Caller     endpoint.Caller
 	Table      platform.Table
-	Policy     loading.IdlePolicy
+	Policy     IdlePolicy
 	Clock      clock.Clock
 	Logger     *slog.Logger
 	Registerer prometheus.Registerer
 	Recorder   *timeline.Recorder
 }
 
+// IdlePolicy is a loading.IdlePolicy whose weights the operators declare.
+type IdlePolicy interface {
+	loading.IdlePolicy
+	// SetWeights sets the cost of a second of a cold start and of a second in which an accelerator idles.
+	SetWeights(coldStart, idle float64)
+}
+
 // Agent is the process beside one endpoint.
 type Agent struct {
 	options  Options
@@ -122,6 +131,7 @@
 		machine = loading.NewMachine(o.Loading, d.Policy)
 	}
 	a.core = newCore(d.Clock, admission.NewQueue(o.Queue), machine, d.Policy, o.Capacity)
+	a.core.longestHold = o.LongestHold
 	a.core.changed = a.stir
 	return a
 }
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -159,8 +159,7 @@
 		return
 	}
 	set := a.receiver.Current()
-	a.core.setLimits(concurrencyLimits(set))
-	a.core.step(specsOf(set))
+	a.core.declare(set)
 	a.recorder.Record(timeline.Event{Kind: timeline.DeclarationApplied, Detail: revisionText(set.Revision())})
 }
 
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -6,6 +6,7 @@
 
 	"balsamsail/internal/admission"
 	"balsamsail/internal/clock"
+	"balsamsail/internal/declarations"
 	"balsamsail/internal/loading"
 	"balsamsail/internal/wire/wirepb"
 )
@@ -22,6 +23,8 @@
 	decided chan decision
 	// cold is set when the target could not run at once.
 	cold bool
+	// wakeAt is until when a batch request waits for others before it wakes its model.
+	wakeAt time.Time
 }
 
 // newWaiting returns a request that has not been offered to the core yet.
@@ -48,14 +51,18 @@
 	perform  performer
 	changed  func()
 	capacity int
+	// longestHold bounds how long a batch request waits for others before it wakes a model.
+	longestHold time.Duration
 
 	mu      sync.Mutex
 	queue   *admission.Queue
 	times   *admission.ServiceTimes
 	machine *loading.Machine
-	policy  loading.IdlePolicy
+	policy  IdlePolicy
 	limits  map[string]int
 	waiting map[string]*waiting
+	// held are the waiting batch requests that the machine was not told of yet.
+	held    map[string]*waiting
 	running map[string]admission.Target
 	busy    map[admission.Target]int
 	usable  map[admission.Target]bool
@@ -64,7 +71,7 @@
 }
 
 // newCore returns the core of an engine's agent, or of a plain service's when machine is nil.
-func newCore(c clock.Clock, queue *admission.Queue, machine *loading.Machine, policy loading.IdlePolicy, capacity int) *core {
+func newCore(c clock.Clock, queue *admission.Queue, machine *loading.Machine, policy IdlePolicy, capacity int) *core {
 	return &core{
 		clock:    c,
 		queue:    queue,
@@ -74,6 +81,7 @@
 		capacity: capacity,
 		limits:   map[string]int{},
 		waiting:  map[string]*waiting{},
+		held:     map[string]*waiting{},
 		running:  map[string]admission.Target{},
 		busy:     map[admission.Target]int{},
 		usable:   map[admission.Target]bool{},
@@ -103,7 +111,7 @@
 	}
 	w.cold = !c.isUsable(r.Target)
 	c.waiting[r.ID] = w
-	return nil, c.demand(now, r)
+	return nil, c.demand(now, w)
 }
 
 // unavailable refuses a request that this endpoint cannot take whatever its queue.
@@ -125,23 +133,6 @@
 	return nil
 }
 
-// demand tells the machine of a waiting request and starts what can run.
-func (c *core) demand(now time.Time, r admission.Request) []loading.Action {
-	if c.machine == nil {
-		c.pump(now)
-		return nil
-	}
-	c.policy.Observe(r.Target.Model, now)
-	actions := c.stepLocked(now, loading.Demanded{
-		Request:  r.ID,
-		Model:    r.Target.Model,
-		Adapter:  r.Target.Adapter,
-		Deadline: r.Deadline,
-		Class:    r.Class,
-	})
-	return append(actions, c.pump(now)...)
-}
-
 // cancel takes a waiting request away; it reports whether the request was still waiting, that is, certainly not run.
 func (c *core) cancel(id string) bool {
 	c.mu.Lock()
@@ -158,6 +149,7 @@
 // removeLocked takes a waiting request out of the queue and its demand out of the machine.
 func (c *core) removeLocked(id string) []loading.Action {
 	delete(c.waiting, id)
+	delete(c.held, id)
 	c.queue.Remove(id)
 	if c.machine == nil {
 		return nil
@@ -165,44 +157,6 @@
 	return c.stepLocked(c.clock.Now(), loading.DemandGone{Request: id})
 }
 
-// spent is how long a request ran: to its first answer bytes and to its end, 0 where it did not get there.
-type spent struct{ first, whole time.Duration }
-
-// finish ends a running request.
-func (c *core) finish(id string, took spent) {
-	c.mu.Lock()
-	now := c.clock.Now()
-	target, ok := c.running[id]
-	if !ok {
-		c.mu.Unlock()
-		return
-	}
-	delete(c.running, id)
-	c.busy[target]--
-	if c.busy[target] == 0 {
-		delete(c.busy, target)
-	}
-	c.learn(target, took)
-	var actions []loading.Action
-	if c.machine != nil {
-		actions = c.stepLocked(now, loading.Finished{Request: id})
-	}
-	actions = append(actions, c.pump(now)...)
-	c.mu.Unlock()
-	c.perform.perform(actions)
-	c.changed()
-}
-
-// learn notes how long a request of a target ran.
-func (c *core) learn(t admission.Target, took spent) {
-	if took.first > 0 {
-		c.times.ObserveFirst(t, took.first)
-	}
-	if took.whole > 0 {
-		c.times.Observe(t, took.whole)
-	}
-}
-
 // step gives the machine an event.
 func (c *core) step(e loading.Event) {
 	if c.machine == nil {
@@ -254,6 +208,7 @@
 			continue
 		}
 		delete(c.waiting, id)
+		delete(c.held, id)
 		c.queue.Remove(id)
 		w.decide(decision{refusal: &admission.Refusal{
 			ID:         id,
@@ -288,82 +243,6 @@
 	return actions
 }
 
-// pump starts waiting requests, the most urgent first, while their targets can run and have room.
-func (c *core) pump(now time.Time) []loading.Action {
-	var actions []loading.Action
-	for {
-		r, expired, ok := c.queue.NextAny(now, c.startable)
-		actions = append(actions, c.refuseAll(expired)...)
-		if !ok {
-			return actions
-		}
-		actions = append(actions, c.startLocked(now, r)...)
-	}
-}
-
-// startable tells the queue whether a target's next request may start now.
-func (c *core) startable(t admission.Target) (admission.Estimate, bool) {
-	if !c.isUsable(t) || !c.hasRoom(t) {
-		return admission.Estimate{}, false
-	}
-	return c.estimate(t), true
-}
-
-// startLocked moves a request from waiting to running.
-func (c *core) startLocked(now time.Time, r admission.Request) []loading.Action {
-	w := c.waiting[r.ID]
-	delete(c.waiting, r.ID)
-	c.running[r.ID] = r.Target
-	c.busy[r.Target]++
-	var actions []loading.Action
-	if c.machine != nil {
-		actions = c.stepLocked(now, loading.Started{Request: r.ID, Model: r.Target.Model, Adapter: r.Target.Adapter})
-	}
-	w.decide(decision{cold: w.cold})
-	return actions
-}
-
-func (c *core) isUsable(t admission.Target) bool {
-	if c.machine == nil {
-		return c.up
-	}
-	return c.usable[t]
-}
-
-// hasRoom reports whether one more request of the target may run. Requests with and without adapters share the
-// replica's batch.
-func (c *core) hasRoom(t admission.Target) bool { return c.runningOf(t) < c.limit(t) }
-
-// limit is how many requests run at once at the target's replica or service.
-func (c *core) limit(t admission.Target) int {
-	name := t.Model
-	if t.Service != "" {
-		name = t.Service
-	}
-	if limit := c.limits[name]; limit > 0 {
-		return limit
-	}
-	return c.capacity
-}
-
-// runningOf counts the requests that run at the target's replica or service.
-func (c *core) runningOf(t admission.Target) int {
-	n := 0
-	for other, count := range c.busy {
-		if other.Model == t.Model && other.Service == t.Service {
-			n += count
-		}
-	}
-	return n
-}
-
-// estimate is what the queue is told of a target.
-func (c *core) estimate(t admission.Target) admission.Estimate {
-	e := admission.Estimate{Ready: c.isUsable(t), Concurrency: c.limit(t), Running: c.runningOf(t)}
-	c.times.Fill(t, &e)
-	return e
-}
-
 // expire refuses what cannot be served in time any more and lets the machine's time pass. It returns when it is needed
 // next.
 func (c *core) expire() time.Time {
@@ -372,7 +251,10 @@
 	actions := c.refuseAll(c.queue.Expire(now, c.estimate))
 	next := c.queue.Wake()
 	if c.machine != nil {
+		woken, wakeNext := c.wakeDue(now)
+		actions = append(actions, woken...)
 		actions = append(actions, c.stepLocked(now, loading.Tick{})...)
+		next = earlier(next, wakeNext)
 		next = earlier(next, c.machine.NextDeadline())
 	}
 	c.mu.Unlock()
@@ -416,52 +298,18 @@
 	}
 }
 
-// setLimits replaces the concurrency limits by model version.
-func (c *core) setLimits(limits map[string]int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.limits = limits
-}
-
-// accepted is what an accepted request's entry is told.
-func (c *core) accepted(w *waiting) *wirepb.Accepted {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	load := c.loadLocked(w.request.Target)
-	if wait := c.readyIn(w); wait.Microseconds() > load.WaitMicros {
-		load.WaitMicros = wait.Microseconds()
-	}
-	return &wirepb.Accepted{Load: load, Cold: w.cold}
-}
-
-// readyIn is the expected time until a request's target can run, 0 when it can now or nothing is known.
-func (c *core) readyIn(w *waiting) time.Duration {
-	t := w.request.Target
-	if !w.cold || c.machine == nil {
-		return 0
-	}
-	at, known := c.machine.ReadyAt(t.Model, t.Adapter, w.request.Deadline)
-	if !known {
-		return 0
-	}
-	return max(0, at.Sub(c.clock.Now()))
-}
-
-// load is what answers and reports say of the endpoint's load.
-func (c *core) load(t admission.Target) *wirepb.Load {
+// declare takes in new declarations.
+func (c *core) declare(set *declarations.Set) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.loadLocked(t)
-}
-
-func (c *core) loadLocked(t admission.Target) *wirepb.Load {
-	wait := time.Duration(0)
-	if t != (admission.Target{}) {
-		wait = c.queue.Wait(t, wirepb.Class_INTERACTIVE, c.estimate(t))
-	}
-	return &wirepb.Load{
-		Running:    int32(len(c.running)),
-		Queued:     int32(c.queue.Len()),
-		WaitMicros: wait.Microseconds(),
+	c.limits = concurrencyLimits(set)
+	limits := set.Limits()
+	c.policy.SetWeights(limits.GetColdStartWeight(), limits.GetIdleWeight())
+	var actions []loading.Action
+	if c.machine != nil {
+		actions = c.stepLocked(c.clock.Now(), specsOf(set))
 	}
+	actions = append(actions, c.pump(c.clock.Now())...)
+	c.mu.Unlock()
+	c.perform.perform(actions)
+	c.changed()
 }
--- a/internal/app/agent.go
+++ b/internal/app/agent.go
@@ -66,11 +66,11 @@
 	})
 }
 
-func newIdlePolicy(s *settings.Agent) loading.IdlePolicy {
+func newIdlePolicy(s *settings.Agent) agent.IdlePolicy {
 	return idle.NewPolicy(idle.Options{Min: s.Idle.Min, Max: s.Idle.Max})
 }
 
-func newAgent(s *settings.Agent, i Incarnation, engine endpoint.Engine, caller endpoint.Caller, policy loading.IdlePolicy, table platform.Table, c clock.Clock, l *slog.Logger, r prometheus.Registerer, line *timeline.Recorder) *agent.Agent {
+func newAgent(s *settings.Agent, i Incarnation, engine endpoint.Engine, caller endpoint.Caller, policy agent.IdlePolicy, table platform.Table, c clock.Clock, l *slog.Logger, r prometheus.Registerer, line *timeline.Recorder) *agent.Agent {
 	return agent.New(agentOptions(s, i), agent.Dependencies{
 		Engine:     engine,
 		Caller:     caller,
@@ -111,6 +111,7 @@
 			PermitPatience: s.Order.PermitPatience,
 			Seed:           uint64(i),
 		},
+		LongestHold:       s.Idle.LongestHold,
 		Wire:              wireOptions(s.Wire),
 		HeartbeatInterval: s.Control.HeartbeatInterval,
 		BatchDelay:        s.Control.BatchDelay,
--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -114,6 +114,8 @@
 type Idle struct {
 	Min time.Duration `ini:"min" default:"10s" min:"0s" max:"24h" doc:"Least time that an idle model stays loaded."`
 	Max time.Duration `ini:"max" default:"24h" min:"0s" max:"168h" doc:"Longest time that an idle model stays loaded."`
+
+	LongestHold time.Duration `ini:"longest_hold" default:"15m" min:"0s" max:"24h" doc:"Longest time for which a batch request waits for others before it wakes a sleeping model; 0s wakes it at once."`
 }
 
 // Check implements inifile.Checker.
