load: the first answer with wrong content is shown

A trial of the dev command reported 135 wrong of 135 and gave no hint that the cause was the load's own -target (served-as=narrator@1 for narrator@v1). Change: the report shows the beginning of both texts of the first mismatch.

--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"net/http"
-	"time"
-
-	"github.com/pkg/errors"
-)
+	"time")
 
 // The headers that are read of a refusal.
 const (
@@ -37,6 +34,17 @@
 	ResultHeld Result = "held"
 )
 
+// maxMismatchBytes bounds each text of a Mismatch.
+const maxMismatchBytes = 100
+
+// Mismatch shows how an answer differs from the expected one, by the beginning of both.
+type Mismatch struct {
+	// Call is the index of the call in the plan.
+	Call int    `json:"call"`
+	Want string `json:"want"`
+	Got  string `json:"got"`
+}
+
 // outcome is what is recorded of a call. Times count from the planned time, but for those that say otherwise.
 type outcome struct {
 	target *Target
@@ -48,6 +56,9 @@
 	// comeBack is set when a refusal says when to try again.
 	comeBack bool
 
+	// mismatch is set for ResultWrong.
+	mismatch *Mismatch
+
 	lag        time.Duration
 	firstByte  time.Duration
 	firstToken time.Duration
@@ -115,16 +126,31 @@
 		o.firstToken = a.firstToken.Sub(e.planned)
 	}
 	o.gaps = a.gaps
-	switch {
-	case errors.Is(err, errTruncated):
+	if err != nil {
 		o.result = endedBy(ctx, timed, ResultTruncated)
-	case e.options.Expected != nil && e.options.Expected(e.call) != a.text.String():
+		return
+	}
+	o.result = ResultServed
+	if o.mismatch = e.mismatch(a.text.String()); o.mismatch != nil {
 		o.result = ResultWrong
-	default:
-		o.result = ResultServed
 	}
 }
 
+// mismatch compares the text of a whole answer with the expected one.
+func (e *exchange) mismatch(got string) *Mismatch {
+	if e.options.Expected == nil {
+		return nil
+	}
+	want := e.options.Expected(e.call)
+	if got == want {
+		return nil
+	}
+	return &Mismatch{Call: e.call.Index, Want: beginning(want), Got: beginning(got)}
+}
+
+// beginning returns the first part of a text.
+func beginning(text string) string { return text[:min(len(text), maxMismatchBytes)] }
+
 // endedBy tells an end that the run itself caused from one that the system did.
 func endedBy(run, timed context.Context, otherwise Result) Result {
 	switch {
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -118,6 +118,9 @@
 				got.WithComeBack != c.want.WithComeBack || fmt.Sprint(got.Refusals) != fmt.Sprint(c.want.Refusals) {
 				t.Fatalf("got %+v, want %+v", got, c.want)
 			}
+			if m := got.FirstMismatch; (m != nil) != (c.want.Wrong > 0) || m != nil && (m.Want != "right" || m.Got != "other") {
+				t.Fatalf("first mismatch %+v", m)
+			}
 		})
 	}
 }
--- a/internal/load/record.go
+++ b/internal/load/record.go
@@ -71,6 +71,8 @@
 	late     int
 	overrun  time.Duration
 	tokens   int
+	// mismatch is the first one.
+	mismatch *Mismatch
 
 	lag, firstByte, firstByteFromSend, firstToken, betweenTokens, whole, refused series
 }
@@ -105,6 +107,8 @@
 		if o.comeBack {
 			r.comeBack++
 		}
+	case ResultWrong:
+		r.mismatch = cmp.Or(r.mismatch, o.mismatch)
 	case ResultServed, ResultHeld:
 		r.addServed(o)
 	}
@@ -199,6 +203,7 @@
 	r.late += other.late
 	r.overrun = max(r.overrun, other.overrun)
 	r.tokens += other.tokens
+	r.mismatch = cmp.Or(r.mismatch, other.mismatch)
 	from := other.all()
 	for i, s := range r.all() {
 		s.histogram.Merge(from[i].histogram)
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -35,6 +35,8 @@
 	Broken    int         `json:"no_answer"`
 	TimedOut  int         `json:"timed_out"`
 	Unsent    int         `json:"not_sent"`
+	// FirstMismatch shows the first answer with wrong content.
+	FirstMismatch *Mismatch `json:"first_mismatch,omitempty"`
 	// Late counts answers of any kind after the deadline (of a stream: its first token), the worst by WorstOverrun
 	// milliseconds.
 	Late         int     `json:"late"`
@@ -102,6 +104,7 @@
 		Broken:            r.counts[ResultBroken],
 		TimedOut:          r.counts[ResultTimeout],
 		Unsent:            r.counts[ResultUnsent],
+		FirstMismatch:     r.mismatch,
 		Late:              r.late,
 		WorstOverrun:      millis(r.overrun.Microseconds()),
 		WithComeBack:      r.comeBack,
@@ -150,6 +153,9 @@
 		t.Row("refused\t%d\tstatus\t%d\tcode\t%s\toutcome\t%s",
 			refusal.Count, refusal.Status, orNone(refusal.Code), orNone(refusal.Outcome))
 	}
+	if m := p.FirstMismatch; m != nil {
+		t.Row("first wrong content: call %d, want %q, got %q", m.Call, m.Want, m.Got)
+	}
 	if p.Refused > 0 {
 		t.Row("refused with a time to come back\t%d", p.WithComeBack)
 	}
