--- a/internal/agent/start.go
+++ b/internal/agent/start.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"balsamsail/internal/admission"
-	"balsamsail/internal/clock"
 	"balsamsail/internal/loading"
 )
 
