--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"net/http"
-	"time")
+	"time"
+)
 
 // The headers that are read of a refusal.
 const (
