entry: an engine is a candidate once its agent knows its slot; agents report slots of sleeping models

Cause: right after a grant the entry offered to engines whose agents had not got the row, both refused, and the first request to a new model was refused although it could wait a moment. Now it waits for the agent's word.

--- a/internal/entry/candidates.go
+++ b/internal/entry/candidates.go
@@ -33,6 +33,10 @@
 		if ep == nil || slot.State != replicaspb.SlotState_GRANTED || replicas.SlotOf(row, ep.Name, ep.HostID) != slot {
 			continue
 		}
+		if ep.Replicas[t.Model].GetRevision() == 0 {
+			// The agent has not been told of its slot yet and would refuse: the request waits for it instead.
+			continue
+		}
 		list = append(list, e.candidate(ep, t, i))
 	}
 	return list
--- a/internal/loading/status.go
+++ b/internal/loading/status.go
@@ -22,7 +22,7 @@
 		}
 	}
 	for _, model := range sortedKeys(m.replicas) {
-		if r := m.replicas[model]; r.state != absent {
+		if r := m.replicas[model]; r.state != absent || m.revisionOf(model) > 0 {
 			s.Replicas = append(s.Replicas, m.replicaStatus(now, r))
 		}
 	}
@@ -64,8 +64,9 @@
 	return s
 }
 
+// revisionOf returns the revision of the row that gives the engine a slot for the model version; 0 when it has none.
 func (m *Machine) revisionOf(model string) uint64 {
-	if g := m.slots.grants[model]; g != nil {
+	if g := m.slots.grants[model]; g != nil && g.slot != nil {
 		return g.revision
 	}
 	return 0
