--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // The headers that are read of a refusal.
@@ -25,7 +28,9 @@
 	ResultTruncated Result = "truncated"
 	// ResultWrong: a whole answer with another text than expected.
 	ResultWrong Result = "wrong content"
-	// ResultBroken: the connection gave no answer at all.
+	// ResultUnreachable: no connection could be made, so nothing was sent.
+	ResultUnreachable Result = "no connection"
+	// ResultBroken: the connection broke before an answer began.
 	ResultBroken Result = "no answer"
 	// ResultTimeout: no whole answer within the timeout.
 	ResultTimeout Result = "timed out"
@@ -101,7 +106,7 @@
 	response, err := e.client.Do(request)
 	o.firstByte = time.Since(e.planned)
 	if err != nil {
-		o.result = endedBy(ctx, timed, ResultBroken)
+		o.result = endedBy(ctx, timed, resultOf(err))
 		o.whole = o.firstByte
 		return o
 	}
@@ -152,6 +157,15 @@
 // beginning returns the first part of a text.
 func beginning(text string) string { return text[:min(len(text), maxMismatchBytes)] }
 
+// resultOf tells a call that was never sent from one that may have been.
+func resultOf(err error) Result {
+	var network *net.OpError
+	if errors.As(err, &network) && network.Op == "dial" {
+		return ResultUnreachable
+	}
+	return ResultBroken
+}
+
 // endedBy tells an end that the run itself caused from one that the system did.
 func endedBy(run, timed context.Context, otherwise Result) Result {
 	switch {
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -125,6 +125,16 @@
 	}
 }
 
+// An entry has stopped: what finds no connection was certainly not sent, and must not look like a request that was cut.
+func TestNoConnectionIsNotACutRequest(t *testing.T) {
+	gone := httptest.NewServer(nil)
+	gone.Close()
+	report, err := Run(t.Context(), Options{URL: gone.URL, Burst: 3, Targets: []Target{{Path: "/"}}})
+	if err != nil || report.Total.Unreachable != 3 || report.Total.Sent != 0 || report.Total.Broken != 0 {
+		t.Fatalf("got %+v, %v; want 3 without a connection", report.Total, err)
+	}
+}
+
 // A server stalls for its first answer while requests keep coming due. A closed loop would send nothing meanwhile and
 // report one slow request; the callers of an open loop all wait, and the report must say so.
 func TestStallIsChargedToAllThatWaited(t *testing.T) {
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -32,9 +32,11 @@
 	Refusals  []CodeCount `json:"refusals,omitempty"`
 	Truncated int         `json:"truncated"`
 	Wrong     int         `json:"wrong_content"`
-	Broken    int         `json:"no_answer"`
-	TimedOut  int         `json:"timed_out"`
-	Unsent    int         `json:"not_sent"`
+	// Unreachable counts calls that found no connection and were not sent, Broken those that got no answer.
+	Unreachable int `json:"no_connection"`
+	Broken      int `json:"no_answer"`
+	TimedOut    int `json:"timed_out"`
+	Unsent      int `json:"not_sent"`
 	// FirstMismatch shows the first answer with wrong content.
 	FirstMismatch *Mismatch `json:"first_mismatch,omitempty"`
 	// Late counts answers of any kind after the deadline (of a stream: its first token), the worst by WorstOverrun
@@ -101,6 +103,7 @@
 		Refusals:          r.sortedRefusals(),
 		Truncated:         r.counts[ResultTruncated],
 		Wrong:             r.counts[ResultWrong],
+		Unreachable:       r.counts[ResultUnreachable],
 		Broken:            r.counts[ResultBroken],
 		TimedOut:          r.counts[ResultTimeout],
 		Unsent:            r.counts[ResultUnsent],
@@ -148,7 +151,8 @@
 func (p Part) write(t *texttable.Table) {
 	t.Row("sent\t%d\tserved\t%d\trefused\t%d\tlate\t%d", p.Sent, p.Served, p.Refused, p.Late)
 	t.Row("truncated\t%d\twrong content\t%d\tno answer\t%d\ttimed out\t%d", p.Truncated, p.Wrong, p.Broken, p.TimedOut)
-	t.Row("not sent\t%d\theld\t%d\tserved/s\t%.1f\ttokens/s\t%.1f", p.Unsent, p.Held, p.ServedPerSecond, p.TokensPerSecond)
+	t.Row("not sent\t%d\tno connection\t%d\theld\t%d", p.Unsent, p.Unreachable, p.Held)
+	t.Row("served/s\t%.1f\ttokens/s\t%.1f", p.ServedPerSecond, p.TokensPerSecond)
 	for _, refusal := range p.Refusals {
 		t.Row("refused\t%d\tstatus\t%d\tcode\t%s\toutcome\t%s",
 			refusal.Count, refusal.Status, orNone(refusal.Code), orNone(refusal.Outcome))
