admission: a redundant check out, wake and expiry pinned by tests

The deadline check before the place check was redundant and is gone; the check by time left and the re-ranking when an estimate moves had no test and have one now.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -99,9 +99,6 @@
 	if q.waiting[r.ID] != nil {
 		return nil, wirepb.RefusalReason_CANCELLED, detailDuplicate
 	}
-	if !e.makes(now, r, e.ready()) {
-		return nil, wirepb.RefusalReason_DEADLINE, detailHopeless
-	}
 	if q.options.MaxPerCaller > 0 && q.callers[r.Caller] >= q.options.MaxPerCaller {
 		return nil, wirepb.RefusalReason_QUEUE_FULL, detailCallerBound
 	}
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -144,7 +144,7 @@
 // A narration waits for a model that is being woken. The load takes longer than expected, past the last moment at which
 // the narration could start; the inspector must hear so at that moment, not at the deadline and not never.
 func TestExpireRefusesAtOnceWhatCannotStartInTime(t *testing.T) {
-	cold := Estimate{ReadyIn: 2 * time.Second, Service: time.Second, Concurrency: 1}
+	cold := Estimate{ReadyIn: 2 * time.Second, Service: time.Second, Concurrency: 4}
 	cases := []struct {
 		name     string
 		at       time.Duration
@@ -152,7 +152,7 @@
 		want     []string
 	}{
 		{"still in time", 5 * time.Second, Estimate{Ready: true, Service: time.Second}, nil},
-		{"not after the last moment to start", 9*time.Second + 1, cold, []string{"1", "2"}},
+		{"the last moment to start has passed", 7*time.Second + 1, cold, []string{"1", "2"}},
 		{"load takes too long", time.Second, Estimate{ReadyIn: 9 * time.Second, Service: time.Second}, []string{"1", "2"}},
 		{"place in the queue leaves no hope", 0, Estimate{Ready: true, Service: 10 * time.Second, Whole: time.Second, Running: 1}, []string{"2"}},
 		{"due later than was thought", 9*time.Second + 1, Estimate{Ready: true, Service: time.Millisecond}, nil},
@@ -191,6 +191,24 @@
 	}
 }
 
+func TestWakeFollowsTheEstimates(t *testing.T) {
+	q := NewQueue(Options{MaxWaiting: 10})
+	slower := ask("slower", "a", interactive, 11*time.Second)
+	slower.Target = Target{Service: "ledger"}
+	q.Offer(start, ask("1", "a", interactive, 10*time.Second), steady)
+	q.Offer(start, slower, steady)
+	q.Expire(start, func(t Target) Estimate {
+		e := steady
+		if t == slower.Target {
+			e.Service = 5 * time.Second
+		}
+		return e
+	})
+	if want := start.Add(6*time.Second + 1); !q.Wake().Equal(want) {
+		t.Errorf("wakes at %v, want %v", q.Wake(), want)
+	}
+}
+
 // Requests for the adapters of one model run in one replica. If each adapter's line were judged alone, twenty of them
 // would each promise the whole replica, and most of the accepted requests would be refused later.
 func TestOfferCountsAllAdaptersOfTheReplica(t *testing.T) {
