--- a/internal/declarations/edit.go
+++ b/internal/declarations/edit.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	pb "balsamsail/internal/declarations/declarationspb"
 	"balsamsail/internal/platform"
 )
 
@@ -66,7 +67,7 @@
 		case readView:
 			event = s.readForEdit(ctx)
 		case commitTxn:
-			event = s.commit(ctx, a.txn)
+			event = s.commit(ctx, a)
 		case wait:
 			event = s.wait(ctx, a.duration)
 		}
@@ -83,11 +84,12 @@
 }
 
 // commit runs a transaction. What the platform doesn't name as without effect counts as lost.
-func (s *Store) commit(ctx context.Context, txn platform.Txn) editEvent {
-	_, err := s.table.Commit(ctx, txn)
+func (s *Store) commit(ctx context.Context, action commitTxn) editEvent {
+	row, err := s.table.Commit(ctx, action.txn)
 	var conflict *platform.ConflictError
 	switch {
 	case err == nil:
+		s.adoptOwn(row, action.delta)
 		return committed{}
 	case errors.As(err, &conflict):
 		return conflicted{}
@@ -100,6 +102,17 @@
 	}
 }
 
+// adoptOwn puts an own edit in force here without waiting for the next read. The edit was conditioned on the head's row
+// of the revision before it, so that no other revision lies between. Should the store hold another set by now, the next
+// read sorts it out.
+func (s *Store) adoptOwn(row uint64, delta *pb.Delta) {
+	if s.holder.apply(delta) != nil {
+		return
+	}
+	s.metrics.applied.WithLabelValues(appliedDelta).Inc()
+	s.noteHead(row, delta.GetRevision())
+}
+
 func (s *Store) wait(ctx context.Context, duration time.Duration) editEvent {
 	timer := s.clock.NewTimer(duration)
 	defer timer.Stop()
--- /dev/null
+++ b/internal/declarations/edit_test.go
@@ -0,0 +1,319 @@
+package declarations
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	pb "balsamsail/internal/declarations/declarationspb"
+	"balsamsail/internal/platform"
+)
+
+func TestEditIsInForceInAnotherStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newMemTable()
+		writer, reader := newTestStore(table, Options{}), newTestStore(table, Options{Seed: 2})
+		runStore(t, writer)
+		runStore(t, reader)
+		synctest.Wait()
+		changed := reader.Changed()
+		result := mustEdit(t, writer, EditRequest{Author: "a", OperationID: "op", Change: putEngine("e")})
+		if result.Revision != 1 || len(result.Changed) != 1 || result.Changed[0].GetName() != "e" {
+			t.Errorf("result is %+v", result)
+		}
+		start := time.Now()
+		<-changed
+		if took := time.Since(start); took > time.Second {
+			t.Errorf("in force after %v", took)
+		}
+		if _, ok := reader.Current().Engine("e"); !ok || !reader.Ready() || !reader.Outage().IsZero() {
+			t.Error("the reader lacks the edit or isn't ready")
+		}
+		deltas, ok := reader.DeltasSince(0)
+		if !ok || len(deltas) != 1 || deltas[0].GetOperationId() != "op" {
+			t.Errorf("deltas are %v, %v", deltas, ok)
+		}
+	})
+}
+
+func TestEditWithoutEffectMakesNoRevision(t *testing.T) {
+	table := newMemTable()
+	s := newTestStore(table, Options{})
+	mustEdit(t, s, EditRequest{Change: putEngine("e")})
+	result := mustEdit(t, s, EditRequest{Change: putEngine("e")})
+	if result.Revision != 1 || len(result.Changed) != 0 || result.OperationID == "" || table.commits != 1 {
+		t.Errorf("result is %+v after %d commits", result, table.commits)
+	}
+}
+
+func TestEditRefusesWhatIsWrong(t *testing.T) {
+	cases := []struct {
+		name    string
+		request EditRequest
+		want    error
+	}{
+		{"no change", EditRequest{}, ErrInvalid},
+		{"invalid object", EditRequest{Change: putEngine("not a name")}, ErrInvalid},
+		{"base of the future", EditRequest{BasedOn: 9, Change: putEngine("f")}, ErrInvalid},
+		{"label of nothing", EditRequest{Change: SetLabels(&pb.ObjectKey{Kind: KindModel, Name: "m"}, nil, nil)}, ErrNotDeclared},
+		{"wrong label", EditRequest{Change: SetLabels(&pb.ObjectKey{Kind: KindEngine, Name: "e"}, map[string]string{"a b": "c"}, nil)}, ErrInvalid},
+		{"label of the limits", EditRequest{Change: SetLabels(&pb.ObjectKey{Kind: KindLimits, Name: LimitsName}, map[string]string{"a": "c"}, nil)}, ErrNotDeclared},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := newMemTable()
+			s := newTestStore(table, Options{})
+			mustEdit(t, s, EditRequest{Change: putEngine("e")})
+			if _, err := s.Edit(t.Context(), c.request); !errors.Is(err, c.want) {
+				t.Errorf("error = %v, want %v", err, c.want)
+			}
+			if table.content().head.GetRevision() != 1 {
+				t.Error("the refused edit took effect")
+			}
+		})
+	}
+}
+
+func TestEditsOfLabelsAndDrain(t *testing.T) {
+	s := newTestStore(newMemTable(), Options{})
+	key := &pb.ObjectKey{Kind: KindEngine, Name: "e"}
+	mustEdit(t, s, EditRequest{Change: SetLabels(key, map[string]string{"gpu": "h100", "pool": "day"}, nil)})
+	before, _ := s.Current().Engine("e")
+	mustEdit(t, s, EditRequest{Change: SetLabels(key, map[string]string{"pool": "night"}, []string{"gpu"})})
+	mustEdit(t, s, EditRequest{Change: SetDrain("e", true)})
+	engine, _ := s.Current().Engine("e")
+	if len(engine.Labels) != 1 || engine.Labels["pool"] != "night" || !engine.Drain {
+		t.Errorf("engine is %v", engine)
+	}
+	if before.Labels["pool"] != "day" || before.Drain {
+		t.Errorf("an edit changed an earlier set: %v", before)
+	}
+}
+
+// Two operators edit on the same revision. The second one must be told whose edit won, and change nothing.
+func TestLoserOfARaceLearnsTheWinner(t *testing.T) {
+	table := newMemTable()
+	a, b := newTestStore(table, Options{}), newTestStore(table, Options{})
+	mustEdit(t, a, EditRequest{Author: "setup", Change: putEngine("e")})
+	mustEdit(t, a, EditRequest{BasedOn: 1, Author: "winner", Change: putEngine("f")})
+	mustEdit(t, a, EditRequest{Author: "third", Change: putEngine("g")})
+	_, err := b.Edit(t.Context(), EditRequest{BasedOn: 1, Author: "loser", Change: putEngine("h")})
+	var conflict *ConflictError
+	if !errors.As(err, &conflict) || *conflict != (ConflictError{BasedOn: 1, Revision: 3, Winner: 2, Author: "winner"}) {
+		t.Errorf("error is %+v", err)
+	}
+	if !strings.Contains(err.Error(), `lost to revision 2 by "winner"`) {
+		t.Errorf("message is %q", err)
+	}
+}
+
+// The table takes an edit and its answer is lost, or it takes effect only after the sender gave up on the answer. The
+// operator must be told that the edit is made, once it is, and never that it failed.
+func TestEditSurvivesALostAnswer(t *testing.T) {
+	cases := []struct {
+		name   string
+		commit func(t *memTable, txn platform.Txn)
+	}{
+		{"lost before the write", func(*memTable, platform.Txn) {}},
+		{"lost after the write", func(table *memTable, txn platform.Txn) { table.apply(txn) }},
+		{"write comes late", func(table *memTable, txn platform.Txn) {
+			time.AfterFunc(3*time.Second, func() { table.apply(txn) })
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table := newMemTable()
+				s := newTestStore(table, Options{})
+				lost := 0
+				table.beforeCommit = func(_ context.Context, txn platform.Txn) (bool, error) {
+					lost++
+					if lost > 3 {
+						return false, nil
+					}
+					c.commit(table, txn)
+					return true, errors.Wrap(platform.ErrOutcomeUnknown, "answer lost")
+				}
+				result := mustEdit(t, s, EditRequest{BasedOn: 0, OperationID: "op", Change: putEngine("e")})
+				time.Sleep(10 * time.Second)
+				if content := table.content(); result.Revision != 1 || content.head.GetRevision() != 1 || len(content.log) != 1 {
+					t.Errorf("result %+v, table holds revision %d", result, content.head.GetRevision())
+				}
+			})
+		})
+	}
+}
+
+// The table loses every answer until the edit's time is over. Nobody can know whether the last write is still on its
+// way, so the operator must be told just that, and how to find out.
+func TestEditSaysWhenTheOutcomeIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newMemTable()
+		s := newTestStore(table, Options{EditTimeout: 5 * time.Second})
+		var late platform.Txn
+		table.beforeCommit = func(ctx context.Context, txn platform.Txn) (bool, error) {
+			late = txn
+			<-ctx.Done()
+			return true, ctx.Err()
+		}
+		start := time.Now()
+		_, err := s.Edit(t.Context(), EditRequest{OperationID: "op", Change: putEngine("e")})
+		var unknown *UnknownError
+		if !errors.As(err, &unknown) || unknown.OperationID != "op" || !errors.Is(err, ErrOutcomeUnknown) {
+			t.Fatalf("error is %v", err)
+		}
+		if took := time.Since(start); took > 6*time.Second {
+			t.Errorf("took %v", took)
+		}
+		if state, _, err := s.Operation(t.Context(), "op", 0); state != OperationUnknown || err != nil {
+			t.Errorf("operation is %v, %v", state, err)
+		}
+		table.apply(late)
+		if state, revision, err := s.Operation(t.Context(), "op", 0); state != OperationMade || revision != 1 || err != nil {
+			t.Errorf("operation is %v at %d, %v", state, revision, err)
+		}
+		if state, _, _ := s.Operation(t.Context(), "other", 0); state != OperationUnknown {
+			t.Errorf("another operation is %v", state)
+		}
+	})
+}
+
+func TestOperationOnAPassedRevisionIsNever(t *testing.T) {
+	s := newTestStore(newMemTable(), Options{})
+	mustEdit(t, s, EditRequest{OperationID: "first", Change: putEngine("e")})
+	mustEdit(t, s, EditRequest{OperationID: "second", Change: putEngine("f")})
+	if state, _, _ := s.Operation(t.Context(), "lost", 1); state != OperationNever {
+		t.Errorf("an operation on revision 1 is %v", state)
+	}
+	if state, _, _ := s.Operation(t.Context(), "lost", 2); state != OperationUnknown {
+		t.Errorf("an operation on revision 2 is %v", state)
+	}
+}
+
+// The table is down for longer than an edit may take. The edit certainly had no effect, and must end in time.
+func TestEditInAnOutageIsNotMade(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault func(*memTable)
+	}{
+		{"reads fail", func(t *memTable) {
+			t.beforeRead = func(context.Context) error { return platform.ErrUnavailable }
+		}},
+		{"reads hang", func(t *memTable) {
+			t.beforeRead = func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }
+		}},
+		{"writes are refused", func(t *memTable) {
+			t.beforeCommit = func(context.Context, platform.Txn) (bool, error) { return true, platform.ErrRateLimited }
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table := newMemTable()
+				c.fault(table)
+				s := newTestStore(table, Options{EditTimeout: 3 * time.Second})
+				start := time.Now()
+				_, err := s.Edit(t.Context(), EditRequest{Change: putEngine("e")})
+				if took := time.Since(start); !errors.Is(err, ErrUnavailable) || took > 4*time.Second {
+					t.Errorf("error %v after %v", err, took)
+				}
+				if calls := table.reads + table.commits; calls > 40 {
+					t.Errorf("%d calls in the outage", calls)
+				}
+			})
+		})
+	}
+}
+
+// A caller that stops waiting must get its answer at once, and the edits behind it must go on.
+func TestEditEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newMemTable()
+		table.beforeRead = func(context.Context) error { return platform.ErrUnavailable }
+		s := newTestStore(table, Options{})
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, cancel)
+		start := time.Now()
+		if _, err := s.Edit(ctx, EditRequest{Change: putEngine("e")}); !errors.Is(err, ErrUnavailable) {
+			t.Errorf("error is %v", err)
+		}
+		if took := time.Since(start); took > 1100*time.Millisecond {
+			t.Errorf("took %v", took)
+		}
+	})
+}
+
+func TestEditOutcomesAreCounted(t *testing.T) {
+	table := newMemTable()
+	s := newTestStore(table, Options{EditTimeout: 200 * time.Millisecond})
+	mustEdit(t, s, EditRequest{Change: putEngine("e")})
+	mustEdit(t, s, EditRequest{Change: putEngine("e")})
+	mustEdit(t, s, EditRequest{Change: putEngine("f")})
+	s.Edit(t.Context(), EditRequest{BasedOn: 1, Change: putEngine("g")})
+	s.Edit(t.Context(), EditRequest{Change: putEngine("?")})
+	table.beforeRead = func(context.Context) error { return platform.ErrUnavailable }
+	s.Edit(t.Context(), EditRequest{Change: putEngine("g")})
+	want := map[string]float64{
+		outcomeMade: 2, outcomeUnchanged: 1, outcomeConflict: 1, outcomeInvalid: 1, outcomeUnavailable: 1, outcomeUnknown: 0,
+	}
+	for outcome, count := range want {
+		if got := testutil.ToFloat64(s.metrics.edits.WithLabelValues(outcome)); got != count {
+			t.Errorf("%s: %v edits, want %v", outcome, got, count)
+		}
+	}
+}
+
+// Eight operators edit at once through two entries while the table is slow and loses answers. Each edit must be made
+// once, none may fail, and both entries must end at the same set.
+func TestConcurrentEditsAreAllMadeOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newMemTable()
+		var mu sync.Mutex
+		random := rand.New(rand.NewPCG(5, 5))
+		draw := func(n int) int {
+			mu.Lock()
+			defer mu.Unlock()
+			return random.IntN(n)
+		}
+		table.beforeRead = func(context.Context) error {
+			time.Sleep(time.Duration(draw(5)) * time.Millisecond)
+			return nil
+		}
+		table.beforeCommit = func(_ context.Context, txn platform.Txn) (bool, error) {
+			time.Sleep(time.Duration(draw(5)) * time.Millisecond)
+			if draw(4) > 0 {
+				return false, nil
+			}
+			table.apply(txn)
+			return true, platform.ErrOutcomeUnknown
+		}
+		stores := []*Store{newTestStore(table, Options{EditTimeout: time.Minute}), newTestStore(table, Options{EditTimeout: time.Minute, Seed: 1})}
+		runStore(t, stores[0])
+		runStore(t, stores[1])
+		var operators sync.WaitGroup
+		for i := range 8 {
+			operators.Go(func() {
+				for j := range 10 {
+					label := map[string]string{fmt.Sprintf("o%d-%d", i, j): "x"}
+					mustEdit(t, stores[i%2], EditRequest{Change: SetLabels(&pb.ObjectKey{Kind: KindEngine, Name: "e"}, label, nil)})
+				}
+			})
+		}
+		operators.Wait()
+		time.Sleep(3 * time.Second)
+		for i, s := range stores {
+			engine, _ := s.Current().Engine("e")
+			if s.Current().Revision() != 80 || len(engine.GetLabels()) != 80 {
+				t.Errorf("store %d is at revision %d with %d labels", i, s.Current().Revision(), len(engine.GetLabels()))
+			}
+		}
+	})
+}
--- a/internal/declarations/editor.go
+++ b/internal/declarations/editor.go
@@ -98,8 +98,11 @@
 type (
 	// readView asks for a viewRead or a readFailed.
 	readView struct{}
-	// commitTxn asks for a transaction, which is answered by what became of it.
-	commitTxn struct{ txn platform.Txn }
+	// commitTxn asks for a transaction, which is answered by what became of it. It writes the delta.
+	commitTxn struct {
+		txn   platform.Txn
+		delta *pb.Delta
+	}
 	// wait asks for a waited after a time.
 	wait struct{ duration time.Duration }
 	// finish ends the edit.
@@ -189,7 +192,7 @@
 	if err != nil {
 		return e.fail(err)
 	}
-	return commitTxn{txn: txn}
+	return commitTxn{txn: txn, delta: e.delta}
 }
 
 // prepare works out the delta on the set that was read. It returns an action only when there is nothing to commit.
--- a/internal/declarations/refresh.go
+++ b/internal/declarations/refresh.go
@@ -57,13 +57,14 @@
 
 // readOnce reads the head, and what has changed since the last time if it differs.
 func (s *Store) readOnce(ctx context.Context) error {
+	// Taken before the read: an own edit that commits meanwhile would make the answer look older than what is known.
+	s.mu.Lock()
+	known, seen := s.headRow, s.seen
+	s.mu.Unlock()
 	row, err := s.table.Get(ctx, headKey)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return errors.Wrap(ErrUnavailable, err.Error())
 	}
-	s.mu.Lock()
-	known, seen := s.headRow, s.seen
-	s.mu.Unlock()
 	if seen && row.Revision == known {
 		return nil
 	}
@@ -93,12 +94,18 @@
 	if err := s.adoptContent(content, after == 0); err != nil {
 		return err
 	}
+	s.noteHead(content.headRow, content.head.GetRevision())
+	return nil
+}
+
+// noteHead notes the head's row once all that was written up to it is held. Reads may end out of order; the row only
+// moves forward.
+func (s *Store) noteHead(row, revision uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if content.headRow > s.headRow {
-		s.headRow, s.headRevision = content.headRow, content.head.GetRevision()
+	if row > s.headRow {
+		s.headRow, s.headRevision = row, revision
 	}
-	return nil
 }
 
 // adoptContent takes in what was read. The log is kept also where a peer was faster with the declarations themselves: it
--- a/internal/declarations/set_test.go
+++ b/internal/declarations/set_test.go
@@ -183,16 +183,14 @@
 	return objects
 }
 
-var adapterCounts = []int{100, 1000, 2700, 10_000}
-
-func BenchmarkApply(b *testing.B) {
-	for _, n := range adapterCounts {
+// benchmarkSizes runs a benchmark beside several numbers of adapters.
+func benchmarkSizes(b *testing.B, run func(b *testing.B, objects []*pb.Object) func() error) {
+	for _, n := range []int{100, 1000, 2700, 10_000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			set := mustSet(b, 1, adapters(n))
-			delta := &pb.Delta{Revision: 2, Put: []*pb.Object{AdapterObject(&pb.Adapter{Name: "adapter-00050", Model: "m", Version: "v"})}}
+			once := run(b, adapters(n))
 			b.ReportAllocs()
 			for b.Loop() {
-				if _, err := set.Apply(delta); err != nil {
+				if err := once(); err != nil {
 					b.Fatal(err)
 				}
 			}
@@ -200,60 +198,39 @@
 	}
 }
 
+func BenchmarkApply(b *testing.B) {
+	benchmarkSizes(b, func(b *testing.B, objects []*pb.Object) func() error {
+		set := mustSet(b, 1, objects)
+		delta := &pb.Delta{Revision: 2, Put: objects[50:51]}
+		return func() error { _, err := set.Apply(delta); return err }
+	})
+}
+
 func BenchmarkResolve(b *testing.B) {
-	for _, n := range adapterCounts {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			set := mustSet(b, 1, adapters(n))
-			b.ReportAllocs()
-			for b.Loop() {
-				if _, err := set.Resolve("adapter-00077"); err != nil {
-					b.Fatal(err)
-				}
-			}
-		})
-	}
+	benchmarkSizes(b, func(b *testing.B, objects []*pb.Object) func() error {
+		set := mustSet(b, 1, objects)
+		return func() error { _, err := set.Resolve("adapter-00077"); return err }
+	})
 }
 
 func BenchmarkNewSet(b *testing.B) {
-	for _, n := range adapterCounts {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			snapshot := &pb.Snapshot{Revision: 1, Objects: adapters(n)}
-			b.ReportAllocs()
-			b.ReportMetric(float64(proto.Size(snapshot)), "wire-bytes")
-			for b.Loop() {
-				if _, err := NewSet(snapshot); err != nil {
-					b.Fatal(err)
-				}
-			}
-		})
-	}
+	benchmarkSizes(b, func(b *testing.B, objects []*pb.Object) func() error {
+		snapshot := &pb.Snapshot{Revision: 1, Objects: objects}
+		b.ReportMetric(float64(proto.Size(snapshot)), "wire-bytes")
+		return func() error { _, err := NewSet(snapshot); return err }
+	})
 }
 
 func BenchmarkCheckEdit(b *testing.B) {
-	for _, n := range adapterCounts {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			set := mustSet(b, 1, adapters(n))
-			put := []*pb.Object{AdapterObject(&pb.Adapter{Name: "adapter-00050", Model: "m", Version: "v", MemoryBytes: 7})}
-			b.ReportAllocs()
-			for b.Loop() {
-				if err := set.check(put, nil); err != nil {
-					b.Fatal(err)
-				}
-			}
-		})
-	}
+	benchmarkSizes(b, func(b *testing.B, objects []*pb.Object) func() error {
+		set := mustSet(b, 1, objects)
+		return func() error { return set.check(objects[50:51], nil) }
+	})
 }
 
 func BenchmarkParseFile(b *testing.B) {
-	for _, n := range adapterCounts {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			data := Format(adapters(n))
-			b.ReportAllocs()
-			for b.Loop() {
-				if _, err := ParseFile("f.ini", data); err != nil {
-					b.Fatal(err)
-				}
-			}
-		})
-	}
+	benchmarkSizes(b, func(b *testing.B, objects []*pb.Object) func() error {
+		data := Format(objects)
+		return func() error { _, err := ParseFile("f.ini", data); return err }
+	})
 }
--- /dev/null
+++ b/internal/declarations/store_test.go
@@ -0,0 +1,195 @@
+package declarations
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"balsamsail/internal/clock"
+	pb "balsamsail/internal/declarations/declarationspb"
+	"balsamsail/internal/platform"
+)
+
+func newTestStore(table platform.Table, o Options) *Store {
+	return NewStore(o, table, clock.Real{}, slog.New(slog.DiscardHandler), prometheus.NewRegistry())
+}
+
+// runStore runs a store until the test is over.
+func runStore(t *testing.T, s *Store) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Errorf("Run returned %v", err)
+		}
+	})
+}
+
+func putEngine(name string) ChangeFunc {
+	return PutObjects([]*pb.Object{EngineObject(&pb.Engine{Name: name})}, nil)
+}
+
+func mustEdit(t *testing.T, s *Store, request EditRequest) EditResult {
+	t.Helper()
+	result, err := s.Edit(t.Context(), request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result
+}
+
+// A store that was cut off for longer than the log reaches back must read everything anew.
+func TestStoreCatchesUpBeyondTheLog(t *testing.T) {
+	table := newMemTable()
+	writer, reader := newTestStore(table, Options{LogKeep: 4}), newTestStore(table, Options{LogKeep: 4})
+	edit := func(from, to int) {
+		for i := from; i <= to; i++ {
+			mustEdit(t, writer, EditRequest{Change: putEngine(fmt.Sprintf("e%d", i))})
+		}
+	}
+	edit(1, 2)
+	if _, err := reader.refresh(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	edit(3, 20)
+	if kept := len(table.content().log); kept != 4 {
+		t.Errorf("the log keeps %d revisions", kept)
+	}
+	if _, err := reader.refresh(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if got := reader.Current(); got.Revision() != 20 || len(got.Engines()) != 20 {
+		t.Errorf("revision %d with %d engines", got.Revision(), len(got.Engines()))
+	}
+	if _, ok := reader.DeltasSince(16); !ok {
+		t.Error("the last four deltas are missing")
+	}
+	if _, ok := reader.DeltasSince(15); ok {
+		t.Error("deltas beyond the log are there")
+	}
+}
+
+func TestStoreReadsOnlyWhatChanged(t *testing.T) {
+	table := newMemTable()
+	s := newTestStore(table, Options{})
+	mustEdit(t, s, EditRequest{Change: putEngine("e")})
+	before := table.lists
+	for range 5 {
+		if _, err := s.refresh(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if table.lists > before+1 {
+		t.Errorf("%d listings of an unchanged table", table.lists-before)
+	}
+}
+
+// An entry starts in an outage of the table and gets the declarations from a peer. It must not be ready by that alone,
+// and when the table comes back it must know the operations in its log: a client that repeats an edit would otherwise
+// have it made twice.
+func TestStoreLearnsFromAPeerInAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newMemTable()
+		peer := newTestStore(table, Options{})
+		mustEdit(t, peer, EditRequest{OperationID: "first", Change: SetDrain("e", true)})
+		mustEdit(t, peer, EditRequest{OperationID: "second", Change: SetDrain("e", false)})
+		table.beforeRead = func(context.Context) error { return platform.ErrUnavailable }
+		s := newTestStore(table, Options{})
+		runStore(t, s)
+		time.Sleep(5 * time.Second)
+		if err := s.Learn(peer.Current().Snapshot(), nil); err != nil {
+			t.Fatal(err)
+		}
+		if s.Current().Revision() != 2 || s.Ready() || s.Outage().IsZero() {
+			t.Errorf("revision %d, ready %v, outage since %v", s.Current().Revision(), s.Ready(), s.Outage())
+		}
+		table.mu.Lock()
+		table.beforeRead = nil
+		table.mu.Unlock()
+		result := mustEdit(t, s, EditRequest{OperationID: "first", Change: SetDrain("e", true)})
+		if result.Revision != 1 || table.content().head.GetRevision() != 2 || !s.Ready() {
+			t.Errorf("result %+v, the table is at %d", result, table.content().head.GetRevision())
+		}
+	})
+}
+
+// A peer's snapshot that was sent before the newest change arrives after it. What is in force must not revert.
+func TestStoreNeverLearnsAnOldRevision(t *testing.T) {
+	deltas, snapshots := chain(5)
+	s := newTestStore(newMemTable(), Options{})
+	steps := []struct {
+		name     string
+		snapshot *pb.Snapshot
+		deltas   []*pb.Delta
+		want     uint64
+		err      error
+	}{
+		{"snapshot", snapshots[3], nil, 3, nil},
+		{"older snapshot", snapshots[2], nil, 3, nil},
+		{"next deltas, some known", nil, deltas[1:4], 4, nil},
+		{"gap", nil, []*pb.Delta{{Revision: 9}}, 4, ErrGap},
+		{"snapshot and delta", snapshots[4], deltas[4:], 5, nil},
+		{"all of the past", snapshots[1], deltas, 5, nil},
+	}
+	for _, step := range steps {
+		err := s.Learn(step.snapshot, step.deltas)
+		if !errors.Is(err, step.err) || (err == nil) != (step.err == nil) {
+			t.Errorf("%s: error %v, want %v", step.name, err, step.err)
+		}
+		if got := s.Current(); got.Revision() != step.want || labelOf(got) != fmt.Sprintf("r%d", step.want) {
+			t.Errorf("%s: revision %d holds %s, want %d", step.name, got.Revision(), labelOf(got), step.want)
+		}
+	}
+}
+
+// The table loses rows. The system must go on with what it holds, say so, and not take the older state for a new one.
+func TestStoreRefusesATableThatWentBack(t *testing.T) {
+	table := newMemTable()
+	s := newTestStore(table, Options{EditTimeout: time.Second})
+	mustEdit(t, s, EditRequest{Change: putEngine("e")})
+	mustEdit(t, s, EditRequest{Change: putEngine("f")})
+	if _, err := s.refresh(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	table.rows = map[string]platform.Row{}
+	if _, err := s.refresh(t.Context()); !errors.Is(err, ErrUnavailable) {
+		t.Errorf("error is %v", err)
+	}
+	if s.Current().Revision() != 2 {
+		t.Errorf("revision is %d", s.Current().Revision())
+	}
+}
+
+// While the table is down its readers must not hammer it, and when it is back they must be quick.
+func TestRunBacksOffAndRecovers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newMemTable()
+		table.beforeRead = func(context.Context) error { return platform.ErrUnavailable }
+		s := newTestStore(table, Options{})
+		runStore(t, s)
+		time.Sleep(10 * time.Minute)
+		synctest.Wait()
+		if table.reads > 600 {
+			t.Errorf("%d reads in ten minutes of outage", table.reads)
+		}
+		if seconds := s.outageSeconds(); seconds < 590 {
+			t.Errorf("outage of %v s", seconds)
+		}
+		table.mu.Lock()
+		table.beforeRead = nil
+		table.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		if !s.Ready() || !s.Outage().IsZero() || s.outageSeconds() != 0 {
+			t.Errorf("ready %v, outage since %v", s.Ready(), s.Outage())
+		}
+	})
+}
--- /dev/null
+++ b/internal/declarations/table_test.go
@@ -0,0 +1,108 @@
+package declarations
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+
+	"balsamsail/internal/platform"
+)
+
+// memTable is a table in memory. Its hooks run before a call and may fail it.
+type memTable struct {
+	mu       sync.Mutex
+	revision uint64
+	rows     map[string]platform.Row
+
+	// beforeRead fails a read with the error that it returns.
+	beforeRead func(ctx context.Context) error
+	// beforeCommit answers a commit itself when it returns true.
+	beforeCommit func(ctx context.Context, txn platform.Txn) (bool, error)
+
+	reads, lists, commits int
+}
+
+func newMemTable() *memTable { return &memTable{rows: map[string]platform.Row{}} }
+
+func (t *memTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := t.admitRead(ctx, &t.reads); err != nil {
+		return platform.Row{}, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row, ok := t.rows[key]
+	if !ok {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+func (t *memTable) List(ctx context.Context, prefix string, after uint64) (platform.Listing, error) {
+	if err := t.admitRead(ctx, &t.lists); err != nil {
+		return platform.Listing{}, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	listing := platform.Listing{Revision: t.revision}
+	for key, row := range t.rows {
+		if strings.HasPrefix(key, prefix) && row.Revision > after {
+			listing.Rows = append(listing.Rows, row)
+		}
+	}
+	slices.SortFunc(listing.Rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	return listing, nil
+}
+
+func (t *memTable) admitRead(ctx context.Context, count *int) error {
+	t.mu.Lock()
+	*count++
+	before := t.beforeRead
+	t.mu.Unlock()
+	if before == nil {
+		return nil
+	}
+	return before(ctx)
+}
+
+func (t *memTable) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	t.mu.Lock()
+	t.commits++
+	before := t.beforeCommit
+	t.mu.Unlock()
+	if before != nil {
+		if answered, err := before(ctx, txn); answered {
+			return 0, err
+		}
+	}
+	return t.apply(txn)
+}
+
+// apply runs a transaction past the hooks.
+func (t *memTable) apply(txn platform.Txn) (uint64, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range txn.Conditions {
+		if has := t.rows[c.Key].Revision; has != c.Revision {
+			return 0, &platform.ConflictError{Key: c.Key, Revision: has}
+		}
+	}
+	t.revision++
+	for _, key := range txn.Deletes {
+		delete(t.rows, key)
+	}
+	for _, put := range txn.Puts {
+		t.rows[put.Key] = platform.Row{Key: put.Key, Revision: t.revision, Value: put.Value}
+	}
+	return t.revision, nil
+}
+
+// content decodes what the table holds.
+func (t *memTable) content() *tableContent {
+	listing, _ := t.List(context.Background(), tablePrefix, 0)
+	content, err := decodeContent(listing.Rows)
+	if err != nil {
+		panic(err)
+	}
+	return content
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -78,11 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	target := new(T)
-	if err := source.decode(target); err != nil {
-		return nil, err
-	}
-	return target, nil
+	return Parse[T](source)
 }
 
 // LoadEntry reads the settings of an entry.
