--- a/internal/routing/retry.go
+++ b/internal/routing/retry.go
@@ -33,89 +33,86 @@
 // earlier one that broke.
 func Decide(now time.Time, a Attempt, s *RequestState) Verdict {
 	s.Attempts++
-	switch a.Outcome {
-	case OutcomeServed:
+	s.MayHaveRun = s.MayHaveRun || a.mayHaveRun(s.Idempotent)
+	switch {
+	case a.Outcome == OutcomeServed:
 		return Verdict{Kind: VerdictDone}
-	case OutcomeCut:
-		return Verdict{Kind: VerdictAbort}
-	case OutcomeBroken:
-		if s.Idempotent || a.Committed {
-			s.MayHaveRun = true
-		}
+	case a.Outcome == OutcomeCut || s.AnswerBegun:
+		return Verdict{Kind: VerdictAbort, Reason: a.reason()}
 	}
-	if s.AnswerBegun {
-		return Verdict{Kind: VerdictAbort}
-	}
-	if mayRetry(now, a, s) {
-		return Verdict{Kind: VerdictRetry}
+	if wait, ok := mayRetry(now, a, s); ok {
+		return Verdict{Kind: VerdictRetry, Wait: wait, Reason: a.reason()}
 	}
 	if s.MayHaveRun {
-		return Verdict{Kind: VerdictUnknown, Reason: a.Reason}
+		return Verdict{Kind: VerdictUnknown, Reason: a.reason()}
 	}
-	return Verdict{Kind: VerdictRefuse, Reason: reasonOf(a), RetryAfter: a.RetryAfter}
+	return Verdict{Kind: VerdictRefuse, Reason: a.reason(), RetryAfter: max(a.RetryAfter, minRetryAfter)}
 }
 
-func mayRetry(now time.Time, a Attempt, s *RequestState) bool {
-	if s.MayHaveRun && !s.Idempotent {
-		return false
-	}
-	if s.Attempts >= s.MaxAttempts || !s.Untried || !now.Before(s.Deadline) {
+// minRetryAfter is the shortest time to come back that a caller is told.
+const minRetryAfter = 100 * time.Millisecond
+
+// mayHaveRun reports whether the endpoint may have run the request without a definite answer. A two-step request cannot
+// have run before its commit.
+func (a Attempt) mayHaveRun(idempotent bool) bool {
+	switch a.Outcome {
+	case OutcomeBroken, OutcomeCut:
+		return idempotent || a.Committed
+	default:
 		return false
 	}
-	return s.Budget != nil && s.Budget.Spend(now)
 }
 
-func reasonOf(a Attempt) wirepb.RefusalReason {
+// reason is the refusal's reason; an attempt that ended without a word from the agent counts as unreachable.
+func (a Attempt) reason() wirepb.RefusalReason {
 	if a.Reason == wirepb.RefusalReason_REFUSAL_REASON_UNSPECIFIED {
 		return wirepb.RefusalReason_ENDPOINT_UNREACHABLE
 	}
 	return a.Reason
 }
 
-// BudgetOptions are the settings of a RetryBudget.
-type BudgetOptions struct {
-	// Share is how many retries each success allows, for example 0.2.
-	Share float64
-	// FloorPerSecond retries are allowed without any success.
-	FloorPerSecond float64
-	// Burst bounds the saved-up retries.
-	Burst float64
-}
-
-// RetryBudget bounds retries to a share of the successes, so that retries cannot multiply an overload. It is not safe for
-// concurrent use.
-type RetryBudget struct {
-	options BudgetOptions
-	tokens  float64
-	filled  time.Time
-}
-
-// NewRetryBudget returns a budget that is full.
-func NewRetryBudget(options BudgetOptions) *RetryBudget {
-	return &RetryBudget{options: options, tokens: options.Burst}
-}
-
-// Success notes a request that was served.
-func (b *RetryBudget) Success() {
-	b.tokens = min(b.options.Burst, b.tokens+b.options.Share)
+// mayRetry decides about another attempt and how long to wait before it. With a wait, candidates that were tried may be
+// tried again.
+func mayRetry(now time.Time, a Attempt, s *RequestState) (time.Duration, bool) {
+	if s.MayHaveRun && !s.Idempotent {
+		return 0, false
+	}
+	if s.Attempts >= s.MaxAttempts || !now.Before(s.Deadline) {
+		return 0, false
+	}
+	wait := time.Duration(0)
+	if !s.Untried {
+		wait = a.RetryAfter
+		if !a.passes() || wait <= 0 || wait > s.Deadline.Sub(now)/2 {
+			return 0, false
+		}
+	}
+	if a.isMove() {
+		return wait, true
+	}
+	return wait, s.Budget != nil && s.Budget.Spend(now)
 }
 
-// Spend takes one retry out of the budget, or reports that none is left.
-func (b *RetryBudget) Spend(now time.Time) bool {
-	b.fill(now)
-	if b.tokens < 1 {
+// passes reports whether the reason of a refusal is one that passes within the time to come back, on the same endpoint or
+// on the one that takes its place: waiting for it serves the request, where an overload would only be kept up by it.
+func (a Attempt) passes() bool {
+	switch a.Reason {
+	case wirepb.RefusalReason_NOT_READY, wirepb.RefusalReason_LEAVING, wirepb.RefusalReason_NOT_GRANTED:
+		return true
+	default:
 		return false
 	}
-	b.tokens--
-	return true
 }
 
-func (b *RetryBudget) fill(now time.Time) {
-	if passed := now.Sub(b.filled); !b.filled.IsZero() && passed > 0 {
-		b.tokens = min(b.options.Burst, b.tokens+passed.Seconds()*b.options.FloorPerSecond)
-	}
-	if now.After(b.filled) {
-		b.filled = now
+// isMove reports whether the attempt was refused because this entry's view of the endpoint was late. Moving on is then
+// part of finding the endpoint, not a retry that loads the system twice, and takes nothing from the budget.
+func (a Attempt) isMove() bool {
+	switch a.Reason {
+	case wirepb.RefusalReason_NOT_READY, wirepb.RefusalReason_LEAVING, wirepb.RefusalReason_NOT_GRANTED,
+		wirepb.RefusalReason_NO_MEMORY, wirepb.RefusalReason_UNKNOWN_TARGET:
+		return a.Outcome == OutcomeRefused
+	default:
+		return false
 	}
 }
 
@@ -130,11 +127,25 @@
 	StageAccepted
 )
 
+const (
+	// minAnswerPatience and maxAnswerPatience bound the wait for the first word of an agent, which needs no more than
+	// the way there and back.
+	minAnswerPatience = 100 * time.Millisecond
+	maxAnswerPatience = time.Second
+	// answerShare is the part of the time left that a silent agent may cost.
+	answerShare = 10
+	// minStartPatience and startFactor bound the wait for the start beyond what the agent expected.
+	minStartPatience = time.Second
+	startFactor      = 2
+)
+
 // PatienceFor returns how long to wait for the next frame of an attempt that has not begun to run before moving on to
-// another endpoint; left is the time to the deadline, and expected the wait that the agent told.
+// another endpoint; left is the time to the deadline, and expected the wait that the agent told. A frozen agent keeps its
+// connections and says nothing: without a bound each request would wait for it until its deadline.
 func PatienceFor(stage Stage, left, expected time.Duration) time.Duration {
+	patience := max(startFactor*expected, minStartPatience)
 	if stage == StageOffered {
-		return min(max(left/10, 100*time.Millisecond), time.Second)
+		patience = min(max(left/answerShare, minAnswerPatience), maxAnswerPatience)
 	}
-	return min(max(2*expected, time.Second), left)
+	return max(0, min(patience, left))
 }
