--- a/internal/declarations/store_test.go
+++ b/internal/declarations/store_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net/http/httptest"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +16,7 @@
 	"balsamsail/internal/clock"
 	pb "balsamsail/internal/declarations/declarationspb"
 	"balsamsail/internal/platform"
+	standinplatform "balsamsail/internal/standin/platform"
 )
 
 func newTestStore(table platform.Table, o Options) *Store {
@@ -193,3 +196,42 @@
 		}
 	})
 }
+
+// The same over HTTP and the stand-in of the platform: each way in which the table loses an answer, and an outage.
+func TestStoreOverHTTP(t *testing.T) {
+	standin := standinplatform.New(standinplatform.Options{Seed: 1})
+	server := httptest.NewServer(standin.Handler())
+	defer server.Close()
+	table := platform.NewHTTPTable(platform.Options{TableURL: server.URL, Timeout: 2 * time.Second}, server.Client())
+	s := newTestStore(table, Options{})
+	fault := func(change func(*standinplatform.StoreFaults)) {
+		standin.Faults().Update(func(f *standinplatform.Faults) { change(&f.Table) })
+	}
+	cases := []struct {
+		name  string
+		fault func(*standinplatform.StoreFaults)
+	}{
+		{"no fault", func(*standinplatform.StoreFaults) {}},
+		{"lost before", func(f *standinplatform.StoreFaults) { f.LoseBefore.Next = 2 }},
+		{"lost after", func(f *standinplatform.StoreFaults) { f.LoseAfter.Next = 2 }},
+		{"delayed", func(f *standinplatform.StoreFaults) { f.Delay.Next, f.DelaySeconds = 2, 0.05 }},
+	}
+	for i, c := range cases {
+		fault(c.fault)
+		result := mustEdit(t, s, EditRequest{BasedOn: uint64(i), Change: putEngine("org/e:" + strconv.Itoa(i))})
+		if result.Revision != uint64(i)+1 {
+			t.Errorf("%s: revision %d", c.name, result.Revision)
+		}
+	}
+	fault(func(f *standinplatform.StoreFaults) { f.Outage = true })
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	if _, err := s.Edit(ctx, EditRequest{Change: putEngine("f")}); !errors.Is(err, ErrUnavailable) {
+		t.Errorf("in the outage: %v", err)
+	}
+	fault(func(f *standinplatform.StoreFaults) { f.Outage = false })
+	reader := newTestStore(table, Options{})
+	if _, err := reader.refresh(t.Context()); err != nil || len(reader.Current().Engines()) != len(cases) {
+		t.Errorf("another store reads %v, %v", reader.Current().Engines(), err)
+	}
+}
