--- a/internal/loading/permits/budget_test.go
+++ b/internal/loading/permits/budget_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -295,6 +296,9 @@
 	for _, pending := range []int{100, 1_000, 10_000} {
 		b.Run(fmt.Sprint("pending=", pending), func(b *testing.B) {
 			rng := rand.New(rand.NewPCG(1, 1))
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
 			budget := NewBudget(Options{LoadsPerSecond: 1e6, LoadsAtOnce: 4, AdaptersInTransit: 30, MaxPending: pending + 8, Lease: time.Hour})
 			keys := make([]string, pending)
 			for i := range keys {
@@ -302,6 +306,8 @@
 				budget.Request(epoch, keys[i], ask("1", time.Duration(rng.IntN(3600))*time.Second))
 			}
 			budget.Decide(epoch)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				now := epoch.Add(time.Duration(i) * time.Microsecond)
@@ -310,6 +316,7 @@
 				budget.Request(now, agent, ask("1", time.Duration(rng.IntN(3600))*time.Second))
 				budget.Decide(now)
 			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(pending), "B/pending")
 		})
 	}
 }
