--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -104,7 +104,7 @@
 
 	core     *core
 	receiver *declarations.Receiver
-	requests sync.WaitGroup
+	requests inflight
 
 	mu       sync.Mutex
 	entries  map[string]*controlStream
@@ -188,30 +188,32 @@
 	tasks.Go(func() { a.runRowReads(ctx) })
 }
 
+// drainLinger is how long connections are kept after the last answer was written. A connection that is closed with
+// unread input, such as a heartbeat on its way, is reset, and a reset may overtake the answer's last bytes.
+const drainLinger = 500 * time.Millisecond
+
 // drain waits for the running requests.
 func (a *Agent) drain() error {
-	done := make(chan struct{})
-	go func() {
-		a.requests.Wait()
-		close(done)
-	}()
 	timer := a.clock.NewTimer(a.options.DrainTimeout)
 	defer timer.Stop()
 	select {
-	case <-done:
-		a.recorder.Record(timeline.Event{Kind: timeline.DrainDone, Endpoint: a.options.Endpoint})
-		return nil
+	case <-a.requests.empty():
 	case <-timer.C():
 		return ErrDrainTimeout
 	}
+	a.recorder.Record(timeline.Event{Kind: timeline.DrainDone, Endpoint: a.options.Endpoint})
+	linger := a.clock.NewTimer(drainLinger)
+	defer linger.Stop()
+	<-linger.C()
+	return nil
 }
 
 // serveStream serves one stream that an entry opened.
 func (a *Agent) serveStream(ctx context.Context, header *wirepb.StreamHeader, stream *wire.Stream) {
 	switch header.Kind {
 	case wirepb.StreamKind_REQUEST:
-		a.requests.Add(1)
-		defer a.requests.Done()
+		a.requests.enter()
+		defer a.requests.exit()
 		a.serveRequest(ctx, stream)
 	case wirepb.StreamKind_CONTROL:
 		a.serveControl(ctx, header, stream)
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -26,7 +27,7 @@
 // every other case the connection is cut, so that a caller never takes a part of an answer for the whole.
 type answer struct {
 	w         http.ResponseWriter
-	flush     func() error
+	control   *http.ResponseController
 	requestID string
 	begun     bool
 	streamed  bool
@@ -37,7 +38,7 @@
 }
 
 func newAnswer(w http.ResponseWriter, requestID string) *answer {
-	return &answer{w: w, flush: http.NewResponseController(w).Flush, requestID: requestID, checksum: xxhash.New()}
+	return &answer{w: w, control: http.NewResponseController(w), requestID: requestID, checksum: xxhash.New()}
 }
 
 // reset forgets an attempt's answer of which nothing was sent.
@@ -93,8 +94,13 @@
 	a.w.WriteHeader(int(a.head.Status))
 }
 
+// stallTimeout bounds how long a caller may take no byte of an answer that is there. A caller that has stopped reading
+// would otherwise hold a place at the engine for as long as an answer may last.
+const stallTimeout = 30 * time.Second
+
 // send writes to the caller, first what was held back.
 func (a *answer) send(data []byte) error {
+	_ = a.control.SetWriteDeadline(time.Now().Add(stallTimeout))
 	if len(a.held) > 0 {
 		held := a.held
 		a.held = nil
@@ -105,7 +111,7 @@
 	if _, err := a.w.Write(data); err != nil {
 		return errors.Wrap(errCallerGone, err.Error())
 	}
-	if err := a.flush(); err != nil {
+	if err := a.control.Flush(); err != nil {
 		return errors.Wrap(errCallerGone, err.Error())
 	}
 	return nil
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -39,7 +39,7 @@
 		e.answerError(w, id, refusal)
 		return
 	}
-	body, refusal := readBody(w, r, e.options.MaxBody)
+	body, refusal := readBody(w, r, e.options.MaxBody, deadline)
 	if refusal != nil {
 		e.answerError(w, id, refusal)
 		return
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -79,9 +79,13 @@
 	return notRun(http.StatusBadRequest, CodeBadRequest, message, 0)
 }
 
-// readBody reads a bounded body whole.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *apiError) {
+// readBody reads a bounded body whole, by the request's deadline: a caller that sends slowly must not hold a connection
+// for ever.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, *apiError) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(deadline)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, notRun(http.StatusRequestEntityTooLarge, CodeBodyTooLarge, "the body is over "+strconv.FormatInt(limit, 10)+" bytes", 0)
