replicas: a decision costs what has changed; table calls counted; entries read before they step in

Weighed: a longer wait than the read interval (steps in later, still blind) against one read of the changed rows before a deferred proposal; the read won. Change: per row and per set of engines what was worked out is kept; a row in which nothing was to be decided is skipped while its inputs are the same; the property compares each fourth decision with a fresh process's.

--- a/internal/replicas/bench_test.go
+++ b/internal/replicas/bench_test.go
@@ -3,13 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"log/slog"
 	"testing"
 
-	"github.com/prometheus/client_golang/prometheus"
-
-	"balsamsail/internal/clock"
 	"balsamsail/internal/platform"
 )
 
@@ -82,9 +77,7 @@
 		b.Run(fmt.Sprintf("models=%d/engines=%d", size.models, size.engines), func(b *testing.B) {
 			options := DefaultOptions()
 			options.Interval, options.FullInterval = 1<<62, 1<<62
-			in := fixedInputs{site: s}
-			m := NewManager(options, newMemoryTable(), Inputs{in, in, in, in}, clock.Real{},
-				slog.New(slog.NewTextHandler(io.Discard, nil)), prometheus.NewRegistry(), nil)
+			m := newTestManager(options, newMemoryTable(), &siteInputs{site: s, self: "entry"})
 			m.store.take(s.now, platform.Listing{}, true)
 			for _, view := range s.Rows {
 				m.store.put(s.now, view.Row)
@@ -97,13 +90,3 @@
 		})
 	}
 }
-
-// fixedInputs hands a site to a Manager.
-type fixedInputs struct{ site *site }
-
-func (f fixedInputs) Declared() (Declared, bool)      { return f.site.Declared, true }
-func (f fixedInputs) Engines() ([]EngineView, uint64) { return f.site.Engines, f.site.EnginesVersion }
-func (f fixedInputs) Hosts() HostsView                { return f.site.Hosts }
-func (f fixedInputs) Self() string                    { return "entry" }
-func (f fixedInputs) Live() []string                  { return []string{"entry"} }
-func (f fixedInputs) Usage(string) (int, []string)    { return 0, nil }
--- a/internal/replicas/decider.go
+++ b/internal/replicas/decider.go
@@ -6,101 +6,109 @@
 	"time"
 
 	"balsamsail/internal/replicas/replicaspb"
-	"balsamsail/internal/wire/wirepb"
 )
 
 // recheckInterval is the time after which a decision is taken again when it waits for something that is not an input's
 // change, such as a replica's load.
 const recheckInterval = time.Second
 
-// Decider decides changes of rows. It keeps nothing between decisions but what it has worked out from its inputs. It is
-// not safe for concurrent use.
+// Decider decides changes of rows. What it keeps between decisions follows from its inputs and only saves working it out
+// again. It is not safe for concurrent use.
 type Decider struct {
 	policy  Policy
 	index   *engineIndex
 	version uint64
+	memos   map[string]*memo
+	scratch scratch
 }
 
 // NewDecider returns a Decider.
-func NewDecider(policy Policy) *Decider { return &Decider{policy: policy} }
+func NewDecider(policy Policy) *Decider { return &Decider{policy: policy, memos: map[string]*memo{}} }
 
 // Decide returns the changes that the snapshot calls for.
 func (d *Decider) Decide(now time.Time, s *Snapshot) Decision {
-	r := d.newRun(now, s)
-	for _, model := range r.models() {
-		r.decideModel(model)
+	if d.index == nil || s.EnginesVersion == 0 || s.EnginesVersion != d.version {
+		d.index = newEngineIndex(s.Engines)
+		d.version = s.EnginesVersion
 	}
-	r.rebalance()
-	slices.SortFunc(r.decision.Changes, func(a, b Change) int { return cmp.Compare(a.Model, b.Model) })
+	d.index.listHosts(s.Hosts)
+	d.scratch.reset(len(s.Engines))
+	r := &run{
+		now:      now,
+		policy:   d.policy,
+		snapshot: s,
+		index:    d.index,
+		memos:    d.memos,
+		specs:    make(map[string]*ModelSpec, len(s.Declared.Models)),
+		scratch:  &d.scratch,
+	}
+	r.measure()
+	r.decide()
+	d.forget(s.Rows)
 	return r.decision
 }
 
+// forget drops what was worked out for rows that are gone.
+func (d *Decider) forget(rows map[string]RowView) {
+	for model := range d.memos {
+		if _, ok := rows[model]; !ok {
+			delete(d.memos, model)
+		}
+	}
+}
+
 // run is one decision in the making.
 type run struct {
 	now      time.Time
 	policy   Policy
 	snapshot *Snapshot
 	index    *engineIndex
+	memos    map[string]*memo
 	specs    map[string]*ModelSpec
-	// load and warm are the declared weights of each engine's slots, and of those of them that stay loaded.
-	load, warm []int64
 	// moving is the number of model versions with a slot on its way out, and settled lists those whose slots are all good.
 	moving   int
-	settled  []settled
+	settled  []*settled
 	decision Decision
+	*scratch
 }
 
-func (d *Decider) newRun(now time.Time, s *Snapshot) *run {
-	if d.index == nil || s.EnginesVersion == 0 || s.EnginesVersion != d.version {
-		d.index = newEngineIndex(s.Engines)
-		d.version = s.EnginesVersion
-	}
-	r := &run{
-		now:      now,
-		policy:   d.policy,
-		snapshot: s,
-		index:    d.index,
-		specs:    make(map[string]*ModelSpec, len(s.Declared.Models)),
-		load:     make([]int64, len(s.Engines)),
-		warm:     make([]int64, len(s.Engines)),
+func (r *run) decide() {
+	for _, model := range r.models() {
+		r.decideModel(model)
 	}
-	r.measure()
-	return r
+	r.rebalance()
+	slices.SortFunc(r.decision.Changes, func(a, b Change) int { return cmp.Compare(a.Model, b.Model) })
 }
 
-// measure works out what each engine's slots weigh, and what share of the engines' memory they make up.
+// measure works out what each engine's slots weigh, and its share of all that the slots weigh when they are spread evenly
+// over the memory of the engines that may hold them.
 func (r *run) measure() {
-	for _, g := range r.index.groups {
-		g.density = 0
-	}
+	r.index.resetDensities()
 	for i := range r.snapshot.Declared.Models {
 		spec := &r.snapshot.Declared.Models[i]
 		r.specs[spec.Model] = spec
-		granted := r.weigh(spec, r.snapshot.Rows[spec.Model].Row)
+		m := r.memo(spec.Model)
+		r.weigh(spec, m)
 		home, _ := r.policy.bounds(*spec)
 		g := r.index.group(spec.Selector)
 		if g.memory > 0 {
-			g.density += float64(spec.MemoryBytes) * float64(max(home, granted)) / float64(g.memory)
+			g.density += float64(spec.MemoryBytes) * float64(max(home, len(m.granted))) / float64(g.memory)
 		}
 	}
+	r.index.addShares(r.share)
 }
 
-// weigh adds a row's GRANTED slots to the loads of their engines and returns their number.
-func (r *run) weigh(spec *ModelSpec, row *replicaspb.Row) int {
-	granted := 0
-	for _, s := range row.GetSlots() {
-		if s.State != replicaspb.SlotState_GRANTED {
+// weigh adds a row's GRANTED slots to the loads of their engines.
+func (r *run) weigh(spec *ModelSpec, m *memo) {
+	for n, engine := range m.granted {
+		if engine < 0 {
 			continue
 		}
-		if i := r.index.holder(s.Engine, s.Host); i >= 0 {
-			r.load[i] += spec.MemoryBytes
-			if granted < spec.Warm {
-				r.warm[i] += spec.MemoryBytes
-			}
+		r.load[engine] += spec.MemoryBytes
+		if n < spec.Warm {
+			r.warm[engine] += spec.MemoryBytes
 		}
-		granted++
 	}
-	return granted
 }
 
 // models returns the names of all declared model versions and of all that have a row, in order.
@@ -134,8 +142,12 @@
 	if view.Row.GetDeclarationsRevision() > r.snapshot.Declared.Revision {
 		return
 	}
+	spec, m := r.specs[model], r.memo(model)
+	if spec != nil && r.stillCalm(m, model) {
+		r.settled = append(r.settled, &settled{spec: spec, view: view, memo: m})
+		return
+	}
 	d := newDraft(model, view)
-	spec := r.specs[model]
 	r.removeFreed(d)
 	r.judge(spec, d)
 	if spec == nil {
@@ -143,16 +155,17 @@
 	} else {
 		r.settle(spec, d)
 	}
-	r.note(spec, d)
+	r.note(spec, d, view, m)
 }
 
 // note takes a decided row into the decision.
-func (r *run) note(spec *ModelSpec, d *draft) {
+func (r *run) note(spec *ModelSpec, d *draft, view RowView, m *memo) {
 	switch {
 	case d.count(healthReleasing, healthMisplaced, healthLeaving) > 0:
 		r.moving++
 	case spec != nil && len(d.steps) == 0 && d.count(healthGood) == len(d.slots):
-		r.settled = append(r.settled, settled{spec: spec, draft: d})
+		r.settled = append(r.settled, &settled{spec: spec, view: view, memo: m, draft: d})
+		r.becomeCalm(spec, m, d)
 	}
 	if len(d.steps) > 0 {
 		r.decision.Changes = append(r.decision.Changes, d.change(r.snapshot.Declared))
@@ -178,94 +191,6 @@
 	}
 }
 
-// judge sets the health of each slot.
-func (r *run) judge(spec *ModelSpec, d *draft) {
-	usage := r.snapshot.Demand[d.model].Usage
-	for _, s := range d.slots {
-		s.engine = r.index.holder(s.slot.Engine, s.slot.Host)
-		s.loaded = slices.Contains(usage.Loaded, s.slot.Engine)
-		s.quiet = r.silent(s.engine)
-		if s.slot.State == replicaspb.SlotState_RELEASING {
-			s.health = healthReleasing
-			continue
-		}
-		if spec != nil {
-			s.health, s.reason = r.judgeGranted(spec, s)
-		}
-	}
-}
-
-func (r *run) judgeGranted(spec *ModelSpec, s *slotDraft) (health, Reason) {
-	if s.engine >= 0 {
-		e := &r.index.engines[s.engine]
-		switch {
-		case e.Leaving, e.Drain:
-			return healthLeaving, ReasonLeaving
-		case !spec.Selector.Matches(e.Labels):
-			return healthMisplaced, ReasonMismatch
-		case e.MemoryBytes > 0 && e.MemoryBytes < spec.MemoryBytes:
-			return healthMisplaced, ReasonNoFit
-		}
-	}
-	if s.quiet && !r.index.mostSilent {
-		return healthSilent, ReasonSilent
-	}
-	if r.failing(spec.Model, s.slot.Engine) {
-		return healthFailing, ReasonFailing
-	}
-	return healthGood, ""
-}
-
-// silent reports whether an engine has not answered for long; -1 stands for one that this process has not heard of.
-//
-// A process that hears from less than half of the engines is more likely cut off itself: judgeGranted then takes no
-// silence as a reason to move slots.
-func (r *run) silent(engine int) bool {
-	since := r.snapshot.Since
-	if engine >= 0 {
-		e := &r.index.engines[engine]
-		if e.Reachable {
-			return false
-		}
-		since = e.Since
-	}
-	due := since.Add(r.policy.SilentAfter)
-	if r.now.Before(due) {
-		r.again(due)
-		return false
-	}
-	return true
-}
-
-// unserved reports whether a reason for wanting a slot elsewhere says that the engine cannot serve the model version at
-// all, as against too slowly.
-func unserved(reason wirepb.RefusalReason) bool {
-	return reason == wirepb.RefusalReason_NO_MEMORY || reason == wirepb.RefusalReason_LOAD_FAILED
-}
-
-// failing reports whether an engine has failed to serve a model version for long, and still does.
-func (r *run) failing(model, engine string) bool {
-	for _, w := range r.snapshot.Demand[model].Wants {
-		if w.Engine == engine && unserved(w.Reason) && r.fresh(w) && w.Last.Sub(w.First) >= r.policy.FailingAfter {
-			return true
-		}
-	}
-	return false
-}
-
-func (r *run) fresh(w Want) bool { return r.now.Sub(w.Last) < r.policy.WantLife }
-
-// avoided returns the engines that lately failed to serve a model version.
-func (r *run) avoided(model string) map[string]struct{} {
-	avoided := map[string]struct{}{}
-	for _, w := range r.snapshot.Demand[model].Wants {
-		if unserved(w.Reason) && r.now.Sub(w.Last) < r.policy.AvoidFor {
-			avoided[w.Engine] = struct{}{}
-		}
-	}
-	return avoided
-}
-
 // releaseAll takes back all slots of a model version that is not declared any more.
 func (r *run) releaseAll(d *draft) {
 	for _, s := range d.slots {
--- a/internal/replicas/draft.go
+++ b/internal/replicas/draft.go
@@ -52,8 +52,12 @@
 // newDraft copies a row's slots; a missing row has none.
 func newDraft(model string, view RowView) *draft {
 	d := &draft{model: model, row: view.Row, since: view.Since}
-	for _, s := range view.Row.GetSlots() {
-		d.slots = append(d.slots, &slotDraft{slot: s, before: s, engine: -1})
+	slots := view.Row.GetSlots()
+	drafts := make([]slotDraft, len(slots))
+	d.slots = make([]*slotDraft, len(slots), len(slots)+1)
+	for i, s := range slots {
+		drafts[i] = slotDraft{slot: s, before: s, engine: -1}
+		d.slots[i] = &drafts[i]
 	}
 	return d
 }
@@ -107,14 +111,6 @@
 	return n
 }
 
-// holds reports whether an engine of that name has a slot, in whatever state and on whatever host, or had one before this
-// change: in no step from one row to the next does a RELEASING slot become GRANTED.
-func (d *draft) holds(engine string) bool {
-	named := func(s *replicaspb.Slot) bool { return s.Engine == engine }
-	return slices.ContainsFunc(d.row.GetSlots(), named) ||
-		slices.ContainsFunc(d.slots, func(s *slotDraft) bool { return named(s.slot) })
-}
-
 // change returns the change that the draft amounts to.
 func (d *draft) change(declared Declared) Change {
 	next := &replicaspb.Row{
--- a/internal/replicas/engines.go
+++ b/internal/replicas/engines.go
@@ -4,6 +4,8 @@
 	"math"
 
 	"github.com/cespare/xxhash/v2"
+
+	"balsamsail/internal/platform"
 )
 
 // engineIndex is what is worked out once for a set of engines.
@@ -12,8 +14,9 @@
 	byName  map[string]int
 	hashes  []uint64
 	groups  map[string]*group
-	// groupsOf lists, for each engine, the groups that it belongs to.
-	groupsOf [][]*group
+	// live tells which engines' hosts the host list names as live, in the given version of it.
+	live        []bool
+	liveVersion uint64
 	// mostSilent says that over half of the engines do not answer.
 	mostSilent bool
 }
@@ -21,6 +24,7 @@
 // group is the engines that one selector chooses and that may get slots: neither leaving nor drained.
 type group struct {
 	members []int
+	has     []bool
 	memory  int64
 	domains map[string]struct{}
 	// density is the share of the members' memory that the declared weights of the group's slots make up.
@@ -29,11 +33,11 @@
 
 func newEngineIndex(engines []EngineView) *engineIndex {
 	x := &engineIndex{
-		engines:  engines,
-		byName:   make(map[string]int, len(engines)),
-		hashes:   make([]uint64, len(engines)),
-		groups:   map[string]*group{},
-		groupsOf: make([][]*group, len(engines)),
+		engines: engines,
+		byName:  make(map[string]int, len(engines)),
+		hashes:  make([]uint64, len(engines)),
+		groups:  map[string]*group{},
+		live:    make([]bool, len(engines)),
 	}
 	silent := 0
 	for i := range engines {
@@ -53,15 +57,15 @@
 	if g, ok := x.groups[key]; ok {
 		return g
 	}
-	g := &group{domains: map[string]struct{}{}}
+	g := &group{has: make([]bool, len(x.engines)), domains: map[string]struct{}{}}
 	for i := range x.engines {
 		e := &x.engines[i]
 		if e.Leaving || e.Drain || !s.Matches(e.Labels) {
 			continue
 		}
 		g.members = append(g.members, i)
+		g.has[i] = true
 		g.memory += e.MemoryBytes
-		x.groupsOf[i] = append(x.groupsOf[i], g)
 		if e.Reachable {
 			g.domains[e.FailureDomain] = struct{}{}
 		}
@@ -80,14 +84,33 @@
 	return i
 }
 
-// share returns how many bytes of declared weights an engine holds when the slots are spread evenly over the memory of
-// the engines that may hold them.
-func (x *engineIndex) share(engine int) float64 {
-	density := 0.0
-	for _, g := range x.groupsOf[engine] {
-		density += g.density
+// listHosts takes in a version of the host list; version 0 is always taken in anew.
+func (x *engineIndex) listHosts(hosts HostsView) {
+	if x.liveVersion == hosts.Version && hosts.Version > 0 {
+		return
+	}
+	x.liveVersion = hosts.Version
+	for i := range x.engines {
+		x.live[i] = hosts.States[x.engines[i].Host] == platform.HostLive
+	}
+}
+
+func (x *engineIndex) resetDensities() {
+	for _, g := range x.groups {
+		g.density = 0
+	}
+}
+
+// addShares adds to each engine's share what the groups that it belongs to would put on it.
+func (x *engineIndex) addShares(shares []float64) {
+	for _, g := range x.groups {
+		if g.density == 0 {
+			continue
+		}
+		for _, i := range g.members {
+			shares[i] += g.density * float64(x.engines[i].MemoryBytes)
+		}
 	}
-	return density * float64(x.engines[engine].MemoryBytes)
 }
 
 // rendezvousScore is the weighted rendezvous hash of a model version and an engine: each engine is the highest for a
--- a/internal/replicas/guards_test.go
+++ b/internal/replicas/guards_test.go
@@ -37,7 +37,7 @@
 )
 
 // decide runs a decision with the guard left out.
-func (g guard) decide(d *Decider, now time.Time, s *Snapshot, revision uint64) []Change {
+func (g guard) decide(d *Decider, now time.Time, s *Snapshot) []Change {
 	switch g {
 	case guardConfirmation:
 		s.Releases = confirmAll(s, false)
--- a/internal/replicas/manager.go
+++ b/internal/replicas/manager.go
@@ -76,16 +76,17 @@
 	operations atomic.Uint64
 
 	// The following belong to Run.
-	decider  *Decider
-	turns    *turns
-	limiter  *rate.Limiter
-	random   *rand.Rand
-	started  time.Time
-	fullRead time.Time
-	nextRead time.Time
-	backoff  time.Duration
-	lastSeen stamp
-	decision Decision
+	decider *Decider
+	turns   *turns
+	limiter *rate.Limiter
+	random  *rand.Rand
+	started time.Time
+	// readAt and fullRead are when the last reads of changed rows and of all rows began.
+	readAt, fullRead time.Time
+	nextRead         time.Time
+	backoff          time.Duration
+	lastSeen         stamp
+	decision         Decision
 	// notBefore is when the next decision may be taken.
 	notBefore time.Time
 }
--- /dev/null
+++ b/internal/replicas/manager_test.go
@@ -0,0 +1,246 @@
+package replicas
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
+
+	"balsamsail/internal/clock"
+	"balsamsail/internal/platform"
+	"balsamsail/internal/replicas/replicaspb"
+	"balsamsail/internal/wire/wirepb"
+)
+
+// siteInputs hands a site to a Manager.
+type siteInputs struct {
+	mu   sync.Mutex
+	site *site
+	self string
+	live []string
+}
+
+func (f *siteInputs) Declared() (Declared, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.site.Declared, true
+}
+
+func (f *siteInputs) Engines() ([]EngineView, uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.site.Engines, f.site.EnginesVersion
+}
+
+func (f *siteInputs) Hosts() HostsView {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.site.Hosts
+}
+
+func (f *siteInputs) Self() string                 { return f.self }
+func (f *siteInputs) Live() []string               { return f.live }
+func (f *siteInputs) Usage(string) (int, []string) { return 0, nil }
+
+func newTestManager(o Options, table platform.Table, in *siteInputs) *Manager {
+	return NewManager(o, table, Inputs{in, in, in, in}, clock.Real{}, slog.New(slog.DiscardHandler),
+		prometheus.NewRegistry(), nil)
+}
+
+// cluster is a few Managers over one table, in a bubble of testing/synctest.
+type cluster struct {
+	table    *memoryTable
+	site     *site
+	inputs   []*siteInputs
+	managers []*Manager
+}
+
+// run starts entries a, b, c, of which the first silent ones are listed as live but do nothing.
+func runCluster(t *testing.T, s *site, silent int, test func(c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		s.EnginesVersion = 1
+		c := &cluster{table: newMemoryTable(), site: s}
+		live := []string{"a", "b", "c"}
+		for i, name := range live[silent:] {
+			in := &siteInputs{site: s, self: name, live: live}
+			options := DefaultOptions()
+			options.Seed = uint64(i)
+			m := newTestManager(options, c.table, in)
+			c.inputs, c.managers = append(c.inputs, in), append(c.managers, m)
+			running.Go(func() {
+				// Nothing runs before the test waits for the first time.
+				time.Sleep(time.Millisecond)
+				_ = m.Run(ctx)
+			})
+		}
+		test(c)
+		cancel()
+		running.Wait()
+	})
+}
+
+// change edits the site under every Manager's lock and tells them.
+func (c *cluster) change(edit func(s *site)) {
+	for _, in := range c.inputs {
+		in.mu.Lock()
+	}
+	edit(c.site)
+	c.site.EnginesVersion++
+	for _, in := range c.inputs {
+		in.mu.Unlock()
+	}
+	for _, m := range c.managers {
+		m.Notify()
+	}
+}
+
+// confirm lets every engine confirm the releases that the table asks for.
+func (c *cluster) confirm(t *testing.T) {
+	for _, spec := range c.site.Declared.Models {
+		row := c.table.row(t, spec.Model)
+		for _, s := range row.GetSlots() {
+			if s.State != replicaspb.SlotState_RELEASING {
+				continue
+			}
+			for _, m := range c.managers {
+				m.Released(Release{Model: row.Model, Engine: s.Engine, Host: s.Host, Revision: row.Revision})
+			}
+		}
+	}
+}
+
+// commitsIn returns how many commits and reads the table sees while time passes.
+func (c *cluster) callsIn(d time.Duration) (commits, reads int) {
+	c.table.mu.Lock()
+	commits, reads = c.table.commits, c.table.lists+c.table.gets
+	c.table.mu.Unlock()
+	time.Sleep(d)
+	synctest.Wait()
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	return c.table.commits - commits, c.table.lists + c.table.gets - reads
+}
+
+// The table takes some hundred writes and two thousand reads a second for everything. What the grants take of it, event by
+// event, for three entries, 105 model versions and 18 engines.
+func TestTableCallsPerEvent(t *testing.T) {
+	const settle = 20 * time.Second
+	idle := int(3 * settle / time.Second)
+	s := newSite(models(105), engines(18, "north", "east", "cargo"))
+	runCluster(t, s, 0, func(c *cluster) {
+		slotsOf := func(engine string) int { return len(c.managers[0].RowsOf(engine)) }
+		all := []struct {
+			event string
+			do    func()
+			// commits is the number of writes that the event must take, writes that fail for a race included.
+			commits func() int
+		}{
+			{"start with an empty table", func() {}, func() int { return 105 }},
+			{"nothing", func() {}, func() int { return 0 }},
+			{"engine drained", func() { c.change(func(s *site) { drain("e1")(s) }) },
+				func() int { return slotsOf("e1") }},
+			{"releases confirmed", func() { c.confirm(t) }, func() int { return slotsOf("e1") }},
+			{"engine silent, one slot for each of its own", func() {
+				c.change(func(s *site) { s.edit("e2", func(e *EngineView) { e.Reachable, e.Since = false, time.Now() }) })
+			}, func() int { return slotsOf("e2") }},
+			{"its host gone", func() { c.change(host("h2", platform.HostGone)) }, func() int { return slotsOf("e2") }},
+			{"slot wanted", func() {
+				for _, m := range c.managers {
+					m.Wanted("e0", "m0@1", wirepb.RefusalReason_QUEUE_FULL, 1)
+				}
+			}, func() int { return 1 }},
+		}
+		for _, e := range all {
+			want := e.commits()
+			e.do()
+			commits, reads := c.callsIn(settle)
+			t.Logf("%-46s %3d writes, %d reads in %v", e.event, commits, reads, settle)
+			if commits != want {
+				t.Errorf("%s: %d writes, want %d", e.event, commits, want)
+			}
+			if reads > idle+10 {
+				t.Errorf("%s: %d reads, want about %d", e.event, reads, idle)
+			}
+		}
+	})
+}
+
+// The entry whose turn it is does nothing: it is frozen, or cut off from the table. Its model versions must not wait for
+// the host list to say so.
+func TestOthersStepIn(t *testing.T) {
+	runCluster(t, newSite(models(30), engines(6, "north", "east")), 2, func(c *cluster) {
+		commits, _ := c.callsIn(5 * time.Second)
+		if commits != 30 {
+			t.Errorf("%d rows written by the last of three entries, want 30", commits)
+		}
+	})
+}
+
+// The table is down for ten minutes. The rows as last read must stay, the table must not be flooded, and what has changed
+// in between must be done soon after.
+func TestTableOutage(t *testing.T) {
+	runCluster(t, newSite(models(30), engines(6, "north", "east")), 0, func(c *cluster) {
+		c.callsIn(5 * time.Second)
+		rows := len(c.managers[0].RowsOf("e0"))
+		c.table.mu.Lock()
+		c.table.down = true
+		c.table.mu.Unlock()
+		c.change(func(s *site) { drain("e0")(s) })
+		commits, reads := c.callsIn(10 * time.Minute)
+		if len(c.managers[0].RowsOf("e0")) != rows || commits+reads > 3*10*60/2 {
+			t.Errorf("%d rows of %d kept, %d calls in ten minutes", len(c.managers[0].RowsOf("e0")), rows, commits+reads)
+		}
+		c.table.mu.Lock()
+		c.table.down = false
+		c.table.mu.Unlock()
+		if commits, _ := c.callsIn(10 * time.Second); commits != rows {
+			t.Errorf("%d writes after the outage, want %d", commits, rows)
+		}
+	})
+}
+
+// Answers are lost after the write for a while. No grant may be made twice, and the view must follow the table.
+func TestLostAnswers(t *testing.T) {
+	runCluster(t, newSite(models(30), engines(6, "north", "east")), 0, func(c *cluster) {
+		c.table.mu.Lock()
+		c.table.fault = func(platform.Txn) (error, bool) { return platform.ErrOutcomeUnknown, true }
+		c.table.mu.Unlock()
+		commits, _ := c.callsIn(30 * time.Second)
+		if commits != 30 {
+			t.Errorf("%d writes, want 30", commits)
+		}
+		for _, spec := range c.site.Declared.Models {
+			for _, m := range c.managers {
+				if !proto.Equal(m.Row(spec.Model), c.table.row(t, spec.Model)) {
+					t.Errorf("%s: %s in view, %s in the table", spec.Model, short(m.Row(spec.Model)), short(c.table.row(t, spec.Model)))
+				}
+			}
+		}
+	})
+}
+
+// A row is deleted by another entry. Those that read only what changed see no trace of it; the full read must show it.
+func TestDeletionIsSeen(t *testing.T) {
+	runCluster(t, newSite(models(2), engines(2, "north", "east")), 0, func(c *cluster) {
+		c.callsIn(5 * time.Second)
+		c.change(func(s *site) { s.Declared = Declared{Revision: 2, Models: s.Declared.Models[:1]} })
+		c.callsIn(5 * time.Second)
+		row := c.table.row(t, "m1@1")
+		for _, s := range row.Slots {
+			c.managers[0].Released(Release{Model: row.Model, Engine: s.Engine, Host: s.Host, Revision: row.Revision})
+		}
+		c.callsIn(DefaultOptions().FullInterval + 5*time.Second)
+		for i, m := range c.managers {
+			if m.Row("m1@1") != nil || c.table.row(t, "m1@1") != nil {
+				t.Errorf("entry %d still knows %s, table %s", i, short(m.Row("m1@1")), short(c.table.row(t, "m1@1")))
+			}
+		}
+	})
+}
--- a/internal/replicas/placement.go
+++ b/internal/replicas/placement.go
@@ -2,8 +2,6 @@
 
 import (
 	"github.com/cespare/xxhash/v2"
-
-	"balsamsail/internal/platform"
 )
 
 // candidate is an engine that may get a slot of a model version.
@@ -14,16 +12,17 @@
 	avoid bool
 }
 
-// candidates returns the engines that may get a slot of a draft's model version.
+// candidates returns the engines that may get a slot of a draft's model version. They are valid until the next call.
 func (r *run) candidates(spec *ModelSpec, d *draft) []candidate {
 	hash := xxhash.Sum64String(spec.Model)
 	avoided := r.avoided(spec.Model)
-	var found []candidate
+	turn := r.markHeld(d)
+	found := r.found[:0]
 	for _, i := range r.index.group(spec.Selector).members {
-		e := &r.index.engines[i]
-		if !r.eligible(spec, e) || d.holds(e.Name) {
+		if !r.eligible(spec, i) || r.held[i] == turn {
 			continue
 		}
+		e := &r.index.engines[i]
 		_, failed := avoided[e.Name]
 		crowded := r.warm[i]+spec.MemoryBytes > e.MemoryBytes
 		found = append(found, candidate{
@@ -32,17 +31,31 @@
 			avoid:  failed || crowded,
 		})
 	}
+	r.found = found
 	return found
 }
 
+// markHeld marks the engines of whose names one has a slot, in whatever state and on whatever host, or had one before this
+// change: in no step from one row to the next does a RELEASING slot become GRANTED. It returns the number to compare the
+// marks with.
+func (r *run) markHeld(d *draft) uint32 {
+	r.turn++
+	for _, s := range d.row.GetSlots() {
+		if i, ok := r.index.byName[s.Engine]; ok {
+			r.held[i] = r.turn
+		}
+	}
+	return r.turn
+}
+
 // eligible reports whether an engine of the model version's group may get a new slot.
 //
 // Its host must be in the host list as this process has read it. A slot of a host that the deciding process never saw
 // there could not be told from one of a host that came, died and was dropped from the list while no process looked; it
 // would count for ever.
-func (r *run) eligible(spec *ModelSpec, e *EngineView) bool {
-	listed := r.snapshot.Hosts.States[e.Host] == platform.HostLive
-	return listed && e.Reachable && e.MemoryBytes > 0 && e.MemoryBytes >= spec.MemoryBytes
+func (r *run) eligible(spec *ModelSpec, engine int) bool {
+	e := &r.index.engines[engine]
+	return r.index.live[engine] && e.Reachable && e.MemoryBytes > 0 && e.MemoryBytes >= spec.MemoryBytes
 }
 
 // pick returns the index of the best candidate, or -1 when there is none: not one to be avoided, in the failure domain
@@ -106,7 +119,7 @@
 
 // fill returns how full an engine would be with need more.
 func (r *run) fill(engine int, need int64) fill {
-	share := r.index.share(engine)
+	share := r.share[engine]
 	switch load := float64(r.load[engine] + need); {
 	case load <= share/r.policy.MoveBound:
 		return fillLow
@@ -120,7 +133,7 @@
 // over reports whether an engine would hold more than bound times its share of the declared weights if it got need more.
 // As weights do not split, one that comes as near to its share with them as without is not over it.
 func (r *run) over(engine int, need int64, bound float64) bool {
-	share := r.index.share(engine)
+	share := r.share[engine]
 	load := float64(r.load[engine])
 	return load+float64(need) > bound*share && load+float64(need)/2 > share
 }
--- a/internal/replicas/rebalance.go
+++ b/internal/replicas/rebalance.go
@@ -1,6 +1,9 @@
 package replicas
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // movingShare is the part of the model versions (one in so many) that may have a slot on its way out before a slot is
 // moved only for a better place.
@@ -23,23 +26,45 @@
 	r.level()
 }
 
+// moveTries bounds the slots for which a better place is looked for in one decision.
+const moveTries = 8
+
 // settled is a declared model version whose slots are all good.
 type settled struct {
-	spec  *ModelSpec
+	spec *ModelSpec
+	view RowView
+	memo *memo
+	// draft is made when it is needed.
 	draft *draft
 }
 
+// slots returns the drafts of a settled model version's slots, in the order of its row.
+func (r *run) slots(t *settled) []*slotDraft {
+	if t.draft == nil {
+		t.draft = newDraft(t.spec.Model, t.view)
+		r.judge(t.spec, t.draft)
+	}
+	return t.draft.slots
+}
+
 // spread moves a slot out of a failure domain that has two more than another.
 func (r *run) spread() bool {
+	tries := moveTries
 	for _, t := range r.settled {
-		domain, crowded := r.crowdedDomain(t)
-		if !crowded {
+		domain := r.crowdedDomain(t)
+		if domain == "" {
 			continue
 		}
-		for _, s := range slices.Backward(t.draft.slots) {
-			if s.slot.FailureDomain == domain && r.movable(t, s) && r.move(t, s, ReasonSpread) {
+		for _, s := range slices.Backward(r.slots(t)) {
+			if s.slot.FailureDomain != domain || !r.movable(t, s) {
+				continue
+			}
+			if r.move(t, s, ReasonSpread) {
 				return true
 			}
+			if tries--; tries == 0 {
+				return false
+			}
 		}
 	}
 	return false
@@ -47,53 +72,90 @@
 
 // crowdedDomain returns the failure domain with the most slots of a model version, if another one of the domains that
 // its selector reaches has at least two less.
-func (r *run) crowdedDomain(t settled) (string, bool) {
-	counts := domainCounts(t.draft)
-	least := len(t.draft.slots)
+func (r *run) crowdedDomain(t *settled) string {
+	m := t.memo
+	if m.crowdedKnown {
+		return m.crowded
+	}
+	m.crowdedKnown = true
+	counts := map[string]int{}
+	for _, s := range m.row.GetSlots() {
+		counts[s.FailureDomain]++
+	}
+	least := len(m.granted)
 	for domain := range r.index.group(t.spec.Selector).domains {
 		least = min(least, counts[domain])
 	}
-	for _, s := range t.draft.slots {
-		if counts[s.slot.FailureDomain] >= least+2 {
-			return s.slot.FailureDomain, true
+	for _, s := range m.row.GetSlots() {
+		if counts[s.FailureDomain] >= least+2 {
+			m.crowded = s.FailureDomain
+			break
 		}
 	}
-	return "", false
+	return m.crowded
+}
+
+// overloaded is a slot on an engine that holds more than its share, and by how much.
+type overloaded struct {
+	*settled
+	slot  int
+	ratio float64
 }
 
 // level moves a slot off the engine that is furthest over its share: when it is so by far, or when another engine is far
 // below its own.
 func (r *run) level() {
-	type overloaded struct {
-		settled
-		slot  *slotDraft
-		ratio float64
+	found := r.overloaded()
+	slices.SortStableFunc(found, func(a, b overloaded) int { return cmp.Compare(b.ratio, a.ratio) })
+	tries := moveTries
+	for _, o := range found {
+		s := r.slots(o.settled)[o.slot]
+		if !r.movable(o.settled, s) {
+			continue
+		}
+		if r.move(o.settled, s, ReasonBalance) {
+			return
+		}
+		if tries--; tries == 0 {
+			return
+		}
 	}
+}
+
+// overloaded returns the slots from which level may choose.
+func (r *run) overloaded() []overloaded {
 	var found []overloaded
+	type kind struct {
+		group *group
+		need  int64
+	}
+	low := map[kind]bool{}
 	for _, t := range r.settled {
-		for _, s := range t.draft.slots {
-			if s.engine < 0 || !r.movable(t, s) || !r.overWith(s.engine, t.spec.MemoryBytes, 1) {
-				continue
-			}
-			ratio := float64(r.load[s.engine]) / r.index.share(s.engine)
-			found = append(found, overloaded{settled: t, slot: s, ratio: ratio})
+		k := kind{r.index.group(t.spec.Selector), t.spec.MemoryBytes}
+		if _, known := low[k]; !known {
+			low[k] = r.hasLow(k.group, k.need)
 		}
-	}
-	slices.SortStableFunc(found, func(a, b overloaded) int {
-		if a.ratio > b.ratio {
-			return -1
+		bound := r.policy.MoveBound
+		if low[k] {
+			bound = 1
 		}
-		if a.ratio < b.ratio {
-			return 1
+		for n, engine := range t.memo.granted {
+			if engine >= 0 && r.overWith(engine, k.need, bound) {
+				found = append(found, overloaded{settled: t, slot: n, ratio: float64(r.load[engine]) / r.share[engine]})
+			}
 		}
-		return 0
-	})
-	const tries = 8
-	for i := range min(len(found), tries) {
-		if r.move(found[i].settled, found[i].slot, ReasonBalance) {
-			return
+	}
+	return found
+}
+
+// hasLow reports whether an engine of a group would still be far below its share with need more.
+func (r *run) hasLow(g *group, need int64) bool {
+	for _, i := range g.members {
+		if r.fill(i, need) == fillLow && r.index.engines[i].Reachable && r.index.live[i] {
+			return true
 		}
 	}
+	return false
 }
 
 // overWith reports whether an engine is over bound times its share by a slot of the given weight that it holds.
@@ -105,13 +167,13 @@
 }
 
 // movable reports whether a slot may move: it holds nothing, and its model version has another slot or room for one.
-func (r *run) movable(t settled, s *slotDraft) bool {
+func (r *run) movable(t *settled, s *slotDraft) bool {
 	_, most := r.policy.bounds(*t.spec)
 	return s.engine >= 0 && !s.loaded && (len(t.draft.slots) > 1 || most > 1)
 }
 
 // move replaces a slot by one in a strictly better place, if there is one.
-func (r *run) move(t settled, s *slotDraft, reason Reason) bool {
+func (r *run) move(t *settled, s *slotDraft, reason Reason) bool {
 	need := t.spec.MemoryBytes
 	home, most := r.policy.bounds(*t.spec)
 	room := most > len(t.draft.slots)
--- a/internal/replicas/run.go
+++ b/internal/replicas/run.go
@@ -56,8 +56,9 @@
 	return max(next.Sub(m.clock.Now()), m.options.Settle)
 }
 
+// earlier returns the earlier of two times; a zero time stands for never.
 func earlier(a, b time.Time) time.Time {
-	if b.IsZero() || a.Before(b) {
+	if b.IsZero() || !a.IsZero() && a.Before(b) {
 		return a
 	}
 	return b
@@ -85,6 +86,7 @@
 	if full {
 		m.fullRead = now
 	}
+	m.readAt = now
 	m.nextRead = m.clock.Now().Add(m.options.Interval)
 }
 
@@ -143,13 +145,17 @@
 		m.decision = m.decideNow(now, declared)
 		m.lastSeen = seen
 	}
-	ready, next := m.turns.ready(now, m.decision.Changes, m.inputs.Peers.Self(), m.inputs.Peers.Live())
-	if len(ready) > 0 {
-		m.propose(ctx, ready)
-		m.turns.proposed(m.clock.Now(), ready)
+	d := m.turns.take(now, m.readAt, m.decision.Changes, m.inputs.Peers.Self(), m.inputs.Peers.Live())
+	if d.stale {
+		m.readRows(ctx)
+		return m.clock.Now()
+	}
+	if len(d.ready) > 0 {
+		m.propose(ctx, d.ready)
+		m.turns.proposed(m.clock.Now(), d.ready)
 		return m.clock.Now()
 	}
-	return earlier(next, m.decision.Again)
+	return earlier(d.next, m.decision.Again)
 }
 
 func (m *Manager) due(now time.Time) bool {
--- a/internal/replicas/turn.go
+++ b/internal/replicas/turn.go
@@ -20,31 +20,52 @@
 type turn struct {
 	revision uint64
 	at       time.Time
+	// deferred says that another process may have made the change while this one waited.
+	deferred bool
 }
 
 func newTurns(step time.Duration, jitter func() float64) *turns {
 	return &turns{step: step, jitter: jitter, due: map[string]turn{}}
 }
 
-// ready returns the changes to propose now and when the next one is due (zero: none is).
-func (t *turns) ready(now time.Time, changes []Change, self string, live []string) ([]Change, time.Time) {
+// due is what a process is to do about the changes that it has decided.
+type due struct {
+	// ready are the changes to propose now.
+	ready []Change
+	// stale says that the rows must be read again first, to see what others have done while this process waited its turn: a
+	// read costs the table less than a write that fails.
+	stale bool
+	// next is when the next change is due; zero when none is.
+	next time.Time
+}
+
+// take returns what is due. The rows were last read at readAt.
+func (t *turns) take(now, readAt time.Time, changes []Change, self string, live []string) due {
 	t.forget(changes)
-	var ready []Change
-	var next time.Time
+	var d due
 	for _, c := range changes {
-		due, ok := t.due[c.Model]
-		if !ok || due.revision != c.Expected {
-			due = turn{revision: c.Expected, at: now.Add(t.delay(c.Model, self, live))}
-			t.due[c.Model] = due
-		}
+		turn := t.turn(now, c, self, live)
 		switch {
-		case !now.Before(due.at):
-			ready = append(ready, c)
-		case next.IsZero() || due.at.Before(next):
-			next = due.at
+		case now.Before(turn.at):
+			d.next = earlier(turn.at, d.next)
+		case turn.deferred && readAt.Before(turn.at):
+			d.stale = true
+		default:
+			d.ready = append(d.ready, c)
 		}
 	}
-	return ready, next
+	return d
+}
+
+// turn returns when a change is due; the first time that it is decided, its turn is settled.
+func (t *turns) turn(now time.Time, c Change, self string, live []string) turn {
+	settled, ok := t.due[c.Model]
+	if !ok || settled.revision != c.Expected {
+		delay := t.delay(c.Model, self, live)
+		settled = turn{revision: c.Expected, at: now.Add(delay), deferred: delay > 0}
+		t.due[c.Model] = settled
+	}
+	return settled
 }
 
 // proposed makes changes that were just proposed wait before they are proposed again, should they still be decided from
@@ -52,7 +73,7 @@
 func (t *turns) proposed(now time.Time, changes []Change) {
 	for _, c := range changes {
 		wait := time.Duration((1 + t.jitter()) * float64(t.step))
-		t.due[c.Model] = turn{revision: c.Expected, at: now.Add(wait)}
+		t.due[c.Model] = turn{revision: c.Expected, at: now.Add(wait), deferred: true}
 	}
 }
 
--- a/internal/replicas/world_test.go
+++ b/internal/replicas/world_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -27,7 +28,9 @@
 	declared Declared
 	hosts    HostsView
 	engines  map[string]EngineView
-	since    time.Time
+	// version is that of engines.
+	version uint64
+	since   time.Time
 	// stashed are changes that the process decided and, paused, has not proposed yet.
 	stashed []Change
 }
@@ -265,6 +268,9 @@
 		view.Since = w.now
 	}
 	d.engines[name] = view
+	if !reflect.DeepEqual(old, view) {
+		d.version++
+	}
 }
 
 // decide runs one decision of a decider.
@@ -272,12 +278,13 @@
 	w.counts["decision"]++
 	rows, _ := d.store.views()
 	s := &Snapshot{
-		Declared: d.declared,
-		Rows:     rows,
-		Hosts:    d.hosts,
-		Since:    d.since,
-		Demand:   map[string]Demand{},
-		Releases: d.demand.confirmed(w.now, rows),
+		Declared:       d.declared,
+		Rows:           rows,
+		EnginesVersion: d.version,
+		Hosts:          d.hosts,
+		Since:          d.since,
+		Demand:         map[string]Demand{},
+		Releases:       d.demand.confirmed(w.now, rows),
 	}
 	for _, name := range slices.Sorted(maps.Keys(d.engines)) {
 		s.Engines = append(s.Engines, d.engines[name])
@@ -287,7 +294,18 @@
 		demand.Usage = Usage{Known: true, Loaded: w.loadedAt(model)}
 		s.Demand[model] = demand
 	}
-	return w.broken.decide(d.decider, w.now, s, w.table.revision)
+	if w.broken == guardNone && w.random.IntN(4) == 0 {
+		w.compareWithFresh(d, s)
+	}
+	return w.broken.decide(d.decider, w.now, s)
+}
+
+// compareWithFresh checks that what a Decider keeps between decisions does not change them.
+func (w *world) compareWithFresh(d *worldDecider, s *Snapshot) {
+	used, fresh := d.decider.Decide(w.now, s), NewDecider(worldPolicy()).Decide(w.now, s)
+	if fmt.Sprint(used) != fmt.Sprint(fresh) {
+		w.violated("decided %v, a fresh process decides %v", used, fresh)
+	}
 }
 
 func (w *world) loadedAt(model string) []string {
