routing: choice among loaded engines measured, reports believed by age, slow engines remembered

go test ./internal/routing -run Slow -v: three entries, ten engines of four, load 0.625, reports every 500 ms. One engine ten times slower than it reports: service 100 ms: p99 189 ms against 17.3 s (least reported load), 4m32s (random), 29.7 s (two random by reports); service 5 s: p99 8.5 s against 7m34s, 3h46m and 12m40s. All honest: 170 ms against 2.9 s, 213 ms and 335 ms; 7.4 s against 10.5, 10.7 and 7.6 s. Before, with reports believed at a fixed half-life of 2 s, p99 was 1.128 s (one slow) and 255 ms (honest, worse than random): half a second is many service times. The half-life is now the typical time to the first byte. The memory of a slow engine faded with 15 s at first, which cost p99 1m41s at a service of 5 s; it now fades over twenty of its own first-byte times.

--- a/internal/routing/health.go
+++ b/internal/routing/health.go
@@ -11,8 +11,10 @@
 	// sooner than recovery.
 	slownessRise = 0.5
 	slownessFall = 0.1
-	// slownessHalfLife lets the memory of a slow endpoint fade, so that one that is never chosen is tried again.
-	slownessHalfLife = 15 * time.Second
+	// The memory of a slow endpoint fades, so that one that is never chosen is tried again. Its half-life is at least
+	// minSlownessHalfLife, and longer where a trial is dear: trialShare times the first byte's time that was seen last.
+	minSlownessHalfLife = time.Minute
+	trialShare          = 20
 	// maxSlowness bounds the factor that single samples may show.
 	maxSlowness = 100.0
 	// referenceStep is the share by which a sample moves the reference towards the median.
@@ -46,9 +48,10 @@
 
 // health is what was observed of one endpoint.
 type health struct {
-	// slowness is how many times longer than told its first bytes take, as of observed.
+	// slowness is how many times longer than told its first bytes take, as of observed; it fades with a half-life.
 	slowness float64
 	observed time.Time
+	halfLife time.Duration
 	// failures counts failures in a row; at the bound the endpoint is ejected until a time, each time for longer.
 	failures     int
 	ejectedUntil time.Time
@@ -84,7 +87,7 @@
 func (b *healthBook) of(endpoint string) *health {
 	h := b.endpoints[endpoint]
 	if h == nil {
-		h = &health{slowness: 1}
+		h = &health{slowness: 1, halfLife: minSlownessHalfLife}
 		b.endpoints[endpoint] = h
 	}
 	return h
@@ -92,12 +95,6 @@
 
 func (b *healthBook) forget(endpoint string) { delete(b.endpoints, endpoint) }
 
-// cost is the expected time to the first byte, weighted by how many requests share the endpoint.
-func (b *healthBook) cost(now time.Time, c *Candidate, wait time.Duration) float64 {
-	sharing := float64(1 + max(c.Sent, c.Running+c.Queued))
-	return float64(wait+b.typical) * sharing * b.slowness(now, c.Endpoint)
-}
-
 // slowness returns an endpoint's slowness, faded by the time since it was observed.
 func (b *healthBook) slowness(now time.Time, endpoint string) float64 {
 	h := b.endpoints[endpoint]
@@ -105,7 +102,7 @@
 		return 1
 	}
 	age := max(0, now.Sub(h.observed))
-	return math.Pow(h.slowness, math.Exp2(-float64(age)/float64(slownessHalfLife)))
+	return math.Pow(h.slowness, math.Exp2(-float64(age)/float64(h.halfLife)))
 }
 
 func (b *healthBook) observe(now time.Time, o Observation) {
@@ -147,6 +144,7 @@
 	}
 	h.slowness = current + weight*(ratio-current)
 	h.observed = now
+	h.halfLife = max(minSlownessHalfLife, trialShare*o.FirstByte)
 }
 
 // refer moves the references towards a sample and returns the target's. They follow the median, which a few slow
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -14,8 +14,10 @@
 	defaultFailuresToEject = 3
 	defaultEjectFor        = time.Second
 	defaultMaxEjectFor     = 30 * time.Second
-	// reportHalfLife is the age at which half of a reported wait is still believed.
-	reportHalfLife = 2 * time.Second
+	// minReportHalfLife and maxReportHalfLife bound the age at which half of a report is still believed. In between it is
+	// the typical time to the first byte: by then the load has changed.
+	minReportHalfLife = 50 * time.Millisecond
+	maxReportHalfLife = 5 * time.Second
 	// tieShare is the part by which two costs may differ and still be a tie.
 	tieShare = 0.05
 	// draws bounds the random draws for candidates of a large set before it is scanned.
@@ -158,16 +160,8 @@
 
 // cheaper reports whether a should be chosen before b.
 func (r *Router) cheaper(now time.Time, a, b *Candidate) bool {
-	believed := func(c *Candidate) float64 {
-		return math.Exp2(-float64(max(0, now.Sub(c.ReportedAt))) / float64(reportHalfLife))
-	}
 	average := (a.Wait + b.Wait) / 2
-	costOf := func(c *Candidate) float64 {
-		trust := believed(c)
-		wait := trust*float64(c.Wait) + (1-trust)*float64(average)
-		return r.health.cost(now, c, time.Duration(wait))
-	}
-	costA, costB := costOf(a), costOf(b)
+	costA, costB := r.cost(now, a, average), r.cost(now, b, average)
 	if math.Abs(costA-costB) > tieShare*max(costA, costB) {
 		return costA < costB
 	}
@@ -179,6 +173,18 @@
 	return costA < costB
 }
 
+// cost is the expected time to the first byte, weighted by how many requests share the endpoint. What was reported counts
+// less the older it is, and the average of the wait in its place.
+func (r *Router) cost(now time.Time, c *Candidate, average time.Duration) float64 {
+	age := max(0, now.Sub(c.ReportedAt))
+	halfLife := min(max(r.health.typical, minReportHalfLife), maxReportHalfLife)
+	trust := math.Exp2(-float64(age) / float64(halfLife))
+	wait := trust*float64(c.Wait) + (1-trust)*float64(average)
+	others := trust * float64(max(0, c.Running+c.Queued-c.Sent))
+	sharing := 1 + float64(c.Sent) + others
+	return (wait + float64(r.health.typical)) * sharing * r.health.slowness(now, c.Endpoint)
+}
+
 // Observe notes the end of an attempt.
 func (r *Router) Observe(now time.Time, o Observation) { r.health.observe(now, o) }
 
