platform: contract tests of the clients against the stand-in

Fault tables for commits, object writes and reads: each case checks the error that the caller gets, that it is no other sentinel as well, and what really became of the write. Found: a transfer at a third of full speed never ended, since a step of 3 ns gained less than 1 ns and was rounded to none; the step now has a floor of 1 ms (standin/platform, TestWeightStoreSlowsWithItsLoad hung before).

--- /dev/null
+++ b/internal/platform/contract_test.go
@@ -0,0 +1,415 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"balsamsail/internal/platform"
+	"balsamsail/internal/standin/control"
+	standin "balsamsail/internal/standin/platform"
+)
+
+const (
+	callTimeout = 10 * time.Second
+	// impatience bounds the calls that get no answer.
+	impatience = 250 * time.Millisecond
+)
+
+// always hits every call.
+var always = control.Chance{Fraction: 1}
+
+// next hits the next n calls.
+func next(n int) control.Chance { return control.Chance{Next: n} }
+
+// clients are the clients of one stand-in.
+type clients struct {
+	standin *standin.Server
+	table   platform.Table
+	objects platform.ObjectStore
+	hosts   platform.HostList
+}
+
+func newClients(t *testing.T, o standin.Options) clients {
+	t.Helper()
+	s := standin.New(o)
+	server := httptest.NewServer(s.Handler())
+	t.Cleanup(server.Close)
+	return clientsOf(s, server.URL)
+}
+
+func clientsOf(s *standin.Server, url string) clients {
+	o := platform.Options{TableURL: url, ObjectsURL: url, HostsURL: url, Timeout: callTimeout}
+	return clients{
+		standin: s,
+		table:   platform.NewHTTPTable(o, nil),
+		objects: platform.NewHTTPObjects(o, nil),
+		hosts:   platform.NewHTTPHosts(o, nil),
+	}
+}
+
+func put(key, value string) platform.Txn {
+	return platform.Txn{Puts: []platform.Put{{Key: key, Value: []byte(value)}}}
+}
+
+// waitFor waits until a condition holds.
+func waitFor(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for !holds() {
+		if time.Now().After(deadline) {
+			t.Fatalf("waited in vain: %s", what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// effect is what became of a write in truth.
+type effect int
+
+const (
+	noEffect effect = iota
+	hasEffect
+	laterEffect
+)
+
+// writeCases are the faults of a store and what a writer must be told. "No effect" must be true, and a write of which
+// neither is certain must be called unknown.
+var writeCases = []struct {
+	name   string
+	limits standin.StoreLimits
+	faults standin.StoreFaults
+	want   error
+	effect effect
+	// silent says that no answer and no broken connection will come.
+	silent bool
+}{
+	{name: "no fault", effect: hasEffect},
+	{name: "outage", faults: standin.StoreFaults{Outage: true}, want: platform.ErrUnavailable},
+	{name: "hangs", faults: standin.StoreFaults{Hang: true}, want: platform.ErrOutcomeUnknown, silent: true},
+	{
+		name:   "slower than the time-out",
+		faults: standin.StoreFaults{LatencySeconds: 1e6},
+		want:   platform.ErrOutcomeUnknown,
+		silent: true,
+	},
+	{name: "lost before", faults: standin.StoreFaults{LoseBefore: next(1)}, want: platform.ErrOutcomeUnknown},
+	{name: "lost after", faults: standin.StoreFaults{LoseAfter: next(1)}, want: platform.ErrOutcomeUnknown, effect: hasEffect},
+	{name: "each lost after", faults: standin.StoreFaults{LoseAfter: always}, want: platform.ErrOutcomeUnknown, effect: hasEffect},
+	{
+		name:   "delayed",
+		faults: standin.StoreFaults{Delay: next(1), DelaySeconds: 0.05},
+		want:   platform.ErrOutcomeUnknown,
+		effect: laterEffect,
+	},
+	{name: "over the rate", limits: standin.StoreLimits{WritesPerSecond: 1e-9}, want: platform.ErrRateLimited},
+}
+
+func TestWriteFaults(t *testing.T) {
+	for _, c := range writeCases {
+		stores := []struct {
+			name  string
+			write func(context.Context, clients) error
+			has   func(clients) bool
+		}{
+			{
+				name: "table",
+				write: func(ctx context.Context, c clients) error {
+					_, err := c.table.Commit(ctx, put("k", "v"))
+					return err
+				},
+				has: func(c clients) bool { return len(c.standin.Rows("k").Rows) == 1 },
+			},
+			{
+				name:  "objects",
+				write: func(ctx context.Context, c clients) error { return c.objects.PutObject(ctx, "k", []byte("v")) },
+				has:   func(c clients) bool { return c.standin.Object("k") != nil },
+			},
+		}
+		for _, store := range stores {
+			t.Run(c.name+"/"+store.name, func(t *testing.T) {
+				clients := newClients(t, standin.Options{Table: c.limits, Objects: c.limits})
+				spendBurst(t, clients)
+				clients.standin.Faults().Update(func(f *standin.Faults) { f.Table, f.Objects = c.faults, c.faults })
+				err := store.write(patience(t, c.silent), clients)
+				checkError(t, err, c.want)
+				switch c.effect {
+				case noEffect:
+					if store.has(clients) {
+						t.Error("the write had an effect")
+					}
+				case hasEffect:
+					if !store.has(clients) {
+						t.Error("the write had no effect")
+					}
+				case laterEffect:
+					waitFor(t, "the delayed write", func() bool { return store.has(clients) })
+				}
+			})
+		}
+	}
+}
+
+// patience returns the context of a call.
+func patience(t *testing.T, silent bool) context.Context {
+	t.Helper()
+	if !silent {
+		return t.Context()
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), impatience)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// spendBurst makes a connection to each store, and uses up the one write that a rate limit lets through.
+func spendBurst(t *testing.T, c clients) {
+	t.Helper()
+	if _, err := c.table.Commit(t.Context(), put("other", "v")); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.objects.PutObject(t.Context(), "other", nil); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// checkError checks that an error is the wanted sentinel and none of the others: a caller that tests for "no effect"
+// must not find it in an unknown outcome.
+func checkError(t *testing.T, err, want error) {
+	t.Helper()
+	if !errors.Is(err, want) {
+		t.Fatalf("got %v, want %v", err, want)
+	}
+	for _, other := range []error{
+		platform.ErrNotFound, platform.ErrUnavailable, platform.ErrRateLimited,
+		platform.ErrOutcomeUnknown, platform.ErrInvalid,
+	} {
+		if other != want && errors.Is(err, other) {
+			t.Errorf("%v is also %v", err, other)
+		}
+	}
+}
+
+func TestReadFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		limits standin.StoreLimits
+		faults standin.StoreFaults
+		want   error
+		silent bool
+	}{
+		{name: "no fault"},
+		{name: "outage", faults: standin.StoreFaults{Outage: true}, want: platform.ErrUnavailable},
+		{name: "hangs", faults: standin.StoreFaults{Hang: true}, want: platform.ErrUnavailable, silent: true},
+		{name: "every answer lost", faults: standin.StoreFaults{LoseAfter: always}, want: platform.ErrUnavailable},
+		{name: "over the rate", limits: standin.StoreLimits{ReadsPerSecond: 1e-9}, want: platform.ErrRateLimited},
+	}
+	reads := []struct {
+		name string
+		read func(context.Context, clients) error
+	}{
+		{"get", func(ctx context.Context, c clients) error { _, err := c.table.Get(ctx, "other"); return err }},
+		{"list", func(ctx context.Context, c clients) error { _, err := c.table.List(ctx, "", 0); return err }},
+		{"object", func(ctx context.Context, c clients) error { _, err := c.objects.GetObject(ctx, "other"); return err }},
+	}
+	for _, c := range cases {
+		for _, read := range reads {
+			t.Run(c.name+"/"+read.name, func(t *testing.T) {
+				clients := newClients(t, standin.Options{Table: c.limits, Objects: c.limits})
+				spendBurst(t, clients)
+				if c.limits.ReadsPerSecond > 0 {
+					checkError(t, read.read(t.Context(), clients), nil)
+				}
+				clients.standin.Faults().Update(func(f *standin.Faults) { f.Table, f.Objects = c.faults, c.faults })
+				checkError(t, read.read(patience(t, c.silent), clients), c.want)
+			})
+		}
+	}
+}
+
+// Nobody listens: no connection is made, so that the write certainly had no effect.
+func TestServiceDown(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	server.Close()
+	c := clientsOf(nil, server.URL)
+	_, commitErr := c.table.Commit(t.Context(), put("k", "v"))
+	checkError(t, commitErr, platform.ErrUnavailable)
+	checkError(t, c.objects.PutObject(t.Context(), "k", nil), platform.ErrUnavailable)
+	_, _, hostsErr := c.hosts.Hosts(t.Context())
+	checkError(t, hostsErr, platform.ErrUnavailable)
+}
+
+// A commit is answered by something between client and table, such as a failing balancer: only the answers that the
+// table itself would give prove an outcome. A redirect must not take the commit elsewhere, or to the table again.
+func TestAnswersThatProveNothing(t *testing.T) {
+	cases := []struct {
+		name   string
+		status int
+		body   string
+		want   error
+	}{
+		{"success without revision", http.StatusOK, `{}`, platform.ErrOutcomeUnknown},
+		{"success cut short", http.StatusOK, `{"revision":`, platform.ErrOutcomeUnknown},
+		{"conflict without row", http.StatusConflict, `conflict`, platform.ErrOutcomeUnknown},
+		{"server error", http.StatusInternalServerError, `oops`, platform.ErrOutcomeUnknown},
+		{"bad gateway", http.StatusBadGateway, ``, platform.ErrOutcomeUnknown},
+		{"gateway time-out", http.StatusGatewayTimeout, ``, platform.ErrOutcomeUnknown},
+		{"redirect", http.StatusTemporaryRedirect, ``, platform.ErrOutcomeUnknown},
+		{"malformed", http.StatusBadRequest, `{"error":{"code":"invalid"}}`, platform.ErrInvalid},
+		{"no such path", http.StatusNotFound, `404 page not found`, platform.ErrInvalid},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			calls := 0
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				calls++
+				w.Header().Set("Location", r.URL.Path)
+				w.WriteHeader(c.status)
+				w.Write([]byte(c.body))
+			}))
+			defer server.Close()
+			_, err := clientsOf(nil, server.URL).table.Commit(t.Context(), put("k", "v"))
+			checkError(t, err, c.want)
+			if calls != 1 {
+				t.Errorf("the commit arrived %d times", calls)
+			}
+		})
+	}
+}
+
+// Two operators edit the same row. Both read revision 1; the second to commit must learn that it lost and to which
+// revision, and must leave nothing behind, also not in the rows whose conditions held.
+func TestTransactions(t *testing.T) {
+	cases := []struct {
+		name string
+		txn  platform.Txn
+		want *platform.ConflictError
+		keys []string
+	}{
+		{"unconditional", put("c", "v"), nil, []string{"a", "b", "c"}},
+		{
+			name: "conditions hold",
+			txn: platform.Txn{
+				Conditions: []platform.Condition{{Key: "a", Revision: 1}, {Key: "c"}},
+				Puts:       []platform.Put{{Key: "c"}},
+				Deletes:    []string{"a"},
+			},
+			keys: []string{"b", "c"},
+		},
+		{
+			name: "second condition fails",
+			txn: platform.Txn{
+				Conditions: []platform.Condition{{Key: "a", Revision: 1}, {Key: "b", Revision: 1}},
+				Puts:       []platform.Put{{Key: "c"}},
+				Deletes:    []string{"a"},
+			},
+			want: &platform.ConflictError{Key: "b", Revision: 2},
+			keys: []string{"a", "b"},
+		},
+		{
+			name: "row should be absent",
+			txn:  platform.Txn{Conditions: []platform.Condition{{Key: "a"}}, Puts: []platform.Put{{Key: "a"}}},
+			want: &platform.ConflictError{Key: "a", Revision: 1},
+			keys: []string{"a", "b"},
+		},
+		{
+			name: "row should be there",
+			txn:  platform.Txn{Conditions: []platform.Condition{{Key: "c", Revision: 1}}},
+			want: &platform.ConflictError{Key: "c"},
+			keys: []string{"a", "b"},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			clients := newClients(t, standin.Options{})
+			mustCommit(t, clients, put("a", "1"))
+			mustCommit(t, clients, put("b", "2"))
+			revision, err := clients.table.Commit(t.Context(), c.txn)
+			var conflict *platform.ConflictError
+			if errors.As(err, &conflict) != (c.want != nil) || (conflict != nil && *conflict != *c.want) {
+				t.Fatalf("got %v, want conflict %v", err, c.want)
+			}
+			if c.want == nil && revision != 3 {
+				t.Errorf("revision %d, want 3", revision)
+			}
+			listing, err := clients.table.List(t.Context(), "", 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := keysOf(listing); !slices.Equal(got, c.keys) {
+				t.Errorf("rows %v, want %v", got, c.keys)
+			}
+		})
+	}
+}
+
+func mustCommit(t *testing.T, c clients, txn platform.Txn) uint64 {
+	t.Helper()
+	revision, err := c.table.Commit(t.Context(), txn)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return revision
+}
+
+func keysOf(listing platform.Listing) []string {
+	var keys []string
+	for _, row := range listing.Rows {
+		keys = append(keys, row.Key)
+	}
+	return keys
+}
+
+func TestTableReads(t *testing.T) {
+	c := newClients(t, standin.Options{})
+	const odd = "p/a b&c=%2F+é"
+	mustCommit(t, c, put(odd, "\x00\xff"))
+	mustCommit(t, c, put("p/z", ""))
+	last := mustCommit(t, c, put("q", "v"))
+	row, err := c.table.Get(t.Context(), odd)
+	if err != nil || string(row.Value) != "\x00\xff" || row.Revision != 1 {
+		t.Errorf("got %+v, %v", row, err)
+	}
+	_, err = c.table.Get(t.Context(), "absent")
+	checkError(t, err, platform.ErrNotFound)
+	listing, err := c.table.List(t.Context(), "p/", 1)
+	if err != nil || listing.Revision != last || !slices.Equal(keysOf(listing), []string{"p/z"}) {
+		t.Errorf("got %+v, %v", listing, err)
+	}
+}
+
+func TestObjects(t *testing.T) {
+	c := newClients(t, standin.Options{})
+	const name = "traces/day 1/a?b#c"
+	for range 2 {
+		if err := c.objects.PutObject(t.Context(), name, []byte("data")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	data, err := c.objects.GetObject(t.Context(), name)
+	if err != nil || string(data) != "data" {
+		t.Errorf("got %q, %v", data, err)
+	}
+	checkError(t, c.objects.PutObject(t.Context(), name, []byte("other")), platform.ErrInvalid)
+	_, err = c.objects.GetObject(t.Context(), "absent")
+	checkError(t, err, platform.ErrNotFound)
+}
+
+// A caller gives up on a read itself: the sentinel says that nothing was read, and the cause must still be found, so
+// that the caller does not take its own deadline for an outage of the table.
+func TestCausesAreKept(t *testing.T) {
+	c := newClients(t, standin.Options{})
+	c.standin.Faults().Update(func(f *standin.Faults) { f.Table.Hang = true })
+	_, err := c.table.Get(patience(t, true), "k")
+	checkError(t, err, platform.ErrUnavailable)
+	if !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("%v hides its cause", err)
+	}
+	if strings.Count(err.Error(), "platform:") != 1 {
+		t.Errorf("%v names more than one sentinel", err)
+	}
+}
--- a/internal/standin/platform/table.go
+++ b/internal/standin/platform/table.go
@@ -155,3 +155,10 @@
 		return func() { w.WriteHeader(http.StatusNoContent) }
 	})
 }
+
+// Object returns an object past every fault, or nil if there is none.
+func (s *Server) Object(name string) []byte {
+	s.objects.mu.Lock()
+	defer s.objects.mu.Unlock()
+	return s.objects.blobs[name]
+}
--- a/internal/standin/platform/weights.go
+++ b/internal/standin/platform/weights.go
@@ -120,7 +120,7 @@
 const (
 	minStep = time.Millisecond
 	maxStep = 50 * time.Millisecond
-	// stepShare is the share of what is left that one step runs at one speed.
+	// stepShare is the part of what is left that a step takes, so that the steps grow finer towards the end.
 	stepShare = 8
 )
 
@@ -130,7 +130,7 @@
 	last := w.server.clock.Now()
 	for left > 0 {
 		speed := w.speed(request.Kind)
-		step := min(time.Duration(float64(left)/speed), max(minStep, min(maxStep, left/stepShare)))
+		step := max(minStep, min(maxStep, left/stepShare))
 		if !control.Sleep(r.Context(), w.server.clock, step) || w.server.faults.Get().Weights.Outage {
 			return false
 		}
