entry: default deadlines are declared by operators only

Cause: they stood both in the entry's settings and in the declared limits, which always have defaults, so that the settings never counted.

--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -151,6 +151,9 @@
 	for _, d := range down.Deltas {
 		applied, gap := a.receiver.ApplyDelta(d)
 		changed = changed || applied
+		if err := a.receiver.Err(); err != nil {
+			a.logger.Error("declarations cannot be read", "error", err)
+		}
 		if gap {
 			s.queue(func(up *wirepb.ControlUp) { up.WantSnapshot = true })
 		}
--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -108,9 +108,9 @@
 		ID:                s.Entry.ID,
 		FailureDomain:     s.Entry.FailureDomain,
 		Incarnation:       uint64(i),
-		Deadlines:         entry.Deadlines{Interactive: s.Limits.InteractiveDeadline, Batch: s.Limits.BatchDeadline},
+		MaxDeadline:       s.Limits.MaxDeadline,
 		MaxBody:           int64(s.Limits.MaxBody),
-		Limiter:           admission.LimiterOptions{MaxInFlight: s.Limits.MaxInFlight, MaxBatch: s.Limits.MaxBatch, Seed: uint64(i)},
+		Limiter:           limiterOptions(s.Limits, i),
 		Router:            routing.Options{Seed: uint64(i), FailureDomain: s.Entry.FailureDomain},
 		Budget:            routing.BudgetOptions{Share: s.Retries.Share, FloorPerSecond: s.Retries.FloorPerSecond, Burst: s.Retries.Burst},
 		MaxAttempts:       s.Limits.MaxAttempts,
@@ -146,6 +146,15 @@
 	return m
 }
 
+func limiterOptions(l settings.EntryLimits, i Incarnation) admission.LimiterOptions {
+	return admission.LimiterOptions{
+		MaxInFlight:   l.MaxInFlight,
+		MaxBatch:      l.MaxBatch,
+		MaxRetryAfter: l.MaxRetryAfter,
+		Seed:          uint64(i),
+	}
+}
+
 // newOperatorServer serves the operators' paths of an entry.
 func newOperatorServer(s *settings.Entry, e *entry.Entry, l *slog.Logger, r *prometheus.Registry, line *timeline.Recorder) *process.Server {
 	server := process.NewServer(process.Options{
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,18 +24,14 @@
 	"balsamsail/internal/timeline"
 )
 
-// Deadlines are the deadlines of callers that name none.
-type Deadlines struct {
-	Interactive, Batch time.Duration
-}
-
 // Options are the settings of an Entry.
 type Options struct {
 	ID            string
 	FailureDomain string
 	// Incarnation rises with each start of the entry.
 	Incarnation uint64
-	Deadlines   Deadlines
+	// MaxDeadline bounds the deadline that a request may ask for.
+	MaxDeadline time.Duration
 	// MaxBody bounds the body of a chat completion in bytes, and of a service call where nothing else is declared.
 	MaxBody int64
 	Limiter admission.LimiterOptions
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -31,7 +31,7 @@
 func (e *Entry) serveChat(w http.ResponseWriter, r *http.Request) {
 	id := e.newRequestID()
 	now := e.clock.Now()
-	class, deadline, refusal := classAndDeadline(r.Header, e.deadlines(), now)
+	class, deadline, refusal := e.classAndDeadline(r.Header, e.deadlines(), now)
 	if refusal == nil && len(e.Ready()) > 0 && !e.draining.Load() {
 		refusal = refused(wirepb.RefusalReason_NOT_READY, minRetryAfter)
 	}
@@ -119,17 +119,13 @@
 	refusal.write(w, id)
 }
 
-// deadlines returns the declared default deadlines, or the settings'.
-func (e *Entry) deadlines() Deadlines {
-	d := e.options.Deadlines
+// deadlines returns the declared deadlines of requests that name none.
+func (e *Entry) deadlines() deadlines {
 	limits := e.store.Current().Limits()
-	if ms := limits.GetInteractiveDeadlineMillis(); ms > 0 {
-		d.Interactive = time.Duration(ms) * time.Millisecond
+	return deadlines{
+		interactive: time.Duration(limits.GetInteractiveDeadlineMillis()) * time.Millisecond,
+		batch:       time.Duration(limits.GetBatchDeadlineMillis()) * time.Millisecond,
 	}
-	if ms := limits.GetBatchDeadlineMillis(); ms > 0 {
-		d.Batch = time.Duration(ms) * time.Millisecond
-	}
-	return d
 }
 
 // modelEntry is one line of GET /v1/models.
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 
@@ -70,7 +71,11 @@
 	var problems inifile.Problems
 	switch {
 	case errors.As(err, &conflict):
-		return &operator.ConflictError{Author: conflict.Author, Revision: conflict.Winner, Base: conflict.BasedOn}
+		return &operator.ConflictError{
+			Author:   conflict.Author,
+			Revision: cmp.Or(conflict.Winner, conflict.Revision),
+			Base:     conflict.BasedOn,
+		}
 	case errors.As(err, &problems):
 		return &operator.InvalidError{Places: places(problems)}
 	case errors.Is(err, declarations.ErrNotDeclared):
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -49,18 +49,20 @@
 	classBatch       = "batch"
 )
 
-// maxDeadline bounds what a caller may ask for.
-const maxDeadline = 24 * time.Hour
+// deadlines are the deadlines of requests that name none.
+type deadlines struct {
+	interactive, batch time.Duration
+}
 
 // classAndDeadline reads a caller's class and deadline, or the declared defaults.
-func classAndDeadline(h http.Header, d Deadlines, now time.Time) (wirepb.Class, time.Time, *apiError) {
+func (e *Entry) classAndDeadline(h http.Header, d deadlines, now time.Time) (wirepb.Class, time.Time, *apiError) {
 	class := wirepb.Class_INTERACTIVE
-	left := d.Interactive
+	left := d.interactive
 	switch h.Get(headerClass) {
 	case "", classInteractive:
 	case classBatch:
 		class = wirepb.Class_BATCH
-		left = d.Batch
+		left = d.batch
 	default:
 		return 0, time.Time{}, badRequest(headerClass + " must be " + classInteractive + " or " + classBatch)
 	}
@@ -68,9 +70,11 @@
 	if text == "" {
 		return class, now.Add(left), nil
 	}
+	most := e.options.MaxDeadline.Milliseconds()
 	ms, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || ms <= 0 || ms > maxDeadline.Milliseconds() {
-		return 0, time.Time{}, badRequest(headerDeadline + " must be a whole number of milliseconds from 1 to 86400000")
+	if err != nil || ms <= 0 || ms > most {
+		message := headerDeadline + " must be a whole number of milliseconds from 1 to " + strconv.FormatInt(most, 10)
+		return 0, time.Time{}, badRequest(message)
 	}
 	return class, now.Add(time.Duration(ms) * time.Millisecond), nil
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -20,7 +20,7 @@
 		e.answerError(w, id, notRun(http.StatusNotFound, CodeNotFound, "no service has this path", 0))
 		return
 	}
-	class, deadline, refusal := classAndDeadline(r.Header, e.serviceDeadlines(service), now)
+	class, deadline, refusal := e.classAndDeadline(r.Header, e.serviceDeadlines(service), now)
 	if refusal == nil {
 		refusal = e.checkLength(service, r.ContentLength)
 	}
@@ -55,10 +55,10 @@
 }
 
 // serviceDeadlines are the default deadlines of a service's calls.
-func (e *Entry) serviceDeadlines(service *declarations.Service) Deadlines {
+func (e *Entry) serviceDeadlines(service *declarations.Service) deadlines {
 	if ms := service.DefaultDeadlineMillis; ms > 0 {
 		d := time.Duration(ms) * time.Millisecond
-		return Deadlines{Interactive: d, Batch: d}
+		return deadlines{interactive: d, batch: d}
 	}
 	return e.deadlines()
 }
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -44,9 +44,7 @@
 	MaxBatch            int           `ini:"max_batch" default:"5000" min:"0" max:"1000000" doc:"Requests of class batch among them; 0 sets no bound of its own."`
 	MaxBody             inifile.Bytes `ini:"max_body" default:"16MiB" min:"1B" max:"1TiB" doc:"Longest body of a chat completion, and of a service call where the service declares none."`
 	MaxAnswer           time.Duration `ini:"max_answer" default:"1h" min:"1s" max:"24h" doc:"Longest time of one answer once begun."`
-	InteractiveDeadline time.Duration `ini:"interactive_deadline" default:"30s" min:"1ms" max:"24h" doc:"Deadline of interactive requests where neither the request nor the declarations name one."`
-	BatchDeadline       time.Duration `ini:"batch_deadline" default:"8h" min:"1ms" max:"168h" doc:"The same for requests of class batch."`
-	MaxDeadline         time.Duration `ini:"max_deadline" default:"24h" min:"1ms" max:"168h" doc:"Longest deadline that a request may ask for."`
+	MaxDeadline         time.Duration `ini:"max_deadline" default:"24h" min:"1ms" max:"168h" doc:"Longest deadline that a request may ask for. Those of requests that ask for none are declared by operators."`
 	MaxAttempts         int           `ini:"max_attempts" default:"4" min:"1" max:"100" doc:"Attempts at one request."`
 	CandidatePatience   time.Duration `ini:"candidate_patience" default:"2s" min:"0s" max:"1m" doc:"Wait of a request for an endpoint that may take it."`
 	MaxRetryAfter       time.Duration `ini:"max_retry_after" default:"30s" min:"1s" max:"1h" doc:"Longest time to come back that a refusal names."`
@@ -55,8 +53,6 @@
 // Check implements inifile.Checker.
 func (l *EntryLimits) Check(r *inifile.Reporter) {
 	order[int]{"max_batch", "max_in_flight", l.MaxBatch, l.MaxInFlight}.report(r)
-	order[time.Duration]{"interactive_deadline", "batch_deadline", l.InteractiveDeadline, l.BatchDeadline}.report(r)
-	order[time.Duration]{"batch_deadline", "max_deadline", l.BatchDeadline, l.MaxDeadline}.report(r)
 }
 
 // Retries sets the retry budget.
