--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -65,6 +65,10 @@
 			if !e.waitBefore(ctx, verdict.Wait) {
 				return result{cut: true, err: notRun(0, CodeCallerGone, "caller gone", 0)}
 			}
+			if verdict.Wait > 0 {
+				// All have been tried; after the wait they may be tried again.
+				tried = nil
+			}
 		case routing.VerdictRefuse:
 			return result{err: refused(verdict.Reason, verdict.RetryAfter)}
 		case routing.VerdictUnknown:
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -40,14 +40,14 @@
 
 // EntryLimits bounds callers' requests.
 type EntryLimits struct {
-	MaxInFlight         int           `ini:"max_in_flight" default:"10000" min:"1" max:"1000000" doc:"Requests in flight in this entry; others are refused at once."`
-	MaxBatch            int           `ini:"max_batch" default:"5000" min:"0" max:"1000000" doc:"Requests of class batch among them; 0 sets no bound of its own."`
-	MaxBody             inifile.Bytes `ini:"max_body" default:"16MiB" min:"1B" max:"1TiB" doc:"Longest body of a chat completion, and of a service call where the service declares none."`
-	MaxAnswer           time.Duration `ini:"max_answer" default:"1h" min:"1s" max:"24h" doc:"Longest time of one answer once begun."`
-	MaxDeadline         time.Duration `ini:"max_deadline" default:"24h" min:"1ms" max:"168h" doc:"Longest deadline that a request may ask for. Those of requests that ask for none are declared by operators."`
-	MaxAttempts         int           `ini:"max_attempts" default:"4" min:"1" max:"100" doc:"Attempts at one request."`
-	CandidatePatience   time.Duration `ini:"candidate_patience" default:"2s" min:"0s" max:"1m" doc:"Wait of a request for an endpoint that may take it."`
-	MaxRetryAfter       time.Duration `ini:"max_retry_after" default:"30s" min:"1s" max:"1h" doc:"Longest time to come back that a refusal names."`
+	MaxInFlight       int           `ini:"max_in_flight" default:"10000" min:"1" max:"1000000" doc:"Requests in flight in this entry; others are refused at once."`
+	MaxBatch          int           `ini:"max_batch" default:"5000" min:"0" max:"1000000" doc:"Requests of class batch among them; 0 sets no bound of its own."`
+	MaxBody           inifile.Bytes `ini:"max_body" default:"16MiB" min:"1B" max:"1TiB" doc:"Longest body of a chat completion, and of a service call where the service declares none."`
+	MaxAnswer         time.Duration `ini:"max_answer" default:"1h" min:"1s" max:"24h" doc:"Longest time of one answer once begun."`
+	MaxDeadline       time.Duration `ini:"max_deadline" default:"24h" min:"1ms" max:"168h" doc:"Longest deadline that a request may ask for. Those of requests that ask for none are declared by operators."`
+	MaxAttempts       int           `ini:"max_attempts" default:"4" min:"1" max:"100" doc:"Attempts at one request."`
+	CandidatePatience time.Duration `ini:"candidate_patience" default:"2s" min:"0s" max:"1m" doc:"Wait of a request for an endpoint that may take it."`
+	MaxRetryAfter     time.Duration `ini:"max_retry_after" default:"30s" min:"1s" max:"1h" doc:"Longest time to come back that a refusal names."`
 }
 
 // Check implements inifile.Checker.
