--- a/internal/standin/control/control.go
+++ b/internal/standin/control/control.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -123,6 +124,14 @@
 // Lose cuts the connection in place of an answer, or of what is left of it. It does not return.
 func Lose() { panic(http.ErrAbortHandler) }
 
+// Hang waits until the client goes away. It reads the request's body first, since a server notices that a client has
+// gone only once it has read the body.
+func Hang(r *http.Request) {
+	// A client that goes away in the middle of its body has gone as well.
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
 // Sleep waits for d and says whether the context still lasts then.
 func Sleep(ctx context.Context, c clock.Clock, d time.Duration) bool {
 	if d <= 0 {
--- a/internal/standin/engine/chat.go
+++ b/internal/standin/engine/chat.go
@@ -37,7 +37,7 @@
 	if id != "" {
 		w.Header().Set(endpoint.HeaderRequestID, id)
 	}
-	if s.hang(r.Context()) {
+	if s.hang(r) {
 		return
 	}
 	if s.faults.Get().Refuse {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -250,7 +250,7 @@
 // document serves a read of the running process.
 func (s *Server) document(read func(*process) any) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		if s.hang(r.Context()) {
+		if s.hang(r) {
 			return
 		}
 		s.mu.Lock()
@@ -261,11 +261,11 @@
 }
 
 // hang waits out the request and returns true if the engine hangs.
-func (s *Server) hang(ctx context.Context) bool {
+func (s *Server) hang(r *http.Request) bool {
 	if !s.faults.Get().Hang {
 		return false
 	}
-	<-ctx.Done()
+	control.Hang(r)
 	return true
 }
 
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -26,7 +26,7 @@
 var errStopped = errors.New("engine: process ended")
 
 func (s *Server) order(w http.ResponseWriter, r *http.Request) {
-	if s.hang(r.Context()) {
+	if s.hang(r) {
 		return
 	}
 	if s.options.Token != "" && r.Header.Get("Authorization") != "Bearer "+s.options.Token {
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -93,7 +93,7 @@
 		return false
 	}
 	if faults.Hang {
-		<-r.Context().Done()
+		control.Hang(r)
 		return false
 	}
 	if faults.Outage {
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -154,6 +154,11 @@
 		control.WriteError(w, http.StatusServiceUnavailable, endpoint.CodeUnavailable, "refusing")
 		return
 	}
+	echo := r.Method == http.MethodPost && r.URL.Path == "/echo"
+	key, err := keyOf(r, echo)
+	if err != nil {
+		control.Lose()
+	}
 	s.hang(r, func(f *Faults) *control.Chance { return &f.HangBefore })
 	s.cut(func(f *Faults) *control.Chance { return &f.CutBefore })
 	if !s.acquire(r) {
@@ -161,17 +166,12 @@
 		return
 	}
 	defer s.release()
-	s.run(w, r)
+	s.run(w, r, key, echo)
 }
 
 // run executes a call and answers it. The call takes effect when its service time begins, and is then not given up
 // any more.
-func (s *Server) run(w http.ResponseWriter, r *http.Request) {
-	echo := r.Method == http.MethodPost && r.URL.Path == "/echo"
-	key, err := keyOf(r, echo)
-	if err != nil {
-		return
-	}
+func (s *Server) run(w http.ResponseWriter, r *http.Request, key string, echo bool) {
 	answer := s.execute(callID{r.Method, r.URL.Path, key})
 	duration := float64(s.options.ServiceTime) * max(1, s.faults.Get().SlowFactor)
 	control.Sleep(r.Context(), s.options.Clock, time.Duration(duration))
@@ -181,14 +181,29 @@
 		control.WriteJSON(w, http.StatusOK, answer)
 		return
 	}
-	// Without full duplex the server would read the whole body before it sends the answer's first byte.
-	_ = http.NewResponseController(w).EnableFullDuplex()
 	w.Header().Set("Content-Type", r.Header.Get("Content-Type"))
-	if _, err := io.Copy(w, r.Body); err != nil {
+	flusher := http.NewResponseController(w)
+	// Without full duplex the server would read the whole body before it sends the answer's first byte.
+	_ = flusher.EnableFullDuplex()
+	if _, err := io.Copy(flushWriter{w, flusher}, r.Body); err != nil {
 		control.Lose()
 	}
 }
 
+// flushWriter sends each write at once.
+type flushWriter struct {
+	io.Writer
+	flusher *http.ResponseController
+}
+
+func (f flushWriter) Write(p []byte) (int, error) {
+	n, err := f.Writer.Write(p)
+	if err != nil {
+		return n, err
+	}
+	return n, f.flusher.Flush()
+}
+
 func (s *Server) execute(id callID) Answer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -248,7 +263,7 @@
 
 func (s *Server) hang(r *http.Request, choose func(*Faults) *control.Chance) {
 	if s.faults.Hit(choose) {
-		<-r.Context().Done()
+		control.Hang(r)
 		control.Lose()
 	}
 }
