agent, entry: the execution machine drives each offer; fates of requests whose caller left reach their claims

Causes, found by reading the shells against the machines: two offers of one request at one agent overwrote each other's place (a place was then lost for good): each offer has a key of its own. A caller that left lost the fate of a committed call, and burnt the key of one that did not run: the result now carries the fate. An answer too large to be kept was recorded as kept with an empty body: it is marked as dropped. An engine that answers that it is busy did not run the request: another replica is tried.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -105,6 +106,8 @@
 	core     *core
 	receiver *declarations.Receiver
 	requests inflight
+	// offers counts the offers, to tell them from each other.
+	offers atomic.Uint64
 
 	mu       sync.Mutex
 	entries  map[string]*controlStream
--- a/internal/agent/execute.go
+++ b/internal/agent/execute.go
@@ -3,48 +3,98 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
+	"balsamsail/internal/atmostonce"
 	"balsamsail/internal/endpoint"
 	"balsamsail/internal/timeline"
 	"balsamsail/internal/wire/wirepb"
 )
 
-// execute passes the request to the endpoint and the answer back. It returns how long the endpoint took.
-func (x *exchange) execute(ctx context.Context, cold bool) spent {
+// call is one call of the endpoint.
+type call struct {
+	stop  context.CancelFunc
+	watch *watch
+}
+
+// callResult is how a call ended.
+type callResult struct {
+	took spent
+	// trailer is set after a whole answer.
+	trailer *wirepb.Trailer
+	// err is why there is none, with its reason. clean says that the endpoint certainly did not run the request.
+	err    error
+	reason wirepb.FailureReason
+	clean  bool
+}
+
+// event is the execution's event for the result.
+func (r *callResult) event() event {
+	switch {
+	case r.err == nil:
+		return event{kind: atmostonce.CallAnswered, result: r}
+	case r.clean:
+		return event{kind: atmostonce.CallFailedClean, result: r}
+	default:
+		return event{kind: atmostonce.CallFailedUnclear, result: r}
+	}
+}
+
+// startCall passes the request to the endpoint. The call runs beside the exchange's events, which learns of its end.
+//
+// A committed request that may run only once is not cancelled when the entry goes away: the execution does not ask for
+// it, because cutting it would only make its outcome less certain.
+func (x *exchange) startCall(ctx context.Context) {
+	a := x.agent
+	if x.offer.TwoStep {
+		x.record(timeline.RequestCommitted, "")
+	} else if !x.offer.BodyDone {
+		x.sendReady()
+	}
+	x.record(timeline.RequestStarted, "")
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.options.MaxAnswer)
+	x.call = &call{stop: cancel, watch: newWatch(a.clock, x.deadline.Sub(a.clock.Now()), cancel)}
+	go func() {
+		defer cancel()
+		defer x.call.watch.stop()
+		x.events <- x.execute(ctx).event()
+	}()
+}
+
+// execute makes the call and passes the answer on, but for its trailer.
+func (x *exchange) execute(ctx context.Context) *callResult {
 	a := x.agent
-	ctx, cancel := x.executionContext(ctx)
-	defer cancel()
 	request, err := x.endpointRequest(ctx)
 	if err != nil {
-		x.fail(wirepb.FailureReason_BODY_BROKE, false, err)
-		return spent{}
+		return &callResult{err: err, reason: wirepb.FailureReason_BODY_BROKE, clean: true}
 	}
 	began := a.clock.Now()
-	watch := newWatch(a.clock, x.deadline.Sub(began), cancel)
-	defer watch.stop()
 	response, err := a.caller.Call(request)
 	if err != nil {
-		x.fail(failureOf(ctx, err), !errors.Is(err, endpoint.ErrUnreachable), err)
-		return spent{}
+		return &callResult{err: err, reason: failureOf(ctx, err), clean: errors.Is(err, endpoint.ErrUnreachable)}
 	}
 	defer func() { _ = response.Body.Close() }()
-	r := &relay{exchange: x, response: response, began: began, cold: cold, watch: watch}
+	if x.engineRefused(response) {
+		err := errors.Wrap(errEngineBusy, response.Status)
+		return &callResult{err: err, reason: wirepb.FailureReason_ENDPOINT_REFUSED, clean: true}
+	}
+	r := newRelay(x, response, began)
 	if err := r.run(); err != nil {
-		x.fail(failureOf(ctx, err), true, err)
-		return spent{first: r.first}
+		return &callResult{took: spent{first: r.first}, err: err, reason: failureOf(ctx, err)}
 	}
-	return spent{first: r.first, whole: a.clock.Now().Sub(began)}
+	return &callResult{took: spent{first: r.first, whole: a.clock.Now().Sub(began)}, trailer: r.trailer()}
 }
 
-// executionContext bounds the execution. A committed request that may run only once is not cancelled when the entry goes
-// away: it has begun, and cutting it would only make its outcome less certain.
-func (x *exchange) executionContext(ctx context.Context) (context.Context, context.CancelFunc) {
-	if x.offer.TwoStep {
-		ctx = context.WithoutCancel(ctx)
-	}
-	return context.WithTimeout(ctx, x.agent.options.MaxAnswer)
+// errEngineBusy says that the engine refused a request because it is too busy.
+var errEngineBusy = errors.New("agent: the engine refused")
+
+// engineRefused reports whether an engine refused to run a request. Another replica may take it. What a plain service
+// answers is passed on: its status may mean anything.
+func (x *exchange) engineRefused(response *http.Response) bool {
+	busy := response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests
+	return busy && x.target.Model != ""
 }
 
 // endpointRequest is the request as the endpoint gets it.
@@ -83,23 +133,9 @@
 	}
 }
 
-// fail ends the exchange after the start.
-func (x *exchange) fail(reason wirepb.FailureReason, mayHaveRun bool, err error) {
-	x.agent.metrics.failed.WithLabelValues(reason.String()).Inc()
-	x.agent.logger.Warn("request failed at the endpoint", "request", x.id, "reason", reason, "error", err)
-	x.record(timeline.RequestFailed, reason.String())
-	failed := &wirepb.Failed{
-		Reason:     reason,
-		MayHaveRun: mayHaveRun,
-		Detail:     err.Error(),
-		Load:       x.agent.core.load(x.target),
-	}
-	_ = x.send(&wirepb.FromAgent{Frame: &wirepb.FromAgent_Failed{Failed: failed}})
-}
-
 // probe checks that a plain service answers at its report path.
 func (a *Agent) probe(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, a.options.ProbeInterval)
+	ctx, cancel := context.WithTimeout(ctx, max(a.options.ProbeInterval, time.Second))
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, endpoint.PathReport, http.NoBody)
 	if err != nil {
@@ -107,7 +143,7 @@
 	}
 	response, err := a.caller.Call(request)
 	if err != nil {
-		return false
+		return errors.Is(err, endpoint.ErrWrongAnswer)
 	}
 	_ = response.Body.Close()
 	return response.StatusCode < http.StatusInternalServerError
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -62,8 +62,6 @@
 	exchange *exchange
 	response *http.Response
 	began    time.Time
-	cold     bool
-	watch    *watch
 	// first is the time to the first body bytes.
 	first    time.Duration
 	length   uint64
@@ -71,30 +69,37 @@
 	tail     *tailCheck
 }
 
-// run passes head, body and trailer.
+func newRelay(x *exchange, response *http.Response, began time.Time) *relay {
+	return &relay{
+		exchange: x,
+		response: response,
+		began:    began,
+		checksum: xxhash.New(),
+		tail:     newTailCheck(response, x.offer.Model != ""),
+	}
+}
+
+// run passes head and body.
 func (r *relay) run() error {
-	x := r.exchange
-	r.checksum = xxhash.New()
-	r.tail = newTailCheck(r.response, x.offer.Model != "")
 	if err := r.sendHead(); err != nil {
-		return err
+		return errors.Wrap(errWithdrawn, err.Error())
 	}
 	if err := r.sendBody(); err != nil {
 		return err
 	}
-	if err := r.tail.err(); err != nil {
-		return err
-	}
-	x.record(timeline.RequestCompleted, "")
-	trailer := &wirepb.Trailer{Length: r.length, Checksum: r.checksum.Sum64(), Load: x.agent.core.load(x.target)}
-	return x.send(&wirepb.FromAgent{Frame: &wirepb.FromAgent_Trailer{Trailer: trailer}})
+	return r.tail.err()
+}
+
+// trailer describes the body that was passed on.
+func (r *relay) trailer() *wirepb.Trailer {
+	return &wirepb.Trailer{Length: r.length, Checksum: r.checksum.Sum64()}
 }
 
 func (r *relay) sendHead() error {
 	x := r.exchange
 	head := &wirepb.Head{
 		Status:      int32(r.response.StatusCode),
-		Cold:        r.cold,
+		Cold:        x.cold,
 		QueueMicros: r.began.Sub(x.began).Microseconds(),
 	}
 	for name, values := range r.response.Header {
@@ -130,7 +135,7 @@
 	if r.first == 0 {
 		r.first = x.agent.clock.Now().Sub(r.began)
 		if x.offer.Stream {
-			r.watch.stop()
+			x.call.watch.stop()
 		}
 	}
 	r.length += uint64(len(data))
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"balsamsail/internal/admission"
+	"balsamsail/internal/atmostonce"
+	"balsamsail/internal/clock"
 	"balsamsail/internal/timeline"
 	"balsamsail/internal/wire"
 	"balsamsail/internal/wire/wirepb"
@@ -15,18 +18,34 @@
 // errWithdrawn says that the entry withdrew the request or its stream broke.
 var errWithdrawn = errors.New("agent: withdrawn by the entry")
 
-// exchange is one request stream at the agent.
+// exchange is one request stream at the agent. serve drives atmostonce.Execution with what befalls the stream, the queue
+// and the endpoint call, and carries out its actions, one at a time.
 type exchange struct {
 	agent  *Agent
 	stream *wire.Stream
-	id     string
-	offer  *wirepb.Offer
-	target admission.Target
-	// deadline is the time by which the answer must have begun.
+	// id is the request's identifier, and key this offer's: an entry may offer a request to the same agent again while
+	// the earlier offer still ends.
+	id, key string
+	offer   *wirepb.Offer
+	target  admission.Target
+	// deadline is the time by which the answer must have begun, or be whole where it is not streamed.
 	deadline time.Time
 	began    time.Time
 	body     *bodyReader
-	commit   chan struct{}
+
+	execution *atmostonce.Execution
+	events    chan event
+	waiting   *waiting
+	refusal   *admission.Refusal
+	commit    clock.Timer
+	call      *call
+	cold      bool
+}
+
+// event is one event of the execution; result is set when the endpoint call has ended.
+type event struct {
+	kind   atmostonce.ExecutionEvent
+	result *callResult
 }
 
 // serveRequest runs one request stream from the offer to its definite end.
@@ -39,10 +58,8 @@
 	}
 	_ = stream.SetReadDeadline(time.Time{})
 	x := a.newExchange(stream, first)
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	go x.readFrames(cancel)
 	x.serve(ctx)
+	x.body.fail(errWithdrawn)
 }
 
 func (a *Agent) newExchange(stream *wire.Stream, first *wirepb.ToAgent) *exchange {
@@ -50,51 +67,25 @@
 	now := a.clock.Now()
 	a.recorder.Clock().Observe(offer.Clock)
 	return &exchange{
-		agent:    a,
-		stream:   stream,
-		id:       first.RequestId,
-		offer:    offer,
-		target:   admission.Target{Model: offer.Model, Adapter: offer.Adapter, Service: offer.Service},
-		deadline: now.Add(micros(offer.TimeLeftMicros)),
-		began:    now,
-		body:     newBodyReader(offer.Body, offer.BodyDone),
-		commit:   make(chan struct{}),
-	}
-}
-
-// readFrames takes the entry's further frames. When the stream ends the request is cancelled: before the start it then
-// certainly did not run.
-func (x *exchange) readFrames(cancel context.CancelCauseFunc) {
-	committed := false
-	for {
-		frame := &wirepb.ToAgent{}
-		err := x.stream.Read(frame)
-		if err != nil || frame.RequestId != x.id {
-			x.body.fail(errWithdrawn)
-			cancel(errWithdrawn)
-			return
-		}
-		switch f := frame.Frame.(type) {
-		case *wirepb.ToAgent_Body:
-			x.body.add(f.Body.Data, f.Body.Done)
-		case *wirepb.ToAgent_Commit:
-			if !committed {
-				committed = true
-				close(x.commit)
-			}
-		case *wirepb.ToAgent_Cancel:
-			x.body.fail(errWithdrawn)
-			cancel(errWithdrawn)
-			return
-		}
+		agent:     a,
+		stream:    stream,
+		id:        first.RequestId,
+		key:       first.RequestId + "#" + strconv.FormatUint(a.offers.Add(1), 36),
+		offer:     offer,
+		target:    admission.Target{Model: offer.Model, Adapter: offer.Adapter, Service: offer.Service},
+		deadline:  now.Add(micros(offer.TimeLeftMicros)),
+		began:     now,
+		body:      newBodyReader(offer.Body, offer.BodyDone),
+		execution: atmostonce.NewExecution(offer.TwoStep),
+		events:    make(chan event),
 	}
 }
 
-// serve queues the request, waits for its start and runs it.
+// serve queues the request and follows it to its end.
 func (x *exchange) serve(ctx context.Context) {
 	a := x.agent
-	w := newWaiting(admission.Request{
-		ID:       x.id,
+	x.waiting = newWaiting(admission.Request{
+		ID:       x.key,
 		Target:   x.target,
 		Class:    x.offer.Class,
 		Caller:   x.offer.Caller,
@@ -102,88 +93,153 @@
 		Deadline: x.deadline,
 		Stream:   x.offer.Stream,
 	})
-	if refusal := a.core.offer(w); refusal != nil {
-		x.refuse(refusal)
+	if refusal := a.core.offer(x.waiting); refusal != nil {
+		x.refusal = refusal
+		x.sendRefused()
 		return
 	}
 	x.record(timeline.RequestAccepted, "")
-	accepted := &wirepb.FromAgent_Accepted{Accepted: a.core.accepted(w)}
-	if err := x.send(&wirepb.FromAgent{Frame: accepted}); err != nil {
-		x.abandon(w)
-		return
-	}
-	select {
-	case d := <-w.decided:
-		x.decided(ctx, d)
-	case <-ctx.Done():
-		x.abandon(w)
+	accepted := &wirepb.FromAgent_Accepted{Accepted: a.core.accepted(x.waiting)}
+	err := x.send(&wirepb.FromAgent{Frame: accepted})
+	done := make(chan struct{})
+	defer close(done)
+	go x.readFrames(done)
+	if err != nil {
+		x.step(ctx, event{kind: atmostonce.EntryLost})
 	}
+	x.follow(ctx)
 }
 
-// abandon ends a request that was withdrawn while it waited. A start that was decided in the same moment is undone. The
-// entry, if it is still there, learns that the request did not run.
-func (x *exchange) abandon(w *waiting) {
-	a := x.agent
-	if !a.core.cancel(x.id) {
-		if d := <-w.decided; d.refusal == nil {
-			a.core.finish(x.id, spent{})
+// follow takes events until nothing more can follow.
+func (x *exchange) follow(ctx context.Context) {
+	decided := x.waiting.decided
+	var commitLate <-chan time.Time
+	for !x.execution.Ended() {
+		if x.commit != nil {
+			commitLate = x.commit.C()
 		}
+		select {
+		case d := <-decided:
+			decided = nil
+			x.decide(ctx, d)
+		case e := <-x.events:
+			x.step(ctx, e)
+		case <-commitLate:
+			commitLate = nil
+			x.step(ctx, event{kind: atmostonce.CommitLate})
+		}
+	}
+	if x.commit != nil {
+		x.commit.Stop()
+	}
+	if decided != nil {
+		x.lateDecision(ctx, decided)
 	}
-	x.record(timeline.RequestCancelled, "withdrawn while waiting")
-	x.refuse(&admission.Refusal{ID: x.id, Reason: wirepb.RefusalReason_CANCELLED, Detail: "withdrawn while waiting"})
 }
 
-// decided acts on the end of the wait.
-func (x *exchange) decided(ctx context.Context, d decision) {
+// decide takes the queue's decision.
+func (x *exchange) decide(ctx context.Context, d decision) {
 	if d.refusal != nil {
-		x.refuse(d.refusal)
+		x.refusal = d.refusal
+		x.step(ctx, event{kind: atmostonce.QueueRefused})
 		return
 	}
-	var took spent
-	defer func() { x.agent.core.finish(x.id, took) }()
-	if err := x.handshake(ctx); err != nil {
-		x.record(timeline.RequestCancelled, "not committed")
-		x.refuse(&admission.Refusal{
-			ID:     x.id,
-			Reason: wirepb.RefusalReason_CANCELLED,
-			Detail: "the request was withdrawn or not committed in time",
-		})
-		return
+	x.cold = d.cold
+	x.step(ctx, event{kind: atmostonce.TurnCame})
+}
+
+// lateDecision gives back a turn that came while the request was being taken out of the queue.
+func (x *exchange) lateDecision(ctx context.Context, decided <-chan decision) {
+	select {
+	case d := <-decided:
+		if d.refusal == nil {
+			x.step(ctx, event{kind: atmostonce.TurnCame})
+		}
+	default:
 	}
-	x.record(timeline.RequestStarted, "")
-	took = x.execute(ctx, d.cold)
 }
 
-// handshake asks for the rest of the body and, for a request that may run only once, for the commit.
-//
-// A request that may run only once is not passed to the endpoint before the commit has arrived. So until the entry has
-// sent the commit it can say "not run" and be right, whatever becomes of the stream or of this process.
-func (x *exchange) handshake(ctx context.Context) error {
-	if x.offer.BodyDone && !x.offer.TwoStep {
-		return nil
+// readFrames turns the entry's further frames into events. When the stream ends the entry counts as lost: before the
+// start the request then certainly did not run.
+func (x *exchange) readFrames(done <-chan struct{}) {
+	for {
+		frame := &wirepb.ToAgent{}
+		err := x.stream.Read(frame)
+		if err != nil || frame.RequestId != x.id {
+			x.body.fail(errWithdrawn)
+			x.post(done, atmostonce.EntryLost)
+			return
+		}
+		switch f := frame.Frame.(type) {
+		case *wirepb.ToAgent_Body:
+			x.body.add(f.Body.Data, f.Body.Done)
+		case *wirepb.ToAgent_Commit:
+			x.post(done, atmostonce.GotCommit)
+		case *wirepb.ToAgent_Cancel:
+			x.body.fail(errWithdrawn)
+			x.post(done, atmostonce.GotCancel)
+		}
 	}
-	x.record(timeline.RequestReady, "")
-	if err := x.send(&wirepb.FromAgent{Frame: &wirepb.FromAgent_Ready{Ready: &wirepb.Ready{}}}); err != nil {
-		return err
+}
+
+func (x *exchange) post(done <-chan struct{}, kind atmostonce.ExecutionEvent) {
+	select {
+	case x.events <- event{kind: kind}:
+	case <-done:
 	}
-	if !x.offer.TwoStep {
-		return nil
+}
+
+// step gives the execution an event and carries out its actions.
+func (x *exchange) step(ctx context.Context, e event) {
+	for _, action := range x.execution.Step(e.kind) {
+		x.act(ctx, action, e)
 	}
-	timer := x.agent.clock.NewTimer(x.agent.options.CommitTimeout)
-	defer timer.Stop()
-	select {
-	case <-x.commit:
-		x.record(timeline.RequestCommitted, "")
-		return nil
-	case <-ctx.Done():
-		return errWithdrawn
-	case <-timer.C():
-		return errWithdrawn
+}
+
+func (x *exchange) act(ctx context.Context, action atmostonce.ExecutionAction, e event) {
+	switch action {
+	case atmostonce.SendReady:
+		x.sendReady()
+		x.commit = x.agent.clock.NewTimer(x.agent.options.CommitTimeout)
+	case atmostonce.StartCall:
+		x.startCall(ctx)
+	case atmostonce.StopCall:
+		x.call.stop()
+	case atmostonce.LeaveQueue:
+		x.record(timeline.RequestCancelled, "withdrawn while waiting")
+		x.agent.core.cancel(x.key)
+	case atmostonce.GiveBackTurn:
+		x.giveBackTurn(e.result)
+	case atmostonce.SendRefused:
+		x.sendRefused()
+	case atmostonce.SendTrailer:
+		x.sendTrailer(e.result)
+	case atmostonce.SendFailedClean, atmostonce.SendFailedUnclear:
+		x.sendFailed(e.result, action == atmostonce.SendFailedUnclear)
+	}
+}
+
+// giveBackTurn frees the place at the endpoint.
+func (x *exchange) giveBackTurn(r *callResult) {
+	var took spent
+	if r != nil {
+		took = r.took
 	}
+	x.agent.core.finish(x.key, took)
+}
+
+// sendReady asks the entry for the commit, or for the rest of a large body.
+func (x *exchange) sendReady() {
+	x.record(timeline.RequestReady, "")
+	_ = x.send(&wirepb.FromAgent{Frame: &wirepb.FromAgent_Ready{Ready: &wirepb.Ready{}}})
 }
 
-// refuse ends the exchange as not run.
-func (x *exchange) refuse(r *admission.Refusal) {
+// sendRefused ends the exchange as not run.
+func (x *exchange) sendRefused() {
+	r := x.refusal
+	if r == nil {
+		r = &admission.Refusal{Reason: wirepb.RefusalReason_CANCELLED, Detail: "withdrawn, or not committed in time"}
+	}
 	x.agent.metrics.refused.WithLabelValues(r.Reason.String()).Inc()
 	x.record(timeline.RequestRefused, r.Reason.String())
 	refused := &wirepb.Refused{
@@ -195,6 +251,27 @@
 	_ = x.send(&wirepb.FromAgent{Frame: &wirepb.FromAgent_Refused{Refused: refused}})
 }
 
+// sendTrailer ends a whole answer.
+func (x *exchange) sendTrailer(r *callResult) {
+	x.record(timeline.RequestCompleted, "")
+	r.trailer.Load = x.agent.core.load(x.target)
+	_ = x.send(&wirepb.FromAgent{Frame: &wirepb.FromAgent_Trailer{Trailer: r.trailer}})
+}
+
+// sendFailed ends the exchange after the start.
+func (x *exchange) sendFailed(r *callResult, mayHaveRun bool) {
+	x.agent.metrics.failed.WithLabelValues(r.reason.String()).Inc()
+	x.agent.logger.Warn("request failed at the endpoint", "request", x.id, "reason", r.reason, "error", r.err)
+	x.record(timeline.RequestFailed, r.reason.String())
+	failed := &wirepb.Failed{
+		Reason:     r.reason,
+		MayHaveRun: mayHaveRun,
+		Detail:     r.err.Error(),
+		Load:       x.agent.core.load(x.target),
+	}
+	_ = x.send(&wirepb.FromAgent{Frame: &wirepb.FromAgent_Failed{Failed: failed}})
+}
+
 // send writes one frame; every frame carries the request's identifier.
 func (x *exchange) send(frame *wirepb.FromAgent) error {
 	frame.RequestId = x.id
--- a/internal/atmostonce/claims.go
+++ b/internal/atmostonce/claims.go
@@ -55,6 +55,8 @@
 	Status      int
 	ContentType string
 	Body        []byte
+	// Dropped says that Body is not the whole body.
+	Dropped bool
 }
 
 const (
@@ -151,7 +153,7 @@
 	claim.State = state
 	if state == ClaimDone {
 		claim.Status, claim.ContentType = a.Status, a.ContentType
-		claim.BodyKept = len(a.Body) <= c.options.MaxBodyBytes
+		claim.BodyKept = !a.Dropped && len(a.Body) <= c.options.MaxBodyBytes
 		if claim.BodyKept {
 			claim.Body = a.Body
 		}
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -161,8 +161,7 @@
 			recorded.ContentType = h.Value
 		}
 	}
-	if uint64(len(a.held)) == a.length {
-		recorded.Body = a.held
-	}
+	recorded.Dropped = uint64(len(a.held)) != a.length
+	recorded.Body = a.held
 	return recorded
 }
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -314,6 +314,9 @@
 
 func (t *attempt) failedCame(f *wirepb.Failed) atmostonce.ExchangeEvent {
 	t.entry.record(timeline.RequestFailed, t.rq, t.candidate.Endpoint, f.Reason.String())
+	if f.Reason == wirepb.FailureReason_ENDPOINT_REFUSED {
+		t.refusal = &wirepb.Refused{Reason: wirepb.RefusalReason_QUEUE_FULL, Load: f.Load}
+	}
 	if f.MayHaveRun {
 		return atmostonce.GotFailedUnclear
 	}
@@ -374,6 +377,7 @@
 		},
 		observation: routing.Observation{
 			Endpoint:  t.candidate.Endpoint,
+			Target:    t.rq.target.Model + t.rq.target.Service + "/" + t.rq.target.Adapter,
 			Outcome:   outcome,
 			Expected:  t.candidate.Wait,
 			FirstByte: t.firstByte,
--- a/internal/entry/claimed.go
+++ b/internal/entry/claimed.go
@@ -37,9 +37,11 @@
 // claim takes the key, or returns how the request ends without running.
 func (e *Entry) claim(ctx context.Context, rq *request, key string, out *answer) (atmostonce.Held, *result) {
 	held, outcome, err := e.claims.Claim(ctx, atmostonce.ClaimRequest{
-		Service:     rq.target.Service,
-		Key:         key,
-		Owner:       rq.id,
+		Service: rq.target.Service,
+		Key:     key,
+		Owner:   rq.id,
+		// Callers are not told apart: their credentials may change between two tries, and a key that then counted as a new
+		// one would let the request run twice.
 		Fingerprint: fingerprint(rq),
 		Deadline:    rq.deadline,
 	})
@@ -100,34 +102,30 @@
 // settle records how a claimed request ended. When the caller was told nothing definite, the endpoint's word is awaited
 // in the background.
 func (e *Entry) settle(rq *request, held atmostonce.Held, ended result, out *answer) {
-	if ended.fate != nil {
-		go func() { e.settleFate(rq, held, <-ended.fate, out) }()
+	if ended.later != nil {
+		go func() {
+			// The answer itself was not kept, so that a request which did run stays without one.
+			f := <-ended.later
+			e.settleFate(rq, held, f == fateNotRun, atmostonce.ClaimUnknown, atmostonce.Answer{})
+		}()
 		return
 	}
-	switch {
-	case ended.err == nil && !ended.cut:
-		e.finishClaim(rq, held, atmostonce.ClaimDone, out)
-	case ended.err != nil && ended.err.outcome == OutcomeNotRun && !ended.cut:
-		e.freeClaim(rq, held)
-	default:
-		e.finishClaim(rq, held, atmostonce.ClaimUnknown, out)
+	state := atmostonce.ClaimUnknown
+	if ended.fate == fateServed {
+		state = atmostonce.ClaimDone
 	}
+	e.settleFate(rq, held, ended.fate == fateNotRun, state, out.recorded())
 }
 
-func (e *Entry) settleFate(rq *request, held atmostonce.Held, f fate, out *answer) {
-	switch f {
-	case fateNotRun:
+// settleFate frees the claim of a request that did not run and records the end of any other one.
+func (e *Entry) settleFate(rq *request, held atmostonce.Held, notRun bool, state atmostonce.ClaimState, a atmostonce.Answer) {
+	if notRun {
 		e.freeClaim(rq, held)
-	default:
-		e.finishClaim(rq, held, atmostonce.ClaimUnknown, out)
+		return
 	}
-}
-
-func (e *Entry) finishClaim(rq *request, held atmostonce.Held, state atmostonce.ClaimState, out *answer) {
 	ctx, cancel := context.WithTimeout(context.Background(), settlePatience)
 	defer cancel()
-	err := e.claims.Finish(ctx, held, state, out.recorded())
-	e.settled(rq, string(state), err)
+	e.settled(rq, string(state), e.claims.Finish(ctx, held, state, a))
 }
 
 func (e *Entry) freeClaim(rq *request, held atmostonce.Held) {
--- a/internal/entry/coordinator.go
+++ b/internal/entry/coordinator.go
@@ -126,6 +126,9 @@
 	e := c.entry
 	c.version.Add(1)
 	for name, ep := range e.members.Endpoints() {
+		if ep.Gone {
+			e.forget(name)
+		}
 		if ep.Connected && ep.Listed == platform.HostLeaving && !ep.Status.GetLeaving() {
 			e.members.Send(name, &wirepb.ControlDown{HostState: wirepb.HostState_HOST_LEAVING})
 		}
@@ -134,6 +137,13 @@
 	e.changes.announce()
 }
 
+// forget drops what was observed of an endpoint whose host is gone.
+func (e *Entry) forget(endpoint string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.router.Forget(endpoint)
+}
+
 // noteReachability keeps since when an endpoint answers or not, and tells the grants of a change.
 func (c *coordinator) noteReachability(now time.Time, endpoint string) {
 	ep := c.entry.members.Endpoints()[endpoint]
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -16,15 +16,17 @@
 type result struct {
 	// err is the error answer to send, nil when the answer was sent or cut.
 	err *apiError
-	// cut is set when the caller's connection must be cut, because a part of the answer was sent.
+	// cut is set when the caller's connection must be cut, because it is gone or a part of the answer was sent.
 	cut bool
-	// fate is set when the request was committed and its end is still to come.
-	fate <-chan fate
-	// head and body are of a whole answer, for the record of a claim.
+	// fate is what is known of the request's effect, whatever the caller was told. later is set when the request was
+	// committed and its definite end is still to come.
+	fate  fate
+	later <-chan fate
+	// status is that of a whole answer.
 	status int
 }
 
-// fate is the definite end of a committed request that the caller was told nothing definite of.
+// fate is whether a request had its effect.
 type fate int
 
 const (
@@ -45,46 +47,58 @@
 	for {
 		candidate, refusal := e.pick(ctx, rq, tried)
 		if refusal != nil {
-			return result{err: e.afterAttempts(state, refusal)}
+			return e.afterAttempts(state, refusal)
 		}
 		tried = append(tried, candidate.Endpoint)
 		t := newAttempt(e, rq, candidate, out)
 		t.last = !e.untried(rq, tried)
 		ended := t.run(ctx)
+		verdict := e.decide(rq, state, ended, tried)
 		if ended.callerGone {
-			return result{cut: true, err: notRun(0, CodeCallerGone, "caller gone", 0)}
+			return result{cut: true, fate: fateOf(state, ended), later: t.fate}
 		}
-		verdict := e.decide(rq, state, ended, tried)
 		switch verdict.Kind {
 		case routing.VerdictDone:
-			return result{status: t.status()}
+			return result{status: t.status(), fate: fateServed}
 		case routing.VerdictRetry:
 			out.reset()
 			e.record(timeline.RequestRetried, rq, candidate.Endpoint, verdict.Reason.String())
 			e.metrics.retries.Inc()
 			if !e.waitBefore(ctx, verdict.Wait) {
-				return result{cut: true, err: notRun(0, CodeCallerGone, "caller gone", 0)}
+				return result{cut: true, fate: fateOf(state, ended)}
 			}
 			if verdict.Wait > 0 {
 				// All have been tried; after the wait they may be tried again.
 				tried = nil
 			}
 		case routing.VerdictRefuse:
-			return result{err: refused(verdict.Reason, verdict.RetryAfter)}
+			return result{err: refused(verdict.Reason, verdict.RetryAfter), fate: fateNotRun}
 		case routing.VerdictUnknown:
-			return result{err: e.unknownAnswer(rq), fate: t.fate}
+			return result{err: e.unknownAnswer(rq), later: t.fate}
 		case routing.VerdictAbort:
-			return result{cut: true, fate: t.fate}
+			return result{cut: true, later: t.fate}
 		}
 	}
 }
 
+// fateOf is what is known of a request's effect after an attempt.
+func fateOf(state *routing.RequestState, ended attemptEnd) fate {
+	switch {
+	case ended.attempt.Outcome == routing.OutcomeServed:
+		return fateServed
+	case state.MayHaveRun:
+		return fateUnknown
+	default:
+		return fateNotRun
+	}
+}
+
 // afterAttempts is the answer when no endpoint is left: "not run" only when no earlier attempt may have run.
-func (e *Entry) afterAttempts(state *routing.RequestState, refusal *apiError) *apiError {
+func (e *Entry) afterAttempts(state *routing.RequestState, refusal *apiError) result {
 	if state.MayHaveRun {
-		return unknown("the request may have run; no endpoint is left to try")
+		return result{err: unknown("the request may have run; no endpoint is left to try")}
 	}
-	return refusal
+	return result{err: refusal, fate: fateNotRun}
 }
 
 // unknownAnswer is the answer when the request may have run.
