--- a/internal/platform/contract_test.go
+++ b/internal/platform/contract_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -294,3 +295,32 @@
 		t.Errorf("%v names more than one sentinel", err)
 	}
 }
+
+func TestHostListFaults(t *testing.T) {
+	host := platform.Host{
+		ID: "h1", Role: platform.RoleEndpoint, State: platform.HostLeaving,
+		FailureDomain: "hall-north", Address: "10.0.0.1:7000", Endpoint: "engine-1",
+	}
+	cases := []struct {
+		name   string
+		faults standin.HostFaults
+		want   error
+		hosts  []platform.Host
+	}{
+		{name: "no fault", hosts: []platform.Host{host}},
+		{name: "late", faults: standin.HostFaults{LagSeconds: 1e6}, hosts: []platform.Host{}},
+		{name: "outage", faults: standin.HostFaults{Outage: true}, want: platform.ErrUnavailable},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			clients := newClients(t, standin.Options{})
+			clients.standin.Faults().Update(func(f *standin.Faults) { f.Hosts = c.faults })
+			clients.standin.PutHost(host)
+			hosts, version, err := clients.hosts.Hosts(t.Context())
+			checkError(t, err, c.want)
+			if !slices.Equal(hosts, c.hosts) || version != uint64(len(c.hosts)) {
+				t.Errorf("got %+v at version %d, want %+v", hosts, version, c.hosts)
+			}
+		})
+	}
+}
