--- a/internal/endpoint/caller_contract_test.go
+++ b/internal/endpoint/caller_contract_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"balsamsail/internal/endpoint"
-	"balsamsail/internal/standin/control"
 	"balsamsail/internal/standin/engine"
 	"balsamsail/internal/standin/service"
 )
@@ -302,7 +301,7 @@
 	for _, handler := range handlers {
 		w := httptest.NewRecorder()
 		handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/faults", strings.NewReader(`{"refusse":true}`)))
-		var refusal control.ErrorDocument
+		var refusal endpoint.Refusal
 		if err := json.Unmarshal(w.Body.Bytes(), &refusal); err != nil || w.Code != http.StatusBadRequest {
 			t.Fatalf("status %d, %s", w.Code, w.Body)
 		}
--- a/internal/standin/control/control.go
+++ b/internal/standin/control/control.go
@@ -13,6 +13,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"balsamsail/internal/clock"
+	"balsamsail/internal/endpoint"
 )
 
 // maxDocument bounds a JSON document that a stand-in reads, in bytes.
@@ -105,20 +106,9 @@
 	json.NewEncoder(w).Encode(document)
 }
 
-// ErrorDocument is the body of a refusal.
-type ErrorDocument struct {
-	Error ErrorDetail `json:"error"`
-}
-
-// ErrorDetail names the reason of a refusal.
-type ErrorDetail struct {
-	Code    string `json:"code"`
-	Message string `json:"message"`
-}
-
 // WriteError writes a refusal.
 func WriteError(w http.ResponseWriter, status int, code, message string) {
-	WriteJSON(w, status, ErrorDocument{ErrorDetail{Code: code, Message: message}})
+	WriteJSON(w, status, endpoint.Refusal{Error: endpoint.RefusalDetail{Code: code, Message: message}})
 }
 
 // Lose cuts the connection in place of an answer, or of what is left of it. It does not return.
