entry: an edit between an agent's connection and its first report reaches it

Seen as a revision that was not in force everywhere after 30 s, once in some twenty starts of dev on a busy machine. Ruled out: a lost batch (the link ends then) and a gap (the agent asks). Now each report is followed by a look whether the agent was sent the newest revision. The test fails without it and passes 5 times with it.

--- a/internal/entry/coordinator.go
+++ b/internal/entry/coordinator.go
@@ -86,6 +86,10 @@
 	if up.WantSnapshot {
 		e.members.Send(endpoint, &wirepb.ControlDown{Snapshot: e.store.Current().Snapshot()})
 	}
+	if ep != nil && ep.Connected {
+		// An edit that came between the connection and its first report found the agent not connected yet.
+		c.pushTo(endpoint)
+	}
 	c.permits(now, endpoint, up)
 	c.noteReachability(now, endpoint)
 	e.changes.announce()
