--- a/internal/loading/demand.go
+++ b/internal/loading/demand.go
@@ -180,7 +180,8 @@
 	delete(r.demands, d.request)
 	m.deadlines.remove(d)
 	m.count(d, -1)
-	m.idleFrom(r, d.target)
+	m.idleFrom(d.target)
+	m.idleFrom(&r.holding)
 	if !d.deadline.After(r.earliest) {
 		r.earliestStale = true
 	}
@@ -274,19 +275,19 @@
 	x.replica.running--
 	if x.adapter != nil {
 		x.adapter.running--
-		m.idleFrom(x.replica, x.adapter)
+		m.idleFrom(x.adapter)
 	}
-	m.idleFrom(x.replica, &x.replica.holding)
+	m.idleFrom(&x.replica.holding)
 	m.touch(x.replica)
 }
 
 // idleFrom notes when a holding became idle.
-func (m *Machine) idleFrom(r *replica, h *holding) {
-	if h.running == 0 && h.waiting == 0 {
-		h.idleSince = m.now
+func (m *Machine) idleFrom(h *holding) {
+	if h.running > 0 || h.waiting > 0 {
+		return
 	}
-	if r.running == 0 && r.waiting == 0 {
-		r.idleSince = m.now
-		r.keepUntil = time.Time{}
+	h.idleSince = m.now
+	if !h.isAdapter() {
+		h.replica.keepUntil = time.Time{}
 	}
 }
--- a/internal/loading/demand_test.go
+++ b/internal/loading/demand_test.go
@@ -27,12 +27,12 @@
 			},
 			lines: lines(begun("x@1", "y@1", "z@1"),
 				line{event: SpecsChanged{Models: []ModelSpec{
-					{Model: "x@1", ExpectedLoad: 3 * time.Second}, {Model: "y@1"}, {Model: "z@1"},
+					{Model: "x@1"}, {Model: "y@1", ExpectedLoad: 3 * time.Second}, {Model: "z@1"},
 				}}},
 				line{event: demandOf("z", "z@1", "", time.Hour), want: "load z@1"},
-				line{event: demandOf("x", "x@1", "", 2*time.Minute+2*time.Second)},
-				line{event: demandOf("y", "y@1", "", 2*time.Minute)},
-				line{event: result{order: "load z@1"}, want: "usable z@1; load x@1"},
+				line{event: demandOf("x", "x@1", "", 2*time.Minute)},
+				line{event: demandOf("y", "y@1", "", 2*time.Minute+2*time.Second)},
+				line{event: result{order: "load z@1"}, want: "usable z@1; load y@1"},
 			),
 		},
 		{
@@ -109,10 +109,10 @@
 			options: func(o *Options) {
 				o.LoadsAtOnce = 1
 			},
-			lines: lines(begun("x@1", "warm@1"),
-				line{event: result{order: "load warm@1"}, want: "*"},
-				line{event: demandOf("x", "x@1", "", testLife+time.Minute), want: "load x@1"},
-				line{event: demandOf("a", "x@1", "xa", testLife+2*time.Second), want: "refuse a x@1 xa DEADLINE"},
+			lines: lines(begun("x@1", "y@1"),
+				line{event: demandOf("x", "x@1", "", time.Hour), want: "load x@1"},
+				line{event: demandOf("y", "y@1", "", testLife+2*time.Second), want: "refuse y y@1 DEADLINE"},
+				line{event: result{order: "load x@1"}, want: "usable x@1; load y@1"},
 			),
 		},
 		{
--- a/internal/loading/orders.go
+++ b/internal/loading/orders.go
@@ -36,10 +36,10 @@
 // orders did was read.
 func (m *Machine) canLoad() bool { return !m.leaving && m.engine.clear && m.canOrder() }
 
-// mayOrder reports whether an order may be given for a holding. One of unknown result would be in flight at the same
-// time, unless the engine refuses it after this one.
+// mayOrder reports whether an order may be given for a holding for which none is in flight. One of unknown result would
+// be in flight at the same time, unless the engine refuses it after this one.
 func (m *Machine) mayOrder(h *holding) bool {
-	return h.order == nil && (m.options.ChecksFencing && !h.isAdapter() || !m.liveDoubt(h))
+	return m.options.ChecksFencing && !h.isAdapter() || !m.liveDoubt(h)
 }
 
 // readRows asks for a read of the table.
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -13,7 +13,7 @@
 
 // wantsLoad reports whether a holding should be loaded and is not, nor being loaded.
 func (m *Machine) wantsLoad(h *holding) bool {
-	if m.leaving || h.order != nil || h.state != absent && !m.mayReissue(h) {
+	if m.leaving || h.state != absent && !m.mayReissue(h) {
 		return false
 	}
 	r := h.replica
