--- a/cmd/balsamsail/operators.go
+++ b/cmd/balsamsail/operators.go
@@ -70,6 +70,10 @@
 
 // finish tells of an accepted edit and, if asked, follows it until it is in force.
 func (f *operatorFlags) finish(ctx context.Context, client *operator.Client, accepted operator.Accepted, err error) error {
+	var unknown *operator.OutcomeUnknownError
+	if errors.As(err, &unknown) {
+		return f.settle(ctx, client, unknown)
+	}
 	if err != nil {
 		return err
 	}
@@ -88,6 +92,19 @@
 	return waitErr
 }
 
+// settle looks an edit of unknown outcome up until it is known or the time is over.
+func (f *operatorFlags) settle(ctx context.Context, client *operator.Client, unknown *operator.OutcomeUnknownError) error {
+	fmt.Fprintln(os.Stderr, "balsamsail: the answer was lost; looking the edit up")
+	ctx, cancel := context.WithTimeout(ctx, f.patient)
+	defer cancel()
+	operation := operator.Settle(ctx, client, unknown.OperationID)
+	if operation.State != operator.OperationApplied {
+		return unknown
+	}
+	accepted := operator.Accepted{Revision: operation.Revision, OperationID: operation.OperationID}
+	return f.finish(ctx, client, accepted, nil)
+}
+
 // print writes an answer as text or JSON.
 func (f *operatorFlags) print(answer any, text func(io.Writer) error) error {
 	switch f.format {
@@ -102,7 +119,7 @@
 
 // operatorCommands are the commands that talk to the entries' operators' API.
 func operatorCommands() []*ffcli.Command {
-	return []*ffcli.Command{applyCommand(), getCommand(), labelCommand(), drainCommand(), statusCommand(), inForceCommand()}
+	return []*ffcli.Command{applyCommand(), getCommand(), labelCommand(), drainCommand(), statusCommand(), inForceCommand(), operationCommand()}
 }
 
 // newOperatorCommand returns a command whose flags may also come from the environment (BALSAMSAIL_ENTRIES and so on).
@@ -273,3 +290,23 @@
 			return f.print(inForce, func(w io.Writer) error { return operator.WriteInForce(w, inForce) })
 		})
 }
+
+func operationCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("operation", flag.ContinueOnError)
+	var f operatorFlags
+	f.register(flags)
+	return newOperatorCommand("operation", "ID", "look up what became of an edit whose answer was lost", flags,
+		func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return errors.Wrap(errUsage, "one operation identifier is wanted")
+			}
+			operation, err := f.client().Operation(ctx, args[0])
+			if err != nil {
+				return err
+			}
+			return f.print(operation, func(w io.Writer) error {
+				_, err := fmt.Fprintf(w, "operation %s: %s, revision %d\n", operation.OperationID, operation.State, operation.Revision)
+				return err
+			})
+		})
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -109,6 +109,9 @@
 	// offers counts the offers, to tell them from each other.
 	offers atomic.Uint64
 
+	// declaring is held while declarations are put in force.
+	declaring sync.Mutex
+
 	mu       sync.Mutex
 	entries  map[string]*controlStream
 	released map[string]uint64
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -143,7 +143,13 @@
 }
 
 // applyDeclarations takes in snapshots and deltas; the receiver ignores what is not above the revision it holds.
+//
+// Each entry sends every revision, and its stream has a goroutine of its own. The lock keeps one that has taken a
+// revision and not yet declared it from being overtaken: it would declare the older set last, and the agent would act on
+// a revision that was replaced until the next edit.
 func (a *Agent) applyDeclarations(s *controlStream, down *wirepb.ControlDown) {
+	a.declaring.Lock()
+	defer a.declaring.Unlock()
 	changed := false
 	if down.Snapshot != nil {
 		changed = a.receiver.ApplySnapshot(down.Snapshot)
--- a/internal/agent/execute.go
+++ b/internal/agent/execute.go
@@ -125,7 +125,7 @@
 	case errors.Is(err, endpoint.ErrWrongAnswer), errors.Is(err, errNoStreamEnd):
 		return wirepb.FailureReason_WRONG_ANSWER
 	case errors.Is(err, errWithdrawn):
-		return wirepb.FailureReason_BODY_BROKE
+		return wirepb.FailureReason_WITHDRAWN
 	case ctx.Err() != nil:
 		return wirepb.FailureReason_ENDPOINT_TIMEOUT
 	default:
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"strconv"
 	"time"
 
@@ -65,7 +66,7 @@
 func (a *Agent) newExchange(stream *wire.Stream, first *wirepb.ToAgent) *exchange {
 	offer := first.GetOffer()
 	now := a.clock.Now()
-	a.recorder.Clock().Observe(offer.Clock)
+	a.recorder.Clock().Observe(first.Clock)
 	return &exchange{
 		agent:     a,
 		stream:    stream,
@@ -174,6 +175,7 @@
 		case *wirepb.ToAgent_Body:
 			x.body.add(f.Body.Data, f.Body.Done)
 		case *wirepb.ToAgent_Commit:
+			x.agent.recorder.Clock().Observe(frame.Clock)
 			x.post(done, atmostonce.GotCommit)
 		case *wirepb.ToAgent_Cancel:
 			x.body.fail(errWithdrawn)
@@ -261,7 +263,11 @@
 // sendFailed ends the exchange after the start.
 func (x *exchange) sendFailed(r *callResult, mayHaveRun bool) {
 	x.agent.metrics.failed.WithLabelValues(r.reason.String()).Inc()
-	x.agent.logger.Warn("request failed at the endpoint", "request", x.id, "reason", r.reason, "error", r.err)
+	level := slog.LevelWarn
+	if r.reason == wirepb.FailureReason_WITHDRAWN {
+		level = slog.LevelDebug
+	}
+	x.agent.logger.Log(context.Background(), level, "request failed at the endpoint", "request", x.id, "reason", r.reason, "error", r.err)
 	x.record(timeline.RequestFailed, r.reason.String())
 	failed := &wirepb.Failed{
 		Reason:     r.reason,
@@ -275,6 +281,9 @@
 // send writes one frame; every frame carries the request's identifier.
 func (x *exchange) send(frame *wirepb.FromAgent) error {
 	frame.RequestId = x.id
+	if frame.GetBody() == nil {
+		frame.Clock = x.agent.recorder.Clock().Now()
+	}
 	return x.stream.Write(frame)
 }
 
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -52,8 +52,9 @@
 		func() (*slog.Logger, error) { return newLogger(log, out, name) },
 		process.NewRegistry,
 		func(r *prometheus.Registry) prometheus.Registerer { return r },
-		func(c clock.Clock) *timeline.Recorder {
-			return timeline.NewRecorder(name, line.Size, timeline.NewHybridClock(c.Now))
+		func(c clock.Clock, r prometheus.Registerer) (*timeline.Recorder, error) {
+			recorder := timeline.NewRecorder(name, line.Size, timeline.NewHybridClock(c.Now))
+			return recorder, recorder.Register(r)
 		},
 	)
 }
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -126,7 +126,7 @@
 
 func (t *attempt) offer() error {
 	e, rq := t.entry, t.rq
-	return t.stream.Write(&wirepb.ToAgent{RequestId: rq.id, Frame: &wirepb.ToAgent_Offer{Offer: &wirepb.Offer{
+	return t.write(&wirepb.ToAgent{Frame: &wirepb.ToAgent_Offer{Offer: &wirepb.Offer{
 		Model:          rq.target.Model,
 		Adapter:        rq.target.Adapter,
 		Service:        rq.target.Service,
@@ -139,7 +139,6 @@
 		BodyLength:     rq.length,
 		Body:           rq.body,
 		BodyDone:       rq.rest == nil,
-		Clock:          e.recorder.Clock().Now(),
 		Caller:         rq.caller,
 		Stream:         rq.stream,
 	}}})
@@ -189,6 +188,9 @@
 )
 
 // patience is how long a waiting request stays with its endpoint while another one could be tried.
+//
+// A load that is about to end leaves next to nothing to expect. The floor of PatienceFor keeps such a request from being
+// withdrawn in the moment in which it starts, which its caller would see as an unknown outcome with seconds to spare.
 func (t *attempt) patience(left time.Duration) time.Duration {
 	if !t.cold {
 		return routing.PatienceFor(t.stage, left, t.expected)
@@ -196,7 +198,7 @@
 	if t.expected == 0 {
 		return left
 	}
-	return coldPatience * t.expected
+	return max(coldPatience*t.expected, routing.PatienceFor(t.stage, left, t.expected))
 }
 
 // eventOf turns a read into an event of the exchange.
@@ -208,6 +210,9 @@
 	if err != nil || frame.RequestId != t.rq.id {
 		return atmostonce.StreamBroke
 	}
+	if frame.Clock != 0 {
+		t.entry.recorder.Clock().Observe(frame.Clock)
+	}
 	switch f := frame.Frame.(type) {
 	case *wirepb.FromAgent_Accepted:
 		t.accepted(f.Accepted)
@@ -277,6 +282,9 @@
 	t.writing.Lock()
 	defer t.writing.Unlock()
 	frame.RequestId = t.rq.id
+	if frame.GetBody() == nil {
+		frame.Clock = t.entry.recorder.Clock().Now()
+	}
 	return t.stream.Write(frame)
 }
 
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -102,7 +102,7 @@
 	}
 	m.metrics.connected.Inc()
 	defer m.metrics.connected.Dec()
-	m.recorder.Record(timeline.Event{Kind: "peer_connected", Endpoint: l.name})
+	m.recorder.Record(timeline.Event{Kind: timeline.PeerConnected, Endpoint: l.name})
 	m.observer.Connected(l.name)
 	var writer sync.WaitGroup
 	writer.Go(func() { l.writeBatches(ctx, session, control) })
@@ -110,7 +110,7 @@
 	_ = session.Close()
 	writer.Wait()
 	m.logger.Info("agent lost", "endpoint", l.name, "error", err)
-	m.recorder.Record(timeline.Event{Kind: "peer_lost", Endpoint: l.name, Detail: err.Error()})
+	m.recorder.Record(timeline.Event{Kind: timeline.PeerLost, Endpoint: l.name, Detail: err.Error()})
 	m.lost(l.name, l)
 }
 
