agent: an entry is told when a request that waited starts

Cause: an entry moves a request that waits too long to another endpoint, and a request without a commit gave it no sign of its start. So the time that the engine worked counted as waiting, requests were withdrawn in the moment they started, and with no other engine free their callers got 'outcome unknown' with a second and more to spare. Seen by the integration tests (planned stops, chat requests for sleeping models, time lines 'accepted, started, failed 4-100 ms later'). Change: a Ready frame goes out where the turn came after 50 ms or more; the entry then waits to the deadline, as it does for a committed request. What is left: a withdrawal that crosses the start, followed by an engine without memory, still ends as unknown.

--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -138,7 +138,13 @@
 	}
 }
 
+// noticedWait is the wait from which on the entry is told that a request which needs no commit starts now.
+const noticedWait = 50 * time.Millisecond
+
 // decide takes the queue's decision.
+//
+// An entry moves a request that waits too long to another endpoint. Without a word of the start it would count the time
+// that the endpoint works as waiting, and withdraw a request that has just begun.
 func (x *exchange) decide(ctx context.Context, d decision) {
 	if d.refusal != nil {
 		x.refusal = d.refusal
@@ -146,6 +152,9 @@
 		return
 	}
 	x.cold = d.cold
+	if !x.offer.TwoStep && x.agent.clock.Now().Sub(x.began) >= noticedWait {
+		x.sendReady()
+	}
 	x.step(ctx, event{kind: atmostonce.TurnCame})
 }
 
