membership: a replacement host keeps its connection while the gone host is listed

While the platform lists the old host as gone beside the new one, each read of the list began the endpoint anew from the gone host's line and looked up what was known of the live host in the map that this very read was changing. The live host's connection, status and replicas were lost with each read; change reports are not taken without a whole one, which comes only with a new connection. The endpoint got no request, no rows and no declarations from that entry although its connection worked. Ruled out: the order of link and list (the link to the new host is kept, it is the view that forgets it), and the version check (each list is newer). Change: what is known of a host comes from the time before the list is taken. Before: the new table test fails with the gone host listed first (Connected false, no replicas); after: it passes in both orders. Conclusion: only lists that name the gone host before its replacement hit it, which is the order of identifiers on most platforms.

--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -7,6 +7,7 @@
 package membership
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -83,6 +84,7 @@
 	v.read = true
 	v.version = version
 	listed := map[string]bool{}
+	before := maps.Clone(v.endpoints)
 	v.entries = nil
 	v.hosts = make(map[string]platform.HostState, len(hosts))
 	for _, h := range hosts {
@@ -91,7 +93,7 @@
 		case platform.RoleEntry:
 			v.listEntry(h)
 		case platform.RoleEndpoint:
-			v.listEndpoint(h, listed)
+			v.listEndpoint(h, listed, before)
 		}
 	}
 	v.dropUnlisted(listed)
@@ -108,13 +110,17 @@
 
 // listEndpoint takes in one listed endpoint host. Where a replacement host has taken over the endpoint's name, the live
 // host counts, not the gone one.
-func (v *View) listEndpoint(h platform.Host, listed map[string]bool) {
+//
+// What is known of the host comes from the time before this list. If it were looked up among what the list has made so
+// far, a gone host that stands before its replacement would take the replacement's connection and status away with each
+// read, and no change report brings them back: the endpoint would get no request and no declarations from this entry.
+func (v *View) listEndpoint(h platform.Host, listed map[string]bool, before map[string]*Endpoint) {
 	if listed[h.Endpoint] && h.State == platform.HostGone {
 		return
 	}
 	listed[h.Endpoint] = true
 	next := &Endpoint{Name: h.Endpoint}
-	if old, ok := v.endpoints[h.Endpoint]; ok && old.HostID == h.ID {
+	if old, ok := before[h.Endpoint]; ok && old.HostID == h.ID {
 		*next = *old
 	}
 	next.HostID = h.ID
--- /dev/null
+++ b/internal/membership/view_test.go
@@ -0,0 +1,51 @@
+package membership
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"balsamsail/internal/platform"
+	"balsamsail/internal/wire/wirepb"
+)
+
+// endpointHost is a listed host of the endpoint "engine".
+func endpointHost(id string, state platform.HostState) platform.Host {
+	return platform.Host{ID: id, Role: platform.RoleEndpoint, State: state, Address: id, Endpoint: "engine"}
+}
+
+// An engine's host is replaced. For a while the platform lists the old host as gone beside the new one. The new agent
+// connects and reports, the entry reads the list again, and from then on the engine gets no request and no declarations,
+// although its connection works: the line of the gone host had taken away what was known of the live one.
+func TestReplacementKeepsItsConnectionWhileTheGoneHostIsListed(t *testing.T) {
+	gone, live := endpointHost("h1", platform.HostGone), endpointHost("h2", platform.HostLive)
+	cases := []struct {
+		name string
+		list []platform.Host
+	}{
+		{"the gone host first", []platform.Host{gone, live}},
+		{"the live host first", []platform.Host{live, gone}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			v := NewView()
+			v.HostsRead([]platform.Host{endpointHost("h1", platform.HostLive)}, 1)
+			v.HostsRead(slices.Clone(c.list), 2)
+			replica := &wirepb.Replica{Model: "m@1", State: wirepb.ReplicaState_LOADED, Revision: 3}
+			status := &wirepb.Status{Full: true, Ready: true, Replicas: []*wirepb.Replica{replica}}
+			if !v.Reported(time.Unix(1, 0), "engine", status) {
+				t.Fatal("the whole report is not taken")
+			}
+			for version := range uint64(3) {
+				v.HostsRead(slices.Clone(c.list), 2+version)
+				e, _ := v.Endpoint("engine")
+				if e.HostID != "h2" || !e.Connected || e.Leaving || e.Replicas["m@1"] == nil {
+					t.Fatalf("after a read of version %d: %+v", 2+version, e)
+				}
+			}
+			if !v.Reported(time.Unix(2, 0), "engine", &wirepb.Status{Ready: true}) {
+				t.Error("a change report is not taken")
+			}
+		})
+	}
+}
