loading: lists in order in place of sorted maps; cached loads pass those that wait for permits

Cause: each step of a model version sorted the names of its adapters; two loads that waited for permits kept out a third whose checkpoint is cached; an engine that does not answer was asked again at once by whatever wanted its state.

Change: replicas and adapters are kept sorted; the bound on loads counts those that are under way, and permits are asked for as many as may start; reads after an unanswered one wait for their time.

--- a/internal/loading/compare.go
+++ b/internal/loading/compare.go
@@ -17,15 +17,14 @@
 			m.adapterOf(r, adapter)
 		}
 	}
-	for _, model := range sortedKeys(m.replicas) {
-		r := m.replicas[model]
-		entry := listed[model]
+	for _, r := range m.replicas {
+		entry := listed[r.model]
 		m.compareHolding(&r.holding, shownModel(entry))
 		if entry != nil && r.state != absent {
 			r.bytes = max(r.bytes, entry.MemoryBytes)
 		}
-		for _, name := range sortedKeys(r.adapters) {
-			m.compareHolding(r.adapters[name], shownAdapter(entry, name))
+		for _, a := range r.adapters {
+			m.compareHolding(a, shownAdapter(entry, a.adapter))
 		}
 	}
 }
--- a/internal/loading/demand_test.go
+++ b/internal/loading/demand_test.go
@@ -265,6 +265,17 @@
 				line{after: 1, event: Tick{}, want: "ask"},
 			),
 		},
+		{
+			name: "a cached load does not wait behind those that wait for permits", options: patient, permits: true,
+			lines: lines(begunWith(shows{cached: []string{"y@1"}}, "x@1", "y@1"),
+				line{event: SpecsChanged{Models: append(testSpecs.Models, ModelSpec{Model: "s@1"}, ModelSpec{Model: "t@1"})}},
+				line{event: RowSeen{Row: slots("s@1", 10, granted("e"))}}, line{event: RowSeen{Row: slots("t@1", 10, granted("e"))}},
+				line{event: demandOf("s", "s@1", "", time.Minute), want: "ask"},
+				line{event: demandOf("t", "t@1", "", time.Minute), want: "ask"},
+				line{event: demand},
+				line{event: demandOf("y", "y@1", "", time.Hour), want: "load y@1"},
+			),
+		},
 		{
 			name: "one that is not wanted any more is given back", options: patient, permits: true,
 			lines: lines(begun("x@1"),
--- a/internal/loading/engine.go
+++ b/internal/loading/engine.go
@@ -76,7 +76,7 @@
 		}
 		return
 	}
-	if !m.reads.wanted && m.now.Before(m.reads.next) {
+	if m.now.Before(m.reads.next) && (!m.reads.wanted || m.engine.unanswered > 0) {
 		return
 	}
 	m.reads.wanted = false
@@ -149,8 +149,7 @@
 	m.accepted = accepted{}
 	m.engine.clear = false
 	m.engine.baseBytes = 0
-	for _, model := range sortedKeys(m.replicas) {
-		r := m.replicas[model]
+	for _, r := range m.replicas {
 		m.withdraw(&r.holding)
 		m.holdingLostEngine(&r.holding)
 		for _, a := range r.adapters {
@@ -202,9 +201,8 @@
 	for _, listed := range s.Models {
 		explained += listed.MemoryBytes
 		r := m.replica(listed.Model)
-		for _, name := range sortedKeys(r.adapters) {
-			a := r.adapters[name]
-			if slices.Contains(listed.Adapters, name) {
+		for _, a := range r.adapters {
+			if slices.Contains(listed.Adapters, a.adapter) {
 				explained += a.bytes
 			} else if a.state != absent {
 				inFlight += a.bytes
--- a/internal/loading/events.go
+++ b/internal/loading/events.go
@@ -199,7 +199,8 @@
 	MemoryBytes int64
 	// ChecksFencing says that the engine refuses an order with an old fencing number.
 	ChecksFencing bool
-	// OrderLife is the longest time for which a sent order may still take effect.
+	// OrderLife is the longest time for which an order may still take effect after the shell gave it up or its sender
+	// died. Of a model's load it means the beginning, which the engine's state shows; of an adapter's load the end.
 	OrderLife time.Duration
 	// StateInterval is the time between reads of the engine's state without a cause.
 	StateInterval time.Duration
--- a/internal/loading/holding.go
+++ b/internal/loading/holding.go
@@ -82,7 +82,7 @@
 type replica struct {
 	holding
 	model    string
-	adapters map[string]*holding
+	adapters ordered[*holding]
 	demands  map[string]*demand
 	// earliest is the first deadline of the waiting requests; stale when it must be looked for again.
 	earliest      time.Time
@@ -104,11 +104,14 @@
 }
 
 func newReplica(model string) *replica {
-	r := &replica{model: model, adapters: map[string]*holding{}, demands: map[string]*demand{}, place: notPlaced}
+	r := &replica{model: model, demands: map[string]*demand{}, place: notPlaced}
 	r.replica = r
 	return r
 }
 
+func (h *holding) key() string { return h.adapter }
+func (r *replica) key() string { return r.model }
+
 // isAdapter reports whether a holding is an adapter.
 func (h *holding) isAdapter() bool { return h.adapter != "" }
 
@@ -148,10 +151,10 @@
 
 // replica returns the record of a model version, and makes it if there is none.
 func (m *Machine) replica(model string) *replica {
-	r := m.replicas[model]
+	r := m.replicas.get(model)
 	if r == nil {
 		r = newReplica(model)
-		m.replicas[model] = r
+		m.replicas.insert(r)
 		m.inherit(&r.holding)
 	}
 	return r
@@ -159,10 +162,10 @@
 
 // adapterOf returns the record of an adapter, and makes it if there is none.
 func (m *Machine) adapterOf(r *replica, adapter string) *holding {
-	a := r.adapters[adapter]
+	a := r.adapters.get(adapter)
 	if a == nil {
 		a = &holding{replica: r, adapter: adapter}
-		r.adapters[adapter] = a
+		r.adapters.insert(a)
 		m.inherit(a)
 	}
 	return a
@@ -170,14 +173,14 @@
 
 // find returns the record of a model version, or with an adapter named of that; nil if there is none.
 func (m *Machine) find(model, adapter string) *holding {
-	r := m.replicas[model]
+	r := m.replicas.get(model)
 	switch {
 	case r == nil:
 		return nil
 	case adapter == "":
 		return &r.holding
 	default:
-		return r.adapters[adapter]
+		return r.adapters.get(adapter)
 	}
 }
 
--- a/internal/loading/idle.go
+++ b/internal/loading/idle.go
@@ -53,8 +53,7 @@
 	}
 	keep := m.keepTime(r)
 	next := time.Time{}
-	for _, name := range sortedKeys(r.adapters) {
-		a := r.adapters[name]
+	for _, a := range r.adapters {
 		if a.state != loaded || !a.isIdle() {
 			continue
 		}
--- a/internal/loading/ledger_test.go
+++ b/internal/loading/ledger_test.go
@@ -118,6 +118,7 @@
 				line{event: demandOf("b", "x@1", "xb", time.Hour), want: "load_adapter x@1 xb"},
 				line{event: result{order: "load_adapter x@1 xb"}, want: "usable x@1 xb"},
 				line{event: engineShows("x@1+xb")},
+				line{after: time.Second, event: Tick{}},
 				line{event: engineShows("x@1+xb")},
 				line{event: demandOf("a", "x@1", "xa", time.Hour), want: "refuse x@1 xa NO_MEMORY; want x@1 NO_MEMORY"},
 			),
@@ -286,13 +287,14 @@
 			options: interval,
 			lines: lines(begun("x@1"), loadedFirst("x@1"),
 				line{after: time.Second, event: Tick{}}, line{event: EngineLost{}},
+				line{event: RowSeen{Row: slots("z@1", 11, releasing("e"))}}, line{event: EngineLost{}},
 				line{after: 5 * time.Second, event: Tick{}}, line{event: EngineLost{}},
 				line{after: 5 * time.Second, event: Tick{}}, line{event: EngineLost{}, want: "unusable x@1"},
 				line{
 					event: demandOf("r", "x@1", "", time.Hour),
 					want:  "refuse r x@1 ENDPOINT_UNREACHABLE; want x@1 ENDPOINT_UNREACHABLE",
 				},
-				line{after: 5 * time.Second, event: Tick{}}, line{event: engineShows("x@1"), want: "usable x@1"},
+				line{after: 5 * time.Second, event: Tick{}}, line{event: engineShows("x@1"), want: "usable x@1; confirm z@1 11"},
 			),
 		},
 	})
--- a/internal/loading/machine.go
+++ b/internal/loading/machine.go
@@ -39,7 +39,7 @@
 	models    map[string]ModelSpec
 	adapters  map[string]AdapterSpec
 
-	replicas    map[string]*replica
+	replicas    ordered[*replica]
 	wanting     map[*holding]struct{}
 	demands     map[string]*demand
 	running     map[string]*run
@@ -72,7 +72,6 @@
 		orders:    map[string]*order{},
 		models:    map[string]ModelSpec{},
 		adapters:  map[string]AdapterSpec{},
-		replicas:  map[string]*replica{},
 		wanting:   map[*holding]struct{}{},
 		demands:   map[string]*demand{},
 		running:   map[string]*run{},
--- a/internal/loading/plan.go
+++ b/internal/loading/plan.go
@@ -82,29 +82,37 @@
 
 // plan starts the wanted loads for which there is room, makes room for the most urgent of the others, and refuses those
 // for which none can be made.
+//
+// Only so many load at once, and only so many ask for permits at once. One that waits for its permit does not keep a
+// later one out whose checkpoint is cached.
 func (m *Machine) plan() {
 	if len(m.wanting) == 0 || !m.canLoad() {
 		return
 	}
 	room := m.newRoom()
 	free := m.options.LoadsAtOnce - m.loadsInFlight()
+	asking := 0
 	for _, h := range m.queue() {
-		next := h.isAdapter() || free > 0
-		if next && !h.isAdapter() {
-			free--
-		}
-		switch room.claim(h, next) {
-		case roomNow:
-			if next && m.permitted(h) && m.canOrder() {
-				m.giveLoad(h, !m.isCached(h))
-				delete(m.wanting, h)
-			}
-		case roomSoon:
-			if next {
-				m.permitted(h)
-			}
-		case roomNever:
+		next := h.isAdapter() || free > 0 && (m.isCached(h) || asking < free)
+		answer := room.claim(h, next)
+		if answer == roomNever {
 			m.noRoom(h)
+			continue
+		}
+		if !next {
+			continue
+		}
+		started := m.permitted(h) && answer == roomNow && m.canOrder()
+		if started {
+			m.giveLoad(h, !m.isCached(h))
+			delete(m.wanting, h)
+		}
+		switch {
+		case h.isAdapter():
+		case started:
+			free--
+		case !m.isCached(h):
+			asking++
 		}
 	}
 }
--- a/internal/loading/specs.go
+++ b/internal/loading/specs.go
@@ -1,5 +1,7 @@
 package loading
 
+import "slices"
+
 // specsChanged takes in the declarations.
 func (m *Machine) specsChanged(e SpecsChanged) {
 	m.specsSeen = true
@@ -12,8 +14,7 @@
 		m.adapters[s.Adapter] = s
 	}
 	m.forgetReplicas()
-	for _, model := range sortedKeys(m.replicas) {
-		r := m.replicas[model]
+	for _, r := range m.replicas {
 		m.sizeAdopted(&r.holding)
 		for _, a := range r.adapters {
 			m.sizeAdopted(a)
@@ -28,8 +29,8 @@
 	if !m.isDeclared(&r.holding) && r.state != loaded {
 		m.refuseWaiting(&r.holding, refusalUnknown, 0)
 	}
-	for _, name := range sortedKeys(r.adapters) {
-		if a := r.adapters[name]; !m.isDeclared(a) && a.state != loaded {
+	for _, a := range r.adapters {
+		if !m.isDeclared(a) && a.state != loaded {
 			m.refuseWaiting(a, refusalUnknown, 0)
 		}
 	}
@@ -38,16 +39,17 @@
 // forgetReplicas drops the records of model versions that are neither declared nor granted and of which there is nothing
 // to know.
 func (m *Machine) forgetReplicas() {
-	for model, r := range m.replicas {
-		g := m.slots.grants[model]
-		kept := r.state != absent || r.order != nil || len(r.doubts) > 0 || r.running > 0 || r.waiting > 0 ||
-			len(r.adapters) > 0 || m.isDeclared(&r.holding) || g != nil && (g.slot != nil || g.owed)
-		if kept {
-			continue
+	m.replicas = slices.DeleteFunc(m.replicas, func(r *replica) bool {
+		g := m.slots.grants[r.model]
+		if m.isDeclared(&r.holding) || g != nil && (g.slot != nil || g.owed) || !r.isBlank() || len(r.adapters) > 0 {
+			return false
 		}
-		delete(m.replicas, model)
 		delete(m.wanting, &r.holding)
 		m.dropPermit(&r.holding)
 		m.timers.remove(r)
-	}
+		return true
+	})
 }
+
+// isBlank reports whether nothing is held of a model version or adapter, under way, running, or waiting for it.
+func (h *holding) isBlank() bool { return h.state == absent && len(h.doubts) == 0 && h.isIdle() }
--- a/internal/loading/status.go
+++ b/internal/loading/status.go
@@ -21,8 +21,8 @@
 			s.LoadsInFlight++
 		}
 	}
-	for _, model := range sortedKeys(m.replicas) {
-		if r := m.replicas[model]; r.state != absent || m.revisionOf(model) > 0 {
+	for _, r := range m.replicas {
+		if r.state != absent || m.revisionOf(r.model) > 0 {
 			s.Replicas = append(s.Replicas, m.replicaStatus(now, r))
 		}
 	}
@@ -56,9 +56,9 @@
 	if r.state == loaded && r.isIdle() {
 		s.IdleFor = max(now.Sub(r.idleSince), time.Millisecond)
 	}
-	for _, name := range sortedKeys(r.adapters) {
-		if r.adapters[name].state == loaded {
-			s.Adapters = append(s.Adapters, name)
+	for _, a := range r.adapters {
+		if a.state == loaded {
+			s.Adapters = append(s.Adapters, a.adapter)
 		}
 	}
 	return s
--- a/internal/loading/tend.go
+++ b/internal/loading/tend.go
@@ -51,11 +51,11 @@
 	m.tendIdle(r)
 	m.announceAll(r)
 	m.updateWanting(&r.holding)
-	for _, a := range r.adapters {
+	r.adapters = slices.DeleteFunc(r.adapters, func(a *holding) bool {
 		m.updateWanting(a)
-		m.dropIdleRecord(a)
-	}
-	for _, at := range []time.Time{r.retryAt, r.warmAt} {
+		return m.isForgettable(a)
+	})
+	for _, at := range []time.Time{r.retryAt, r.warmAt, r.wishUntil} {
 		if m.now.Before(at) {
 			m.wakeAt(r, at)
 		}
@@ -154,17 +154,16 @@
 
 // announceAll tells what became usable and what no longer is, the model version before its adapters.
 func (m *Machine) announceAll(r *replica) {
-	m.announce(&r.holding)
+	m.announce(&r.holding, m.usable(&r.holding))
 	if !r.announced {
 		return
 	}
-	for _, name := range sortedKeys(r.adapters) {
-		m.announce(r.adapters[name])
+	for _, a := range r.adapters {
+		m.announce(a, a.state == loaded)
 	}
 }
 
-func (m *Machine) announce(h *holding) {
-	usable := m.usable(h)
+func (m *Machine) announce(h *holding, usable bool) {
 	switch {
 	case usable && !h.announced:
 		h.announced = true
@@ -194,11 +193,7 @@
 	}
 }
 
-// dropIdleRecord forgets an adapter of which there is nothing to know.
-func (m *Machine) dropIdleRecord(a *holding) {
-	if a.state != absent || len(a.doubts) > 0 || !a.isIdle() || m.now.Before(a.retryAt) || m.now.Before(a.wishUntil) {
-		return
-	}
-	delete(m.wanting, a)
-	delete(a.replica.adapters, a.adapter)
+// isForgettable reports whether there is nothing to know of an adapter.
+func (m *Machine) isForgettable(a *holding) bool {
+	return a.isBlank() && !m.now.Before(a.retryAt) && !m.now.Before(a.wishUntil)
 }
