--- a/internal/wire/frames.go
+++ b/internal/wire/frames.go
@@ -37,9 +37,13 @@
 )
 
 // FrameReader reads length-delimited messages.
+//
+// A read that failed within a frame leaves the stream at a place that is no frame's beginning: what comes next, part of a
+// body perhaps, could be taken for a frame. So after ErrFrame or ErrBroken each further read fails the same way.
 type FrameReader struct {
 	buffered *bufio.Reader
 	options  protodelim.UnmarshalOptions
+	broken   error
 }
 
 // NewFrameReader returns a reader that accepts messages of up to limit bytes.
@@ -53,15 +57,23 @@
 // SetLimit bounds the next messages to limit bytes.
 func (r *FrameReader) SetLimit(limit int64) { r.options.MaxSize = limit }
 
-// Read fills m with the next message. It fails with ErrClosed at a clean end, ErrFrame or ErrBroken.
+// Read fills m with the next message. It fails with ErrClosed at a clean end, ErrTimeout between frames, ErrFrame or
+// ErrBroken.
 func (r *FrameReader) Read(m proto.Message) error {
+	if r.broken != nil {
+		return r.broken
+	}
 	if _, err := r.buffered.Peek(1); err != nil {
 		return closedError(err)
 	}
-	err := r.options.UnmarshalFrom(r.buffered, m)
-	if err == nil {
-		return nil
+	if err := r.options.UnmarshalFrom(r.buffered, m); err != nil {
+		r.broken = frameError(err)
 	}
+	return r.broken
+}
+
+// frameError tells a wrong frame from one that did not come whole.
+func frameError(err error) error {
 	var tooLarge *protodelim.SizeTooLargeError
 	if errors.As(err, &tooLarge) || errors.Is(err, proto.Error) {
 		return errors.Wrap(ErrFrame, err.Error())
@@ -85,10 +97,12 @@
 var frameBuffers = sync.Pool{New: func() any { return new([]byte) }}
 
 // WriteFrame writes one length-delimited message with a single Write, so that it becomes one yamux frame.
-func WriteFrame(w io.Writer, m proto.Message) error {
+func WriteFrame(w io.Writer, m proto.Message) error { return writeFrame(w, m, proto.Size(m)) }
+
+// writeFrame writes a message whose size was just worked out.
+func writeFrame(w io.Writer, m proto.Message, size int) error {
 	pooled := frameBuffers.Get().(*[]byte)
 	defer frameBuffers.Put(pooled)
-	size := proto.Size(m)
 	frame := protowire.AppendVarint((*pooled)[:0], uint64(size))
 	frame, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(frame, m)
 	if err != nil {
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -5,9 +5,11 @@
 	"log/slog"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/yamux"
+	"github.com/pkg/errors"
 
 	"balsamsail/internal/wire/wirepb"
 )
@@ -28,11 +30,40 @@
 	defer stop()
 	for {
 		conn, err := listener.Accept()
-		if err != nil {
+		switch {
+		case err == nil:
+			s.running.Add(1)
+			go s.serveConn(ctx, conn)
+		case !passes(err):
 			return ignoreClosed(err)
+		default:
+			s.logger.Warn("connection not accepted", "error", err)
+			pause(ctx, acceptRetry)
 		}
-		s.running.Add(1)
-		go s.serveConn(ctx, conn)
+	}
+}
+
+// acceptRetry is the time between tries to accept while the process is short of something.
+const acceptRetry = 20 * time.Millisecond
+
+// passes reports whether an error of Accept concerns one connection or a shortage, as of file descriptors in a burst of
+// connections. A server that took it for its end would cut all the requests that it runs.
+func passes(err error) bool {
+	for _, errno := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
+		if errors.Is(err, errno) {
+			return true
+		}
+	}
+	return false
+}
+
+// pause waits for d or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
 
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -97,37 +98,76 @@
 // Close ends the session and all its streams.
 func (s *Session) Close() error { return s.mux.Close() }
 
-// Stream is one ordered exchange of messages within a session.
+// Stream is one ordered exchange of messages within a session. One goroutine may read while another writes.
 type Stream struct {
 	raw    *yamux.Stream
 	reader *FrameReader
+	// limit bounds the messages that are written, in bytes.
+	limit atomic.Int64
+	// unsent is why a message was not written whole.
+	unsent error
 }
 
+// expired is a deadline that has passed: it wakes whoever waits.
+var expired = time.Unix(1, 0)
+
 func newStream(raw *yamux.Stream, limit int64) *Stream {
-	return &Stream{raw: raw, reader: NewFrameReader(raw, limit)}
+	s := &Stream{raw: raw, reader: NewFrameReader(raw, limit)}
+	s.limit.Store(limit)
+	return s
 }
 
 // Read fills m with the next message.
-func (s *Stream) Read(m proto.Message) error { return s.reader.Read(m) }
+//
+// A peer closes its stream both ways at once and reads nothing more. What is written to it afterwards would fill the
+// window and then wait, for up to yamux's close timeout of a minute, with whatever the writer holds. So a clean end wakes
+// the writer.
+func (s *Stream) Read(m proto.Message) error {
+	err := s.reader.Read(m)
+	if errors.Is(err, ErrClosed) {
+		s.StopWriting()
+	}
+	return err
+}
 
-// Write sends one message. Only one goroutine may write at a time.
-func (s *Stream) Write(m proto.Message) error { return WriteFrame(s.raw, m) }
+// Write sends one message. Only one goroutine may write at a time. A message over the stream's limit fails with ErrFrame
+// and nothing of it is sent.
+//
+// A message that was sent in part leaves the peer within a frame, where the next one would be read as the rest of it, of a
+// request's body perhaps. So after a failed write each further one fails.
+func (s *Stream) Write(m proto.Message) error {
+	if s.unsent != nil {
+		return s.unsent
+	}
+	size := proto.Size(m)
+	if int64(size) > s.limit.Load() {
+		return errors.Wrapf(ErrFrame, "%d bytes are over the limit of %d", size, s.limit.Load())
+	}
+	s.unsent = writeFrame(s.raw, m, size)
+	return s.unsent
+}
 
-// SetLimit bounds the next messages to limit bytes.
-func (s *Stream) SetLimit(limit int64) { s.reader.SetLimit(limit) }
+// StopWriting fails a Write that waits for the peer to read, and later ones that would have to wait.
+func (s *Stream) StopWriting() { _ = s.raw.SetWriteDeadline(expired) }
+
+// SetLimit bounds the next messages, read and written, to limit bytes.
+func (s *Stream) SetLimit(limit int64) {
+	s.reader.SetLimit(limit)
+	s.limit.Store(limit)
+}
 
 // SetReadDeadline bounds the next reads; the zero time removes the bound.
 func (s *Stream) SetReadDeadline(t time.Time) error { return s.raw.SetReadDeadline(t) }
 
-// Close ends the stream. A pending or later Read fails.
+// Close ends the stream. A pending or later Read or Write fails.
 func (s *Stream) Close() error {
 	err := s.raw.Close()
 	// The peer may never close its half; an expired deadline wakes a reader of ours at once.
-	_ = s.raw.SetReadDeadline(time.Unix(1, 0))
+	_ = s.raw.SetReadDeadline(expired)
 	return err
 }
 
-// Handler serves one stream that a peer opened. It owns the stream and closes it.
+// Handler serves one stream that a peer opened. The stream is closed when it returns.
 type Handler func(ctx context.Context, header *wirepb.StreamHeader, stream *Stream)
 
 // Serve accepts connections and streams until ctx ends or the listener fails. It returns after its handlers.
