replicas: writes back off on their own, wishes expire

Cause: with the table answering reads and refusing writes, each read ended the pause after a failed write, so that hundreds of decided changes would have been tried at the rate limit; found by reading the code. Wishes for model versions that are not declared any more were never forgotten. Change: a pause for each kind of call; after an unanswered write no further one is begun, and one write shows whether the table answers again; after an outage the turns begin anew.

--- a/internal/replicas/demand.go
+++ b/internal/replicas/demand.go
@@ -1,6 +1,7 @@
 package replicas
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -97,21 +98,27 @@
 	delete(b.peaks, model)
 }
 
+// expire forgets the wishes that count for nothing any more.
+func (b *demandBook) expire(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	life := max(b.policy.AvoidFor, b.policy.ExtraHold)
+	for model, wants := range b.wants {
+		maps.DeleteFunc(wants, func(_ string, w Want) bool { return now.Sub(w.Last) >= life })
+		if len(wants) == 0 {
+			delete(b.wants, model)
+		}
+	}
+}
+
 // demand returns what is known of a model version, without the loaded replicas.
 func (b *demandBook) demand(now time.Time, model string) Demand {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var d Demand
-	for engine, w := range b.wants[model] {
-		if now.Sub(w.Last) >= max(b.policy.AvoidFor, b.policy.ExtraHold) {
-			delete(b.wants[model], engine)
-			continue
-		}
+	for _, w := range b.wants[model] {
 		d.Wants = append(d.Wants, w)
 	}
-	if len(b.wants[model]) == 0 {
-		delete(b.wants, model)
-	}
 	if p := b.peaks[model]; p != nil {
 		d.Usage.Peak = max(p.current, p.previous)
 		d.Usage.Known = now.Sub(p.start) >= b.policy.ExtraHold
--- a/internal/replicas/judge.go
+++ b/internal/replicas/judge.go
@@ -8,6 +8,10 @@
 // judge sets the health of each slot.
 func (r *run) judge(spec *ModelSpec, d *draft) {
 	turn := r.markLoaded(r.snapshot.Demand[d.model].Usage.Loaded)
+	var g *group
+	if spec != nil {
+		g = r.index.group(spec.Selector)
+	}
 	for _, s := range d.slots {
 		s.engine = r.index.holder(s.slot.Engine, s.slot.Host)
 		s.loaded = s.engine >= 0 && r.loaded[s.engine] == turn
@@ -17,7 +21,7 @@
 			continue
 		}
 		if spec != nil {
-			s.health, s.reason = r.judgeGranted(spec, s)
+			s.health, s.reason = r.judgeGranted(spec, g, s)
 		}
 	}
 }
@@ -33,13 +37,13 @@
 	return r.turn
 }
 
-func (r *run) judgeGranted(spec *ModelSpec, s *slotDraft) (health, Reason) {
+func (r *run) judgeGranted(spec *ModelSpec, g *group, s *slotDraft) (health, Reason) {
 	if s.engine >= 0 {
 		e := &r.index.engines[s.engine]
 		switch {
 		case e.Leaving, e.Drain:
 			return healthLeaving, ReasonLeaving
-		case !r.index.group(spec.Selector).has[s.engine]:
+		case !g.has[s.engine]:
 			return healthMisplaced, ReasonMismatch
 		case e.MemoryBytes > 0 && e.MemoryBytes < spec.MemoryBytes:
 			return healthMisplaced, ReasonNoFit
--- a/internal/replicas/manager.go
+++ b/internal/replicas/manager.go
@@ -84,7 +84,8 @@
 	// readAt and fullRead are when the last reads of changed rows and of all rows began.
 	readAt, fullRead time.Time
 	nextRead         time.Time
-	backoff          time.Duration
+	// reading and writing hold up calls after failed ones.
+	reading, writing backoff
 	lastSeen         stamp
 	decision         Decision
 	// notBefore is when the next decision may be taken.
--- a/internal/replicas/run.go
+++ b/internal/replicas/run.go
@@ -15,6 +15,12 @@
 	declared, head, engines, hosts, rows, demand uint64
 }
 
+// The kinds of calls in logs and on the time line.
+const (
+	callRead  = "read rows"
+	callWrite = "write row"
+)
+
 // Run follows the table, decides and proposes until the context ends.
 func (m *Manager) Run(ctx context.Context) error {
 	m.started = m.clock.Now()
@@ -50,7 +56,7 @@
 		m.sample(m.clock.Now())
 	}
 	next := m.nextRead
-	if m.backoff == 0 && m.Complete() {
+	if m.reading.wait == 0 && m.Complete() {
 		next = earlier(next, m.decide(ctx))
 	}
 	return max(next.Sub(m.clock.Now()), m.options.Settle)
@@ -75,11 +81,12 @@
 	listing, err := m.table.List(ctx, KeyPrefix, after)
 	if err != nil {
 		m.metrics.reads.WithLabelValues(resultUnavailable).Inc()
-		m.failed(ctx, "read rows", err)
+		m.failed(ctx, &m.reading, callRead, err)
+		m.nextRead = m.reading.until
 		return
 	}
 	m.metrics.reads.WithLabelValues(resultOK).Inc()
-	m.recovered()
+	m.succeeded(&m.reading, callRead)
 	for _, key := range m.store.take(m.clock.Now(), listing, full) {
 		m.log.Error("row of the table cannot be read", "key", key, "error", ErrCorruptRow)
 	}
@@ -90,26 +97,23 @@
 	m.nextRead = m.clock.Now().Add(m.options.Interval)
 }
 
-// failed notes that the table did not answer, and backs off.
-func (m *Manager) failed(ctx context.Context, what string, err error) {
-	if ctx.Err() != nil {
+// failed notes that the table did not answer a kind of call.
+func (m *Manager) failed(ctx context.Context, b *backoff, what string, err error) {
+	if ctx.Err() != nil || !b.fail(m.clock.Now(), m.options, m.random) {
 		return
 	}
-	if m.backoff == 0 {
-		m.log.Warn("table does not answer; grants stay as they are", "call", what, "error", err)
-		m.timeline.Record(timeline.Event{Kind: timeline.PlatformLost, Detail: what + ": " + err.Error()})
-	}
-	m.backoff = min(max(2*m.backoff, m.options.MinBackoff), m.options.MaxBackoff)
-	jittered := m.backoff/2 + time.Duration(m.random.Int64N(int64(m.backoff/2)+1))
-	m.nextRead = m.clock.Now().Add(jittered)
+	m.log.Warn("table does not answer; grants stay as they are", "call", what, "error", err)
+	m.timeline.Record(timeline.Event{Kind: timeline.PlatformLost, Detail: what + ": " + err.Error()})
 }
 
-func (m *Manager) recovered() {
-	if m.backoff > 0 {
-		m.log.Info("table answers again")
-		m.timeline.Record(timeline.Event{Kind: timeline.PlatformBack})
+// succeeded notes that the table answered a kind of call. After an outage, the turns begin anew: all processes have waited
+// theirs out, and would propose the same changes.
+func (m *Manager) succeeded(b *backoff, what string) {
+	if b.succeed() {
+		m.turns.reset()
+		m.log.Info("table answers again", "call", what)
+		m.timeline.Record(timeline.Event{Kind: timeline.PlatformBack, Detail: what})
 	}
-	m.backoff = 0
 }
 
 // sample notes the use of the model versions that have slots which might be taken back.
@@ -145,12 +149,19 @@
 		m.decision = m.decideNow(now, declared)
 		m.lastSeen = seen
 	}
+	if now.Before(m.writing.until) {
+		return m.writing.until
+	}
 	d := m.turns.take(now, m.readAt, m.decision.Changes, m.inputs.Peers.Self(), m.inputs.Peers.Live())
 	if d.stale {
 		m.readRows(ctx)
 		return m.clock.Now()
 	}
 	if len(d.ready) > 0 {
+		if m.writing.wait > 0 {
+			// The table did not answer the last writes: one shows whether it does again.
+			d.ready = d.ready[:1]
+		}
 		m.propose(ctx, d.ready)
 		m.turns.proposed(m.clock.Now(), d.ready)
 		return m.clock.Now()
@@ -187,6 +198,7 @@
 		Demand:         make(map[string]Demand, len(declared.Models)),
 		Releases:       m.demand.confirmed(now, rows),
 	}
+	m.demand.expire(now)
 	for i := range declared.Models {
 		model := declared.Models[i].Model
 		demand := m.demand.demand(now, model)
@@ -202,27 +214,27 @@
 	return decision
 }
 
-// propose writes changes, several at once.
+// propose writes changes, several at once. When the table does not answer one, no further one is begun.
 func (m *Manager) propose(ctx context.Context, changes []Change) {
-	results := make([]error, len(changes))
-	var group errgroup.Group
+	group, unanswered := errgroup.WithContext(ctx)
 	group.SetLimit(m.options.ParallelWrites)
-	for i, c := range changes {
-		if m.limiter.Wait(ctx) != nil {
+	for _, c := range changes {
+		if m.limiter.Wait(unanswered) != nil {
 			break
 		}
 		group.Go(func() error {
-			results[i] = m.proposeOne(ctx, c)
+			err := m.proposeOne(ctx, c)
+			if errors.Is(err, ErrUnavailable) || errors.Is(err, ErrOutcomeUnknown) {
+				return err
+			}
 			return nil
 		})
 	}
-	_ = group.Wait()
-	for _, err := range results {
-		if errors.Is(err, ErrUnavailable) || errors.Is(err, ErrOutcomeUnknown) {
-			m.failed(ctx, "write row", err)
-			return
-		}
+	if err := group.Wait(); err != nil {
+		m.failed(ctx, &m.writing, callWrite, err)
+		return
 	}
+	m.succeeded(&m.writing, callWrite)
 }
 
 func (m *Manager) proposeOne(ctx context.Context, c Change) error {
@@ -237,8 +249,10 @@
 	case errors.Is(err, ErrConflict):
 		m.timeline.Record(timeline.Event{Kind: timeline.GrantConflict, Model: c.Model, Detail: c.String()})
 		m.reread(ctx, c.Model)
+	case errors.Is(err, ErrUnavailable):
+		m.log.Debug("grant not changed", "model", c.Model, "change", c.String(), "error", err)
 	default:
-		m.log.Warn("grant not changed", "model", c.Model, "change", c.String(), "error", err)
+		m.log.Warn("grant not known to be changed", "model", c.Model, "change", c.String(), "error", err)
 	}
 	return err
 }
--- a/internal/replicas/turn.go
+++ b/internal/replicas/turn.go
@@ -77,6 +77,9 @@
 	}
 }
 
+// reset makes every change that is still decided wait its turn again.
+func (t *turns) reset() { clear(t.due) }
+
 // forget drops the model versions for which no change is decided any more.
 func (t *turns) forget(changes []Change) {
 	decided := make(map[string]struct{}, len(changes))
--- a/internal/replicas/world_test.go
+++ b/internal/replicas/world_test.go
@@ -289,6 +289,7 @@
 	for _, name := range slices.Sorted(maps.Keys(d.engines)) {
 		s.Engines = append(s.Engines, d.engines[name])
 	}
+	d.demand.expire(w.now)
 	for model := range w.models {
 		demand := d.demand.demand(w.now, model)
 		demand.Usage = Usage{Known: true, Loaded: w.loadedAt(model)}
