replicas: read all rows every five minutes in place of every half minute

Cause: a full read is 51 x 10.9 kB at the size to design for (BenchmarkEncodeRow: 10,868 bytes at 400 slots), every 30 s 18 kB/s, above the 4 kB/s a node. It only shows deletions, and a row that is deleted unseen does no harm: a proposal made from it fails, and the row is then read again. At five minutes it is 1.8 kB/s.

--- a/internal/replicas/manager.go
+++ b/internal/replicas/manager.go
@@ -47,7 +47,7 @@
 	return Options{
 		Policy:          DefaultPolicy(),
 		Interval:        time.Second,
-		FullInterval:    30 * time.Second,
+		FullInterval:    5 * time.Minute,
 		Settle:          20 * time.Millisecond,
 		DecideShare:     0.02,
 		TurnStep:        500 * time.Millisecond,
