--- a/internal/loading/demand.go
+++ b/internal/loading/demand.go
@@ -1,11 +1,6 @@
 package loading
 
-import (
-	"fmt"
-	"time"
-
-	"balsamsail/internal/wire/wirepb"
-)
+import "time"
 
 // demand is a request that waits.
 type demand struct {
@@ -24,34 +19,6 @@
 	adapter *holding
 }
 
-// refusal says why waiting requests are refused.
-type refusal struct {
-	reason wirepb.RefusalReason
-	detail string
-	// wantsSlot asks for another slot elsewhere as well.
-	wantsSlot bool
-}
-
-// The refusals.
-var (
-	refusalLeaving     = refusal{wirepb.RefusalReason_LEAVING, "the endpoint is leaving", false}
-	refusalUnknown     = refusal{wirepb.RefusalReason_UNKNOWN_TARGET, "not declared", false}
-	refusalNotReady    = refusal{wirepb.RefusalReason_NOT_READY, "the state of the engine or its slots is not known yet", false}
-	refusalUnreachable = refusal{wirepb.RefusalReason_ENDPOINT_UNREACHABLE, "the engine does not answer", true}
-	refusalNotGranted  = refusal{wirepb.RefusalReason_NOT_GRANTED, "no slot here", true}
-	refusalNoMemory    = refusal{wirepb.RefusalReason_NO_MEMORY, "no memory that can be freed in time", true}
-	refusalLoadFailed  = refusal{wirepb.RefusalReason_LOAD_FAILED, "the load failed", true}
-	refusalLoadUnknown = refusal{wirepb.RefusalReason_LOAD_FAILED, "the result of an order is not known yet", true}
-	refusalDeadline    = refusal{wirepb.RefusalReason_DEADLINE, "the deadline passed before the load ended", false}
-)
-
-const (
-	// retrySoon is when to come back where no time is known.
-	retrySoon = time.Second
-	// wishGrace is how long after the expected end of a load the machine waits for callers that were told to come back.
-	wishGrace = 5 * time.Second
-)
-
 // demanded takes in a waiting request: it is refused at once, or kept until it starts, is refused or goes away.
 func (m *Machine) demanded(e Demanded) {
 	m.demandGone(e.Request)
@@ -75,74 +42,6 @@
 	m.addDemand(e, r, target)
 }
 
-// refusalOf returns why a request cannot be served here at all, or nil.
-func (m *Machine) refusalOf(e Demanded) (*refusal, time.Duration) {
-	switch {
-	case m.leaving:
-		return &refusalLeaving, 0
-	case m.unreachable():
-		return &refusalUnreachable, retrySoon
-	case !m.engine.known || m.slots.knowledge(e.Model) == slotUnknown:
-		return &refusalNotReady, retrySoon
-	case m.slots.knowledge(e.Model) == slotLost:
-		return &refusalNotGranted, retrySoon
-	}
-	if h := m.find(e.Model, e.Adapter); h != nil && m.usable(h) {
-		return nil, 0
-	}
-	return m.loadRefusal(e)
-}
-
-// loadRefusal returns why a request that needs a load cannot get it, or nil.
-func (m *Machine) loadRefusal(e Demanded) (*refusal, time.Duration) {
-	if !m.specsSeen {
-		return &refusalNotReady, retrySoon
-	}
-	if _, ok := m.models[e.Model]; !ok {
-		return &refusalUnknown, 0
-	}
-	if e.Adapter != "" && m.adapters[e.Adapter].Model != e.Model {
-		return &refusalUnknown, 0
-	}
-	if !m.slots.read {
-		return &refusalNotReady, retrySoon
-	}
-	if h := m.find(e.Model, ""); h != nil && h.state != loaded && m.now.Before(h.retryAt) {
-		return &refusalLoadFailed, h.retryAt.Sub(m.now)
-	}
-	if h := m.find(e.Model, e.Adapter); h != nil && h.state != loaded && m.now.Before(h.retryAt) {
-		return &refusalLoadFailed, h.retryAt.Sub(m.now)
-	}
-	return nil, 0
-}
-
-// refuseOne refuses a single request that is not kept.
-func (m *Machine) refuseOne(e Demanded, why refusal, retryAfter time.Duration) {
-	m.emit(RefuseDemand{
-		Request:    e.Request,
-		Model:      e.Model,
-		Adapter:    e.Adapter,
-		Reason:     why.reason,
-		RetryAfter: retryAfter,
-		Detail:     why.detail,
-	})
-	if why.wantsSlot {
-		m.emit(WantSlot{Model: e.Model, Reason: why.reason})
-	}
-}
-
-// refuseLate refuses a request whose deadline is before the expected end of the load. The load goes on or begins all the
-// same, because the caller is told when to come back; else a model whose load takes longer than any caller waits would
-// never be served.
-func (m *Machine) refuseLate(e Demanded, target *holding, at time.Time) {
-	why := refusalDeadline
-	why.detail = fmt.Sprintf("ready in %v at the earliest", at.Sub(m.now).Round(time.Millisecond))
-	m.refuseOne(e, why, at.Sub(m.now))
-	m.wish(target, at.Add(wishGrace))
-	m.wish(&target.replica.holding, at.Add(wishGrace))
-	m.touch(target.replica)
-}
-
 // wish keeps a load wanted until a time.
 func (m *Machine) wish(h *holding, until time.Time) { h.wishUntil = later(h.wishUntil, until) }
 
@@ -201,28 +100,6 @@
 	return r.earliest
 }
 
-// refuseWaiting refuses all requests that wait for a model version, its adapters included, or for one adapter.
-func (m *Machine) refuseWaiting(h *holding, why refusal, retryAfter time.Duration) {
-	if h.waiting == 0 {
-		return
-	}
-	for _, d := range h.replica.demands {
-		if !h.isAdapter() || d.target == h {
-			m.forget(d)
-		}
-	}
-	m.emit(RefuseDemand{
-		Model:      h.replica.model,
-		Adapter:    h.adapter,
-		Reason:     why.reason,
-		RetryAfter: retryAfter,
-		Detail:     why.detail,
-	})
-	if why.wantsSlot {
-		m.emit(WantSlot{Model: h.replica.model, Reason: why.reason})
-	}
-}
-
 // expireDemands refuses the requests whose deadline has come. Those whose target is usable are left to the queue, which
 // knows what can still be served.
 func (m *Machine) expireDemands() {
--- a/internal/loading/events.go
+++ b/internal/loading/events.go
@@ -1,8 +1,3 @@
-// Package loading decides, beside one engine, which model versions and adapters the engine holds: the memory ledger, the
-// load queue and the sleeping and waking of replicas inside granted slots.
-//
-// Machine is a deterministic state machine without I/O: Step takes one event and returns the actions that the agent's
-// shell must carry out. The shell feeds the results back as events.
 package loading
 
 import (
--- a/internal/loading/room.go
+++ b/internal/loading/room.go
@@ -73,12 +73,12 @@
 
 // victims chooses idle holdings whose unload makes a size fit: the longest idle for the time that they are kept first,
 // and no more than needed.
-func (x *room) victims(for_ *holding, total size) ([]*holding, bool) {
+func (x *room) victims(wanted *holding, total size) ([]*holding, bool) {
 	if x.m.fits(total) {
 		return nil, true
 	}
 	chosen := []*holding{}
-	for _, v := range x.m.evictable(for_) {
+	for _, v := range x.m.evictable(wanted) {
 		if x.spoken[v] || x.spoken[&v.replica.holding] {
 			continue
 		}
@@ -119,10 +119,10 @@
 
 // evictable returns what may be unloaded to make room for a load, best first. Adapters make room for adapters before
 // model versions do, and the other way round.
-func (m *Machine) evictable(for_ *holding) []*holding {
+func (m *Machine) evictable(wanted *holding) []*holding {
 	models, adapters := []*holding{}, []*holding{}
 	for _, r := range m.replicas {
-		if r != for_.replica && m.mayEvict(&r.holding) && !m.warm(r) && !r.adapterOrder() {
+		if r != wanted.replica && m.mayEvict(&r.holding) && !m.warm(r) && !r.adapterOrder() {
 			models = append(models, &r.holding)
 		}
 		for _, a := range r.adapters {
@@ -137,7 +137,7 @@
 	slices.SortFunc(adapters, func(a, b *holding) int {
 		return cmp.Or(a.idleSince.Compare(b.idleSince), cmp.Compare(a.adapter, b.adapter))
 	})
-	if for_.isAdapter() {
+	if wanted.isAdapter() {
 		return append(adapters, models...)
 	}
 	return append(models, adapters...)
