loading: an issuer that answers is waited for

Cause: the patience for a permit counted from the first question, so that in a storm longer than the patience agents started without permits although the issuer answered each question. Weighed: no bound (an issuer with a wrong view would hold a load for ever); now the patience begins anew with each answer, at most until the load can only just be done.

--- a/internal/loading/permit.go
+++ b/internal/loading/permit.go
@@ -101,14 +101,29 @@
 	m.touch(h.replica)
 }
 
-// permitDenied takes in when to ask again.
+// permitDenied takes in when to ask again. An issuer that answers is there, so the patience begins anew with each answer:
+// counted from the first question, a long storm of wakes would start loads without permits and slow all of them.
 func (m *Machine) permitDenied(e PermitDenied) {
 	if h := m.asking(e.ID); h != nil && !h.permit.given {
 		h.permit.askAt = later(e.RetryAt, m.now.Add(leastAskInterval))
+		h.permit.startAt = m.extendedPatience(h, e.RetryAt)
 		m.touch(h.replica)
 	}
 }
 
+// extendedPatience returns until when a load waits for its permit after a denial: at most until the load can only just be
+// done by its deadline, so that an issuer with a wrong view of the store holds no load for ever.
+func (m *Machine) extendedPatience(h *holding, retryAt time.Time) time.Time {
+	extended := retryAt.Add(m.jitter(m.options.PermitPatience))
+	if deadline := h.replica.deadline(); !deadline.IsZero() {
+		latest := deadline.Add(-m.expectedLoad(h))
+		if extended.After(latest) {
+			extended = latest
+		}
+	}
+	return later(h.permit.startAt, extended)
+}
+
 // permitInUse reports whether a load that is in flight uses a permit.
 func (m *Machine) permitInUse(id string) bool {
 	for _, o := range m.orders {
