--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -40,6 +40,18 @@
 	s.update(target, func(t *timings) { t.first.observe(first) })
 }
 
+// Fade makes the times of a target a part shorter. It is for times that no request has confirmed of late: those by which
+// requests are refused although nothing is before them.
+//
+// Without it a single slow request, such as one that ran while its process was frozen, would have every later one with a
+// shorter deadline refused at once; none would run, and no shorter time would ever be seen.
+func (s *ServiceTimes) Fade(target Target) {
+	s.update(target, func(t *timings) {
+		t.first.fade()
+		t.whole.fade()
+	})
+}
+
 // Expected returns the mean whole time of a target's requests, 0 when nothing is known.
 func (s *ServiceTimes) Expected(target Target) time.Duration {
 	return s.find(target, func(t *timings) *moving { return &t.whole }).mean
@@ -110,6 +122,14 @@
 	m.deviation += time.Duration(float64(off.Abs()-m.deviation) * deviationSmoothing)
 }
 
+// fadeShare is the part of a time that goes with each Fade.
+const fadeShare = 8
+
+func (m *moving) fade() {
+	m.mean -= m.mean / fadeShare
+	m.deviation -= m.deviation / fadeShare
+}
+
 // cautious returns a time that a request seldom exceeds.
 func (m moving) cautious() time.Duration {
 	return m.mean + cautiousDeviations*m.deviation
--- a/internal/agent/actions.go
+++ b/internal/agent/actions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -16,6 +17,8 @@
 	agent *Agent
 	reads chan struct{}
 	rows  chan struct{}
+	// readID is the newest read of the engine's state that was asked for.
+	readID atomic.Uint64
 }
 
 func newActions(ctx context.Context, a *Agent) *actions {
@@ -33,8 +36,12 @@
 	a := x.agent
 	switch action := action.(type) {
 	case loading.GiveOrder:
+		if isUnload(action.Order.Kind) {
+			a.unloads.enter()
+		}
 		go x.order(action)
 	case loading.ReadEngine:
+		x.readID.Store(action.ID)
 		nudge(x.reads)
 	case loading.ReadRows:
 		nudge(x.rows)
@@ -61,6 +68,9 @@
 // lost and the next agent would have to wait out the order's life.
 func (x *actions) order(g loading.GiveOrder) {
 	a := x.agent
+	if isUnload(g.Order.Kind) {
+		defer a.unloads.exit()
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), a.options.OrderTimeout)
 	defer cancel()
 	a.recordOrder(orderKinds[g.Order.Kind], g.Order, "")
@@ -75,6 +85,10 @@
 	a.core.step(loading.OrderDone{ID: g.Order.ID, Err: err})
 }
 
+func isUnload(kind endpoint.OrderKind) bool {
+	return kind == endpoint.OrderUnload || kind == endpoint.OrderUnloadAdapter
+}
+
 // orderKinds maps orders to the events of their sending.
 var orderKinds = map[endpoint.OrderKind]timeline.Kind{
 	endpoint.OrderLoad:          timeline.LoadOrdered,
@@ -119,6 +133,11 @@
 }
 
 // runEngineReads reads the engine's state whenever the machine asks.
+//
+// Each answer names the read that was asked for when it began. After a long freeze the machine asks again for a read that
+// is still under way, and both are made. Without the name the second one, which nobody waits for, would pass for the
+// answer to the next question, although it began before: a model whose load had ended in between would count as absent,
+// and its memory would be handed out twice.
 func (a *Agent) runEngineReads(ctx context.Context) {
 	x := a.core.perform.(*actions)
 	nudge(x.reads)
@@ -128,15 +147,16 @@
 			return
 		case <-x.reads:
 		}
+		id := x.readID.Load()
 		readCtx, cancel := context.WithTimeout(ctx, a.options.OrderTimeout)
 		state, err := a.engine.State(readCtx)
 		cancel()
 		if err != nil {
 			a.logger.Debug("engine state not read", "error", err)
-			a.core.step(loading.EngineLost{})
+			a.core.step(loading.EngineLost{ID: id})
 			continue
 		}
-		a.core.step(loading.EngineRead{State: state})
+		a.core.step(loading.EngineRead{ID: id, State: state})
 	}
 }
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -106,6 +106,8 @@
 	core     *core
 	receiver *declarations.Receiver
 	requests inflight
+	// unloads are the unload orders on their way.
+	unloads inflight
 	// offers counts the offers, to tell them from each other.
 	offers atomic.Uint64
 
@@ -211,9 +213,21 @@
 	linger := a.clock.NewTimer(drainLinger)
 	defer linger.Stop()
 	<-linger.C()
+	a.awaitUnloads(timer)
 	return nil
 }
 
+// awaitUnloads waits for the unloads that are on their way, as long as there is time. One that reached an engine without a
+// check of fencing numbers after the next agent has begun to serve would cut that agent's requests. Loads cut nothing, and
+// would hold the stop up for long.
+func (a *Agent) awaitUnloads(timer clock.Timer) {
+	select {
+	case <-a.unloads.empty():
+	case <-timer.C():
+		a.logger.Warn("stopped with an unload on its way")
+	}
+}
+
 // serveStream serves one stream that an entry opened.
 func (a *Agent) serveStream(ctx context.Context, header *wirepb.StreamHeader, stream *wire.Stream) {
 	switch header.Kind {
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -105,13 +105,22 @@
 		return refusal, nil
 	}
 	displaced, refusal := c.queue.Offer(now, r, c.estimate(r.Target))
-	c.refuseAll(displaced)
+	actions := c.refuseAll(displaced)
 	if refusal != nil {
-		return refusal, nil
+		c.doubt(r.Target, refusal)
+		return refusal, actions
 	}
 	w.cold = !c.isUsable(r.Target)
 	c.waiting[r.ID] = w
-	return nil, c.demand(now, w)
+	return nil, append(actions, c.demand(now, w)...)
+}
+
+// doubt lets the times of a target fade by which a request was refused although nothing runs or waits before it.
+func (c *core) doubt(t admission.Target, refusal *admission.Refusal) {
+	alone := c.runningOf(t) == 0 && c.queue.Waiting(t) == 0
+	if alone && refusal.Reason == wirepb.RefusalReason_DEADLINE {
+		c.times.Fade(t)
+	}
 }
 
 // unavailable refuses a request that this endpoint cannot take whatever its queue.
--- a/internal/agent/execute.go
+++ b/internal/agent/execute.go
@@ -87,14 +87,22 @@
 	return &callResult{took: spent{first: r.first, whole: a.clock.Now().Sub(began)}, trailer: r.trailer()}
 }
 
-// errEngineBusy says that the engine refused a request because it is too busy.
+// errEngineBusy says that the engine refused a request because it is too busy, or has not loaded what is asked for.
 var errEngineBusy = errors.New("agent: the engine refused")
 
 // engineRefused reports whether an engine refused to run a request. Another replica may take it. What a plain service
 // answers is passed on: its status may mean anything.
+//
+// An engine that has restarted has lost its models, which the agent learns only from the next read of its state. Until
+// then it answers that it does not know the model: passed on, a caller would take that for the answer to a request for a
+// model that is declared and served.
 func (x *exchange) engineRefused(response *http.Response) bool {
-	busy := response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests
-	return busy && x.target.Model != ""
+	switch response.StatusCode {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusNotFound:
+		return x.target.Model != ""
+	default:
+		return false
+	}
 }
 
 // endpointRequest is the request as the endpoint gets it.
--- /dev/null
+++ b/internal/agent/shell_test.go
@@ -0,0 +1,160 @@
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"balsamsail/internal/admission"
+	"balsamsail/internal/clock"
+	"balsamsail/internal/endpoint"
+	"balsamsail/internal/loading"
+	"balsamsail/internal/loading/idle"
+	"balsamsail/internal/platform"
+	"balsamsail/internal/timeline"
+	"balsamsail/internal/wire/wirepb"
+)
+
+// slowEngine answers each read of its state when the test lets it.
+type slowEngine struct {
+	endpoint.Engine
+	answer chan struct{}
+}
+
+func (e slowEngine) State(context.Context) (endpoint.EngineState, error) {
+	<-e.answer
+	return endpoint.EngineState{Incarnation: "1", MemoryBytes: 100}, nil
+}
+
+// emptyTable holds nothing.
+type emptyTable struct{ platform.Table }
+
+func (emptyTable) Commit(context.Context, platform.Txn) (uint64, error) { return 1, nil }
+func (emptyTable) List(context.Context, string, uint64) (platform.Listing, error) {
+	return platform.Listing{Revision: 1}, nil
+}
+
+func newShell(kind string, engine endpoint.Engine) *Agent {
+	options := Options{
+		Endpoint: "e", Kind: kind, Capacity: 1, OrderTimeout: time.Hour, DrainTimeout: time.Minute,
+		Queue: admission.Options{MaxWaiting: 8}, Loading: loading.Options{Engine: "e", OrderLife: time.Second},
+	}
+	return New(options, Dependencies{
+		Engine: engine, Table: emptyTable{}, Policy: idle.NewPolicy(idle.Options{}), Clock: clock.Real{},
+		Logger: slog.New(slog.DiscardHandler), Registerer: prometheus.NewRegistry(),
+		Recorder: timeline.NewRecorder("e", 16, timeline.NewHybridClock(time.Now)),
+	})
+}
+
+// An agent is frozen while it reads its engine's state. When it goes on, the machine asks again, and the first read's
+// answer comes too. Were it taken for the answer to the second question, the second read, which began next, would be an
+// answer to nothing, and pass for that of a later question that was asked after an order had changed the engine.
+func TestAnswersOfTheEngineNameTheirRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := slowEngine{answer: make(chan struct{})}
+		a := newShell(KindEngine, engine)
+		ctx, stop := context.WithCancel(t.Context())
+		a.core.perform = newActions(ctx, a)
+		a.core.step(loading.Tick{})
+		a.core.step(loading.RowsRead{Revision: 1})
+		go a.runEngineReads(ctx)
+		synctest.Wait()
+		time.Sleep(time.Minute)
+		a.core.step(loading.Tick{})
+		engine.answer <- struct{}{}
+		synctest.Wait()
+		if a.core.isReady() {
+			t.Error("the first read is taken for the second one")
+		}
+		engine.answer <- struct{}{}
+		synctest.Wait()
+		if !a.core.isReady() {
+			t.Error("the second read is not taken")
+		}
+		stop()
+		close(engine.answer)
+		synctest.Wait()
+	})
+}
+
+// An agent stops by plan while it unloads a model. Were it to end at once, the order could reach an engine that ignores
+// fencing numbers after the next agent had begun to serve that very model, and cut its requests.
+func TestPlannedStopWaitsForUnloads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newShell(KindEngine, nil)
+		a.unloads.enter()
+		ended := make(chan error, 1)
+		go func() { ended <- a.drain() }()
+		time.Sleep(10 * time.Second)
+		select {
+		case <-ended:
+			t.Fatal("ended with an unload on its way")
+		default:
+		}
+		a.unloads.exit()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// An engine restarts and has lost its models; its agent learns it seconds later. Until then callers were given the
+// engine's word that it does not know the model as the answer to their requests.
+func TestEngineThatHasNotLoadedTheModelRefuses(t *testing.T) {
+	model, service := admission.Target{Model: "m@1"}, admission.Target{Service: "ledger"}
+	cases := []struct {
+		name   string
+		target admission.Target
+		status int
+		want   bool
+	}{
+		{"model not loaded", model, http.StatusNotFound, true},
+		{"engine too busy", model, http.StatusServiceUnavailable, true},
+		{"too many requests", model, http.StatusTooManyRequests, true},
+		{"answer", model, http.StatusOK, false},
+		{"request that the engine finds wrong", model, http.StatusBadRequest, false},
+		{"not found by a plain service", service, http.StatusNotFound, false},
+		{"plain service too busy", service, http.StatusServiceUnavailable, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			x := &exchange{target: c.target}
+			if got := x.engineRefused(&http.Response{StatusCode: c.status}); got != c.want {
+				t.Errorf("refused: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// A request runs while its service hangs for half a minute. From then on each request with a deadline of a few seconds was
+// refused at once, because by the only time ever seen it would come too late, and no request ran to show a shorter one.
+func TestOneSlowRequestDoesNotShutTheEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newShell(KindService, nil)
+		a.core.perform = newActions(t.Context(), a)
+		a.core.setUp(true)
+		target := admission.Target{Service: "ledger"}
+		a.core.times.Observe(target, 30*time.Second)
+		offer := func(id string) *admission.Refusal {
+			return a.core.offer(newWaiting(admission.Request{
+				ID: id, Target: target, Class: wirepb.Class_INTERACTIVE, Arrived: time.Now(), Deadline: time.Now().Add(8 * time.Second),
+			}))
+		}
+		if offer("first") == nil {
+			t.Fatal("a request that would be late is taken at once")
+		}
+		const tries = 20
+		for range tries {
+			time.Sleep(time.Second)
+			if offer("next") == nil {
+				return
+			}
+		}
+		t.Errorf("%d requests are refused though nothing runs", tries)
+	})
+}
