cmd: help on standard output, one line for a wrong command line, exit codes as stated

Seen on a newcomer's walk through a fresh clone: a wrong flag printed its error twice around a page of help; 'label engine e a=b -wait' called -wait a label; 'get engines' answered nothing with exit code 0; 'drain' of a mistyped name was accepted without a word, so that the meant endpoint went on; '-o xml' was refused only after the edit had been made, with the exit code that says nothing was done; 'inforce' exited with 0 where processes were missing; usage lines lacked the program's name; the messages for operators that say what to do next (operator.WriteError) were printed by no command.

--- a/cmd/balsamsail/dev.go
+++ b/cmd/balsamsail/dev.go
@@ -23,7 +23,10 @@
 		ShortUsage: "dev [-listen ADDRESS]",
 		ShortHelp:  "run the whole system with stand-ins in one process on loopback",
 		FlagSet:    flags,
-		Exec: func(ctx context.Context, _ []string) error {
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
 			err := app.Dev(ctx, app.DevOptions{
 				Listen:   *listen,
 				Out:      os.Stdout,
--- /dev/null
+++ b/cmd/balsamsail/edits.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+
+	"balsamsail/internal/declarations"
+	"balsamsail/internal/operator"
+)
+
+func (f *operatorFlags) edit() operator.Edit {
+	return operator.Edit{Base: f.base, Author: f.author}
+}
+
+// finish tells of an accepted edit and, if asked, follows it until it is in force.
+func (f *operatorFlags) finish(ctx context.Context, client *operator.Client, accepted operator.Accepted, err error) error {
+	var unknown *operator.OutcomeUnknownError
+	if errors.As(err, &unknown) {
+		return f.settle(ctx, client, unknown)
+	}
+	if err != nil {
+		return tell(err)
+	}
+	if err := f.print(accepted, func(w io.Writer) error { return operator.WriteAccepted(w, accepted) }); err != nil {
+		return err
+	}
+	if !f.wait {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.patient)
+	defer cancel()
+	inForce, waitErr := operator.Wait(ctx, client, accepted.Revision)
+	if err := f.print(inForce, func(w io.Writer) error { return operator.WriteInForce(w, inForce) }); err != nil {
+		return err
+	}
+	return tell(waitErr)
+}
+
+// tell writes what an edit's error means and what to do about it.
+func tell(err error) error {
+	if err == nil {
+		return nil
+	}
+	if writeErr := operator.WriteError(os.Stderr, err); writeErr != nil {
+		return writeErr
+	}
+	return toldError{err}
+}
+
+// warnUnknown warns of an edit of an endpoint that no host has. It is accepted all the same, as declarations may come
+// before their hosts; but a mistyped name would leave the meant endpoint as it is.
+func warnUnknown(ctx context.Context, client *operator.Client, endpoint string) {
+	status, err := client.Status(ctx)
+	if err != nil {
+		return
+	}
+	for _, e := range status.Endpoints {
+		if e.Endpoint == endpoint {
+			return
+		}
+	}
+	fmt.Fprintf(os.Stderr, "%s: warning: no listed host has an endpoint %q\n", program, endpoint)
+}
+
+// settle looks an edit of unknown outcome up until it is known or the time is over.
+func (f *operatorFlags) settle(ctx context.Context, client *operator.Client, unknown *operator.OutcomeUnknownError) error {
+	fmt.Fprintln(os.Stderr, "balsamsail: the answer was lost; looking the edit up")
+	ctx, cancel := context.WithTimeout(ctx, f.patient)
+	defer cancel()
+	operation := operator.Settle(ctx, client, unknown.OperationID)
+	if operation.State != operator.OperationApplied {
+		return tell(unknown)
+	}
+	accepted := operator.Accepted{Revision: operation.Revision, OperationID: operation.OperationID}
+	return f.finish(ctx, client, accepted, nil)
+}
+
+func applyCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("apply", flag.ContinueOnError)
+	var f operatorFlags
+	f.registerEdit(flags)
+	file := flags.String("f", "", "INI `file` with declarations")
+	var deleted keyList
+	flags.Var(&deleted, "delete", "declaration to delete, as `kind/name`; may be repeated")
+	return f.command("apply", "-f FILE [-delete kind/name] [-wait]", "put declarations in force", editCodes, flags,
+		func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			request := operator.ApplyRequest{File: *file, Delete: deleted, Edit: f.edit()}
+			if *file == "" && len(deleted) == 0 {
+				return errors.Wrap(errUsage, "-f or -delete is missing")
+			}
+			if *file != "" {
+				text, err := os.ReadFile(*file)
+				if err != nil {
+					return errors.Wrap(errUsage, err.Error())
+				}
+				request.INI = string(text)
+			}
+			client := f.client()
+			accepted, err := client.Apply(ctx, request)
+			return f.finish(ctx, client, accepted, err)
+		})
+}
+
+// keyList gathers repeated kind/name flags.
+type keyList []operator.ObjectKey
+
+// String implements flag.Value.
+func (l *keyList) String() string { return fmt.Sprint([]operator.ObjectKey(*l)) }
+
+// Set implements flag.Value.
+func (l *keyList) Set(v string) error {
+	kind, name, ok := strings.Cut(v, "/")
+	if !ok {
+		return errors.Errorf("%q is not kind/name", v)
+	}
+	*l = append(*l, operator.ObjectKey{Kind: kind, Name: name})
+	return nil
+}
+
+func labelCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("label", flag.ContinueOnError)
+	var f operatorFlags
+	f.registerEdit(flags)
+	return f.command("label", "[flags] KIND NAME key=value... key-...", "set labels (key=value) and remove them (key-)", editCodes, flags,
+		func(ctx context.Context, args []string) error {
+			if err := flagsFirst(args); err != nil {
+				return err
+			}
+			const least = 3
+			if len(args) < least {
+				return errors.Wrap(errUsage, "a kind, a name and at least one label are wanted")
+			}
+			request := operator.LabelRequest{
+				ObjectKey: operator.ObjectKey{Kind: args[0], Name: args[1]},
+				Set:       map[string]string{},
+				Edit:      f.edit(),
+			}
+			for _, change := range args[2:] {
+				if err := addLabel(&request, change); err != nil {
+					return err
+				}
+			}
+			client := f.client()
+			accepted, err := client.Label(ctx, request)
+			if err == nil && request.Kind == declarations.KindEngine {
+				warnUnknown(ctx, client, request.Name)
+			}
+			return f.finish(ctx, client, accepted, err)
+		})
+}
+
+// addLabel reads "key=value" or "key-".
+func addLabel(request *operator.LabelRequest, change string) error {
+	if key, value, ok := strings.Cut(change, "="); ok {
+		request.Set[key] = value
+		return nil
+	}
+	key, ok := strings.CutSuffix(change, "-")
+	if !ok {
+		return errors.Wrapf(errUsage, "%q is neither key=value nor key-", change)
+	}
+	request.Remove = append(request.Remove, key)
+	return nil
+}
+
+func drainCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("drain", flag.ContinueOnError)
+	var f operatorFlags
+	f.registerEdit(flags)
+	undo := flags.Bool("undo", false, "end the drain")
+	return f.command("drain", "[-undo] [-wait] ENDPOINT", "give an endpoint no new work", editCodes, flags,
+		func(ctx context.Context, args []string) error {
+			if err := flagsFirst(args); err != nil {
+				return err
+			}
+			if len(args) != 1 {
+				return errors.Wrap(errUsage, "one endpoint is wanted")
+			}
+			client := f.client()
+			accepted, err := client.Drain(ctx, operator.DrainRequest{Endpoint: args[0], Drain: !*undo, Edit: f.edit()})
+			if err == nil {
+				warnUnknown(ctx, client, args[0])
+			}
+			return f.finish(ctx, client, accepted, err)
+		})
+}
--- a/cmd/balsamsail/load.go
+++ b/cmd/balsamsail/load.go
@@ -5,6 +5,7 @@
 	"flag"
 	"io"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -74,7 +75,12 @@
 		ShortUsage: "load -url URL -target MODEL,stream=true [-rate R] [-duration D] [-direct URL | -hold N]",
 		ShortHelp:  "send a load at planned times and report latencies",
 		FlagSet:    flags,
-		Exec:       func(ctx context.Context, _ []string) error { return f.run(ctx) },
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			return f.run(ctx)
+		},
 	}
 }
 
@@ -82,13 +88,16 @@
 type report interface{ Write(io.Writer) error }
 
 func (f *loadFlags) run(ctx context.Context) error {
+	if f.format != formatText && f.format != formatJSON {
+		return errors.Wrapf(errUsage, "-o %s: allowed are text, json", f.format)
+	}
 	f.options.Targets = f.targets
 	if f.check {
 		f.options.Expected = expectedAnswer
 	}
 	result, err := f.measure(ctx)
 	if errors.Is(err, load.ErrOptions) || errors.Is(err, load.ErrNotLoopback) {
-		return errors.Wrap(errUsage, err.Error())
+		return errors.Wrap(errUsage, strings.TrimSuffix(err.Error(), ": "+load.ErrOptions.Error()))
 	}
 	if err != nil {
 		return err
--- a/cmd/balsamsail/roles.go
+++ b/cmd/balsamsail/roles.go
@@ -4,19 +4,22 @@
 	"context"
 	"flag"
 	"fmt"
+	"os"
+	"strings"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/pkg/errors"
 
 	"balsamsail/internal/app"
+	"balsamsail/internal/declarations"
 	"balsamsail/internal/settings"
 )
 
 // setList gathers repeated -set flags.
 type setList []string
 
-// String implements flag.Value.
-func (s *setList) String() string { return fmt.Sprint(*s) }
+// String implements flag.Value; the zero value is empty, so that help shows no default.
+func (s *setList) String() string { return strings.Join(*s, " ") }
 
 // Set implements flag.Value.
 func (s *setList) Set(v string) error {
@@ -51,9 +54,14 @@
 		Name:       name,
 		ShortUsage: name + " -config FILE [-set section.key=value]",
 		ShortHelp:  help,
-		LongHelp:   "All settings with their units, bounds and defaults:\n\n" + settings.Describe(role),
-		FlagSet:    flags,
-		Exec: func(ctx context.Context, _ []string) error {
+		LongHelp: "Exit codes: 0 stopped as planned; 1 failed; 2 wrong command line.\n" +
+			"A setting may also come from the environment: BALSAMSAIL__SECTION__KEY; -set goes first.\n" +
+			"All settings with their units, bounds and defaults:\n\n" + settings.Describe(role),
+		FlagSet: flags,
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
 			if err := f.check(); err != nil {
 				return err
 			}
@@ -75,33 +83,36 @@
 }
 
 func standinCommand() *ffcli.Command {
-	return &ffcli.Command{
-		Name:       "standin",
-		ShortUsage: "standin platform|engine|service -config FILE",
-		ShortHelp:  "run a stand-in of an outside system, for trials and tests",
-		FlagSet:    flag.NewFlagSet("standin", flag.ContinueOnError),
-		Exec:       func(context.Context, []string) error { return flag.ErrHelp },
-		Subcommands: []*ffcli.Command{
+	return groupCommand("standin", "platform|engine|service -config FILE", "run a stand-in of an outside system, for trials and tests",
+		[]*ffcli.Command{
 			roleCommand("platform", "stand in for the platform's services", settings.RoleStandinPlatform,
 				settings.LoadStandinPlatform, app.RunStandinPlatform),
 			roleCommand("engine", "stand in for a model engine", settings.RoleStandinEngine,
 				settings.LoadStandinEngine, app.RunStandinEngine),
 			roleCommand("service", "stand in for a plain service", settings.RoleStandinService,
 				settings.LoadStandinService, app.RunStandinService),
-		},
-	}
+		})
 }
 
 func checkCommand() *ffcli.Command {
 	flags := flag.NewFlagSet("check", flag.ContinueOnError)
 	var f settingsFlags
 	f.register(flags)
+	declared := flags.String("f", "", "INI `file` with declarations; what it refers to must stand in it")
 	return &ffcli.Command{
 		Name:       "check",
-		ShortUsage: "check -config FILE",
-		ShortHelp:  "check a settings file without starting anything",
-		FlagSet:    flags,
-		Exec: func(context.Context, []string) error {
+		ShortUsage: "check -config FILE | -f FILE",
+		ShortHelp:  "check settings or declarations without starting anything",
+		LongHelp: "Exit codes: 0 valid; 1 not valid; 2 wrong command line.\n" +
+			"All declarations with their units, bounds and defaults:\n\n" + declarations.DescribeFile(),
+		FlagSet: flags,
+		Exec: func(_ context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			if *declared != "" {
+				return checkDeclarations(*declared)
+			}
 			if err := f.check(); err != nil {
 				return err
 			}
@@ -114,3 +125,16 @@
 		},
 	}
 }
+
+func checkDeclarations(file string) error {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	objects, err := declarations.ParseFile(file, text)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: the %d declarations are valid\n", file, len(objects))
+	return nil
+}
--- a/cmd/balsamsail/timeline.go
+++ b/cmd/balsamsail/timeline.go
@@ -28,8 +28,11 @@
 	endpoints := flags.String("endpoint", "", "only events of these `endpoints`")
 	kinds := flags.String("kind", "", "only events of these `kinds`")
 	follow := flags.Bool("follow", false, "go on with what is new")
-	return newOperatorCommand("timeline", "[-request ID] [-model M] [-follow]", "merge the events of all processes into one order", flags,
-		func(ctx context.Context, _ []string) error {
+	return f.command("timeline", "[-request ID] [-model M] [-follow]", "merge the events of all processes into one order", readCodes, flags,
+		func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
 			filter := timeline.Filter{Requests: list(*requests), Models: list(*models), Endpoints: list(*endpoints)}
 			for _, k := range list(*kinds) {
 				filter.Kinds = append(filter.Kinds, timeline.Kind(k))
