joined: the deciding machines run as one system in virtual time under faults

What is there: 2-3 entries, 3-4 engines in two failure domains and 1-2 plain services, with callers, operators and the platform, in one goroutine with one seeded source of randomness. The machines are the real ones (loading.Machine, admission.Queue, atmostonce.Exchange, Execution and Claims, replicas.Manager with its Decider and proposals, declarations.Store and Receiver, membership.View, routing, permits, idle policy); their joining is copied from packages agent and entry. Network (late, overtaking, cut, half open, reset), table (refused, lost before or after the write, late, down), lagging host list, engines (late orders, lost answers, restarts, three ways with fencing numbers) and services are models. Faults: crash, freeze, planned stop and restart of entries and agents, restart of endpoints, links, table, hosts leaving, vanishing and replaced. Checked after each step: the nine properties; after the faults: slots as declared, nothing unknown, every call answered, a last call for each target served. Weighed: a mirror of replicas.Manager and Store instead of the real ones (their clock allows one round at a time, so the real ones run), and goroutines under testing/synctest for the processes (their order would differ from run to run; synctest serves only for the pauses of Claims).

--- /dev/null
+++ b/internal/joined/backend_test.go
@@ -0,0 +1,187 @@
+package joined
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"balsamsail/internal/endpoint"
+)
+
+// errAnswerBroke says that the connection to the endpoint broke in the middle.
+var errAnswerBroke = errors.New("joined: the endpoint's answer broke")
+
+// streamEnd is the last event of a streamed chat completion.
+const lastEvent = "[DONE]"
+
+// run is one request at an endpoint. What the endpoint sends reaches the agent in order.
+type run struct {
+	*world
+	number         int
+	agent          *agent
+	call           *call
+	request        string
+	model, adapter string
+	streamed       bool
+	queue          []func()
+	// head, chunk and end take the answer at the agent.
+	head  func(status int)
+	chunk func(data []byte)
+	end   func(err error)
+	// cancelled is set when the agent has given the call up.
+	cancelled bool
+}
+
+// emit sends the next part of the answer.
+func (r *run) emit(part func()) {
+	r.queue = append(r.queue, part)
+	r.agent.later(r.between(100*time.Microsecond, time.Millisecond), func() {
+		next := r.queue[0]
+		r.queue = r.queue[1:]
+		if !r.cancelled {
+			next()
+		}
+	})
+}
+
+func (r *run) cut()           { r.fail(errAnswerBroke) }
+func (r *run) fail(err error) { r.emit(func() { r.end(err) }) }
+
+// answer sends a short answer of the endpoint's own.
+func (r *run) answer(status int, body string) {
+	r.emit(func() { r.head(status) })
+	r.emit(func() { r.chunk([]byte(body)) })
+	r.fail(nil)
+}
+
+func sortedRuns(runs map[*run]bool) []*run {
+	return slices.SortedFunc(maps.Keys(runs), func(a, b *run) int { return cmp.Compare(a.number, b.number) })
+}
+
+// parts are the parts of the answer to a call: only the endpoint that ran it for this call answers so.
+func parts(c *call, streamed bool) []string {
+	list := []string{}
+	for i := range 1 + c.number%4 {
+		list = append(list, fmt.Sprintf("answer %d to %s; ", i, c.token))
+	}
+	if streamed {
+		list = append(list, lastEvent)
+	}
+	return list
+}
+
+// content is the whole answer to a call.
+func content(c *call, streamed bool) string { return strings.Join(parts(c, streamed), "") }
+
+// serve lets the engine run a request.
+func (e *engine) serve(r *run) {
+	if !e.up || e.faulty(60) {
+		r.fail(endpoint.ErrUnreachable)
+		return
+	}
+	incarnation := e.incarnation
+	e.after(e.between(100*time.Microsecond, 3*time.Millisecond), func() {
+		if e.up && e.incarnation == incarnation {
+			e.begin(r)
+			return
+		}
+		r.cut()
+	})
+}
+
+func (e *engine) begin(r *run) {
+	m := e.models[r.model]
+	switch {
+	case m == nil || m.state != endpoint.EngineLoaded || r.adapter != "" && (m.adapters[r.adapter] == nil || !m.adapters[r.adapter].loaded):
+		e.logf("%s has not loaded %s %s for %s", e.host.endpoint, r.model, r.adapter, r.request)
+		r.answer(http.StatusNotFound, "the model is not loaded")
+		return
+	case e.faulty(40):
+		r.answer(http.StatusServiceUnavailable, "busy")
+		return
+	}
+	e.runs[r] = true
+	r.call.ran(e.host, r.request)
+	e.later(e.between(2*time.Millisecond, 150*time.Millisecond), func() { e.generate(r, parts(r.call, r.streamed), true) })
+}
+
+// generate sends an answer part by part. Engines that die politely end an answer as if it were whole, and some answer
+// with what belongs to another request.
+func (e *engine) generate(r *run, rest []string, first bool) {
+	switch {
+	case !e.runs[r]:
+		return
+	case r.cancelled:
+		delete(e.runs, r)
+		return
+	case e.faulty(60):
+		delete(e.runs, r)
+		r.cut()
+		return
+	case first && e.faulty(60):
+		delete(e.runs, r)
+		r.fail(endpoint.ErrWrongAnswer)
+		return
+	case len(rest) == 0 || r.streamed && e.faulty(60):
+		delete(e.runs, r)
+		r.fail(nil)
+		return
+	}
+	if first {
+		r.emit(func() { r.head(http.StatusOK) })
+	}
+	part := []byte(rest[0])
+	r.emit(func() { r.chunk(part) })
+	e.later(e.between(2*time.Millisecond, 100*time.Millisecond), func() { e.generate(r, rest[1:], false) })
+}
+
+// service is a plain service, some of whose calls must not be repeated. It runs what has arrived, also when the caller has
+// gone.
+type service struct {
+	*world
+	host        *host
+	up          bool
+	incarnation int
+	slow        bool
+}
+
+func newService(h *host) *service { return &service{world: h.world, host: h, up: true} }
+
+func (s *service) stop() {
+	s.up = false
+	s.incarnation++
+}
+
+// serve lets the service run a call.
+func (s *service) serve(r *run) {
+	if !s.up || s.faulty(60) {
+		r.fail(endpoint.ErrUnreachable)
+		return
+	}
+	longest := 200 * time.Millisecond
+	if s.slow {
+		longest = 4 * time.Second
+	}
+	begin, end := s.between(100*time.Microsecond, longest/2), s.between(0, longest/2)
+	incarnation := s.incarnation
+	s.after(begin, func() {
+		if !s.up || s.incarnation != incarnation || s.faulty(60) {
+			r.cut()
+			return
+		}
+		r.call.ran(s.host, r.request)
+		s.after(end, func() {
+			if !s.up || s.incarnation != incarnation || s.faulty(30) {
+				r.cut()
+				return
+			}
+			r.answer(http.StatusOK, content(r.call, false))
+		})
+	})
+}
--- /dev/null
+++ b/internal/joined/coordinator_test.go
@@ -0,0 +1,332 @@
+package joined
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"balsamsail/internal/admission"
+	"balsamsail/internal/declarations"
+	"balsamsail/internal/membership"
+	"balsamsail/internal/platform"
+	"balsamsail/internal/replicas"
+	"balsamsail/internal/replicas/replicaspb"
+	"balsamsail/internal/routing"
+	"balsamsail/internal/wire/wirepb"
+)
+
+// connectedTo begins a new connection to an agent with the whole state.
+func (e *entry) connectedTo(endpoint string) {
+	set := e.store.Current()
+	down := &wirepb.ControlDown{
+		Rows: e.grants.RowsOf(endpoint), HostState: e.hostState(endpoint), WantState: !e.store.Ready(),
+	}
+	if set.Revision() > 0 {
+		down.Snapshot = set.Snapshot()
+	}
+	e.told[endpoint] = set.Revision()
+	e.send(endpoint, down)
+}
+
+// reported takes an agent's batch.
+func (e *entry) reported(l *entryLink, up *wirepb.ControlUp) {
+	now, name := e.now(), l.name
+	e.view.Reported(now, name, up.Status)
+	ep := e.endpoint(name)
+	for _, r := range up.Releases {
+		if ep != nil {
+			e.grants.Released(replicas.Release{Engine: name, Host: ep.HostID, Model: r.Model, Revision: r.Revision})
+			e.wakeGrants(grantSettle)
+		}
+	}
+	for _, w := range up.Wanted {
+		e.grants.Wanted(name, w.Model, w.Reason, int(w.Demand))
+		e.wakeGrants(grantSettle)
+	}
+	if up.Snapshot != nil {
+		_ = e.store.Learn(up.Snapshot, nil)
+		e.declarationsRead()
+	}
+	if up.WantSnapshot {
+		e.send(name, &wirepb.ControlDown{Snapshot: e.store.Current().Snapshot()})
+	}
+	if ep != nil && ep.Connected {
+		e.pushTo(name)
+	}
+	for _, id := range up.PermitsDone {
+		e.permits.Done(now, name, id)
+	}
+	e.permits.InFlight(now, name, int(up.Status.LoadsInFlight), int(up.Status.AdaptersInFlight))
+	for _, r := range up.PermitRequests {
+		e.permits.Request(now, name, r)
+	}
+	if len(up.PermitRequests)+len(up.PermitsDone) > 0 {
+		e.givePermits()
+	}
+	e.noteReachability(name)
+	e.announce()
+}
+
+// lost takes the end of a connection.
+func (e *entry) lost(l *entryLink) {
+	if e.links[l.name] == l {
+		e.view.Lost(l.name)
+	}
+	e.permits.AgentGone(e.now(), l.name)
+	delete(e.told, l.name)
+	e.noteReachability(l.name)
+	e.announce()
+}
+
+// hostsChanged takes a new host list.
+func (e *entry) hostsChanged() {
+	e.version++
+	for _, name := range e.endpoints() {
+		ep := e.endpoint(name)
+		if ep.Gone {
+			e.router.Forget(name)
+		}
+		if ep.Connected && ep.Listed == platform.HostLeaving && !ep.Status.GetLeaving() {
+			e.send(name, &wirepb.ControlDown{HostState: wirepb.HostState_HOST_LEAVING})
+		}
+	}
+	e.wakeGrants(grantSettle)
+	e.announce()
+}
+
+// noteReachability keeps since when an endpoint answers or not.
+func (e *entry) noteReachability(endpoint string) {
+	ep := e.endpoint(endpoint)
+	reachable := ep != nil && ep.Connected && ep.Status.GetReady()
+	if old, known := e.since[endpoint]; !known || old.reachable != reachable {
+		e.since[endpoint] = reachability{reachable: reachable, since: e.now()}
+		e.version++
+		e.wakeGrants(grantSettle)
+	}
+}
+
+// pushTo sends an agent the deltas since what it was last sent, or a snapshot.
+func (e *entry) pushTo(endpoint string) {
+	set := e.store.Current()
+	told := e.told[endpoint]
+	e.told[endpoint] = max(told, set.Revision())
+	if told >= set.Revision() {
+		return
+	}
+	deltas, ok := e.store.DeltasSince(told)
+	if !ok || told == 0 {
+		e.send(endpoint, &wirepb.ControlDown{Snapshot: set.Snapshot()})
+		return
+	}
+	e.send(endpoint, &wirepb.ControlDown{Deltas: deltas})
+}
+
+// pushRows sends changed rows to the agents that they name or have named.
+func (e *entry) pushRows() {
+	rows, deleted, next := e.grants.Changed(e.point)
+	e.point = next
+	for _, row := range rows {
+		before, now := e.named[row.Model], map[string]bool{}
+		for _, s := range row.Slots {
+			now[s.Engine] = true
+		}
+		e.named[row.Model] = now
+		down := &wirepb.ControlDown{Rows: []*replicaspb.Row{row}}
+		for _, name := range e.endpoints() {
+			if now[name] || before[name] {
+				e.send(name, down)
+			}
+		}
+	}
+	for _, model := range deleted {
+		delete(e.named, model)
+	}
+	if len(rows) > 0 {
+		e.announce()
+	}
+}
+
+// pushPermits answers the agents' asking for permits as time passes.
+func (e *entry) pushPermits() {
+	wait := time.Second
+	if next := e.givePermits(); !next.IsZero() {
+		wait = min(wait, max(10*time.Millisecond, next.Sub(e.now())))
+	}
+	e.later(wait, e.pushPermits)
+}
+
+func (e *entry) givePermits() time.Time {
+	for _, g := range e.permits.Decide(e.now()) {
+		e.send(g.Agent, &wirepb.ControlDown{Permits: []*wirepb.Permit{g.Permit}})
+	}
+	return e.permits.Next()
+}
+
+// announce wakes the requests that wait for an endpoint.
+func (e *entry) announce() {
+	for _, r := range sortedRequests(e.picking) {
+		e.soon(r.repick())
+	}
+}
+
+// Declared implements replicas.DeclarationSource.
+func (e *entry) Declared() (replicas.Declared, bool) {
+	set, headRow, ok := e.store.Declared()
+	if !ok {
+		return replicas.Declared{}, false
+	}
+	declared := replicas.Declared{
+		Revision: set.Revision(), Head: platform.Condition{Key: declarations.HeadKey, Revision: headRow},
+	}
+	for _, m := range set.Models() {
+		for _, version := range m.Versions {
+			declared.Models = append(declared.Models, replicas.ModelSpec{
+				Model: declarations.ModelVersion(m.Name, version), Selector: m.Engines, MemoryBytes: m.MemoryBytes + m.KvFloorBytes,
+				Min: int(m.MinReplicas), Max: int(m.MaxReplicas), Warm: int(m.WarmReplicas), Concurrency: int(m.MaxConcurrency),
+			})
+		}
+	}
+	return declared, true
+}
+
+// Engines implements replicas.EngineSource.
+func (e *entry) Engines() ([]replicas.EngineView, uint64) {
+	var views []replicas.EngineView
+	for _, name := range e.endpoints() {
+		ep := e.endpoint(name)
+		if ep.Status.GetKind() != kindEngine || ep.Gone {
+			continue
+		}
+		views = append(views, replicas.EngineView{
+			Name: name, FailureDomain: ep.FailureDomain, Host: ep.HostID, Labels: e.labels(ep),
+			MemoryBytes: ep.Status.GetMemoryBytes(), Reachable: e.since[name].reachable, Since: e.since[name].since,
+			Leaving: ep.Leaving, Drain: e.drained(name),
+		})
+	}
+	return views, e.version + e.store.Current().Revision()<<32
+}
+
+// Hosts implements replicas.EngineSource.
+func (e *entry) Hosts() replicas.HostsView {
+	version, states := e.view.Hosts()
+	return replicas.HostsView{Version: version, States: states}
+}
+
+// Self implements replicas.PeerSource.
+func (e *entry) Self() string { return e.name }
+
+// Live implements replicas.PeerSource.
+func (e *entry) Live() []string {
+	live := []string{}
+	for _, peer := range e.view.Entries() {
+		if peer.State == platform.HostLive {
+			live = append(live, peer.ID)
+		}
+	}
+	return live
+}
+
+// Usage implements replicas.UsageSource.
+func (e *entry) Usage(model string) (used int, loaded []string) {
+	for _, name := range e.endpoints() {
+		ep := e.endpoint(name)
+		r := ep.Replicas[model]
+		if r == nil || !ep.Connected {
+			continue
+		}
+		used += int(r.Running + r.Queued)
+		if r.State == wirepb.ReplicaState_LOADED || r.State == wirepb.ReplicaState_LOADING {
+			loaded = append(loaded, name)
+		}
+	}
+	return used, loaded
+}
+
+// labels returns an endpoint's labels.
+func (e *entry) labels(ep *membership.Endpoint) map[string]string {
+	labels := maps.Clone(ep.Status.GetLabels())
+	if labels == nil {
+		labels = map[string]string{}
+	}
+	if declared, ok := e.store.Current().Engine(ep.Name); ok {
+		maps.Copy(labels, declared.Labels)
+	}
+	labels["endpoint"], labels["failure-domain"], labels["kind"] = ep.Name, ep.FailureDomain, ep.Status.GetKind()
+	return labels
+}
+
+// drained reports whether an operator drains an endpoint.
+func (e *entry) drained(endpoint string) bool {
+	declared, ok := e.store.Current().Engine(endpoint)
+	return ok && declared.Drain
+}
+
+// candidates returns the endpoints that may serve a target.
+func (e *entry) candidates(t admission.Target) []routing.Candidate {
+	if t.Service != "" {
+		return e.serviceCandidates(t.Service)
+	}
+	row := e.grants.Row(t.Model)
+	if row == nil {
+		return e.reportedCandidates(t)
+	}
+	var list []routing.Candidate
+	for i, slot := range row.Slots {
+		ep := e.endpoint(slot.Engine)
+		if ep == nil || slot.State != replicaspb.SlotState_GRANTED || replicas.SlotOf(row, ep.Name, ep.HostID) != slot {
+			continue
+		}
+		if ep.Replicas[t.Model].GetRevision() > 0 {
+			list = append(list, e.candidate(ep, t, i))
+		}
+	}
+	return list
+}
+
+// reportedCandidates are the engines that say they hold a slot, for an entry that has not read the rows.
+func (e *entry) reportedCandidates(t admission.Target) []routing.Candidate {
+	var list []routing.Candidate
+	if e.grants.Complete() {
+		return nil
+	}
+	for _, name := range e.endpoints() {
+		if r := e.endpoint(name).Replicas[t.Model]; r != nil && r.Revision > 0 {
+			list = append(list, e.candidate(e.endpoint(name), t, 0))
+		}
+	}
+	return list
+}
+
+func (e *entry) candidate(ep *membership.Endpoint, t admission.Target, index int) routing.Candidate {
+	c := routing.Candidate{
+		Endpoint: ep.Name, FailureDomain: ep.FailureDomain, SlotIndex: index, HasAdapter: t.Adapter == "",
+		ReportedAt: ep.ReportedAt, Sent: e.sent[ep.Name], Leaving: ep.Leaving || e.drained(ep.Name),
+		Reachable: ep.Connected && ep.Status.GetReady(), Wait: micros(ep.Status.GetLoad().GetWaitMicros()),
+		Cached: slices.Contains(ep.Status.GetCached(), t.Model),
+	}
+	if r := ep.Replicas[t.Model]; r != nil {
+		c.State, c.Running, c.Queued = r.State, int(r.Running), int(r.Queued)
+		c.HasAdapter = c.HasAdapter || slices.Contains(r.Adapters, t.Adapter)
+	}
+	return c
+}
+
+// serviceCandidates are the endpoints that a plain service's selector matches.
+func (e *entry) serviceCandidates(service string) []routing.Candidate {
+	declared, ok := e.store.Current().Service(service)
+	if !ok {
+		return nil
+	}
+	var list []routing.Candidate
+	for _, name := range e.endpoints() {
+		ep := e.endpoint(name)
+		if ep.Status.GetKind() != kindService || !declared.Endpoints.Matches(e.labels(ep)) {
+			continue
+		}
+		c := e.candidate(ep, admission.Target{Service: service}, 0)
+		c.State = wirepb.ReplicaState_LOADED
+		c.Running, c.Queued = int(ep.Status.GetLoad().GetRunning()), int(ep.Status.GetLoad().GetQueued())
+		list = append(list, c)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/joined/execution_test.go
@@ -0,0 +1,256 @@
+package joined
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"balsamsail/internal/admission"
+	"balsamsail/internal/atmostonce"
+	"balsamsail/internal/endpoint"
+	"balsamsail/internal/wire/wirepb"
+)
+
+// exchange is one request stream at an agent.
+type exchange struct {
+	*agent
+	stream    *stream
+	id, key   string
+	offer     *wirepb.Offer
+	target    admission.Target
+	deadline  time.Time
+	execution *atmostonce.Execution
+	waiting   *waiting
+	refusal   *admission.Refusal
+	cold      bool
+	run       *run
+	began     time.Time
+	took      spent
+	length    uint64
+	checksum  *xxhash.Digest
+	tail      string
+	status    int
+	// watched is set while the call is given up at the deadline.
+	watched bool
+	served  bool
+}
+
+func newExchange(a *agent, s *stream, first *wirepb.ToAgent) *exchange {
+	offer := first.GetOffer()
+	a.offers++
+	return &exchange{
+		agent: a, stream: s, id: first.RequestId, key: first.RequestId + "#" + strconv.Itoa(a.offers), offer: offer,
+		target:    admission.Target{Model: offer.Model, Adapter: offer.Adapter, Service: offer.Service},
+		deadline:  a.now().Add(micros(offer.TimeLeftMicros)),
+		execution: atmostonce.NewExecution(offer.TwoStep),
+		checksum:  xxhash.New(),
+	}
+}
+
+// serve queues the request and follows it to its end.
+func (x *exchange) serve() {
+	x.waiting = &waiting{
+		request: admission.Request{
+			ID: x.key, Target: x.target, Class: x.offer.Class, Caller: x.offer.Caller, Arrived: x.now(), Deadline: x.deadline,
+			Stream: x.offer.Stream,
+		},
+		decide: func(d decision) { x.soon(func() { x.decide(d) }) },
+	}
+	if refusal := x.core.offer(x.waiting); refusal != nil {
+		x.refusal = refusal
+		x.sendRefused()
+		x.leaveStream()
+		return
+	}
+	x.w.offerAccepted(x)
+	load := x.core.load(x.target)
+	load.WaitMicros = max(load.WaitMicros, x.core.readyIn(x.waiting).Microseconds())
+	x.send(&wirepb.FromAgent{Frame: &wirepb.FromAgent_Accepted{Accepted: &wirepb.Accepted{Load: load, Cold: x.waiting.cold}}})
+	end := &x.stream.ends[atAgent]
+	end.got = x.frame
+	end.lost = func() { x.step(atmostonce.EntryLost) }
+	if end.closed {
+		x.step(atmostonce.EntryLost)
+	}
+}
+
+// frame takes a further frame of the entry.
+func (x *exchange) frame(message any) {
+	switch message.(*wirepb.ToAgent).Frame.(type) {
+	case *wirepb.ToAgent_Commit:
+		x.step(atmostonce.GotCommit)
+	case *wirepb.ToAgent_Cancel:
+		x.step(atmostonce.GotCancel)
+	}
+}
+
+// noticedWait is the wait from which on the entry is told that a request which needs no commit starts now.
+const noticedWait = 50 * time.Millisecond
+
+// decide takes the queue's decision.
+func (x *exchange) decide(d decision) {
+	if d.refusal != nil {
+		x.refusal = d.refusal
+		x.step(atmostonce.QueueRefused)
+		return
+	}
+	x.cold = x.waiting.cold
+	if !x.offer.TwoStep && x.now().Sub(x.waiting.request.Arrived) >= noticedWait {
+		x.send(&wirepb.FromAgent{Frame: &wirepb.FromAgent_Ready{Ready: &wirepb.Ready{}}})
+	}
+	x.step(atmostonce.TurnCame)
+}
+
+func (x *exchange) step(e atmostonce.ExecutionEvent) {
+	for _, action := range x.execution.Step(e) {
+		x.act(action)
+	}
+	if x.execution.Ended() {
+		x.leaveStream()
+	}
+}
+
+// leaveStream ends the serving of the stream.
+func (x *exchange) leaveStream() {
+	if x.served {
+		return
+	}
+	x.served = true
+	x.inflight--
+	x.stream.close(atAgent)
+}
+
+func (x *exchange) act(action atmostonce.ExecutionAction) {
+	switch action {
+	case atmostonce.SendReady:
+		x.send(&wirepb.FromAgent{Frame: &wirepb.FromAgent_Ready{Ready: &wirepb.Ready{}}})
+		x.later(commitTimeout, func() {
+			if !x.execution.Ended() && !x.execution.Running() {
+				x.step(atmostonce.CommitLate)
+			}
+		})
+	case atmostonce.StartCall:
+		x.startCall()
+	case atmostonce.StopCall:
+		x.soon(func() { x.stopCall(errWithdrawn) })
+	case atmostonce.LeaveQueue:
+		x.core.cancel(x.key)
+	case atmostonce.GiveBackTurn:
+		x.core.finish(x.key, x.took)
+	case atmostonce.SendRefused:
+		x.sendRefused()
+	case atmostonce.SendTrailer:
+		trailer := &wirepb.Trailer{Length: x.length, Checksum: x.checksum.Sum64(), Load: x.core.load(x.target)}
+		x.send(&wirepb.FromAgent{Frame: &wirepb.FromAgent_Trailer{Trailer: trailer}})
+	case atmostonce.SendFailedClean, atmostonce.SendFailedUnclear:
+		failed := &wirepb.Failed{MayHaveRun: action == atmostonce.SendFailedUnclear, Load: x.core.load(x.target)}
+		if x.status != 0 {
+			failed.Reason = wirepb.FailureReason_ENDPOINT_REFUSED
+		}
+		x.send(&wirepb.FromAgent{Frame: &wirepb.FromAgent_Failed{Failed: failed}})
+	}
+}
+
+func (x *exchange) sendRefused() {
+	r := x.refusal
+	if r == nil {
+		r = &admission.Refusal{Reason: wirepb.RefusalReason_CANCELLED}
+	}
+	refused := &wirepb.Refused{Reason: r.Reason, RetryAfterMillis: r.RetryAfter.Milliseconds(), Load: x.core.load(x.target)}
+	x.send(&wirepb.FromAgent{Frame: &wirepb.FromAgent_Refused{Refused: refused}})
+}
+
+// send writes a frame. The agent's machine hears of a broken stream from the reading side.
+func (x *exchange) send(frame *wirepb.FromAgent) {
+	frame.RequestId = x.id
+	_ = x.stream.write(atAgent, frame)
+}
+
+// errWithdrawn says that the agent gave the call up.
+var errWithdrawn = errors.New("joined: call given up")
+
+// startCall passes the request to the endpoint.
+func (x *exchange) startCall() {
+	x.began = x.now()
+	x.w.runs++
+	x.run = &run{
+		world: x.w, number: x.w.runs, agent: x.agent, call: x.w.callOf[x.id], request: x.id, model: x.target.Model,
+		adapter: x.target.Adapter, streamed: x.offer.Stream, head: x.head, chunk: x.chunk, end: x.callEnded,
+	}
+	x.watched = true
+	x.later(max(0, x.deadline.Sub(x.now())), func() {
+		if x.watched {
+			x.stopCall(errWithdrawn)
+		}
+	})
+	x.later(maxAnswer, func() { x.stopCall(errWithdrawn) })
+	run := x.run
+	x.soon(func() {
+		switch {
+		case run.cancelled:
+		case x.host.kind == kindEngine:
+			x.host.engine.serve(run)
+		default:
+			x.host.service.serve(run)
+		}
+	})
+}
+
+// stopCall gives the call up. What was sent may run all the same.
+func (x *exchange) stopCall(err error) {
+	if x.run != nil && !x.run.cancelled {
+		x.callEnded(err)
+	}
+}
+
+func (x *exchange) head(status int) {
+	busy := status == http.StatusServiceUnavailable || status == http.StatusNotFound && x.w.without != guardNotLoaded
+	if busy && x.target.Model != "" {
+		x.status = status
+		x.callEnded(errEngineRefused)
+		return
+	}
+	kind := "application/json"
+	if x.offer.Stream {
+		kind = "text/event-stream"
+	}
+	head := &wirepb.Head{Status: int32(status), Cold: x.cold, Headers: []*wirepb.Header{{Name: "Content-Type", Value: kind}}}
+	x.send(&wirepb.FromAgent{Frame: &wirepb.FromAgent_Head{Head: head}})
+}
+
+// errEngineRefused says that the engine did not run the request: it is too busy, or has not loaded the model.
+var errEngineRefused = errors.New("joined: the engine refused")
+
+func (x *exchange) chunk(data []byte) {
+	if x.took.first == 0 {
+		x.took.first = x.now().Sub(x.began)
+		x.watched = x.watched && !x.offer.Stream
+	}
+	x.length += uint64(len(data))
+	_, _ = x.checksum.Write(data)
+	x.tail += string(data)
+	x.send(&wirepb.FromAgent{Frame: &wirepb.FromAgent_Body{Body: &wirepb.BodyChunk{Data: data}}})
+}
+
+// callEnded takes the end of the call. An engine that dies politely ends a stream without its last event.
+func (x *exchange) callEnded(err error) {
+	x.run.cancelled, x.watched = true, false
+	if err == nil && x.offer.Stream && !strings.HasSuffix(x.tail, lastEvent) {
+		err = errAnswerBroke
+	}
+	x.soon(func() {
+		switch {
+		case err == nil:
+			x.took.whole = x.now().Sub(x.began)
+			x.step(atmostonce.CallAnswered)
+		case errors.Is(err, endpoint.ErrUnreachable), errors.Is(err, errEngineRefused):
+			x.step(atmostonce.CallFailedClean)
+		default:
+			x.step(atmostonce.CallFailedUnclear)
+		}
+	})
+}
--- /dev/null
+++ b/internal/joined/sim_test.go
@@ -0,0 +1,170 @@
+package joined
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// sim is virtual time: events happen one after the other, in the order of their times.
+type sim struct {
+	random *rand.Rand
+	at     time.Duration
+	events eventQueue
+	count  uint64
+	steps  int
+	// tracing keeps a trace of what happens.
+	tracing bool
+	trace   []string
+	// broken is the first thing that must not happen.
+	broken string
+}
+
+// epoch is when virtual time begins.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+type event struct {
+	at    time.Duration
+	order uint64
+	run   func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	(*q)[last] = event{}
+	*q = (*q)[:last]
+	return e
+}
+
+// after lets something happen after a time.
+func (s *sim) after(d time.Duration, run func()) {
+	s.count++
+	heap.Push(&s.events, event{at: s.at + max(0, d), order: s.count, run: run})
+}
+
+// runUntil lets everything happen that is due before a time, or until something went wrong.
+func (s *sim) runUntil(end time.Duration, check func()) {
+	for len(s.events) > 0 && s.events[0].at <= end && s.broken == "" {
+		e := heap.Pop(&s.events).(event)
+		s.at = e.at
+		s.steps++
+		e.run()
+		check()
+	}
+	s.at = max(s.at, end)
+}
+
+func (s *sim) logf(format string, args ...any) {
+	if s.tracing {
+		s.trace = append(s.trace, fmt.Sprintf("%9.4f ", s.at.Seconds())+fmt.Sprintf(format, args...))
+	}
+}
+
+// violated notes the first violation of a property.
+func (s *sim) violated(property, format string, args ...any) {
+	if s.broken != "" {
+		return
+	}
+	s.broken = property + ": " + fmt.Sprintf(format, args...)
+	s.logf("VIOLATED %s", s.broken)
+}
+
+// chance is true once in so many times.
+func (s *sim) chance(in int) bool { return s.random.IntN(in) == 0 }
+
+// between returns a time between two bounds.
+func (s *sim) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(s.random.Int64N(int64(high-low)+1))
+}
+
+// jitter returns a time between three quarters and five quarters of d.
+func (s *sim) jitter(d time.Duration) time.Duration { return s.between(d*3/4, d*5/4) }
+
+// pick returns one of several.
+func pick[T any](s *sim, items []T) T { return items[s.random.IntN(len(items))] }
+
+// process is one process of the system on its host. What it does is done by events that die with it and wait while it is
+// frozen.
+type process struct {
+	*sim
+	name string
+	// generation rises with each start and each end.
+	generation int
+	alive      bool
+	frozen     bool
+	held       []func()
+	// skew is how far the host's clock is off.
+	skew time.Duration
+	// started, frozenAt and thawedAt are when the process last did so.
+	started, frozenAt, thawedAt time.Duration
+}
+
+// now is the time of the process's clock.
+func (p *process) now() time.Time { return epoch.Add(p.at + p.skew) }
+
+// start begins a new life of the process.
+func (p *process) start() {
+	p.generation++
+	p.alive, p.frozen, p.held = true, false, nil
+	p.started = p.at
+	p.skew = p.between(-time.Hour, time.Hour)
+}
+
+// end ends the process: nothing that it was about to do happens.
+func (p *process) end() {
+	p.generation++
+	p.alive, p.frozen, p.held = false, false, nil
+}
+
+// later does something after a time, unless the process has ended by then.
+func (p *process) later(d time.Duration, run func()) {
+	generation := p.generation
+	p.sim.after(d, func() { p.do(generation, run) })
+}
+
+// soon does something when the scheduler gets to it.
+func (p *process) soon(run func()) { p.later(p.between(0, 200*time.Microsecond), run) }
+
+func (p *process) do(generation int, run func()) {
+	switch {
+	case p.generation != generation:
+	case p.frozen:
+		p.held = append(p.held, run)
+	default:
+		run()
+	}
+}
+
+// freeze stops the process as SIGSTOP does.
+func (p *process) freeze() {
+	if p.alive && !p.frozen {
+		p.frozen, p.frozenAt = true, p.at
+		p.logf("%s is frozen", p.name)
+	}
+}
+
+// thaw lets a frozen process go on. What has come due meanwhile happens in any order, as the scheduler likes; messages
+// keep their order within a stream, which delivers the next one whichever event brings it.
+func (p *process) thaw() {
+	if !p.frozen {
+		return
+	}
+	p.logf("%s goes on after %v", p.name, p.at-p.frozenAt)
+	held := slices.Clone(p.held)
+	p.frozen, p.held, p.thawedAt = false, nil, p.at
+	p.random.Shuffle(len(held), func(i, j int) { held[i], held[j] = held[j], held[i] })
+	for _, run := range held {
+		p.soon(run)
+	}
+}
--- /dev/null
+++ b/internal/joined/table_test.go
@@ -0,0 +1,149 @@
+package joined
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"balsamsail/internal/platform"
+)
+
+// memoryTable is the platform's transactional table.
+type memoryTable struct {
+	*sim
+	revision uint64
+	rows     map[string]platform.Row
+	// down is set in an outage; lossy is one in how many calls goes wrong, 0 for none.
+	down  bool
+	lossy int
+	// late are the commits that are on their way although their senders have given up on them.
+	late []*lateCommit
+	// changed is told of each row that a commit changes.
+	changed func(before, after platform.Row)
+	faults  int
+}
+
+type lateCommit struct {
+	txn  platform.Txn
+	done bool
+}
+
+func newMemoryTable(s *sim) *memoryTable {
+	return &memoryTable{sim: s, rows: map[string]platform.Row{}}
+}
+
+// tableClient is a process's way to the table. It implements platform.Table.
+type tableClient struct {
+	*memoryTable
+	// cut is set while the process does not reach the table.
+	cut bool
+}
+
+// unreachable decides whether a call goes wrong. Between the calls of a process those of others take effect.
+func (c *tableClient) unreachable() bool {
+	if c.lossy > 0 && c.chance(c.lossy) {
+		c.runLate()
+	}
+	if c.down || c.cut || c.lossy > 0 && c.chance(c.lossy) {
+		c.faults++
+		return true
+	}
+	return false
+}
+
+// Get implements platform.Table.
+func (c *tableClient) Get(_ context.Context, key string) (platform.Row, error) {
+	if c.unreachable() {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	row, ok := c.rows[key]
+	if !ok {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+// List implements platform.Table.
+func (c *tableClient) List(_ context.Context, prefix string, after uint64) (platform.Listing, error) {
+	if c.unreachable() {
+		return platform.Listing{}, platform.ErrUnavailable
+	}
+	listing := platform.Listing{Revision: c.revision}
+	for key, row := range c.rows {
+		if strings.HasPrefix(key, prefix) && row.Revision > after {
+			listing.Rows = append(listing.Rows, row)
+		}
+	}
+	slices.SortFunc(listing.Rows, func(a, b platform.Row) int { return cmp.Compare(a.Key, b.Key) })
+	return listing, nil
+}
+
+// Commit implements platform.Table. A commit that goes wrong is refused, lost before it took effect, after it, or still to
+// take effect.
+func (c *tableClient) Commit(_ context.Context, txn platform.Txn) (uint64, error) {
+	if !c.unreachable() {
+		return c.commit(txn)
+	}
+	switch c.random.IntN(5) {
+	case 0:
+		return 0, platform.ErrRateLimited
+	case 1:
+		if !c.down && !c.cut {
+			_, _ = c.commit(txn)
+		}
+		return 0, platform.ErrOutcomeUnknown
+	case 2:
+		late := &lateCommit{txn: txn}
+		c.memoryTable.late = append(c.memoryTable.late, late)
+		c.after(c.between(0, 8*time.Second), func() { c.take(late) })
+		return 0, platform.ErrOutcomeUnknown
+	case 3:
+		return 0, platform.ErrOutcomeUnknown
+	default:
+		return 0, platform.ErrUnavailable
+	}
+}
+
+// runLate lets one late commit take effect.
+func (t *memoryTable) runLate() {
+	if len(t.late) > 0 {
+		t.take(pick(t.sim, t.late))
+	}
+}
+
+func (t *memoryTable) take(l *lateCommit) {
+	if l.done {
+		return
+	}
+	l.done = true
+	t.late = slices.DeleteFunc(t.late, func(other *lateCommit) bool { return other == l })
+	_, err := t.commit(l.txn)
+	t.logf("late commit: %v", err)
+}
+
+func (t *memoryTable) commit(txn platform.Txn) (uint64, error) {
+	for _, c := range txn.Conditions {
+		if at := t.rows[c.Key].Revision; at != c.Revision {
+			return 0, &platform.ConflictError{Key: c.Key, Revision: at}
+		}
+	}
+	t.revision++
+	for _, p := range txn.Puts {
+		t.replace(p.Key, platform.Row{Key: p.Key, Revision: t.revision, Value: p.Value})
+	}
+	for _, key := range txn.Deletes {
+		t.replace(key, platform.Row{})
+	}
+	return t.revision, nil
+}
+
+func (t *memoryTable) replace(key string, after platform.Row) {
+	before := t.rows[key]
+	t.rows[key] = after
+	if after.Key == "" {
+		delete(t.rows, key)
+	}
+	t.changed(before, after)
+}
--- /dev/null
+++ b/internal/joined/workload_test.go
@@ -0,0 +1,169 @@
+package joined
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"balsamsail/internal/declarations"
+	pb "balsamsail/internal/declarations/declarationspb"
+	"balsamsail/internal/wire/wirepb"
+)
+
+// modelMemory is what the models take; not all fit into one engine.
+var modelMemory = map[string]int64{"a": 40, "b": 50, "c": 30}
+
+var (
+	modelNames = []string{"a", "b", "c"}
+	selectors  = []string{"pool = a", "pool = b", "pool in (a, b)", ""}
+	requested  = []string{"a", "a", "a-x", "a-y", "b", "b-x", "c"}
+)
+
+// someModel declares a model with new numbers.
+func (w *world) someModel(name string) string {
+	most, warm := 1+w.random.IntN(3), w.random.IntN(4)/3
+	if w.calm {
+		// Two models that stay loaded could leave no room for the third.
+		warm = 0
+	}
+	return fmt.Sprintf(`
+[model %q]
+versions = 1
+engine_selector = %s
+memory = %dB
+kv_floor = 5B
+min_replicas = %d
+max_replicas = %d
+warm_replicas = %d
+max_concurrency = %d
+load_time = 1s
+`, name, pick(w.sim, selectors), modelMemory[name], 1+w.random.IntN(most), most, warm, 1+w.random.IntN(3))
+}
+
+// firstDeclarations is what is declared at the start.
+func (w *world) firstDeclarations() string {
+	file := `
+[service "ledger"]
+path_prefix = /ledger/
+endpoint_selector = pool = ledger
+max_concurrency = 3
+`
+	for _, name := range modelNames {
+		file += w.someModel(name)
+	}
+	for _, adapter := range []string{"a-x", "a-y", "b-x"} {
+		file += fmt.Sprintf("\n[adapter %q]\nmodel = %s\nmemory = 6B\n", adapter, adapter[:1])
+	}
+	return file
+}
+
+// apply lets an operator apply a file at an entry.
+func (w *world) apply(e *entry, file string) {
+	w.edit(e, declarations.PutFile("file", []byte(file), nil))
+}
+
+// edit lets an operator make an edit at an entry.
+func (w *world) edit(e *entry, change declarations.ChangeFunc) {
+	if !e.alive || e.frozen {
+		return
+	}
+	w.edits++
+	result, err := e.store.Edit(context.Background(), declarations.EditRequest{
+		Author: "operator", OperationID: fmt.Sprint("edit", w.edits), Change: change,
+	})
+	e.skipping.skipped = 0
+	w.logf("edit %d at %s: revision %d, %v", w.edits, e.name, result.Revision, err)
+	if errors.Is(err, declarations.ErrInvalid) {
+		w.violated("test", "edit %d: %v", w.edits, err)
+	}
+	if err == nil && result.Revision > w.truth.Revision() {
+		w.violated("P9", "edit %d is told to be revision %d, the table has %d", w.edits, result.Revision, w.truth.Revision())
+	}
+	w.counts["edits"]++
+	e.declarationsRead()
+}
+
+// keepEditing lets operators change what is declared.
+func (w *world) keepEditing() {
+	if w.calm {
+		return
+	}
+	w.someEdit()
+	w.after(w.between(200*time.Millisecond, 5*time.Second), w.keepEditing)
+}
+
+func (w *world) someEdit() {
+	e := w.someEntry()
+	engine := w.someHost().endpoint
+	switch n := w.random.IntN(10); {
+	case n < 4:
+		w.apply(e, w.someModel(pick(w.sim, modelNames)))
+	case n < 6:
+		w.edit(e, declarations.SetDrain(engine, w.chance(2)))
+	case n < 9 && w.current[engine].kind == kindEngine:
+		key := &pb.ObjectKey{Kind: declarations.KindEngine, Name: engine}
+		w.edit(e, declarations.SetLabels(key, map[string]string{"pool": pick(w.sim, []string{"a", "b"})}, nil))
+	case n == 9:
+		// Model c has no adapters, so that it can be taken away and come back.
+		if _, ok := w.truth.Current().Model("c"); ok {
+			w.edit(e, declarations.PutObjects(nil, []*pb.ObjectKey{{Kind: declarations.KindModel, Name: "c"}}))
+		}
+	}
+}
+
+// keepCalling lets callers make calls, now and then many at once.
+func (w *world) keepCalling() {
+	if w.calm {
+		return
+	}
+	n := 1
+	if w.chance(15) {
+		n = 8
+	}
+	for range n {
+		w.someCall()
+	}
+	w.after(w.between(10*time.Millisecond, 500*time.Millisecond), w.keepCalling)
+}
+
+func (w *world) someCall() {
+	entries := w.callable()
+	if len(entries) == 0 {
+		return
+	}
+	c := w.newCall()
+	c.left = w.between(50*time.Millisecond, 6*time.Second)
+	c.caller = pick(w.sim, []string{"x", "y", "z"})
+	if w.chance(25) {
+		c.leaves = w.between(0, c.left)
+	}
+	if w.chance(3) {
+		c.service = serviceName
+		if w.chance(2) {
+			c.key = fmt.Sprint("key", c.number/4)
+			c.repeats = 2
+		}
+	} else {
+		c.model = pick(w.sim, requested)
+		c.streamed = w.chance(2)
+		if w.chance(4) {
+			c.class = wirepb.Class_BATCH
+			c.left *= 3
+		}
+	}
+	c.make(pick(w.sim, entries))
+}
+
+// callable returns the entries to which the balancer sends callers: its checks are late, so that it also sends some to
+// entries that are frozen.
+func (w *world) callable() []*entry {
+	var list []*entry
+	for _, e := range w.liveEntries() {
+		if e.ready() {
+			list = append(list, e)
+		}
+	}
+	return list
+}
