entry: a final answer waits neither for the claim's record nor for the bytes after a head

A claimed call's final answer waited until the claim was recorded. The record is now made in the background, and Run waits for it at the end, so that a planned stop loses none. The patience with a streamed answer became MaxAnswer with the head. It is now MaxAnswer from the first bytes on, as the agent's.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -159,25 +159,30 @@
 	}
 }
 
-// setPatience bounds the wait for the next frame. Before the request runs a silent endpoint is given up early, in time
-// to try another one; once it runs only the deadline counts, and an answer that is under way is bounded by MaxAnswer.
+// setPatience bounds the wait for the next frame.
 func (t *attempt) setPatience(ctx context.Context) {
-	e := t.entry
-	now := e.clock.Now()
-	left := t.rq.deadline.Sub(now)
-	wait := left + deadlineGrace
-	switch {
-	case t.out.head != nil && t.rq.stream:
-		wait = e.options.MaxAnswer
-	case !t.running && !t.last:
-		wait = min(left, t.patience(left))
-	}
-	_ = t.stream.SetReadDeadline(now.Add(max(wait, time.Millisecond)))
+	now := t.entry.clock.Now()
+	_ = t.stream.SetReadDeadline(now.Add(max(t.frameWait(t.rq.deadline.Sub(now)), time.Millisecond)))
 	if ctx.Err() != nil {
 		_ = t.stream.SetReadDeadline(time.Unix(1, 0))
 	}
 }
 
+// frameWait is how long to wait for the next frame. Before the request runs a silent endpoint is given up early, in time
+// to try another one; once it runs only the deadline counts, and a streamed answer whose first bytes came is bounded by
+// MaxAnswer. Its head alone is no such answer: the link may break before the first bytes, and the caller would hear
+// nothing until that is noticed, long after its deadline.
+func (t *attempt) frameWait(left time.Duration) time.Duration {
+	switch {
+	case t.firstByte > 0 && t.rq.stream:
+		return t.entry.options.MaxAnswer
+	case !t.running && !t.last:
+		return min(left, t.patience(left))
+	default:
+		return left + deadlineGrace
+	}
+}
+
 const (
 	// deadlineGrace leaves the agent's own refusal at the deadline time to arrive: it says that the request did not run,
 	// which the entry cannot know by itself.
--- /dev/null
+++ b/internal/entry/bounds_test.go
@@ -0,0 +1,111 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"balsamsail/internal/admission"
+	"balsamsail/internal/atmostonce"
+	"balsamsail/internal/clock"
+	"balsamsail/internal/declarations"
+	"balsamsail/internal/membership"
+	"balsamsail/internal/platform"
+	"balsamsail/internal/replicas"
+	"balsamsail/internal/timeline"
+	"balsamsail/internal/wire/wirepb"
+)
+
+// The link to an engine's agent breaks half-open between the head of a streamed answer and its first bytes. The entry
+// waited for the rest of an answer that had not begun, and the caller heard nothing until the connection was given up.
+func TestFrameWait(t *testing.T) {
+	const left, longest = 2 * time.Second, time.Hour
+	cases := []struct {
+		name                  string
+		streamed, head, first bool
+		running, last         bool
+		want                  time.Duration
+	}{
+		{"waiting, another endpoint is there", true, false, false, false, false, 200 * time.Millisecond},
+		{"waiting, no other endpoint", true, false, false, false, true, left + deadlineGrace},
+		{"running", true, false, false, true, false, left + deadlineGrace},
+		{"streamed, head without bytes", true, true, false, true, false, left + deadlineGrace},
+		{"streamed, first bytes", true, true, true, true, false, longest},
+		{"whole answer under way", false, true, true, true, false, left + deadlineGrace},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a := &attempt{
+				entry: &Entry{options: Options{MaxAnswer: longest}}, rq: &request{stream: c.streamed},
+				out: newAnswer(httptest.NewRecorder(), "r"), running: c.running, last: c.last,
+			}
+			if c.head {
+				a.out.setHead(&wirepb.Head{Status: 200})
+			}
+			if c.first {
+				a.firstByte = time.Millisecond
+			}
+			if got := a.frameWait(left); got != c.want {
+				t.Errorf("waits %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// outageTable takes one commit and is down from then on.
+type outageTable struct {
+	platform.Table
+	commits atomic.Int32
+}
+
+func (o *outageTable) Commit(context.Context, platform.Txn) (uint64, error) {
+	if o.commits.Add(1) == 1 {
+		return 1, nil
+	}
+	return 0, platform.ErrUnavailable
+}
+
+func (o *outageTable) Get(context.Context, string) (platform.Row, error) {
+	return platform.Row{}, platform.ErrUnavailable
+}
+
+// A call with an idempotency key is claimed, then the table goes down, and no endpoint takes the call. The caller was told
+// so only after the entry had tried for a second to give the key back.
+func TestFinalAnswerDoesNotWaitForTheClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &outageTable{}
+		logger, registry := slog.New(slog.DiscardHandler), prometheus.NewRegistry()
+		recorder := timeline.NewRecorder("entry-1", 16, timeline.NewHybridClock(time.Now))
+		members := membership.NewManager(membership.DefaultOptions(), nil, clock.Real{}, logger, registry, recorder)
+		e := New(Options{ID: "entry-1", MaxAttempts: 1}, Dependencies{
+			Members:    members,
+			Store:      declarations.NewStore(declarations.Options{}, table, clock.Real{}, logger, registry),
+			Claims:     atmostonce.NewClaims(table, atmostonce.ClaimsOptions{}),
+			Clock:      clock.Real{},
+			Logger:     logger,
+			Registerer: registry,
+			Recorder:   recorder,
+		})
+		e.SetGrants(replicas.NewManager(replicas.DefaultOptions(), table, e.GrantInputs(), clock.Real{}, logger, registry, recorder))
+		r := httptest.NewRequest("POST", "/ledger/notices", nil)
+		r.Header.Set(headerIdempKey, "key")
+		began := time.Now()
+		rq := &request{
+			id: "r", target: admission.Target{Service: "ledger"}, method: "POST", deadline: began.Add(time.Minute),
+		}
+		ended := e.serveClaimed(r, rq, newAnswer(httptest.NewRecorder(), "r"))
+		if ended.err == nil || ended.err.outcome != OutcomeNotRun {
+			t.Fatalf("ended %+v", ended)
+		}
+		if took := time.Since(began); took > 0 {
+			t.Errorf("the answer was held back for %v", took)
+		}
+		e.settling.Wait()
+	})
+}
--- a/internal/entry/claimed.go
+++ b/internal/entry/claimed.go
@@ -99,8 +99,10 @@
 	return &result{status: c.Status}
 }
 
-// settle records how a claimed request ended. When the caller was told nothing definite, the endpoint's word is awaited
-// in the background.
+// settle records how a claimed request ended. When the caller was told nothing definite, the endpoint's word is awaited.
+//
+// All of it happens in the background. While the table is down the record takes its whole patience, and a caller whose
+// request was served or given up would get the final answer that much later, beyond its deadline.
 func (e *Entry) settle(rq *request, held atmostonce.Held, ended result, out *answer) {
 	if ended.later != nil {
 		go func() {
@@ -114,7 +116,8 @@
 	if ended.fate == fateServed {
 		state = atmostonce.ClaimDone
 	}
-	e.settleFate(rq, held, ended.fate == fateNotRun, state, out.recorded())
+	recorded := out.recorded()
+	e.settling.Go(func() { e.settleFate(rq, held, ended.fate == fateNotRun, state, recorded) })
 }
 
 // settleFate frees the claim of a request that did not run and records the end of any other one.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -73,6 +73,8 @@
 	sent        *counts
 	sequence    atomic.Uint64
 	draining    atomic.Bool
+	// settling are the records of claims under way whose requests have ended.
+	settling sync.WaitGroup
 
 	// mu guards the deciding state below.
 	mu      sync.Mutex
@@ -138,7 +140,8 @@
 	return true
 }
 
-// Run does the entry's share of the deciding work until ctx ends.
+// Run does the entry's share of the deciding work until ctx ends, and then waits a bounded time for the claims of ended
+// requests to be recorded. It must outlast the callers' requests.
 func (e *Entry) Run(ctx context.Context) error {
 	var tasks sync.WaitGroup
 	tasks.Go(func() { _ = e.store.Run(ctx) })
@@ -147,6 +150,7 @@
 	tasks.Go(func() { _ = e.claims.Run(ctx) })
 	tasks.Go(func() { e.coordinator.run(ctx) })
 	tasks.Wait()
+	e.settling.Wait()
 	return nil
 }
 
