--- a/internal/replicas/decider_test.go
+++ b/internal/replicas/decider_test.go
@@ -227,6 +227,16 @@
 	}
 }
 
+// Requests come before a new model version's first slots are granted. They ask for a slot, and the home slots answer that.
+func TestRequestsBeforeTheFirstSlotsAddNone(t *testing.T) {
+	s := newSite(models(1), engines(4, "north", "east"))
+	wanted("", wirepb.RefusalReason_NOT_GRANTED, 50, 0)(s)
+	s.apply(s.decide())
+	if n := len(s.Rows[story].Row.GetSlots()); n != 2 {
+		t.Errorf("%d slots, want 2", n)
+	}
+}
+
 // Every idle model version keeps two slots, so that the loss of a failure domain needs no write.
 func TestHomesAreInDifferentFailureDomains(t *testing.T) {
 	s := newSite(models(105), engines(18, "north", "east", "cargo"))
--- a/internal/replicas/placement_test.go
+++ b/internal/replicas/placement_test.go
@@ -117,23 +117,27 @@
 	}
 }
 
-// A model that is always loaded leaves too little memory for another one on its engine, however little else has a home
-// there. The other one could never load.
-func TestNoHomeBesideAWarmModelThatFillsTheEngine(t *testing.T) {
-	specs := models(7)
+// Models that are always loaded leave too little memory for one another on the engine that has the fewest homes. On one
+// engine, one of them could never load, also when both are declared at once.
+func TestWarmModelsThatFillAnEngineAreKeptApart(t *testing.T) {
+	specs := models(10)
 	for i := range specs {
-		specs[i].MemoryBytes, specs[i].Max, specs[i].Selector = 40*gibibyte, 1, selector.MustParse("pool = b")
+		specs[i].MemoryBytes, specs[i].Max, specs[i].Selector = 50*gibibyte, 1, selector.MustParse("pool = b")
 	}
-	specs[0].MemoryBytes, specs[0].Warm, specs[0].Selector = 50*gibibyte, 1, selector.MustParse("pool = a")
 	views := engines(2, "north")
 	views[1].Labels = map[string]string{"pool": "b"}
-	s := newSite(specs[:6], views)
+	s := newSite(specs[:5], views)
 	s.run(t)
-	specs[6].Selector = selector.MustParse("pool")
+	for i := range specs[5:] {
+		specs[5+i].Selector = selector.MustParse("pool = a")
+	}
+	for i := range specs[5:7] {
+		specs[5+i].Warm, specs[5+i].Selector = 1, selector.MustParse("pool")
+	}
 	s.Declared = Declared{Revision: 2, Models: specs}
-	s.run(t)
-	if got := s.slots("m6@1"); got != "e1" {
-		t.Errorf("slots %q, want e1, where nothing stays loaded", got)
+	s.apply(s.decide())
+	if a, b := s.slots("m5@1"), s.slots("m6@1"); a == b || a == "" || b == "" {
+		t.Errorf("slots %q and %q, want an engine each", a, b)
 	}
 }
 
--- a/internal/replicas/settle.go
+++ b/internal/replicas/settle.go
@@ -93,9 +93,6 @@
 // growth returns how many slots are to be added on demand. Wishes that are older than the row, or hardly younger, do not
 // count: what was changed last may already answer them.
 func (r *run) growth(spec *ModelSpec, d *draft) int {
-	if d.row == nil {
-		return 0
-	}
 	answered := d.since.Add(r.policy.GrowInterval)
 	waiting, wanted := 0, false
 	for _, w := range r.snapshot.Demand[spec.Model].Wants {
