test: table of failures over real processes, planned stops, operators who race

Three entries, four engines (two check fencing numbers, two hold idle models until memory is needed) and two plain services under a steady load: chat whole and streamed with checked content, calls that run once with and without keys, two editors. After each of 54 failures alone, 18 chosen pairs and 11 planned stops the check compares callers' and operators' words with the stand-ins' truth, the rows of grants and each process's revisions; a failed check prints the time lines of the requests concerned.

Models fall idle and wake all the time, and two engines evict, because a steady set of models never gave orders that could come late.

--- a/test/failure_table_test.go
+++ b/test/failure_table_test.go
@@ -46,9 +46,35 @@
 			blip, killAgent("ledger-1"), restartAgent("ledger-1")),
 		made("agent of a service frozen", `The agent of a plain service is suspended between an offer and its commit.`,
 			silenceLasts, freezeAgent("ledger-2"), thawAgent("ledger-2")),
+		restartsWithLateOrders(),
 	}
 }
 
+// restartsWithLateOrders kills the agent of an engine that takes any order again and again while orders arrive late.
+func restartsWithLateOrders() failure {
+	late, onTime := withEngine("engine-3", engineFaults{DelayOrders: chance(1), DelayOrdersSeconds: 1.2})
+	inject := func(c *cluster) {
+		late(c)
+		agent := c.endpoint("engine-3").agent
+		c.background.start(restartPause, func(int) {
+			agent.kill()
+			agent.start()
+		})
+	}
+	heal := func(c *cluster) {
+		c.t.Helper()
+		c.background.stop()
+		onTime(c)
+		c.endpoint("engine-3").agent.awaitReady()
+	}
+	return made("agent restarted again and again while orders are late", `Each agent dies with orders on their way, and the
+next one finds the engine empty. The late loads must not meet those that it gives by itself: the engine does not tell old
+orders from new ones and would run out of memory.`, 2*silenceLasts, inject, heal)
+}
+
+// restartPause lets an agent live for long enough to give orders: longer than a late order takes.
+const restartPause = 1900 * time.Millisecond
+
 // linkFailures are faults of the paths between processes.
 func linkFailures() []failure {
 	half := func(d direction) func(*link) { return func(l *link) { l.block(d, flowVanish) } }
--- /dev/null
+++ b/test/operator_faults_test.go
@@ -0,0 +1,126 @@
+package test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"balsamsail/internal/operator"
+)
+
+// background is work that a failure does from inject to heal.
+type background struct {
+	mu      sync.Mutex
+	stopped chan struct{}
+	running sync.WaitGroup
+}
+
+// start runs a step again and again, with a pause, until stop.
+func (b *background) start(pause time.Duration, step func(n int)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.stopped == nil {
+		b.stopped = make(chan struct{})
+	}
+	stopped := b.stopped
+	b.running.Go(func() {
+		for n := 0; ; n++ {
+			step(n)
+			select {
+			case <-stopped:
+				return
+			case <-time.After(pause):
+			}
+		}
+	})
+}
+
+func (b *background) stop() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.stopped == nil {
+		return
+	}
+	close(b.stopped)
+	b.running.Wait()
+	b.stopped = nil
+}
+
+// operatorFailures are operators who work against each other.
+func operatorFailures() []failure {
+	return []failure{
+		made("operators race over labels", `Two operators send the model "mover" away from engines and back again, each over
+another entry, faster than it can move. It must never have more replicas than declared, whoever wins.`,
+			silenceLasts, raceOverLabels, endRace),
+		made("operators race over drains", `One operator drains engines in turn and another one takes them back.`,
+			silenceLasts, raceOverDrains, endRace),
+	}
+}
+
+var racedEngines = []string{"engine-1", "engine-2", "engine-3", "engine-4"}
+
+const racePause = 120 * time.Millisecond
+
+func raceOverLabels(c *cluster) {
+	c.background.start(racePause, func(n int) { c.setAway("entry-1", racedEngines[n%len(racedEngines)], true) })
+	c.background.start(racePause, func(n int) { c.setAway("entry-2", racedEngines[(n+2)%len(racedEngines)], false) })
+}
+
+func raceOverDrains(c *cluster) {
+	c.background.start(racePause, func(n int) { c.tryDrain("entry-1", racedEngines[n%len(racedEngines)], true) })
+	c.background.start(racePause, func(n int) { c.tryDrain("entry-2", racedEngines[(n+2)%len(racedEngines)], false) })
+}
+
+// endRace ends the operators' race and makes all engines usable again.
+func endRace(c *cluster) {
+	c.t.Helper()
+	c.background.stop()
+	for _, engine := range racedEngines {
+		eventually(c.t, recoveryPatience, engine+" is usable again", func() bool {
+			return c.setAway("entry-3", engine, false) == nil && c.tryDrain("entry-3", engine, false) == nil
+		})
+	}
+}
+
+// setAway sets or removes the label that keeps the model "mover" from an engine.
+func (c *cluster) setAway(entry, engine string, away bool) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	request := operator.LabelRequest{
+		ObjectKey: operator.ObjectKey{Kind: "engine", Name: engine},
+		Remove:    []string{"away"},
+		Edit:      operator.Edit{Author: "race"},
+	}
+	if away {
+		request.Remove, request.Set = nil, map[string]string{"away": "yes"}
+	}
+	client := operator.NewClient([]string{c.entry(entry).operatorsURL()}, controlClient)
+	accepted, err := client.Label(ctx, request)
+	c.noteRace(accepted, err)
+	return err
+}
+
+func (c *cluster) tryDrain(entry, engine string, drain bool) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	client := operator.NewClient([]string{c.entry(entry).operatorsURL()}, controlClient)
+	request := operator.DrainRequest{Endpoint: engine, Drain: drain, Edit: operator.Edit{Author: "race"}}
+	accepted, err := client.Drain(ctx, request)
+	c.noteRace(accepted, err)
+	return err
+}
+
+// noteRace keeps an accepted edit, so that it is looked for in every process.
+func (c *cluster) noteRace(accepted operator.Accepted, err error) {
+	if err != nil || len(accepted.Changed) == 0 {
+		return
+	}
+	c.editsMu.Lock()
+	defer c.editsMu.Unlock()
+	c.edits = append(c.edits, &edit{
+		operation: accepted.OperationID,
+		author:    "race",
+		ended:     time.Now(),
+		revision:  accepted.Revision,
+	})
+}
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -124,6 +124,11 @@
 // heal ends the platform's faults.
 func (p *platformHost) heal() { p.faults(func(f *standin.Faults) { *f = standin.Faults{} }) }
 
+// setHostsLag adds to the time by which the host list runs behind.
+func (p *platformHost) setHostsLag(lag time.Duration) {
+	p.faults(func(f *standin.Faults) { f.Hosts.LagSeconds = lag.Seconds() })
+}
+
 // setState lists a host in a state.
 func (p *platformHost) setState(host platform.Host, state platform.HostState) {
 	host.State = state
--- a/test/properties_test.go
+++ b/test/properties_test.go
@@ -193,6 +193,7 @@
 var maxReplicas = map[string]int{
 	"crack@v1": 2, "crack@v2": 2, "compaction@v1": 3, "holdover@v1": 2, "fluid@v1": 2, "single@v1": 1,
 	"audit-a@v1": 2, "audit-b@v1": 2, "audit-c@v1": 2, "audit-d@v1": 2, "audit-e@v1": 2, "audit-f@v1": 2,
+	"mover@v1": 2,
 }
 
 // outside says how a holding reaches beyond the engine's slots, or nothing. A row's version is taken to hold from the
