membership, entry: a report costs the same beside any number of agents; declarations go to agents that lack them

Weighed: a persistent map (a dependency for one reader); copying at most every so often (readers would lag); now the copy is made when it is asked for, and one endpoint is looked up without it.

--- a/internal/entry/coordinator.go
+++ b/internal/entry/coordinator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,22 +19,34 @@
 // membership.Observer.
 type coordinator struct {
 	entry *Entry
-	// version rises with each change of what is known of endpoints.
+	// version rises with each change of what is known of endpoints that the grants are decided from.
 	version atomic.Uint64
+	// engines are the engines as they were last handed to the grants.
+	engines atomic.Pointer[engineViews]
 
 	mu     sync.Mutex
 	budget *permits.Budget
 	wake   chan struct{}
-	// told is the declarations' revision that each connected agent was last sent.
+	// told is the declarations' revision that each connected agent was last sent, or said that it holds.
 	told map[string]uint64
 	// since is when an endpoint's reachability last changed.
 	since map[string]reachability
 }
 
-// reachability is whether an endpoint answers, and since when.
+// reachability is whether an endpoint answers and since when, and what else of its report the grants are decided from.
 type reachability struct {
 	reachable bool
 	since     time.Time
+	leaving   bool
+	memory    int64
+	kind      string
+	labels    map[string]string
+}
+
+// sameReport compares all but the time.
+func (r reachability) sameReport(other reachability) bool {
+	return r.reachable == other.reachable && r.leaving == other.leaving && r.memory == other.memory &&
+		r.kind == other.kind && maps.Equal(r.labels, other.labels)
 }
 
 func newCoordinator(e *Entry) *coordinator {
@@ -46,21 +59,20 @@
 	}
 }
 
-// Connected implements membership.Observer: a new connection starts with the whole state.
+// Connected implements membership.Observer: a new connection starts with the grants and what the entry knows of hosts. The
+// declarations follow the agent's first report, which tells what it holds: most agents hold them already, from another
+// entry or from before a break, and a snapshot to each would make the start of an entry cost the more the larger the
+// fleet is.
 func (c *coordinator) Connected(endpoint string) {
 	e := c.entry
-	set := e.store.Current()
 	down := &wirepb.ControlDown{
 		Rows:      e.grants.RowsOf(endpoint),
 		Entries:   c.entries(),
 		HostState: c.hostState(endpoint),
 		WantState: !e.store.Ready(),
 	}
-	if set.Revision() > 0 {
-		down.Snapshot = set.Snapshot()
-	}
 	c.mu.Lock()
-	c.told[endpoint] = set.Revision()
+	delete(c.told, endpoint)
 	c.mu.Unlock()
 	e.members.Send(endpoint, down)
 }
@@ -69,7 +81,7 @@
 func (c *coordinator) Reported(endpoint string, up *wirepb.ControlUp) {
 	e := c.entry
 	now := e.clock.Now()
-	ep := e.members.Endpoints()[endpoint]
+	ep := e.members.Endpoint(endpoint)
 	for _, r := range up.Releases {
 		if ep != nil {
 			e.grants.Released(replicas.Release{Engine: endpoint, Host: ep.HostID, Model: r.Model, Revision: r.Revision})
@@ -88,6 +100,7 @@
 	}
 	if ep != nil && ep.Connected {
 		// An edit that came between the connection and its first report found the agent not connected yet.
+		c.noteHeld(endpoint, up.Status)
 		c.pushTo(endpoint)
 	}
 	c.permits(now, endpoint, up)
@@ -150,13 +163,23 @@
 
 // noteReachability keeps since when an endpoint answers or not, and tells the grants of a change.
 func (c *coordinator) noteReachability(now time.Time, endpoint string) {
-	ep := c.entry.members.Endpoints()[endpoint]
-	reachable := ep != nil && ep.Connected && ep.Status.GetReady()
+	ep := c.entry.members.Endpoint(endpoint)
+	next := reachability{since: now}
+	if ep != nil {
+		next.reachable = ep.Connected && ep.Status.GetReady()
+		next.leaving = ep.Leaving
+		next.memory = ep.Status.GetMemoryBytes()
+		next.kind = ep.Status.GetKind()
+		next.labels = ep.Status.GetLabels()
+	}
 	c.mu.Lock()
 	old, known := c.since[endpoint]
-	changed := !known || old.reachable != reachable
+	changed := !known || !old.sameReport(next)
 	if changed {
-		c.since[endpoint] = reachability{reachable: reachable, since: now}
+		if known && old.reachable == next.reachable {
+			next.since = old.since
+		}
+		c.since[endpoint] = next
 	}
 	c.mu.Unlock()
 	if changed {
@@ -179,7 +202,7 @@
 
 // hostState is what an agent is told of its own host.
 func (c *coordinator) hostState(endpoint string) wirepb.HostState {
-	ep := c.entry.members.Endpoints()[endpoint]
+	ep := c.entry.members.Endpoint(endpoint)
 	if ep != nil && ep.Listed == platform.HostLeaving {
 		return wirepb.HostState_HOST_LEAVING
 	}
@@ -226,15 +249,27 @@
 	}
 }
 
-// pushTo sends an agent the deltas since what it was last sent, or a snapshot.
+// noteHeld takes the revision that an agent says it holds for what it was last sent, where nothing was sent yet.
+func (c *coordinator) noteHeld(endpoint string, status *wirepb.Status) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, known := c.told[endpoint]; !known && status != nil {
+		c.told[endpoint] = status.DeclarationsRevision
+	}
+}
+
+// pushTo sends an agent the deltas since what it was last sent, or a snapshot. An agent that has not told what it holds
+// gets nothing yet.
 func (c *coordinator) pushTo(endpoint string) {
 	e := c.entry
 	set := e.store.Current()
 	c.mu.Lock()
-	told := c.told[endpoint]
-	c.told[endpoint] = max(told, set.Revision())
+	told, known := c.told[endpoint]
+	if known {
+		c.told[endpoint] = max(told, set.Revision())
+	}
 	c.mu.Unlock()
-	if told >= set.Revision() {
+	if !known || told >= set.Revision() {
 		return
 	}
 	deltas, ok := e.store.DeltasSince(told)
--- /dev/null
+++ b/internal/entry/coordinator_push_test.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"balsamsail/internal/declarations"
+	pb "balsamsail/internal/declarations/declarationspb"
+	"balsamsail/internal/wire/wirepb"
+)
+
+// edit makes one more revision and returns it.
+func edit(t *testing.T, e *Entry) uint64 {
+	t.Helper()
+	label := map[string]string{"edit": strconv.FormatInt(time.Now().UnixNano(), 10)}
+	key := &pb.ObjectKey{Kind: declarations.KindEngine, Name: "engine-9"}
+	result, err := e.store.Edit(t.Context(), declarations.EditRequest{
+		Author: "test",
+		Change: declarations.SetLabels(key, label, nil),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result.Revision
+}
+
+// An entry starts again beside agents that already hold the declarations from the other entries. What it sends each of
+// them must depend on what the agent says it holds: a snapshot to each took an entry of the size to design for minutes,
+// in which agents were lost for its silence and connected anew, to be sent the snapshot again.
+func TestDeclarationsFollowWhatAnAgentHolds(t *testing.T) {
+	cases := []struct {
+		name string
+		// behind is how many revisions the agent lacks, all of them when it is negative.
+		behind int
+		// after is set when another edit is made once the agent has reported.
+		after                   bool
+		wantSnapshot, wantDelta bool
+	}{
+		{name: "nothing", behind: -1, wantSnapshot: true},
+		{name: "one revision less", behind: 1, wantDelta: true},
+		{name: "the newest, before the next edit", behind: 0, after: true, wantDelta: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			agent := newScriptedAgent(t)
+			e := startEntry(t, agent.address)
+			edit(t, e)
+			newest := edit(t, e)
+			control := <-agent.stream
+			held := uint64(0)
+			if c.behind >= 0 {
+				held = newest - uint64(c.behind)
+			}
+			status := &wirepb.Status{Full: true, Endpoint: "engine-1", Kind: kindEngine, Ready: true, DeclarationsRevision: held}
+			if err := control.Write(&wirepb.ControlUp{Status: status}); err != nil {
+				t.Fatal(err)
+			}
+			if c.after {
+				awaitConnected(t, e, "engine-1")
+				newest = edit(t, e)
+			}
+			var got *wirepb.ControlDown
+			until(t, control, func(down *wirepb.ControlDown) bool {
+				got = down
+				return down.Snapshot != nil || len(down.Deltas) > 0
+			})
+			if (got.Snapshot != nil) != c.wantSnapshot || (len(got.Deltas) > 0) != c.wantDelta {
+				t.Fatalf("snapshot of revision %d and %d deltas", got.Snapshot.GetRevision(), len(got.Deltas))
+			}
+			if c.wantDelta && (len(got.Deltas) != 1 || got.Deltas[0].Revision != newest) {
+				t.Errorf("%d deltas, the first of revision %d, want the one of %d", len(got.Deltas), got.Deltas[0].Revision, newest)
+			}
+		})
+	}
+}
+
+// awaitConnected waits until the entry has an agent's report.
+func awaitConnected(t *testing.T, e *Entry, endpoint string) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		if ep := e.members.Endpoint(endpoint); ep != nil && ep.Connected {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the agent's report was not taken in")
+		}
+	}
+}
--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -72,6 +72,8 @@
 	recorder *timeline.Recorder
 	metrics  *metrics
 
+	// endpoints is a copy of the view's endpoints for readers, nil when the view has changed since it was made. It is made
+	// when it is asked for: a copy with each report would take time in proportion to the square of the agents.
 	endpoints atomic.Pointer[map[string]*Endpoint]
 	entries   atomic.Pointer[[]Entry]
 	listed    chan struct{}
@@ -103,8 +105,26 @@
 // Observe sets the observer; it must be called before Run.
 func (m *Manager) Observe(o Observer) { m.observer = o }
 
-// Endpoints returns the endpoints by name. The map and its values must not be changed.
-func (m *Manager) Endpoints() map[string]*Endpoint { return *m.endpoints.Load() }
+// Endpoints returns the endpoints by name. The map and its values must not be changed. After a change of any endpoint it
+// takes time in proportion to all of them; Endpoint serves for one.
+func (m *Manager) Endpoints() map[string]*Endpoint {
+	if held := m.endpoints.Load(); held != nil {
+		return *held
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	endpoints := maps.Clone(m.view.Endpoints())
+	m.endpoints.Store(&endpoints)
+	return endpoints
+}
+
+// Endpoint returns one endpoint, or nil. It must not be changed.
+func (m *Manager) Endpoint(name string) *Endpoint {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	endpoint, _ := m.view.Endpoint(name)
+	return endpoint
+}
 
 // Entries returns the listed entries.
 func (m *Manager) Entries() []Entry { return *m.entries.Load() }
@@ -209,9 +229,8 @@
 
 // publish makes the view's present state visible to readers. The caller holds mu.
 func (m *Manager) publish() {
-	endpoints := maps.Clone(m.view.Endpoints())
 	entries := m.view.Entries()
-	m.endpoints.Store(&endpoints)
+	m.endpoints.Store(nil)
 	m.entries.Store(&entries)
 }
 
