agent: reports of load are gathered, heartbeats are not answered, change reports leave out what is fixed

Cause: every start and end of a request sent a batch to every entry, each heartbeat of an entry was answered by a batch of its own, and each batch repeated the endpoint's names, addresses and cached checkpoints. State, releases, wishes and permits leave at once, as before. A report in which something changed that hardly ever does (memory, cached checkpoints) is whole, so no message had to change.

--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -7,9 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"balsamsail/internal/admission"
 	"balsamsail/internal/loading"
-	"balsamsail/internal/replicas/replicaspb"
 	"balsamsail/internal/timeline"
 	"balsamsail/internal/wire"
 	"balsamsail/internal/wire/wirepb"
@@ -26,7 +24,10 @@
 
 	mu      sync.Mutex
 	pending wirepb.ControlUp
-	sent    statusMemo
+
+	// sent is what the entry was last told and sentAt when. They belong to the writer.
+	sent   statusMemo
+	sentAt time.Time
 }
 
 func newControlStream(header *wirepb.StreamHeader) *controlStream {
@@ -44,6 +45,36 @@
 	s.stir()
 }
 
+// acknowledge notes the highest batch that was applied. It rides on the next batch: one of its own would answer each
+// heartbeat.
+func (s *controlStream) acknowledge(sequence uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending.Acknowledged = sequence
+}
+
+// hasQueued reports whether the next batch carries more than the agent's status.
+func (s *controlStream) hasQueued() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := &s.pending
+	return len(p.PermitRequests)+len(p.PermitsDone)+len(p.Releases)+len(p.Wanted)+len(p.Rows) > 0 || p.Snapshot != nil || p.WantSnapshot
+}
+
+// patience is how long a batch may wait after a stir: not at all when it tells of more than load, to the next heartbeat
+// (reported as false) when it tells nothing.
+func (s *controlStream) patience(status *wirepb.Status, now time.Time) (time.Duration, bool) {
+	found := s.sent.compare(status)
+	switch {
+	case found == newsState || s.hasQueued():
+		return 0, true
+	case found == newsLoad:
+		return max(0, loadReportInterval-now.Sub(s.sentAt)), true
+	default:
+		return 0, false
+	}
+}
+
 // trim drops the oldest of what has grown beyond its bound.
 func trim(up *wirepb.ControlUp) {
 	up.PermitRequests = newest(up.PermitRequests)
@@ -126,7 +157,7 @@
 
 // applyDown carries out one batch.
 func (a *Agent) applyDown(s *controlStream, down *wirepb.ControlDown) {
-	s.queue(func(up *wirepb.ControlUp) { up.Acknowledged = down.Sequence })
+	s.acknowledge(down.Sequence)
 	a.applyDeclarations(s, down)
 	for _, row := range down.Rows {
 		a.core.step(loading.RowSeen{Row: row})
@@ -192,28 +223,49 @@
 	})
 }
 
-// writeControl sends batches when something changed and as heartbeats.
+// writeControl sends batches when something changed and as heartbeats. What tells only of load waits for more of its kind.
 func (a *Agent) writeControl(ctx context.Context, s *controlStream, stream *wire.Stream) {
 	heartbeat := time.NewTicker(a.options.HeartbeatInterval)
 	defer heartbeat.Stop()
 	s.stir()
+	var held <-chan time.Time
 	for {
+		stirred := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-heartbeat.C:
+		case <-held:
 		case <-s.wake:
+			stirred = true
 			pause(ctx, a.options.BatchDelay)
 		}
-		up := s.take()
-		up.Clock = a.recorder.Clock().Now()
-		up.Status = s.sent.change(a.status())
-		if err := stream.Write(up); err != nil {
+		status := a.status()
+		if stirred {
+			wait, due := s.patience(status, time.Now())
+			if due && wait > 0 && held == nil {
+				held = time.After(wait)
+			}
+			if !due || wait > 0 {
+				continue
+			}
+		}
+		held = nil
+		if err := a.sendBatch(s, stream, status); err != nil {
 			return
 		}
 	}
 }
 
+// sendBatch sends what is queued and what of the status the entry was not told.
+func (a *Agent) sendBatch(s *controlStream, stream *wire.Stream, status *wirepb.Status) error {
+	up := s.take()
+	up.Clock = a.recorder.Clock().Now()
+	up.Status = s.sent.change(status)
+	s.sentAt = time.Now()
+	return stream.Write(up)
+}
+
 // pause waits for d or the end of ctx.
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
@@ -288,79 +340,3 @@
 	wanted := &wirepb.SlotWanted{Model: action.Model, Reason: action.Reason, Demand: 1}
 	a.broadcast(func(up *wirepb.ControlUp) { up.Wanted = append(up.Wanted, wanted) })
 }
-
-// status is the agent's whole state.
-func (a *Agent) status() *wirepb.Status {
-	status := a.core.status()
-	status.Endpoint = a.options.Endpoint
-	status.Kind = a.options.Kind
-	status.FailureDomain = a.options.FailureDomain
-	status.Labels = a.options.Labels
-	status.Incarnation = a.options.Incarnation
-	status.OperatorAddress = a.options.OperatorAddress
-	status.DeclarationsRevision = a.receiver.Revision()
-	return status
-}
-
-// status is the part of the agent's state that the core knows.
-func (c *core) status() *wirepb.Status {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	status := &wirepb.Status{
-		Leaving: c.leaving,
-		Ready:   c.up,
-		Load:    c.loadLocked(admission.Target{}),
-	}
-	if c.machine == nil {
-		return status
-	}
-	s := c.machine.Status(c.clock.Now())
-	status.Ready = s.Ready
-	status.MemoryBytes = s.MemoryBytes
-	status.MemoryReservedBytes = s.ReservedBytes
-	status.LoadsInFlight = int32(s.LoadsInFlight)
-	status.AdaptersInFlight = int32(s.AdaptersInFlight)
-	status.Cached = s.Cached
-	for _, r := range s.Replicas {
-		status.Replicas = append(status.Replicas, &wirepb.Replica{
-			Model:      r.Model,
-			State:      r.State,
-			Running:    int32(c.runningOf(admission.Target{Model: r.Model})),
-			Queued:     int32(c.queuedOf(r.Model)),
-			IdleMillis: r.IdleFor.Milliseconds(),
-			Adapters:   r.Adapters,
-			Revision:   r.Revision,
-		})
-	}
-	return status
-}
-
-// rows are the rows of grants that the machine holds.
-func (c *core) rows() []*replicaspb.Row {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.machine == nil {
-		return nil
-	}
-	return c.machine.Rows()
-}
-
-func (c *core) queuedOf(model string) int {
-	n := 0
-	for _, w := range c.waiting {
-		if w.request.Target.Model == model {
-			n++
-		}
-	}
-	return n
-}
-
-// isReady reports whether the endpoint's state is known and offers are taken.
-func (c *core) isReady() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.machine == nil {
-		return c.up
-	}
-	return c.machine.Status(c.clock.Now()).Ready
-}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -73,12 +73,12 @@
 // Hosts returns the version of the host list that was last taken and the states of the hosts in it.
 func (v *View) Hosts() (uint64, map[string]platform.HostState) { return v.version, v.hosts }
 
-// HostsRead takes in the host list and reports whether it was taken.
+// HostsRead takes in the host list and reports whether it says anything new: its version rises with each change.
 //
 // A list of a lower version than one seen before is ignored: the list lags, and two reads may be answered by replicas of
 // the platform that lag differently, so that an older list would let a leaving host seem live again and get new work.
 func (v *View) HostsRead(hosts []platform.Host, version uint64) bool {
-	if v.read && version < v.version {
+	if v.read && version <= v.version {
 		return false
 	}
 	v.read = true
@@ -169,13 +169,25 @@
 	next.Replicas = mergeReplicas(old.Replicas, status)
 	next.Status = status
 	if !status.Full {
-		status.Labels = old.Status.GetLabels()
+		keepFixed(status, old.Status)
 	}
 	next.Leaving = leaving(&next)
 	v.endpoints[name] = &next
 	return true
 }
 
+// keepFixed fills a change report with what such a report leaves out because it is as it was.
+func keepFixed(status, old *wirepb.Status) {
+	status.Endpoint = old.GetEndpoint()
+	status.Kind = old.GetKind()
+	status.FailureDomain = old.GetFailureDomain()
+	status.Labels = old.GetLabels()
+	status.MemoryBytes = old.GetMemoryBytes()
+	status.Incarnation = old.GetIncarnation()
+	status.Cached = old.GetCached()
+	status.OperatorAddress = old.GetOperatorAddress()
+}
+
 // mergeReplicas applies the changed replicas to the earlier ones.
 func mergeReplicas(old map[string]*wirepb.Replica, status *wirepb.Status) map[string]*wirepb.Replica {
 	if !status.Full && len(status.Replicas) == 0 {
