--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -133,6 +133,7 @@
 	o.Interval = s.Replicas.Interval
 	o.FullInterval = s.Replicas.FullInterval
 	o.Settle = s.Replicas.Settle
+	o.DecideShare = s.Replicas.DecideShare
 	o.TurnStep = s.Replicas.TurnStep
 	o.WritesPerSecond = s.Replicas.WritesPerSecond
 	o.WriteBurst = s.Replicas.WriteBurst
--- a/internal/entry/inputs.go
+++ b/internal/entry/inputs.go
@@ -49,13 +49,23 @@
 func (g grantInputs) Engines() ([]replicas.EngineView, uint64) {
 	e := g.entry
 	version := e.coordinator.version.Load() + e.store.Current().Revision()<<32
-	var views []replicas.EngineView
+	if held := e.coordinator.engines.Load(); held != nil && held.version == version {
+		return held.views, version
+	}
+	made := &engineViews{version: version}
 	for _, ep := range e.members.Endpoints() {
 		if ep.Status.GetKind() == kindEngine && !ep.Gone {
-			views = append(views, g.view(ep))
+			made.views = append(made.views, g.view(ep))
 		}
 	}
-	return views, version
+	e.coordinator.engines.Store(made)
+	return made.views, version
+}
+
+// engineViews are the engines as of one version. They are asked for in each round of decisions, and change seldom.
+type engineViews struct {
+	version uint64
+	views   []replicas.EngineView
 }
 
 func (g grantInputs) view(ep *membership.Endpoint) replicas.EngineView {
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -95,7 +95,7 @@
 // Replicas sets the decisions on replicas.
 type Replicas struct {
 	Interval        time.Duration `ini:"interval" default:"500ms" min:"10ms" max:"1m" doc:"Time between reads of the changed grants."`
-	FullInterval    time.Duration `ini:"full_interval" default:"30s" min:"100ms" max:"1h" doc:"Time between reads of all grants."`
+	FullInterval    time.Duration `ini:"full_interval" default:"5m" min:"100ms" max:"1h" doc:"Time between reads of all grants."`
 	Settle          time.Duration `ini:"settle" default:"50ms" min:"0s" max:"10s" doc:"Time for which inputs are gathered before a decision."`
 	DecideShare     float64       `ini:"decide_share" default:"0.02" min:"0.001" max:"1" doc:"Share of a processor that decisions may take."`
 	TurnStep        time.Duration `ini:"turn_step" default:"300ms" min:"0s" max:"1m" doc:"Further wait of each entry in the order of proposing."`
