replicas: a decision that wishes hold up is taken again when they have faded

A wish that the maximum leaves no room for holds up the taking back of slots, and the decision did not ask to be taken again when the wish no longer counts. Decision.Again promises just that. Change: growth asks for another decision when each wish that counts has faded. Before: the new test ends with 3 slots of 2 home slots; after: with 2.

--- a/internal/replicas/demand_test.go
+++ b/internal/replicas/demand_test.go
@@ -64,3 +64,42 @@
 		}
 	}
 }
+
+// The last caller of the evening is refused for lack of memory by all replicas that a model may have. After that the fleet
+// is silent. The decision must ask to be taken again when the wish has faded, and go on asking, or the slots that only the
+// demand of the day called for stay granted until the morning.
+func TestDecisionIsTakenAgainUntilUnneededSlotsAreGone(t *testing.T) {
+	s := newSite(models(1), engines(4, "north", "east"))
+	model := s.Declared.Models[0].Model
+	s.Declared.Models[0].Max = 3
+	s.run(t)
+	want := Want{Engine: "e0", Reason: wirepb.RefusalReason_QUEUE_FULL, Waiting: 1}
+	wish := func() {
+		s.pass(DefaultPolicy().GrowInterval)
+		want.First, want.Last = s.now, s.now
+		s.Demand[model] = Demand{Wants: []Want{want}, Usage: Usage{Known: true}}
+	}
+	wish()
+	s.run(t)
+	wish()
+	if slots := len(s.Rows[model].Row.Slots); slots != 3 {
+		t.Fatalf("%d slots with demand", slots)
+	}
+	home, _ := DefaultPolicy().bounds(s.Declared.Models[0])
+	for s.now.Sub(want.Last) < 4*DefaultPolicy().ExtraHold {
+		decision := s.decider.Decide(s.now, &s.Snapshot)
+		s.apply(decision.Changes)
+		s.confirm()
+		if len(decision.Changes) > 0 {
+			continue
+		}
+		if len(s.Rows[model].Row.Slots) == home {
+			return
+		}
+		if decision.Again.IsZero() {
+			break
+		}
+		s.now = decision.Again
+	}
+	t.Errorf("%d slots remain of %d home slots, %v after the last wish", len(s.Rows[model].Row.Slots), home, s.now.Sub(want.Last))
+}
--- a/internal/replicas/settle.go
+++ b/internal/replicas/settle.go
@@ -92,6 +92,9 @@
 
 // growth returns how many slots are to be added on demand. Wishes that are older than the row, or hardly younger, do not
 // count: what was changed last may already answer them.
+//
+// A wish that counts makes the decision differ once it does not any more. On a fleet that falls silent then nothing else
+// would bring another decision, and slots that nobody needs would stay granted.
 func (r *run) growth(spec *ModelSpec, d *draft) int {
 	answered := d.since.Add(r.policy.GrowInterval)
 	waiting, wanted := 0, false
@@ -99,6 +102,7 @@
 		if helps(w.Reason) && r.fresh(w) && !w.Last.Before(answered) {
 			wanted = true
 			waiting += w.Waiting
+			r.again(w.Last.Add(r.policy.WantLife))
 		}
 	}
 	if !wanted {
