entry: declarations are learnt from an agent when the table does not show them

Cause: an entry learnt from agents only while it had never read the table. In an outage that begins right after another entry had an edit accepted, or when one entry is cut off from the platform, the agents held the new revision and this entry went on with the older one for as long as the outage lasted. The test fails without it.

--- /dev/null
+++ b/internal/entry/behind_test.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"balsamsail/internal/declarations"
+	pb "balsamsail/internal/declarations/declarationspb"
+	standin "balsamsail/internal/standin/platform"
+	"balsamsail/internal/wire/wirepb"
+)
+
+// The table goes down right after another entry has had an edit accepted and has told the agents. This entry cannot read
+// the revision, and the operator was told that it is in force everywhere within seconds: the entry gets it from an agent.
+func TestEntryCatchesUpFromAnAgent(t *testing.T) {
+	agent := newScriptedAgent(t)
+	e, site := startEntryAt(t, agent.address)
+	control := <-agent.stream
+	until(t, control, func(*wirepb.ControlDown) bool { return true })
+	site.Faults().Update(func(f *standin.Faults) { f.Table.Outage = true })
+
+	const revision = 7
+	report := func(full bool) *wirepb.ControlUp {
+		return &wirepb.ControlUp{Status: &wirepb.Status{
+			Full: full, Endpoint: "engine-1", Kind: kindEngine, Ready: true, DeclarationsRevision: revision,
+		}}
+	}
+	if err := control.Write(report(true)); err != nil {
+		t.Fatal(err)
+	}
+	stop := make(chan struct{})
+	var heartbeats sync.WaitGroup
+	heartbeats.Go(func() {
+		ticker := time.NewTicker(100 * time.Millisecond)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-ticker.C:
+				_ = control.Write(report(false))
+			}
+		}
+	})
+	until(t, control, func(down *wirepb.ControlDown) bool { return down.WantState })
+	close(stop)
+	heartbeats.Wait()
+	changed := e.store.Changed()
+	drained := declarations.EngineObject(&pb.Engine{Name: "engine-9", Drain: true})
+	up := report(false)
+	up.Snapshot = &pb.Snapshot{Revision: revision, Objects: []*pb.Object{drained}}
+	if err := control.Write(up); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-changed:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the entry did not take the agent's declarations")
+	}
+	if got := e.store.Current().Revision(); got != revision {
+		t.Errorf("revision %d in force, want %d", got, revision)
+	}
+}
+
+func TestBehindAsksOnlyWhenTheTableDoesNotShowIt(t *testing.T) {
+	start := time.Unix(1000, 0)
+	cases := []struct {
+		name       string
+		after      []time.Duration
+		held, told uint64
+		want       []bool
+	}{
+		{"not behind", []time.Duration{0, 5 * time.Second}, 4, 4, []bool{false, false}},
+		{"the table is given its time", []time.Duration{0, behindPatience - 1}, 4, 5, []bool{false, false}},
+		{"then one agent is asked", []time.Duration{0, behindPatience, behindPatience + 1}, 4, 5, []bool{false, true, false}},
+		{"and again when nothing came", []time.Duration{0, behindPatience, behindPatience + behindAgain}, 4, 5, []bool{false, true, true}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var b behind
+			for i, d := range c.after {
+				if got := b.ask(start.Add(d), c.held, c.told); got != c.want[i] {
+					t.Errorf("after %v: ask %v, want %v", d, got, c.want[i])
+				}
+			}
+		})
+	}
+}
--- a/internal/entry/coordinator.go
+++ b/internal/entry/coordinator.go
@@ -31,6 +31,8 @@
 	told map[string]uint64
 	// since is when an endpoint's reachability last changed.
 	since map[string]reachability
+	// behind is what is known of agents that hold a higher revision than this entry.
+	behind behind
 }
 
 // reachability is whether an endpoint answers and since when, and what else of its report the grants are decided from.
@@ -103,6 +105,7 @@
 		c.noteHeld(endpoint, up.Status)
 		c.pushTo(endpoint)
 	}
+	c.catchUp(now, endpoint, up.Status)
 	c.permits(now, endpoint, up)
 	c.noteReachability(now, endpoint)
 	e.changes.announce()
@@ -232,6 +235,9 @@
 	e := c.entry
 	for {
 		changed := e.store.Changed()
+		c.mu.Lock()
+		c.behind.caughtUp()
+		c.mu.Unlock()
 		c.applyLimits()
 		for name, ep := range e.members.Endpoints() {
 			if ep.Connected {
@@ -249,12 +255,12 @@
 	}
 }
 
-// noteHeld takes the revision that an agent says it holds for what it was last sent, where nothing was sent yet.
+// noteHeld takes the revision that an agent says it holds for what it was last sent, where that is not higher.
 func (c *coordinator) noteHeld(endpoint string, status *wirepb.Status) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, known := c.told[endpoint]; !known && status != nil {
-		c.told[endpoint] = status.DeclarationsRevision
+	if status != nil {
+		c.told[endpoint] = max(c.told[endpoint], status.DeclarationsRevision)
 	}
 }
 
--- a/internal/entry/coordinator_test.go
+++ b/internal/entry/coordinator_test.go
@@ -74,6 +74,13 @@
 
 // startEntry runs an entry against a stand-in platform that lists one engine host.
 func startEntry(t *testing.T, agentAddress string) *Entry {
+	t.Helper()
+	e, _ := startEntryAt(t, agentAddress)
+	return e
+}
+
+// startEntryAt is startEntry with the platform that it runs at.
+func startEntryAt(t *testing.T, agentAddress string) (*Entry, *standin.Server) {
 	t.Helper()
 	server := standin.New(standin.Options{Hosts: []platform.Host{
 		{ID: "entry-1", Role: platform.RoleEntry, State: platform.HostLive, FailureDomain: "a", Address: "127.0.0.1:1"},
@@ -106,7 +113,7 @@
 		cancel()
 		running.Wait()
 	})
-	return e
+	return e, server
 }
 
 // An operator applies an edit just when an agent has connected and not reported yet. The edit's push passes the agent by,
