agent: entries are told over every control stream they have; joined: stories of the seams

The streams were kept by entry, so a stale one could take the working one's place and leave with it when it ended. The entry got the agent's status and never again a release, a wish for a slot or the asking for a permit; the only replica of a model could not be moved. Ruled out: the machine (it confirms at each row it sees again), the entry's books. Weighed: to order the streams by a number of the entry's, which needs a field on the wire; to keep all streams costs a repeated batch to a stream that is ending. Change: Agent.streams holds the streams themselves. Before: TestEntryIsToldOverTheStreamThatIsLeft fails (the release was not told); after: it passes.

Engines check that no order of a former agent follows one of a later one; rare reads of the host list lag by up to 12 s, and entries offer nothing to an endpoint long listed as leaving.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -114,8 +114,9 @@
 	// declaring is held while declarations are put in force.
 	declaring sync.Mutex
 
-	mu       sync.Mutex
-	entries  map[string]*controlStream
+	mu sync.Mutex
+	// streams are the control streams. An entry that gave one up may have another one here before the first has ended.
+	streams  map[*controlStream]struct{}
 	released map[string]uint64
 }
 
@@ -131,7 +132,7 @@
 		recorder: d.Recorder,
 		metrics:  newMetrics(d.Registerer),
 		receiver: declarations.NewReceiver(),
-		entries:  map[string]*controlStream{},
+		streams:  map[*controlStream]struct{}{},
 		released: map[string]uint64{},
 	}
 	var machine *loading.Machine
@@ -267,7 +268,7 @@
 func (a *Agent) stir() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, e := range a.entries {
-		e.stir()
+	for s := range a.streams {
+		s.stir()
 	}
 }
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -115,11 +115,16 @@
 }
 
 // serveControl runs one entry's control stream.
+//
+// An agent that goes on after a freeze takes up the connections that an entry made and gave up meanwhile, in any order,
+// together with the one that works. Were the streams kept by entry, one that is about to end could take the place of the
+// working one and leave with it: the entry would be told the agent's status and never again a release, a wish for a slot or
+// that a permit is wanted, and the only replica of a model could not be moved.
 func (a *Agent) serveControl(ctx context.Context, header *wirepb.StreamHeader, stream *wire.Stream) {
 	s := newControlStream(header)
 	stream.SetLimit(wire.MaxControlBytes)
 	a.mu.Lock()
-	a.entries[header.Entry] = s
+	a.streams[s] = struct{}{}
 	a.mu.Unlock()
 	a.recorder.Record(timeline.Event{Kind: timeline.PeerConnected, Detail: header.Entry})
 	ctx, cancel := context.WithCancel(ctx)
@@ -132,9 +137,7 @@
 	cancel()
 	writer.Wait()
 	a.mu.Lock()
-	if a.entries[header.Entry] == s {
-		delete(a.entries, header.Entry)
-	}
+	delete(a.streams, s)
 	a.mu.Unlock()
 	a.recorder.Record(timeline.Event{Kind: timeline.PeerLost, Detail: header.Entry})
 	a.logger.Info("control stream ended", "entry", header.Entry, "error", err)
@@ -292,7 +295,7 @@
 func (a *Agent) broadcast(add func(*wirepb.ControlUp)) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, s := range a.entries {
+	for s := range a.streams {
 		s.queue(add)
 	}
 }
@@ -304,8 +307,8 @@
 	defer a.mu.Unlock()
 	var best *controlStream
 	highest := uint64(0)
-	for name, s := range a.entries {
-		if weight := xxhash.Sum64String("permits/" + name); best == nil || weight > highest {
+	for s := range a.streams {
+		if weight := xxhash.Sum64String("permits/" + s.entry); best == nil || weight > highest {
 			best, highest = s, weight
 		}
 	}
--- a/internal/agent/shell_test.go
+++ b/internal/agent/shell_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,6 +19,7 @@
 	"balsamsail/internal/loading/idle"
 	"balsamsail/internal/platform"
 	"balsamsail/internal/timeline"
+	"balsamsail/internal/wire"
 	"balsamsail/internal/wire/wirepb"
 )
 
@@ -158,3 +161,59 @@
 		t.Errorf("%d requests are refused though nothing runs", tries)
 	})
 }
+
+// An agent was frozen, and its entry has made a second connection. The agent takes up the old connection after the new one,
+// and the old one ends. What the agent tells all entries, such as that a model is released, must still reach the entry: it
+// would wait for that for ever before it gives the model to another engine.
+func TestEntryIsToldOverTheStreamThatIsLeft(t *testing.T) {
+	a := newShell(KindEngine, nil)
+	a.options.HeartbeatInterval = time.Second
+	ctx, stop := context.WithCancel(t.Context())
+	a.core.perform = newActions(ctx, a)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var serving sync.WaitGroup
+	serving.Go(func() { _ = wire.Serve(ctx, listener, wire.DefaultOptions(), a.logger, a.serveStream) })
+	defer serving.Wait()
+	defer stop()
+	connect := func() (*wire.Session, *wire.Stream) {
+		session, err := wire.Dial(ctx, listener.Addr().String(), wire.DefaultOptions(), a.logger)
+		if err != nil {
+			t.Fatal(err)
+		}
+		stream, err := session.Open(&wirepb.StreamHeader{Kind: wirepb.StreamKind_CONTROL, Entry: "entry-1"}, wire.MaxControlBytes)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := stream.Read(&wirepb.ControlUp{}); err != nil {
+			t.Fatal(err)
+		}
+		return session, stream
+	}
+	working, left := connect()
+	defer func() { _ = working.Close() }()
+	stale, _ := connect()
+	_ = stale.Close()
+	for a.countStreams() > 1 {
+		time.Sleep(time.Millisecond)
+	}
+	a.confirmRelease(loading.ConfirmRelease{Model: "m@1", Revision: 7})
+	_ = left.SetReadDeadline(time.Now().Add(5 * time.Second))
+	for {
+		up := &wirepb.ControlUp{}
+		if err := left.Read(up); err != nil {
+			t.Fatalf("the release was not told: %v", err)
+		}
+		if len(up.Releases) > 0 {
+			return
+		}
+	}
+}
+
+func (a *Agent) countStreams() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.streams)
+}
--- a/internal/joined/agent_test.go
+++ b/internal/joined/agent_test.go
@@ -31,7 +31,9 @@
 // agent is the process beside an endpoint: the machines of package agent, joined as its shell joins them.
 type agent struct {
 	*process
-	w        *world
+	w *world
+	// number rises from agent to agent.
+	number   int
 	host     *host
 	core     *core
 	table    *tableClient
@@ -53,7 +55,7 @@
 	w := h.world
 	w.agents++
 	a := &agent{
-		process: &process{sim: w.sim, name: h.endpoint + "@" + h.id}, w: w, host: h,
+		process: &process{sim: w.sim, name: h.endpoint + "@" + h.id}, w: w, number: w.agents, host: h,
 		table: &tableClient{memoryTable: w.table}, receiver: declarations.NewReceiver(),
 	}
 	queue := admission.NewQueue(admission.Options{MaxWaiting: 6, MaxPerTarget: 4, MaxPerCaller: 4, BatchEvery: 2, Seed: w.random.Uint64()})
@@ -175,13 +177,17 @@
 			slow = a.between(0, 2*time.Second)
 		}
 		lost := a.w.faulty(20)
-		a.w.after(a.between(0, slow), func() {
+		looked := a.between(0, slow)
+		if e.readTime > 0 {
+			slow, looked = e.readTime, 0
+		}
+		a.w.after(looked, func() {
 			if !e.up || lost {
-				a.later(slow, func() { ended(loading.EngineLost{ID: id}) })
+				a.later(slow-looked, func() { ended(loading.EngineLost{ID: id}) })
 				return
 			}
 			state := e.state()
-			a.later(a.between(0, slow), func() { ended(loading.EngineRead{ID: id, State: state}) })
+			a.later(slow-looked, func() { ended(loading.EngineRead{ID: id, State: state}) })
 		})
 	})
 }
--- a/internal/joined/attempt_test.go
+++ b/internal/joined/attempt_test.go
@@ -66,6 +66,7 @@
 		t.finish(routing.OutcomeNotSent)
 		return
 	}
+	e.w.offered(e, l.host)
 	t.stream = l.conn.openStream(t.got, t.broke)
 	offer := &wirepb.Offer{
 		Model: t.target.Model, Adapter: t.target.Adapter, Service: t.target.Service, Class: t.class,
--- a/internal/joined/backend_test.go
+++ b/internal/joined/backend_test.go
@@ -135,6 +135,10 @@
 	}
 	if first {
 		r.emit(func() { r.head(http.StatusOK) })
+		if e.firstTime > 0 {
+			e.later(e.firstTime, func() { e.generate(r, rest, false) })
+			return
+		}
 	}
 	part := []byte(rest[0])
 	r.emit(func() { r.chunk(part) })
--- a/internal/joined/control_test.go
+++ b/internal/joined/control_test.go
@@ -159,14 +159,22 @@
 
 func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
 
-// askPermit asks the entry that all agents with the same connections ask.
-func (a *agent) askPermit(action loading.AskPermit) {
+// issuer returns the entry that all agents with the same connections ask for permits, or nil.
+func (a *agent) issuer() *controlStream {
 	if len(a.streams) == 0 {
-		return
+		return nil
 	}
-	c := slices.MaxFunc(a.streams, func(x, y *controlStream) int {
+	return slices.MaxFunc(a.streams, func(x, y *controlStream) int {
 		return cmp.Compare(xxhash.Sum64String("permits/"+x.entry), xxhash.Sum64String("permits/"+y.entry))
 	})
+}
+
+// askPermit asks the issuer for a permit.
+func (a *agent) askPermit(action loading.AskPermit) {
+	c := a.issuer()
+	if c == nil {
+		return
+	}
 	c.pending.PermitRequests = append(c.pending.PermitRequests, &wirepb.PermitRequest{
 		Id: action.ID, Kind: action.Kind, Model: action.Model, SlackMicros: action.Deadline.Sub(a.now()).Microseconds(),
 	})
--- a/internal/joined/engine_test.go
+++ b/internal/joined/engine_test.go
@@ -70,11 +70,18 @@
 	up          bool
 	incarnation int
 	highest     uint64
-	models      map[string]*engineModel
-	orders      map[*engineOrder]bool
-	runs        map[*run]bool
+	// newest is the number of the newest agent of which an order was taken.
+	newest int
+	models map[string]*engineModel
+	orders map[*engineOrder]bool
+	runs   map[*run]bool
 	// cached lists the model versions whose checkpoint is on the host; loads of others read the weight store.
 	cached map[string]string
+	// script, when set, says how late an order comes, and whether its answer is lost at once.
+	script func(endpoint.Order) (late time.Duration, lost bool)
+	// readTime, when set, is how long a read of the state takes, and firstTime the time from an answer's head to its first
+	// bytes.
+	readTime, firstTime time.Duration
 }
 
 func newEngine(h *host, f fencing) *engine {
@@ -134,10 +141,17 @@
 	if e.faulty(10) {
 		delay = e.between(0, lateOrder)
 	}
-	e.after(delay, func() { e.arrive(o) })
 	if e.faulty(10) {
 		e.after(e.between(0, 3*time.Second), func() { e.lose(o) })
 	}
+	if e.script != nil {
+		late, lost := e.script(order)
+		delay += late
+		if lost {
+			e.after(time.Millisecond, func() { e.lose(o) })
+		}
+	}
+	e.after(delay, func() { e.arrive(o) })
 	e.after(orderTimeout, func() { e.lose(o) })
 }
 
@@ -165,8 +179,11 @@
 	}
 }
 
-// agentGone lets the engine forget who waits for its answers.
+// agentGone lets the engine forget who waits for its answers, and give up the requests of the agent.
 func (e *engine) agentGone(planned bool) {
+	for r := range e.runs {
+		r.cancelled = true
+	}
 	for o := range e.orders {
 		o.left = planned && o.reply != nil
 		o.reply = nil
@@ -187,6 +204,7 @@
 		return
 	}
 	e.highest = max(e.highest, o.Fence)
+	e.checkSender(o)
 	if e.faulty(20) {
 		e.answer(o, endpoint.ErrUnavailable)
 		return
@@ -330,6 +348,14 @@
 	e.answer(o, nil)
 }
 
+// checkSender checks that an engine which checks fencing numbers takes no order of a former agent after one of a later.
+func (e *engine) checkSender(o *engineOrder) {
+	if e.fencing != fencingIgnored && o.agent.number < e.newest {
+		e.violated("fencing", "%s takes order %s of %s, which is gone", e.host.endpoint, o.ID, o.agent.name)
+	}
+	e.newest = max(e.newest, o.agent.number)
+}
+
 // checkMemory checks that what an order loads fits.
 func (e *engine) checkMemory(o *engineOrder) {
 	if used := e.used(); used > e.limit {
--- a/internal/joined/faults_test.go
+++ b/internal/joined/faults_test.go
@@ -228,7 +228,7 @@
 	if h.state != platform.HostLive || !h.up {
 		return
 	}
-	h.state = platform.HostLeaving
+	h.state, h.listedLeavingAt = platform.HostLeaving, w.at
 	if h.leavingAt == 0 {
 		h.leavingAt = w.at
 	}
--- a/internal/joined/hosts_test.go
+++ b/internal/joined/hosts_test.go
@@ -18,10 +18,12 @@
 	state platform.HostState
 	// leavingAt is when the platform, or a planned stop of the agent, began to take the endpoint away; 0 when it has not.
 	leavingAt time.Duration
-	createdAt time.Duration
-	engine    *engine
-	service   *service
-	agent     *agent
+	// listedLeavingAt is when the list first said so; 0 when it has not.
+	listedLeavingAt time.Duration
+	createdAt       time.Duration
+	engine          *engine
+	service         *service
+	agent           *agent
 }
 
 // listening reports whether an agent holds the host's address.
@@ -75,6 +77,8 @@
 type hostList struct {
 	*sim
 	versions []hostListVersion
+	// old is set when the last read was answered by a replica that lags far.
+	old bool
 }
 
 type hostListVersion struct {
@@ -82,8 +86,12 @@
 	hosts []platform.Host
 }
 
-// hostListLag is how old the list may be that a read returns.
-const hostListLag = 1500 * time.Millisecond
+const (
+	// hostListLag is how old the list usually is that a read returns, and rareHostListLag how old it may be at times, but
+	// not twice in a row.
+	hostListLag     = 1500 * time.Millisecond
+	rareHostListLag = 12 * time.Second
+)
 
 // publish makes a new version of the list.
 func (l *hostList) publish(hosts []platform.Host) {
@@ -93,6 +101,9 @@
 // Hosts implements platform.HostList. Two reads may be answered by replicas that lag differently.
 func (l *hostList) Hosts(context.Context) ([]platform.Host, uint64, error) {
 	oldest := l.at - l.between(0, hostListLag)
+	if l.old = !l.old && l.chance(12); l.old {
+		oldest = l.at - l.between(0, rareHostListLag)
+	}
 	i := len(l.versions) - 1
 	for i > 0 && l.versions[i].at > oldest {
 		i--
--- a/internal/joined/inforce_test.go
+++ b/internal/joined/inforce_test.go
@@ -91,3 +91,12 @@
 		w.violated("P7", "%s takes %s %v after the drain", h.endpoint, x.id, w.at-drained)
 	}
 }
+
+// offered checks that an entry offers nothing to an endpoint of which the list has said for some time that it leaves,
+// whatever the agent would answer.
+func (w *world) offered(e *entry, h *host) {
+	known := w.at-max(e.started, e.thawedAt) > leavingBound
+	if known && h.listedLeavingAt > 0 && w.at-h.listedLeavingAt > leavingBound {
+		w.violated("P7", "%s offers to %s %v after it was listed as leaving", e.name, h.endpoint, w.at-h.listedLeavingAt)
+	}
+}
--- a/internal/joined/property_test.go
+++ b/internal/joined/property_test.go
@@ -15,7 +15,7 @@
 )
 
 var (
-	seedsFlag = flag.Int("joined.seeds", 1500, "number of seeds of the joined runs")
+	seedsFlag = flag.Int("joined.seeds", 3000, "number of seeds of the joined runs")
 	firstFlag = flag.Uint64("joined.first", 1, "first seed of the joined runs")
 	traceFlag = flag.Int("joined.trace", 150, "lines of the trace of a failed run that are printed")
 )
--- a/internal/joined/sim_test.go
+++ b/internal/joined/sim_test.go
@@ -129,6 +129,9 @@
 
 // later does something after a time, unless the process has ended by then.
 func (p *process) later(d time.Duration, run func()) {
+	if !p.alive {
+		return
+	}
 	generation := p.generation
 	p.sim.after(d, func() { p.do(generation, run) })
 }
--- /dev/null
+++ b/internal/joined/story_test.go
@@ -0,0 +1,420 @@
+package joined
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"balsamsail/internal/declarations"
+	pb "balsamsail/internal/declarations/declarationspb"
+	"balsamsail/internal/endpoint"
+	"balsamsail/internal/platform"
+	"balsamsail/internal/replicas"
+	"balsamsail/internal/replicas/replicaspb"
+)
+
+// story is a world in which only happens what a test tells; latencies differ from seed to seed.
+type story struct {
+	*testing.T
+	*world
+}
+
+// storySeeds is how many seeds each story is told with.
+const storySeeds = 25
+
+// modelOf declares a model that only the engines matched by a selector may hold.
+func modelOf(name, selector string, most int) string {
+	return fmt.Sprintf(`
+[model %q]
+versions = 1
+engine_selector = %s
+memory = %dB
+kv_floor = 5B
+min_replicas = %d
+max_replicas = %d
+warm_replicas = 0
+max_concurrency = 2
+load_time = 1s
+`, name, selector, modelMemory[name], most, most)
+}
+
+// kept declares that a model's replicas stay loaded.
+func kept(model string) string {
+	return strings.Replace(model, "warm_replicas = 0", "warm_replicas = 1", 1)
+}
+
+const ledgerService = `
+[service "ledger"]
+path_prefix = /ledger/
+endpoint_selector = pool = ledger
+max_concurrency = 3
+`
+
+// tell tells a story with several seeds, with one of the guards left out if one is named. It returns the first violation.
+func tell(t *testing.T, without guard, size shape, file string, script func(*story)) (broken string) {
+	t.Helper()
+	for seed := range uint64(storySeeds) {
+		for _, tracing := range []bool{false, true} {
+			var w *world
+			synctest.Test(t, func(t *testing.T) {
+				w = newWorld(seed, size)
+				w.without, w.tracing = without, tracing
+				w.begin()
+				w.apply(w.entries[w.entryNames[0]], file)
+				w.keepChecking()
+				s := &story{T: t, world: w}
+				s.pass(12 * time.Second)
+				script(s)
+			})
+			if w.broken == "" {
+				break
+			}
+			broken = fmt.Sprintf("seed %d: %s", seed, w.broken)
+			if without == guardNone && tracing {
+				t.Errorf("%s\n%s", broken, strings.Join(w.trace[max(0, len(w.trace)-*traceFlag):], "\n"))
+			}
+		}
+		if broken != "" {
+			return broken
+		}
+	}
+	return ""
+}
+
+// pass lets time pass.
+func (s *story) pass(d time.Duration) { s.runUntil(s.at+d, s.check) }
+
+// await lets time pass until something is so.
+func (s *story) await(what string, most time.Duration, so func() bool) {
+	const step = 5 * time.Millisecond
+	for end := s.at + most; s.broken == "" && !so(); {
+		if s.at >= end {
+			s.violated("story", "%s does not happen within %v", what, most)
+		}
+		s.runUntil(s.at+step, s.check)
+	}
+}
+
+// want is a violation when something is not so.
+func (s *story) want(so bool, format string, args ...any) {
+	if !so {
+		s.violated("story", format, args...)
+	}
+}
+
+func (s *story) entry(i int) *entry { return s.entries[s.entryNames[i]] }
+
+// chat makes a request for a model.
+func (s *story) chat(e *entry, model string, left time.Duration) *call {
+	c := s.newCall()
+	c.model, c.left = model, left
+	c.make(e)
+	return c
+}
+
+// post makes a call that must not be repeated.
+func (s *story) post(e *entry, key string, left time.Duration) *call {
+	c := s.newCall()
+	c.service, c.key, c.left = serviceName, key, left
+	c.make(e)
+	return c
+}
+
+// told is what a call's caller was told, "" when nothing yet.
+func (c *call) told() told {
+	if len(c.words) == 0 {
+		return ""
+	}
+	return c.words[0]
+}
+
+// served waits until a call is served.
+func (s *story) served(c *call) {
+	s.await(c.token+" is told", 20*time.Second, func() bool { return c.told() != "" })
+	s.want(c.told() == toldWhole, "%s is told %q", c.token, c.told())
+}
+
+// holds reports whether an engine has a model in its memory.
+func (h *host) holds(model string) bool { return h.engine.models[model] != nil }
+
+// slot is the state of an endpoint's slot in a model's row.
+func (s *story) slot(model, endpoint string) replicaspb.SlotState {
+	return replicas.SlotOf(s.rows[model], endpoint, s.current[endpoint].id).GetState()
+}
+
+// late makes the next order of a kind for a model late, and perhaps loses its answer.
+func (h *host) late(kind endpoint.OrderKind, model string, d time.Duration, lost bool) {
+	h.engine.script = func(o endpoint.Order) (time.Duration, bool) {
+		if o.Kind != kind || o.Model != model {
+			return 0, false
+		}
+		h.engine.script = nil
+		return d, lost
+	}
+}
+
+// An agent orders its engine to load a model. The order hangs, the agent crashes, and the next one begins, loads another
+// model, and fills the memory. Then the first order arrives. The operator sees an engine that is out of memory, or a
+// model loaded that nobody decided, if the new agent does not wait out the order's life at an engine that ignores fencing
+// numbers, or does not fence it off at one that checks them.
+func TestLateLoadOfACrashedAgent(t *testing.T) {
+	for _, f := range []fencing{fencingIgnored, fencingDurable, fencingVolatile} {
+		t.Run(fmt.Sprint("fencing ", f), func(t *testing.T) {
+			size := shape{entries: 2, engines: 1, services: 0, fencing: []fencing{f}}
+			file := modelOf("a", "endpoint = e0", 1) + modelOf("b", "endpoint = e0", 1) + modelOf("c", "endpoint = e0", 1)
+			tell(t, guardNone, size, file, func(s *story) {
+				h := s.current["e0"]
+				h.late(endpoint.OrderLoad, "a@1", 4*time.Second, true)
+				s.chat(s.entry(0), "a", 15*time.Second)
+				s.await("the order", 5*time.Second, func() bool { return h.engine.script == nil })
+				h.crashAgent()
+				s.pass(100 * time.Millisecond)
+				h.startAgent()
+				s.pass(time.Second)
+				b, c := s.chat(s.entry(1), "b", 18*time.Second), s.chat(s.entry(1), "c", 18*time.Second)
+				s.pass(19 * time.Second)
+				s.want(b.told() != "" && c.told() != "", "told %q and %q", b.told(), c.told())
+				s.served(s.chat(s.entry(0), "b", 15*time.Second))
+			})
+		})
+	}
+}
+
+// All that an agent orders hangs, and it orders again under higher fencing numbers. It crashes, and the next agent's orders
+// are carried out. Its numbers must be above all of the first one's, also those that the engine has not seen yet: else an
+// order that hung is taken for the newest one when it arrives, and loads or unloads behind the new agent's back.
+func TestFencingNumbersRiseFromAgentToAgent(t *testing.T) {
+	for _, f := range []fencing{fencingDurable, fencingVolatile} {
+		t.Run(fmt.Sprint("fencing ", f), func(t *testing.T) {
+			size := shape{entries: 2, engines: 1, services: 0, fencing: []fencing{f}}
+			file := modelOf("a", "", 1) + modelOf("b", "", 1) + modelOf("c", "", 1)
+			tell(t, guardNone, size, file, func(s *story) {
+				h := s.current["e0"]
+				for _, model := range modelNames {
+					h.engine.cached[model+"@1"] = "disk"
+				}
+				s.pass(6 * time.Second)
+				h.engine.script = func(endpoint.Order) (time.Duration, bool) { return 4 * time.Second, true }
+				for _, model := range []string{"a", "c", "b"} {
+					s.chat(s.entry(0), model, 15*time.Second)
+					s.pass(100 * time.Millisecond)
+				}
+				h.engine.script = nil
+				h.engine.firstTime = 6 * time.Second
+				h.crashAgent()
+				s.pass(100 * time.Millisecond)
+				h.startAgent()
+				s.pass(time.Second)
+				s.chat(s.entry(0), "a", 12*time.Second)
+				s.chat(s.entry(1), "c", 12*time.Second)
+				s.pass(10 * time.Second)
+			})
+		})
+	}
+}
+
+// An agent has released the only replica of a model, which is now loaded elsewhere, and crashes. The next agent does not
+// reach the table, and an entry that does not reach it either tells it of the slot that its predecessor had. Under that
+// row it must load nothing, however its callers ask.
+func TestNewAgentIsToldOfAnOldSlot(t *testing.T) {
+	size := shape{entries: 2, engines: 2, services: 0, fencing: []fencing{fencingIgnored}}
+	tell(t, guardNone, size, kept(modelOf("a", "endpoint = e0", 1)), func(s *story) {
+		h, behind := s.current["e0"], s.entry(1)
+		s.served(s.chat(behind, "a", 15*time.Second))
+		behind.table.cut = true
+		s.apply(s.entry(0), kept(modelOf("a", "endpoint = e1", 1)))
+		s.await("the slot moves", 15*time.Second, func() bool { return s.slot("a@1", "e1") == replicaspb.SlotState_GRANTED })
+		s.served(s.chat(s.entry(0), "a", 15*time.Second))
+		h.crashAgent()
+		h.startAgent()
+		h.agent.table.cut = true
+		for range 8 {
+			s.chat(behind, "a", 3*time.Second)
+			s.pass(1500 * time.Millisecond)
+		}
+		behind.table.cut, behind.tableFreed, h.agent.table.cut = false, s.at, false
+		s.pass(8 * time.Second)
+		s.served(s.chat(behind, "a", 12*time.Second))
+	})
+}
+
+// A model may have one replica. It is loaded on one engine, whose agent is frozen. The operator moves it to another one by
+// its selector. For as long as nobody knows what the frozen agent does the model must not be loaded twice, and callers are
+// told that their requests did not run; once the agent goes on, or its host is gone, the model moves.
+func TestOnlyReplicaMovesWhileItsAgentIsFrozen(t *testing.T) {
+	cases := []struct {
+		name string
+		end  func(s *story, h *host)
+	}{
+		{"the agent goes on", func(s *story, h *host) { s.thaw(h.agent.process) }},
+		{"the host is gone", func(s *story, h *host) { s.takeAway(h) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			size := shape{entries: 2, engines: 2, services: 0, fencing: []fencing{fencingIgnored}}
+			tell(t, guardNone, size, modelOf("a", "endpoint = e0", 1), func(s *story) {
+				old, next := s.current["e0"], s.current["e1"]
+				s.served(s.chat(s.entry(0), "a", 15*time.Second))
+				old.agent.freeze()
+				s.net.notice()
+				s.apply(s.entry(1), modelOf("a", "endpoint = e1", 1))
+				s.pass(15 * time.Second)
+				s.want(!next.holds("a@1") && s.slot("a@1", "e1") == 0, "the second engine has a slot")
+				refused := s.chat(s.entry(0), "a", 2*time.Second)
+				s.pass(4 * time.Second)
+				s.want(refused.told() == toldNotRun || refused.told() == toldUnknown, "told %q", refused.told())
+				c.end(s, old)
+				s.await("the slot moves", 25*time.Second, func() bool { return s.slot("a@1", "e1") == replicaspb.SlotState_GRANTED })
+				s.served(s.chat(s.entry(0), "a", 15*time.Second))
+				s.want(!old.up || !old.holds("a@1"), "the first engine still holds the model")
+			})
+		})
+	}
+}
+
+// A penalty notice is offered, the agent is ready, and the entry sends the commit. The link is cut in that moment. The
+// caller must not be told that the notice did not go out, and it must not go out later than the agent's patience: the
+// commit that comes through when the link is mended starts nothing. A repetition under the same key goes out once at the
+// most.
+func TestCommitOvertakenByACutLink(t *testing.T) {
+	cases := []struct {
+		name string
+		cut  []side
+		mend time.Duration
+	}{
+		{"towards the agent, mended at once", []side{atAgent}, 500 * time.Millisecond},
+		{"towards the agent, mended after the agent's patience", []side{atAgent}, commitTimeout + 300*time.Millisecond},
+		{"towards the agent, for long", []side{atAgent}, 6 * time.Second},
+		{"towards the entry", []side{atEntry}, 6 * time.Second},
+		{"both ways", []side{atAgent, atEntry}, 2 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			size := shape{entries: 2, engines: 0, services: 1, fencing: []fencing{fencingIgnored}}
+			tell(t, guardNone, size, ledgerService, func(s *story) {
+				h, e := s.current["s0"], s.entry(0)
+				first := s.post(e, "notice", 3*time.Second)
+				s.await("the commit", time.Second, func() bool { return committed(e) })
+				l := s.net.link(e.name, h.id)
+				for _, to := range c.cut {
+					s.net.block(l, to, true)
+				}
+				s.pass(c.mend)
+				s.net.block(l, atAgent, false)
+				s.net.block(l, atEntry, false)
+				s.pass(8 * time.Second)
+				s.want(first.told() != "", "the caller is told nothing")
+				again := s.post(s.entry(1), "notice", 3*time.Second)
+				s.pass(4 * time.Second)
+				s.want(again.told() != "", "the second caller is told nothing")
+				s.want(first.runs+again.runs <= 1, "%d runs", first.runs+again.runs)
+			})
+		})
+	}
+}
+
+// committed reports whether an entry has sent a commit that it waits for the end of.
+func committed(e *entry) bool {
+	for r := range e.requests {
+		if r.current != nil && r.current.exchange.Committed() {
+			return true
+		}
+	}
+	return false
+}
+
+// An entry crashes after it has committed a slot confirmation. The caller's connection breaks, and it tries again at
+// another entry under the same key, while the first run still goes on and when it has ended. It must be told that the
+// outcome is not known, and the confirmation must not be sent again.
+func TestEntryCrashesAfterTheCommit(t *testing.T) {
+	size := shape{entries: 2, engines: 0, services: 2, fencing: []fencing{fencingIgnored}}
+	tell(t, guardNone, size, ledgerService, func(s *story) {
+		e := s.entry(0)
+		first := s.post(e, "pad 4", 3*time.Second)
+		s.await("the commit", time.Second, func() bool { return committed(e) })
+		e.crash()
+		for range 3 {
+			again := s.post(s.entry(1), "pad 4", 2*time.Second)
+			s.pass(3 * time.Second)
+			s.want(again.told() == toldUnknown && again.runs == 0, "told %q, runs %d", again.told(), again.runs)
+		}
+		s.want(first.runs <= 1, "runs %d", first.runs)
+	})
+}
+
+// Two operators lower and raise a model's maximum at two entries while the table loses answers. No grant that was decided
+// under the higher maximum may be written after the lower one was accepted.
+func TestGrantsKeepToTheMaximumInForce(t *testing.T) {
+	size := shape{entries: 3, engines: 4, services: 0, fencing: []fencing{fencingDurable}}
+	tell(t, guardNone, size, modelOf("a", "", 1), func(s *story) {
+		s.table.lossy = 3
+		for i := range 12 {
+			s.apply(s.entry(i%3), modelOf("a", "", 1+(i*5)%3))
+			s.pass(s.between(10*time.Millisecond, 800*time.Millisecond))
+		}
+		s.table.lossy = 0
+		s.pass(15 * time.Second)
+	})
+}
+
+// A host is replaced by one that runs an engine of the same name, while the slot of the old one is on its way out. The new
+// engine must not take the old host's slot for its own: it may be removed at any moment.
+func TestReplacementDoesNotUseTheOldHostsSlot(t *testing.T) {
+	size := shape{entries: 2, engines: 2, services: 0, fencing: []fencing{fencingIgnored}}
+	tell(t, guardNone, size, modelOf("a", "endpoint = e0", 1), func(s *story) {
+		old := s.current["e0"]
+		s.served(s.chat(s.entry(0), "a", 15*time.Second))
+		old.terminate()
+		s.addHost("e0", kindEngine, old.domain, fencingIgnored).startAgent()
+		s.publishHosts()
+		s.chat(s.entry(1), "a", 6*time.Second)
+		s.pass(4 * time.Second)
+		old.state = platform.HostGone
+		s.publishHosts()
+		s.await("a slot", 20*time.Second, func() bool { return s.slot("a@1", "e0") == replicaspb.SlotState_GRANTED })
+		s.served(s.chat(s.entry(0), "a", 15*time.Second))
+	})
+}
+
+// An operator drains an engine while one entry is frozen. When that entry goes on it still believes the engine to be
+// there for work. Its requests must be served elsewhere, and the drained engine gets none after some seconds.
+func TestDrainMeetsAFrozenEntry(t *testing.T) {
+	size := shape{entries: 2, engines: 2, services: 0, fencing: []fencing{fencingIgnored}}
+	tell(t, guardNone, size, modelOf("a", "", 2), func(s *story) {
+		s.served(s.chat(s.entry(1), "a", 15*time.Second))
+		s.entry(1).freeze()
+		s.net.notice()
+		s.edit(s.entry(0), declarations.SetDrain("e0", true))
+		s.pass(14 * time.Second)
+		s.thaw(s.entry(1).process)
+		for range 8 {
+			s.served(s.chat(s.entry(1), "a", 12*time.Second))
+		}
+		s.want(s.slot("a@1", "e0") == 0 && !s.current["e0"].holds("a@1"), "the drained engine still has a replica")
+	})
+}
+
+// engineLabel is the change that gives an engine a label.
+func engineLabel(engine, pool string) declarations.ChangeFunc {
+	key := &pb.ObjectKey{Kind: declarations.KindEngine, Name: engine}
+	return declarations.SetLabels(key, map[string]string{"pool": pool}, nil)
+}
+
+// An engine's labels change to and fro while its agent is cut off from one entry and then from the other. Confirmations
+// of an earlier release must not free the slot of a later one.
+func TestConfirmationsOfEarlierReleases(t *testing.T) {
+	size := shape{entries: 2, engines: 2, services: 0, fencing: []fencing{fencingIgnored}}
+	tell(t, guardNone, size, modelOf("a", "pool = x", 1), func(s *story) {
+		for i := range 6 {
+			s.edit(s.entry(i%2), engineLabel("e0", []string{"x", "y"}[i%2]))
+			s.edit(s.entry(i%2), engineLabel("e1", []string{"y", "x"}[i%2]))
+			s.chat(s.entry(i%2), "a", 5*time.Second)
+			s.cutLink(s.entry(i%2), s.current["e0"], true)
+			s.pass(s.between(500*time.Millisecond, 6*time.Second))
+		}
+		s.pass(15 * time.Second)
+		s.served(s.chat(s.entry(0), "a", 12*time.Second))
+	})
+}
