joined: the joining as it is now; an entry cut off from the table learns from agents

New check of property 9: an entry that does not reach the table holds, within 4 s, what the agents that it reaches hold.

--- a/internal/joined/agent_test.go
+++ b/internal/joined/agent_test.go
@@ -38,6 +38,8 @@
 	core     *core
 	table    *tableClient
 	receiver *declarations.Receiver
+	// declaredAt is when the declarations last changed here.
+	declaredAt time.Duration
 	// streams are the control streams: an entry that gave one up may have another one taken up before it ends here.
 	streams []*controlStream
 	// readAsked and rowsAsked are the shell's channels of capacity one; reading and readingRows are set while it reads.
@@ -98,6 +100,9 @@
 	up := a.host.service.up && !a.w.faulty(30)
 	if a.core.up != up {
 		a.core.up = up
+		if up {
+			a.perform(a.core.pump(a.now()))
+		}
 		a.stir()
 	}
 	a.later(probeInterval, a.probe)
--- a/internal/joined/control_test.go
+++ b/internal/joined/control_test.go
@@ -19,8 +19,12 @@
 	entry   string
 	stream  *stream
 	pending *wirepb.ControlUp
-	told    map[string]*wirepb.Replica
-	woken   bool
+	// last is the status that was last told, with its replicas, and sentAt when.
+	last   *wirepb.Status
+	told   map[string]*wirepb.Replica
+	sentAt time.Time
+	// woken is set while changes are gathered, waiting while news of load wait for more of their kind.
+	woken, waiting bool
 }
 
 // accept takes up a stream by its first message.
@@ -51,7 +55,10 @@
 	c.agent.later(heartbeatInterval, c.heartbeat)
 }
 
-// stir sends a batch after the time in which changes are gathered.
+// loadReportInterval is the least time between two batches that tell of nothing but load.
+const loadReportInterval = 250 * time.Millisecond
+
+// stir sends a batch after the time in which changes are gathered, if there is news.
 func (c *controlStream) stir() {
 	if c.woken {
 		return
@@ -59,46 +66,106 @@
 	c.woken = true
 	c.agent.later(batchDelay, func() {
 		c.woken = false
-		c.write()
+		found := c.compare(c.agent.status())
+		wait := loadReportInterval - c.agent.now().Sub(c.sentAt)
+		switch {
+		case found == newsState || c.hasQueued() || found == newsLoad && wait <= 0:
+			c.write()
+		case found == newsLoad && !c.waiting:
+			c.waiting = true
+			c.agent.later(wait, func() {
+				if c.waiting {
+					c.write()
+				}
+			})
+		}
 	})
 }
 
+// hasQueued reports whether the next batch carries more than the agent's status.
+func (c *controlStream) hasQueued() bool {
+	p := c.pending
+	return len(p.PermitRequests)+len(p.PermitsDone)+len(p.Releases)+len(p.Wanted) > 0 || p.Snapshot != nil || p.WantSnapshot
+}
+
 func (c *controlStream) write() {
+	c.waiting = false
 	up := c.pending
 	c.pending = &wirepb.ControlUp{}
 	up.Status = c.change(c.agent.status())
+	c.sentAt = c.agent.now()
 	_ = c.stream.write(atAgent, up)
 }
 
-// change leaves only those replicas in a status that differ from what was told before.
+// news is how a status differs from what an entry was last told.
+type news int
+
+const (
+	newsNone news = iota
+	newsLoad
+	newsState
+)
+
+func (c *controlStream) compare(s *wirepb.Status) news {
+	last := c.last
+	if last == nil || !c.sameFixed(s) || last.Leaving != s.Leaving || last.Ready != s.Ready ||
+		last.MemoryReservedBytes != s.MemoryReservedBytes || last.DeclarationsRevision != s.DeclarationsRevision ||
+		last.LoadsInFlight != s.LoadsInFlight || last.AdaptersInFlight != s.AdaptersInFlight || len(s.Replicas) != len(c.told) {
+		return newsState
+	}
+	found := newsNone
+	if l, n := last.Load, s.Load; l.Running != n.Running || l.Queued != n.Queued || l.WaitMicros != n.WaitMicros {
+		found = newsLoad
+	}
+	for _, r := range s.Replicas {
+		found = max(found, replicaNews(c.told[r.Model], r))
+	}
+	return found
+}
+
+func (c *controlStream) sameFixed(s *wirepb.Status) bool {
+	return c.last.MemoryBytes == s.MemoryBytes && slices.Equal(c.last.Cached, s.Cached)
+}
+
+func replicaNews(told, now *wirepb.Replica) news {
+	switch {
+	case told == nil, told.State != now.State, told.Revision != now.Revision, !slices.Equal(told.Adapters, now.Adapters):
+		return newsState
+	case told.Running != now.Running, told.Queued != now.Queued, (told.IdleMillis == 0) != (now.IdleMillis == 0):
+		return newsLoad
+	default:
+		return newsNone
+	}
+}
+
+// change leaves out of a status what is fixed and the replicas that were told as they are.
 func (c *controlStream) change(status *wirepb.Status) *wirepb.Status {
 	before := c.told
-	c.told = map[string]*wirepb.Replica{}
+	whole := c.last == nil || !c.sameFixed(status)
+	c.last, c.told = status, map[string]*wirepb.Replica{}
 	for _, r := range status.Replicas {
 		c.told[r.Model] = r
 	}
-	if before == nil {
+	if whole {
 		status.Full = true
 		return status
 	}
-	now := status.Replicas
-	status.Replicas, status.Labels = nil, nil
-	for _, r := range now {
-		if !sameReplica(before[r.Model], r) {
-			status.Replicas = append(status.Replicas, r)
+	changed := &wirepb.Status{
+		Leaving: status.Leaving, Ready: status.Ready, MemoryReservedBytes: status.MemoryReservedBytes,
+		DeclarationsRevision: status.DeclarationsRevision, Load: status.Load,
+		LoadsInFlight: status.LoadsInFlight, AdaptersInFlight: status.AdaptersInFlight,
+	}
+	for _, r := range status.Replicas {
+		if replicaNews(before[r.Model], r) != newsNone {
+			changed.Replicas = append(changed.Replicas, r)
 		}
 	}
 	for _, model := range slices.Sorted(maps.Keys(before)) {
 		if c.told[model] == nil {
-			status.Replicas = append(status.Replicas, &wirepb.Replica{Model: model})
+			changed.Replicas = append(changed.Replicas, &wirepb.Replica{Model: model})
 		}
 	}
-	return status
-}
-
-func sameReplica(a, b *wirepb.Replica) bool {
-	return a != nil && a.State == b.State && a.Running == b.Running && a.Queued == b.Queued && a.Revision == b.Revision &&
-		(a.IdleMillis == 0) == (b.IdleMillis == 0) && slices.Equal(a.Adapters, b.Adapters)
+	return changed
 }
 
 // stir wakes the control streams' writers.
@@ -153,6 +220,7 @@
 		a.violated("P9", "%s goes back from revision %d to %d", a.name, before, revision)
 	}
 	if revision != before {
+		a.declaredAt = a.at
 		a.core.declare(a.receiver.Current())
 	}
 }
--- a/internal/joined/coordinator_test.go
+++ b/internal/joined/coordinator_test.go
@@ -15,17 +15,13 @@
 	"balsamsail/internal/wire/wirepb"
 )
 
-// connectedTo begins a new connection to an agent with the whole state.
+// connectedTo begins a new connection to an agent with the grants and what is known of its host. The declarations follow its
+// first report.
 func (e *entry) connectedTo(endpoint string) {
-	set := e.store.Current()
-	down := &wirepb.ControlDown{
+	delete(e.told, endpoint)
+	e.send(endpoint, &wirepb.ControlDown{
 		Rows: e.grants.RowsOf(endpoint), HostState: e.hostState(endpoint), WantState: !e.store.Ready(),
-	}
-	if set.Revision() > 0 {
-		down.Snapshot = set.Snapshot()
-	}
-	e.told[endpoint] = set.Revision()
-	e.send(endpoint, down)
+	})
 }
 
 // reported takes an agent's batch.
@@ -51,8 +47,10 @@
 		e.send(name, &wirepb.ControlDown{Snapshot: e.store.Current().Snapshot()})
 	}
 	if ep != nil && ep.Connected {
+		e.told[name] = max(e.told[name], up.Status.DeclarationsRevision)
 		e.pushTo(name)
 	}
+	e.catchUp(name, up.Status)
 	for _, id := range up.PermitsDone {
 		e.permits.Done(now, name, id)
 	}
@@ -94,25 +92,35 @@
 	e.announce()
 }
 
-// noteReachability keeps since when an endpoint answers or not.
+// noteReachability keeps since when an endpoint answers or not, and what else of its report the grants are decided from.
 func (e *entry) noteReachability(endpoint string) {
-	ep := e.endpoint(endpoint)
-	reachable := ep != nil && ep.Connected && ep.Status.GetReady()
-	if old, known := e.since[endpoint]; !known || old.reachable != reachable {
-		e.since[endpoint] = reachability{reachable: reachable, since: e.now()}
-		e.version++
-		e.wakeGrants(grantSettle)
+	next := reachability{since: e.now()}
+	if ep := e.endpoint(endpoint); ep != nil {
+		next.reachable, next.leaving = ep.Connected && ep.Status.GetReady(), ep.Leaving
+		next.memory, next.kind, next.labels = ep.Status.GetMemoryBytes(), ep.Status.GetKind(), ep.Status.GetLabels()
+	}
+	old, known := e.since[endpoint]
+	same := old.reachable == next.reachable && old.leaving == next.leaving && old.memory == next.memory &&
+		old.kind == next.kind && maps.Equal(old.labels, next.labels)
+	if known && same {
+		return
+	}
+	if known && old.reachable == next.reachable {
+		next.since = old.since
 	}
+	e.since[endpoint] = next
+	e.version++
+	e.wakeGrants(grantSettle)
 }
 
-// pushTo sends an agent the deltas since what it was last sent, or a snapshot.
+// pushTo sends an agent the deltas since what it was last sent or said that it holds, or a snapshot.
 func (e *entry) pushTo(endpoint string) {
 	set := e.store.Current()
-	told := e.told[endpoint]
-	e.told[endpoint] = max(told, set.Revision())
-	if told >= set.Revision() {
+	told, known := e.told[endpoint]
+	if !known || told >= set.Revision() {
 		return
 	}
+	e.told[endpoint] = set.Revision()
 	deltas, ok := e.store.DeltasSince(told)
 	if !ok || told == 0 {
 		e.send(endpoint, &wirepb.ControlDown{Snapshot: set.Snapshot()})
@@ -121,6 +129,26 @@
 	e.send(endpoint, &wirepb.ControlDown{Deltas: deltas})
 }
 
+const (
+	behindPatience = time.Second
+	behindAgain    = time.Second
+)
+
+// catchUp asks an agent for the declarations when it holds higher ones and the table does not show them.
+func (e *entry) catchUp(endpoint string, status *wirepb.Status) {
+	now := e.now()
+	if status.DeclarationsRevision <= e.store.Current().Revision() {
+		return
+	}
+	if e.behindSince.IsZero() {
+		e.behindSince = now
+	}
+	if now.Sub(e.behindSince) >= behindPatience && now.Sub(e.behindAsked) >= behindAgain {
+		e.behindAsked = now
+		e.send(endpoint, &wirepb.ControlDown{WantState: true})
+	}
+}
+
 // pushRows sends changed rows to the agents that they name or have named.
 func (e *entry) pushRows() {
 	rows, deleted, next := e.grants.Changed(e.point)
@@ -191,6 +219,10 @@
 
 // Engines implements replicas.EngineSource.
 func (e *entry) Engines() ([]replicas.EngineView, uint64) {
+	version := e.version + e.store.Current().Revision()<<32
+	if version == e.viewsVersion && e.views != nil {
+		return e.views, version
+	}
 	var views []replicas.EngineView
 	for _, name := range e.endpoints() {
 		ep := e.endpoint(name)
@@ -203,7 +235,8 @@
 			Leaving: ep.Leaving, Drain: e.drained(name),
 		})
 	}
-	return views, e.version + e.store.Current().Revision()<<32
+	e.views, e.viewsVersion = views, version
+	return views, version
 }
 
 // Hosts implements replicas.EngineSource.
--- a/internal/joined/entry_test.go
+++ b/internal/joined/entry_test.go
@@ -49,10 +49,15 @@
 	told    map[string]uint64
 	since   map[string]reachability
 	version uint64
-	named   map[string]map[string]bool
-	point   uint64
-	sent    map[string]int
-	picking map[*request]bool
+	// views are the engines as of viewsVersion.
+	views        []replicas.EngineView
+	viewsVersion uint64
+	// behindSince is when an agent was first heard to hold a higher revision, behindAsked when one was last asked for it.
+	behindSince, behindAsked time.Time
+	named                    map[string]map[string]bool
+	point                    uint64
+	sent                     map[string]int
+	picking                  map[*request]bool
 	// requests are those in flight, committed those whose fate is awaited in the background.
 	requests map[*request]bool
 	sequence int
@@ -65,9 +70,13 @@
 	tableFreed time.Duration
 }
 
+// reachability is whether an endpoint answers and since when, and what else of its report the grants are decided from.
 type reachability struct {
-	reachable bool
-	since     time.Time
+	reachable, leaving bool
+	since              time.Time
+	memory             int64
+	kind               string
+	labels             map[string]string
 }
 
 // grantPolicy has short times, so that slots come and go within a run.
@@ -137,7 +146,7 @@
 	if revision == e.revision {
 		return
 	}
-	e.revision = revision
+	e.revision, e.behindSince = revision, time.Time{}
 	e.logf("%s has revision %d", e.name, revision)
 	e.soon(func() {
 		for _, name := range e.endpoints() {
--- a/internal/joined/inforce_test.go
+++ b/internal/joined/inforce_test.go
@@ -63,6 +63,9 @@
 			w.violated("P9", "%s has revision %d, %d was accepted %v ago", e.name, held, due, w.at-w.acceptedAt[due])
 		}
 	}
+	for _, e := range w.liveEntries() {
+		w.checkLearnt(e)
+	}
 	for _, h := range w.allHosts {
 		if !h.up || !h.listening() || h.state == "" {
 			continue
@@ -74,6 +77,24 @@
 	}
 }
 
+// checkLearnt checks that an entry which does not reach the table learns from the agents that it reaches what they hold.
+func (w *world) checkLearnt(e *entry) {
+	if e.frozen || !e.table.cut && !w.table.down {
+		return
+	}
+	for _, h := range w.allHosts {
+		if !h.up || !h.listening() || h.agent.frozen || h.state == "" || w.current[h.endpoint] != h {
+			continue
+		}
+		a, l := h.agent, w.net.link(e.name, h.id)
+		since := max(e.started, e.thawedAt, a.started, a.thawedAt, l.freed, h.createdAt+hostListLag+2*listInterval, a.declaredAt)
+		held, told := e.store.Current().Revision(), a.receiver.Revision()
+		if l.blocked == [2]bool{} && w.at-since > inForceBound && held < told {
+			w.violated("P9", "%s has revision %d, %s has had %d for %v", e.name, held, a.name, told, w.at-since)
+		}
+	}
+}
+
 // offerAccepted checks that an endpoint takes new work only while it is not leaving, but for the time in which that
 // becomes known. An entry that was frozen has that time once it goes on.
 func (w *world) offerAccepted(x *exchange) {
