--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -108,6 +108,8 @@
 	requests inflight
 	// unloads are the unload orders on their way.
 	unloads inflight
+	// calls ends when the time to drain is over: a call that hangs at the endpoint must not hold the stop up any longer.
+	calls context.Context
 	// offers counts the offers, to tell them from each other.
 	offers atomic.Uint64
 
@@ -168,11 +170,13 @@
 func (a *Agent) Run(ctx context.Context, listener net.Listener) error {
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
-	actions := newActions(serving, a)
-	a.core.perform = actions
+	calls, cutCalls := context.WithCancel(context.WithoutCancel(ctx))
+	a.calls = calls
+	a.core.perform = newActions(serving, a)
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
 	defer stopServing()
+	defer cutCalls()
 	served := make(chan error, 1)
 	tasks.Go(func() { served <- wire.Serve(serving, listener, a.options.Wire, a.logger, a.serveStream) })
 	tasks.Go(func() { a.runTimer(serving) })
@@ -235,7 +239,7 @@
 	case wirepb.StreamKind_REQUEST:
 		a.requests.enter()
 		defer a.requests.exit()
-		a.serveRequest(ctx, stream)
+		a.serveRequest(stream)
 	case wirepb.StreamKind_CONTROL:
 		a.serveControl(ctx, header, stream)
 	default:
--- a/internal/agent/body.go
+++ b/internal/agent/body.go
@@ -21,10 +21,14 @@
 	return b
 }
 
-// add hands on one frame's data.
+// add hands on one frame's data. What comes after the end is dropped: it is no part of the body, and waiting for room that
+// an endpoint with its whole body never makes would hold the reader of the frames for ever.
 func (b *bodyReader) add(data []byte, done bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.done {
+		return
+	}
 	for len(b.data) > 0 && b.err == nil {
 		b.cond.Wait()
 	}
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -296,12 +296,18 @@
 	c.changed()
 }
 
-// setUp notes whether a plain service answers.
+// setUp notes whether a plain service answers. What waited while it did not starts when it does again: nothing else would
+// start it where nothing runs and nobody comes.
 func (c *core) setUp(up bool) {
 	c.mu.Lock()
 	changed := c.up != up
 	c.up = up
+	var actions []loading.Action
+	if changed && up {
+		actions = c.pump(c.clock.Now())
+	}
 	c.mu.Unlock()
+	c.perform.perform(actions)
 	if changed {
 		c.changed()
 	}
--- a/internal/agent/execute.go
+++ b/internal/agent/execute.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,7 +16,8 @@
 
 // call is one call of the endpoint.
 type call struct {
-	stop  context.CancelFunc
+	// stop gives it up because the entry wants it no more.
+	stop  func()
 	watch *watch
 }
 
@@ -46,7 +48,7 @@
 //
 // A committed request that may run only once is not cancelled when the entry goes away: the execution does not ask for
 // it, because cutting it would only make its outcome less certain.
-func (x *exchange) startCall(ctx context.Context) {
+func (x *exchange) startCall() {
 	a := x.agent
 	if x.offer.TwoStep {
 		x.record(timeline.RequestCommitted, "")
@@ -54,9 +56,14 @@
 		x.sendReady()
 	}
 	x.record(timeline.RequestStarted, "")
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.options.MaxAnswer)
-	x.call = &call{stop: cancel, watch: newWatch(a.clock, x.deadline.Sub(a.clock.Now()), cancel)}
+	ctx, withdraw := context.WithCancelCause(a.calls)
+	ctx, cancel := context.WithTimeout(ctx, a.options.MaxAnswer)
+	x.call = &call{
+		stop:  func() { withdraw(errWithdrawn) },
+		watch: newWatch(a.clock, x.deadline.Sub(a.clock.Now()), cancel),
+	}
 	go func() {
+		defer withdraw(nil)
 		defer cancel()
 		defer x.call.watch.stop()
 		x.events <- x.execute(ctx).event()
@@ -107,9 +114,14 @@
 
 // endpointRequest is the request as the endpoint gets it.
 func (x *exchange) endpointRequest(ctx context.Context) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(ctx, x.offer.Method, x.offer.Path, x.body)
+	request, err := http.NewRequestWithContext(ctx, x.offer.Method, "/", x.body)
+	if err != nil {
+		return nil, errors.Wrap(err, "agent: bad method")
+	}
+	// As a URL, a path that begins with two slashes would name a host, and lose its first part.
+	request.URL, err = url.ParseRequestURI(x.offer.Path)
 	if err != nil {
-		return nil, errors.Wrap(err, "agent: bad request line")
+		return nil, errors.Wrap(err, "agent: bad path")
 	}
 	request.ContentLength = x.offer.BodyLength
 	if x.offer.BodyLength == 0 {
@@ -132,7 +144,7 @@
 	switch {
 	case errors.Is(err, endpoint.ErrWrongAnswer), errors.Is(err, errNoStreamEnd):
 		return wirepb.FailureReason_WRONG_ANSWER
-	case errors.Is(err, errWithdrawn):
+	case errors.Is(err, errWithdrawn), errors.Is(context.Cause(ctx), errWithdrawn):
 		return wirepb.FailureReason_WITHDRAWN
 	case ctx.Err() != nil:
 		return wirepb.FailureReason_ENDPOINT_TIMEOUT
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -80,7 +80,18 @@
 }
 
 // run passes head and body.
+//
+// When the entry of a call that may run only once is gone, what is left of the answer is read and dropped: giving it up
+// would cut the connection to the endpoint, which may still be at work, and leave the call at whatever point it had reached.
 func (r *relay) run() error {
+	err := r.pass()
+	if r.exchange.offer.TwoStep && errors.Is(err, errWithdrawn) {
+		_, _ = io.Copy(io.Discard, r.response.Body)
+	}
+	return err
+}
+
+func (r *relay) pass() error {
 	if err := r.sendHead(); err != nil {
 		return errors.Wrap(errWithdrawn, err.Error())
 	}
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -50,7 +50,7 @@
 }
 
 // serveRequest runs one request stream from the offer to its definite end.
-func (a *Agent) serveRequest(ctx context.Context, stream *wire.Stream) {
+func (a *Agent) serveRequest(stream *wire.Stream) {
 	first := &wirepb.ToAgent{}
 	_ = stream.SetReadDeadline(time.Now().Add(a.options.Wire.HeaderTimeout))
 	if err := stream.Read(first); err != nil || first.GetOffer() == nil {
@@ -59,7 +59,7 @@
 	}
 	_ = stream.SetReadDeadline(time.Time{})
 	x := a.newExchange(stream, first)
-	x.serve(ctx)
+	x.serve()
 	x.body.fail(errWithdrawn)
 }
 
@@ -83,7 +83,7 @@
 }
 
 // serve queues the request and follows it to its end.
-func (x *exchange) serve(ctx context.Context) {
+func (x *exchange) serve() {
 	a := x.agent
 	x.waiting = newWaiting(admission.Request{
 		ID:       x.key,
@@ -106,13 +106,13 @@
 	defer close(done)
 	go x.readFrames(done)
 	if err != nil {
-		x.step(ctx, event{kind: atmostonce.EntryLost})
+		x.step(event{kind: atmostonce.EntryLost})
 	}
-	x.follow(ctx)
+	x.follow()
 }
 
 // follow takes events until nothing more can follow.
-func (x *exchange) follow(ctx context.Context) {
+func (x *exchange) follow() {
 	decided := x.waiting.decided
 	var commitLate <-chan time.Time
 	for !x.execution.Ended() {
@@ -122,19 +122,19 @@
 		select {
 		case d := <-decided:
 			decided = nil
-			x.decide(ctx, d)
+			x.decide(d)
 		case e := <-x.events:
-			x.step(ctx, e)
+			x.step(e)
 		case <-commitLate:
 			commitLate = nil
-			x.step(ctx, event{kind: atmostonce.CommitLate})
+			x.step(event{kind: atmostonce.CommitLate})
 		}
 	}
 	if x.commit != nil {
 		x.commit.Stop()
 	}
 	if decided != nil {
-		x.lateDecision(ctx, decided)
+		x.lateDecision(decided)
 	}
 }
 
@@ -145,25 +145,25 @@
 //
 // An entry moves a request that waits too long to another endpoint. Without a word of the start it would count the time
 // that the endpoint works as waiting, and withdraw a request that has just begun.
-func (x *exchange) decide(ctx context.Context, d decision) {
+func (x *exchange) decide(d decision) {
 	if d.refusal != nil {
 		x.refusal = d.refusal
-		x.step(ctx, event{kind: atmostonce.QueueRefused})
+		x.step(event{kind: atmostonce.QueueRefused})
 		return
 	}
 	x.cold = d.cold
 	if !x.offer.TwoStep && x.agent.clock.Now().Sub(x.began) >= noticedWait {
 		x.sendReady()
 	}
-	x.step(ctx, event{kind: atmostonce.TurnCame})
+	x.step(event{kind: atmostonce.TurnCame})
 }
 
 // lateDecision gives back a turn that came while the request was being taken out of the queue.
-func (x *exchange) lateDecision(ctx context.Context, decided <-chan decision) {
+func (x *exchange) lateDecision(decided <-chan decision) {
 	select {
 	case d := <-decided:
 		if d.refusal == nil {
-			x.step(ctx, event{kind: atmostonce.TurnCame})
+			x.step(event{kind: atmostonce.TurnCame})
 		}
 	default:
 	}
@@ -201,21 +201,23 @@
 }
 
 // step gives the execution an event and carries out its actions.
-func (x *exchange) step(ctx context.Context, e event) {
+func (x *exchange) step(e event) {
 	for _, action := range x.execution.Step(e.kind) {
-		x.act(ctx, action, e)
+		x.act(action, e)
 	}
 }
 
-func (x *exchange) act(ctx context.Context, action atmostonce.ExecutionAction, e event) {
+func (x *exchange) act(action atmostonce.ExecutionAction, e event) {
 	switch action {
 	case atmostonce.SendReady:
 		x.sendReady()
 		x.commit = x.agent.clock.NewTimer(x.agent.options.CommitTimeout)
 	case atmostonce.StartCall:
-		x.startCall(ctx)
+		x.startCall()
 	case atmostonce.StopCall:
 		x.call.stop()
+		// The answer may wait for an entry that reads no more of it.
+		x.stream.StopWriting()
 	case atmostonce.LeaveQueue:
 		x.record(timeline.RequestCancelled, "withdrawn while waiting")
 		x.agent.core.cancel(x.key)
