docs: operating, settings; README is a walk; examples: rolling restart under load

Cause: there was no page for operators, and the README named commands that it did not show.

docs/OPERATING.md: install, declarations, edits and their exit codes, columns of status, rolling restart with its commands and waits, draining, reclaimed and dead hosts, outages, alarms, fencing and credentials. docs/SETTINGS.md is written by a test from the text that the commands' help shows, so that there is one place; the test fails when it is not current.

examples/rolling-restart.sh does what the page says on a site that run.sh has started, with a load on all entries that follows readiness.

Ruled out: settings as a table in the page by hand (it would not stay true).

--- /dev/null
+++ b/cmd/balsamsail/settings_page_test.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+
+	"balsamsail/internal/declarations"
+	"balsamsail/internal/settings"
+)
+
+var update = flag.Bool("update", false, "write the page of settings anew")
+
+const settingsPage = "../../docs/SETTINGS.md"
+
+// settingsPageText is the page of settings: what the commands' help shows, for all roles.
+func settingsPageText() string {
+	var b strings.Builder
+	b.WriteString("# Settings and declarations\n\n" +
+		"Written by `go test ./cmd/balsamsail -run SettingsPage -update` from the same place as `balsamsail entry -h` and the\n" +
+		"other commands' help. A key that stands with a value has it as its default; the others are marked required or optional.\n")
+	section := func(title, text string) { b.WriteString("\n## " + title + "\n\n```ini\n" + text + "```\n") }
+	section("Entry", settings.Describe(settings.RoleEntry))
+	section("Agent", settings.Describe(settings.RoleAgent))
+	section("Declarations", declarations.DescribeFile())
+	section("Stand-in of the platform", settings.Describe(settings.RoleStandinPlatform))
+	section("Stand-in of an engine", settings.Describe(settings.RoleStandinEngine))
+	section("Stand-in of a plain service", settings.Describe(settings.RoleStandinService))
+	return b.String()
+}
+
+func TestSettingsPageIsCurrent(t *testing.T) {
+	want := settingsPageText()
+	if *update {
+		if err := os.WriteFile(settingsPage, []byte(want), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := os.ReadFile(settingsPage)
+	if err != nil || string(got) != want {
+		t.Errorf("docs/SETTINGS.md is not current (error: %v): go test ./cmd/balsamsail -run SettingsPage -update", err)
+	}
+}
--- a/examples/run.sh
+++ b/examples/run.sh
@@ -12,16 +12,7 @@
 set -m
 cd "$(dirname "$0")/.."
 
-site=${1:-}
-case $site in
-  amman) model=narrate-compaction-ar call=ledger/notices ;;
-  ulaanbaatar) model=holdover-type-i-snow-grains call=pads/slots ;;
-  *)
-    echo "usage: examples/run.sh amman|ulaanbaatar" >&2
-    exit 2
-    ;;
-esac
-settings=examples/$site
+. examples/site.sh
 
 work=$(mktemp -d)
 binary=${BALSAMSAIL_BINARY:-$work/balsamsail}
@@ -92,20 +83,6 @@
   done
 }
 
-# hosts prints the site's host list, one host a line: id, role, failure domain, address, endpoint.
-hosts() {
-  awk -F' *= *' '
-    function flush() { if (id != "") print id, role, domain, address, endpoint; id = "" }
-    /^\[/ { flush(); role = domain = address = endpoint = "" }
-    /^\[host / { id = $0; gsub(/^\[host "|"\]$/, "", id) }
-    $1 == "role" { role = $2 }
-    $1 == "failure_domain" { domain = $2 }
-    $1 == "address" { address = $2 }
-    $1 == "endpoint" { endpoint = $2 }
-    END { flush() }
-  ' "$settings/platform.ini"
-}
-
 # start_endpoint ID DOMAIN IP ENDPOINT starts an endpoint's stand-in and the agent beside it.
 start_endpoint() {
   local id=$1 domain=$2 ip=$3 endpoint=$4 kind=service
@@ -167,6 +144,7 @@
   balsamsail timeline -model $model@v1
 
 Stop one process, which is then started again: kill -TERM \$(cat $work/entry-1.pid)
+Restart all of them in turn under load: examples/rolling-restart.sh $site $work
 Ctrl-C here stops everything.
 TEXT
 wait
