--- a/internal/joined/calls_test.go
+++ b/internal/joined/calls_test.go
@@ -28,11 +28,13 @@
 	w      *world
 	number int
 	token  string
-	// service is set for calls that must not be repeated; key names those that the caller repeats.
+	// service is set for calls of the plain service; key names those that the caller repeats.
 	service, key, model string
-	class               wirepb.Class
-	caller              string
-	left                time.Duration
+	// idempotent calls of the plain service may run more than once, as requests for models may.
+	idempotent bool
+	class      wirepb.Class
+	caller     string
+	left       time.Duration
 	// leaves is when the caller goes away; 0 when it stays.
 	leaves   time.Duration
 	streamed bool
@@ -136,7 +138,7 @@
 	if len(c.words) > 0 && c.words[0] == toldNotRun {
 		w.violated("P5", "%s was told that it did not run, and runs", c.token)
 	}
-	if c.service == "" {
+	if c.service == "" || c.idempotent {
 		return
 	}
 	if c.runs > 1 {
--- a/internal/joined/faults_test.go
+++ b/internal/joined/faults_test.go
@@ -30,6 +30,8 @@
 	{"way to the table cut", 4, func(w *world) { w.cutFromTable() }},
 	{"host leaves", 4, func(w *world) { w.hostLeaves(w.someHost()) }},
 	{"host vanishes", 2, func(w *world) { w.hostVanishes(w.someHost()) }},
+	{"failure domain vanishes", 1, (*world).domainVanishes},
+	{"all entries crash", 1, (*world).crashEntries},
 	{"store slow", 2, func(w *world) { w.setSlowStore() }},
 	{"service slow", 2, func(w *world) { w.setSlowService(w.someHost()) }},
 }
@@ -243,6 +245,22 @@
 	}
 }
 
+// domainVanishes terminates all hosts of a failure domain.
+func (w *world) domainVanishes() {
+	domain := w.someHost().domain
+	for _, h := range w.allHosts {
+		if h.domain == domain {
+			w.hostVanishes(h)
+		}
+	}
+}
+
+func (w *world) crashEntries() {
+	for _, name := range w.entryNames {
+		w.crashEntry(w.entries[name])
+	}
+}
+
 func (w *world) takeAway(h *host) {
 	if !h.up {
 		return
--- a/internal/joined/request_test.go
+++ b/internal/joined/request_test.go
@@ -86,7 +86,7 @@
 	e.sequence++
 	r := &request{
 		entry: e, call: c, number: e.sequence, id: e.w.newRequestID(e, c), class: c.class, deadline: e.now().Add(c.left),
-		streamed: c.streamed, idempotent: c.service == "", out: newAnswer(),
+		streamed: c.streamed, idempotent: c.service == "" || c.idempotent, out: newAnswer(),
 	}
 	set := e.store.Current()
 	if c.service == "" {
--- a/internal/joined/workload_test.go
+++ b/internal/joined/workload_test.go
@@ -141,7 +141,8 @@
 	}
 	if w.chance(3) {
 		c.service = serviceName
-		if w.chance(2) {
+		c.idempotent = w.chance(4)
+		if !c.idempotent && w.chance(2) {
 			c.key = fmt.Sprint("key", c.number/4)
 			c.repeats = 2
 		}
