--- a/cmd/balsamsail/main_test.go
+++ b/cmd/balsamsail/main_test.go
@@ -95,7 +95,7 @@
 		{"valid settings", []string{"check", "-config", valid}, operator.ExitOK, "the settings of standin service are valid"},
 		{"broken settings", []string{"check", "-config", broken}, operator.ExitFailed, broken + ":5: [service] service_time: "},
 		{"broken override", []string{"check", "-config", valid, "-set", "service.concurrency=0"}, operator.ExitFailed, "-set service.concurrency: [service] concurrency: "},
-		{"valid declarations", []string{"check", "-f", declared}, operator.ExitOK, "the 1 declarations are valid"},
+		{"valid declarations", []string{"check", "-f", declared}, operator.ExitOK, "valid; declarations: 1"},
 		{"broken declarations", []string{"check", "-f", undeclared}, operator.ExitFailed, undeclared + `:2: [adapter "a"] model: model "m" is not declared`},
 		{"nothing to apply", []string{"apply"}, operator.ExitUsage, "-f or -delete is missing"},
 		{"file that does not exist", []string{"apply", "-f", "/nonexistent"}, operator.ExitUsage, "no such file"},
--- a/cmd/balsamsail/roles.go
+++ b/cmd/balsamsail/roles.go
@@ -135,6 +135,6 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("%s: the %d declarations are valid\n", file, len(objects))
+	fmt.Printf("%s: valid; declarations: %d\n", file, len(objects))
 	return nil
 }
