entry: the restart of an agent keeps its slots

Cause: the grants took the agent's own word that it leaves for the host's leaving, gave all its slots up and granted them anew after the restart, where they are usable only once no order of the old agent can be on its way (up to max_life).

--- a/internal/entry/coordinator.go
+++ b/internal/entry/coordinator.go
@@ -170,7 +170,7 @@
 	next := reachability{since: now}
 	if ep != nil {
 		next.reachable = ep.Connected && ep.Status.GetReady()
-		next.leaving = ep.Leaving
+		next.leaving = ep.Listed == platform.HostLeaving
 		next.memory = ep.Status.GetMemoryBytes()
 		next.kind = ep.Status.GetKind()
 		next.labels = ep.Status.GetLabels()
--- a/internal/entry/inputs.go
+++ b/internal/entry/inputs.go
@@ -81,8 +81,10 @@
 		MemoryBytes:   ep.Status.GetMemoryBytes(),
 		Reachable:     reach.reachable,
 		Since:         reach.since,
-		Leaving:       ep.Leaving,
-		Drain:         g.entry.drained(ep.Name),
+		// The agent's own word is not taken: an agent that is only restarted comes back to its engine, and giving its slots
+		// up and granting them anew would leave its models unserved for up to the life of an order.
+		Leaving: ep.Listed == platform.HostLeaving,
+		Drain:   g.entry.drained(ep.Name),
 	}
 }
 
