--- a/internal/agent/actions.go
+++ b/internal/agent/actions.go
@@ -141,6 +141,7 @@
 func (a *Agent) runEngineReads(ctx context.Context) {
 	x := a.core.perform.(*actions)
 	nudge(x.reads)
+	var watch engineWatch
 	for {
 		select {
 		case <-ctx.Done():
@@ -153,13 +154,39 @@
 		cancel()
 		if err != nil {
 			a.logger.Debug("engine state not read", "error", err)
+			watch.lost(a)
 			a.core.step(loading.EngineLost{ID: id})
 			continue
 		}
+		watch.read(a, state.Incarnation)
 		a.core.step(loading.EngineRead{ID: id, State: state})
 	}
 }
 
+// engineWatch tells the time line when the engine is lost, is back, or has restarted.
+type engineWatch struct {
+	missing     bool
+	incarnation string
+}
+
+func (w *engineWatch) lost(a *Agent) {
+	if !w.missing {
+		a.recorder.Record(timeline.Event{Kind: timeline.EngineLost, Endpoint: a.options.Endpoint})
+	}
+	w.missing = true
+}
+
+func (w *engineWatch) read(a *Agent, incarnation string) {
+	if w.missing || w.incarnation == "" {
+		a.recorder.Record(timeline.Event{Kind: timeline.EngineRead, Endpoint: a.options.Endpoint, Detail: incarnation})
+	}
+	if w.incarnation != "" && w.incarnation != incarnation {
+		a.recorder.Record(timeline.Event{Kind: timeline.EngineRestarted, Endpoint: a.options.Endpoint, Detail: incarnation})
+	}
+	w.missing = false
+	w.incarnation = incarnation
+}
+
 // runProbe checks that a plain service answers.
 func (a *Agent) runProbe(ctx context.Context) {
 	timer := a.clock.NewTimer(0)
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -209,6 +209,11 @@
 // applyPermit hands a permit or its denial to the machine.
 func (a *Agent) applyPermit(p *wirepb.Permit) {
 	now := a.clock.Now()
+	kind := timeline.PermitDenied
+	if p.ValidMicros > 0 {
+		kind = timeline.PermitGiven
+	}
+	a.recorder.Record(timeline.Event{Kind: kind, Endpoint: a.options.Endpoint, Detail: p.Id})
 	if p.ValidMicros > 0 {
 		a.core.step(loading.PermitGiven{ID: p.Id, Expires: now.Add(micros(p.ValidMicros))})
 		return
@@ -327,6 +332,9 @@
 		Model:       action.Model,
 		SlackMicros: action.Deadline.Sub(a.clock.Now()).Microseconds(),
 	}
+	a.recorder.Record(timeline.Event{
+		Kind: timeline.PermitAsked, Model: action.Model, Endpoint: a.options.Endpoint, Detail: action.ID,
+	})
 	s.queue(func(up *wirepb.ControlUp) { up.PermitRequests = append(up.PermitRequests, request) })
 }
 
@@ -339,7 +347,16 @@
 	a.broadcast(func(up *wirepb.ControlUp) { up.Releases = append(up.Releases, release) })
 }
 
+// wantSlot asks for another slot. Under overload each refusal asks for one, so that wishes for the same are counted
+// together until the next batch.
 func (a *Agent) wantSlot(action loading.WantSlot) {
-	wanted := &wirepb.SlotWanted{Model: action.Model, Reason: action.Reason, Demand: 1}
-	a.broadcast(func(up *wirepb.ControlUp) { up.Wanted = append(up.Wanted, wanted) })
+	a.broadcast(func(up *wirepb.ControlUp) {
+		for _, w := range up.Wanted {
+			if w.Model == action.Model && w.Reason == action.Reason {
+				w.Demand++
+				return
+			}
+		}
+		up.Wanted = append(up.Wanted, &wirepb.SlotWanted{Model: action.Model, Reason: action.Reason, Demand: 1})
+	})
 }
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -108,7 +108,7 @@
 	actions := c.refuseAll(displaced)
 	if refusal != nil {
 		c.doubt(r.Target, refusal)
-		return refusal, actions
+		return refusal, append(actions, c.overloaded(r.Target, refusal.Reason)...)
 	}
 	w.cold = !c.isUsable(r.Target)
 	c.waiting[r.ID] = w
@@ -248,10 +248,20 @@
 		refusal := r
 		w.decide(decision{refusal: &refusal})
 		actions = append(actions, c.removeLocked(r.ID)...)
+		actions = append(actions, c.overloaded(w.request.Target, r.Reason)...)
 	}
 	return actions
 }
 
+// overloaded asks for another slot when a loaded replica has more to do than it can do in time.
+func (c *core) overloaded(t admission.Target, reason wirepb.RefusalReason) []loading.Action {
+	full := reason == wirepb.RefusalReason_QUEUE_FULL || reason == wirepb.RefusalReason_DEADLINE
+	if c.machine == nil || !full || !c.isUsable(t) {
+		return nil
+	}
+	return []loading.Action{loading.WantSlot{Model: t.Model, Reason: reason}}
+}
+
 // expire refuses what cannot be served in time any more and lets the machine's time pass. It returns when it is needed
 // next.
 func (c *core) expire() time.Time {
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -131,5 +132,5 @@
 // announce tells that a process listens.
 func announce(logger *slog.Logger, recorder *timeline.Recorder, addresses ...any) {
 	logger.Info("listening", addresses...)
-	recorder.Record(timeline.Event{Kind: timeline.ProcessStarted, Detail: fmt.Sprint(addresses...)})
+	recorder.Record(timeline.Event{Kind: timeline.ProcessStarted, Detail: strings.TrimSpace(fmt.Sprintln(addresses...))})
 }
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -200,10 +200,12 @@
 	if !t.cold {
 		return routing.PatienceFor(t.stage, left, t.expected)
 	}
-	if t.expected == 0 {
+	wait := max(coldPatience*t.expected, routing.PatienceFor(t.stage, left, t.expected))
+	if t.expected == 0 || left-wait <= t.expected {
+		// Another engine could not load in what would be left.
 		return left
 	}
-	return max(coldPatience*t.expected, routing.PatienceFor(t.stage, left, t.expected))
+	return wait
 }
 
 // eventOf turns a read into an event of the exchange.
--- a/internal/entry/coordinator.go
+++ b/internal/entry/coordinator.go
@@ -31,6 +31,8 @@
 	told map[string]uint64
 	// since is when an endpoint's reachability last changed.
 	since map[string]reachability
+	// listed is each endpoint's state in the host list as last seen.
+	listed map[string]platform.HostState
 	// behind is what is known of agents that hold a higher revision than this entry.
 	behind behind
 }
@@ -58,6 +60,7 @@
 		wake:   make(chan struct{}, 1),
 		told:   map[string]uint64{},
 		since:  map[string]reachability{},
+		listed: map[string]platform.HostState{},
 	}
 }
 
@@ -146,9 +149,7 @@
 	e := c.entry
 	c.version.Add(1)
 	for name, ep := range e.members.Endpoints() {
-		if ep.Gone {
-			e.forget(name)
-		}
+		c.noteListed(name, ep.Listed, ep.Gone)
 		if ep.Connected && ep.Listed == platform.HostLeaving && !ep.Status.GetLeaving() {
 			e.members.Send(name, &wirepb.ControlDown{HostState: wirepb.HostState_HOST_LEAVING})
 		}
@@ -157,6 +158,29 @@
 	e.changes.announce()
 }
 
+// noteListed tells the time line of a host's changed state, and forgets what was observed of one that is gone.
+func (c *coordinator) noteListed(endpoint string, state platform.HostState, gone bool) {
+	if gone {
+		state = platform.HostGone
+	}
+	c.mu.Lock()
+	old := c.listed[endpoint]
+	c.listed[endpoint] = state
+	c.mu.Unlock()
+	if old == state {
+		return
+	}
+	switch state {
+	case platform.HostLive:
+		c.entry.recorder.Record(timeline.Event{Kind: timeline.HostSeen, Endpoint: endpoint})
+	case platform.HostLeaving:
+		c.entry.recorder.Record(timeline.Event{Kind: timeline.HostLeaving, Endpoint: endpoint})
+	case platform.HostGone:
+		c.entry.recorder.Record(timeline.Event{Kind: timeline.HostGone, Endpoint: endpoint})
+		c.entry.forget(endpoint)
+	}
+}
+
 // forget drops what was observed of an endpoint whose host is gone.
 func (e *Entry) forget(endpoint string) {
 	e.mu.Lock()
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -32,7 +32,7 @@
 	id := e.newRequestID()
 	now := e.clock.Now()
 	class, deadline, refusal := e.classAndDeadline(r.Header, e.deadlines(), now)
-	if refusal == nil && len(e.Ready()) > 0 && !e.draining.Load() {
+	if refusal == nil && !e.knowsEnough() {
 		refusal = refused(wirepb.RefusalReason_NOT_READY, minRetryAfter)
 	}
 	if refusal != nil {
@@ -67,6 +67,9 @@
 	e.serve(w, r, rq)
 }
 
+// knowsEnough reports whether the entry can tell what is declared and where it is. A stopping entry still can.
+func (e *Entry) knowsEnough() bool { return e.draining.Load() || len(e.Ready()) == 0 }
+
 // serve admits and forwards a request and sends its final answer.
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, rq *request) {
 	e.record(timeline.RequestReceived, rq, "", rq.method+" "+rq.path)
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -12,6 +12,7 @@
 	pb "balsamsail/internal/declarations/declarationspb"
 	"balsamsail/internal/operator"
 	"balsamsail/internal/settings/inifile"
+	"balsamsail/internal/timeline"
 )
 
 // Operator serves the operators' requests. It implements operator.Backend.
@@ -48,8 +49,10 @@
 		Change:      change,
 	})
 	if err != nil {
+		o.recordEdit(timeline.DeclarationRefused, edit, err.Error())
 		return operator.Accepted{}, editError(edit, err)
 	}
+	o.recordEdit(timeline.DeclarationAccepted, edit, revisionText(result.Revision))
 	accepted := operator.Accepted{Revision: result.Revision, OperationID: result.OperationID}
 	for _, key := range result.Changed {
 		accepted.Changed = append(accepted.Changed, operator.ObjectKey{Kind: key.Kind, Name: key.Name})
@@ -57,6 +60,10 @@
 	return accepted, nil
 }
 
+func (o *Operator) recordEdit(kind timeline.Kind, edit operator.Edit, detail string) {
+	o.entry.recorder.Record(timeline.Event{Kind: kind, Detail: edit.Author + ": " + detail})
+}
+
 func objectKeys(keys []operator.ObjectKey) []*pb.ObjectKey {
 	var list []*pb.ObjectKey
 	for _, k := range keys {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -9,6 +9,7 @@
 	"balsamsail/internal/admission"
 	"balsamsail/internal/declarations"
 	"balsamsail/internal/wire"
+	"balsamsail/internal/wire/wirepb"
 )
 
 // serveService serves the calls of plain services.
@@ -16,6 +17,10 @@
 	id := e.newRequestID()
 	now := e.clock.Now()
 	service, ok := e.store.Current().ServiceFor(r.URL.Path)
+	if !ok && !e.knowsEnough() {
+		e.answerError(w, id, refused(wirepb.RefusalReason_NOT_READY, minRetryAfter))
+		return
+	}
 	if !ok {
 		e.answerError(w, id, notRun(http.StatusNotFound, CodeNotFound, "no service has this path", 0))
 		return
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"strings"
-	"time"
 
 	"balsamsail/internal/declarations"
 	"balsamsail/internal/membership"
@@ -51,7 +50,9 @@
 	}
 	row := e.grants.Row(model)
 	for _, slot := range row.GetSlots() {
-		status.Replicas = append(status.Replicas, e.replicaStatus(endpoints[slot.Engine], slot, row))
+		replica := e.replicaStatus(endpoints[slot.Engine], slot, row)
+		status.Replicas = append(status.Replicas, replica)
+		status.Queued += replica.Queued
 	}
 	status.Why = whyModel(status, row)
 	return status
@@ -108,7 +109,7 @@
 	status.Adapters = r.Adapters
 	if r.State == wirepb.ReplicaState_LOADED && r.Running == 0 && r.Queued == 0 {
 		status.State = operator.ReplicaIdle
-		status.IdleSince = ep.ReportedAt.Add(-time.Duration(r.IdleMillis) * time.Millisecond)
+		status.IdleSince = ep.IdleSince[r.Model]
 	}
 	if r.State == wirepb.ReplicaState_UNKNOWN {
 		status.Why = "the result of an order is not known"
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -17,9 +17,13 @@
 // link keeps the connection to one agent.
 type link struct {
 	manager *Manager
-	name    string
-	address string
-	cancel  context.CancelFunc
+	// name is the endpoint's, host and address those of the host that the agent runs on.
+	name, host, address string
+	cancel              context.CancelFunc
+
+	// telling is held while the manager and its observer are told something; detached ends that.
+	telling  sync.Mutex
+	detached bool
 
 	mu      sync.Mutex
 	session *wire.Session
@@ -27,12 +31,40 @@
 	wake    chan struct{}
 }
 
-func newLink(m *Manager, name, address string, cancel context.CancelFunc) *link {
-	return &link{manager: m, name: name, address: address, cancel: cancel, wake: make(chan struct{}, 1)}
+func newLink(m *Manager, e *Endpoint, cancel context.CancelFunc) *link {
+	return &link{manager: m, name: e.Name, host: e.HostID, address: e.Address, cancel: cancel, wake: make(chan struct{}, 1)}
 }
 
 func (l *link) stop() { l.cancel() }
 
+// tell calls f unless the link speaks for its endpoint no more.
+func (l *link) tell(f func()) bool {
+	l.telling.Lock()
+	defer l.telling.Unlock()
+	if l.detached {
+		return false
+	}
+	f()
+	return true
+}
+
+// detach ends the link's say on its endpoint: when it returns, nothing that the link's agent has sent or sends is told any
+// more. What runs on the connection goes on, and no new connection is made.
+func (l *link) detach() {
+	l.telling.Lock()
+	defer l.telling.Unlock()
+	l.detached = true
+}
+
+func (l *link) isDetached() bool { return !l.tell(func() {}) }
+
+// isConnected reports whether there is a session.
+func (l *link) isConnected() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.session != nil
+}
+
 // open opens a stream on the present session.
 func (l *link) open(kind wirepb.StreamKind, limit int64) (*wire.Stream, error) {
 	l.mu.Lock()
@@ -67,7 +99,7 @@
 	}
 }
 
-// run dials and serves until ctx ends.
+// run dials and serves until ctx ends or, once the link is detached, its connection does.
 func (l *link) run(ctx context.Context) {
 	timer := l.manager.clock.NewTimer(0)
 	defer timer.Stop()
@@ -78,6 +110,9 @@
 		case <-timer.C():
 		}
 		l.connect(ctx)
+		if l.isDetached() {
+			return
+		}
 		timer.Reset(jitter(l.manager.options.RedialDelay))
 	}
 }
@@ -103,7 +138,7 @@
 	m.metrics.connected.Inc()
 	defer m.metrics.connected.Dec()
 	m.recorder.Record(timeline.Event{Kind: timeline.PeerConnected, Endpoint: l.name})
-	m.observer.Connected(l.name)
+	l.tell(func() { m.told(func(o Observer) { o.Connected(l.name) }) })
 	var writer sync.WaitGroup
 	writer.Go(func() { l.writeBatches(ctx, session, control) })
 	err = l.readBatches(control)
@@ -111,7 +146,7 @@
 	writer.Wait()
 	m.logger.Info("agent lost", "endpoint", l.name, "error", err)
 	m.recorder.Record(timeline.Event{Kind: timeline.PeerLost, Endpoint: l.name, Detail: err.Error()})
-	m.lost(l.name, l)
+	l.tell(func() { m.lost(l.name) })
 }
 
 func (l *link) setSession(s *wire.Session) {
@@ -134,7 +169,7 @@
 		}
 		m.recorder.Clock().Observe(up.Clock)
 		m.metrics.batchesReceived.Inc()
-		m.reported(l.name, up)
+		l.tell(func() { m.reported(l.name, up) })
 	}
 }
 
@@ -180,10 +215,12 @@
 }
 
 // mergeDown adds a later batch to an earlier one.
+//
+// Batches are queued by several goroutines, so that a snapshot may stand behind deltas that lead further: dropped with it,
+// they would not come again, and the agent would stay at the older revision until the next edit.
 func mergeDown(into, d *wirepb.ControlDown) {
-	if d.Snapshot != nil {
+	if d.Snapshot.GetRevision() > into.Snapshot.GetRevision() {
 		into.Snapshot = d.Snapshot
-		into.Deltas = nil
 	}
 	into.Deltas = append(into.Deltas, d.Deltas...)
 	into.Rows = append(into.Rows, d.Rows...)
--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -78,9 +78,11 @@
 	entries   atomic.Pointer[[]Entry]
 	listed    chan struct{}
 
-	mu       sync.Mutex
-	view     *View
-	links    map[string]*link
+	mu    sync.Mutex
+	view  *View
+	links map[string]*link
+	// retired are links to hosts that another one has replaced while requests may still run there.
+	retired  map[*link]bool
 	observer Observer
 	listOnce sync.Once
 }
@@ -97,6 +99,7 @@
 		listed:   make(chan struct{}),
 		view:     NewView(),
 		links:    map[string]*link{},
+		retired:  map[*link]bool{},
 	}
 	m.publish()
 	return m
@@ -187,44 +190,91 @@
 		m.logger.Debug("host list not read", "error", err)
 		return
 	}
+	m.endOutdated(hosts, version)
 	m.mu.Lock()
 	taken := m.view.HostsRead(hosts, version)
 	if taken {
 		m.publish()
-		m.adjustLinks(ctx, links)
+		m.startLinks(ctx, links)
 	}
 	m.mu.Unlock()
 	m.listOnce.Do(func() { close(m.listed) })
-	if taken && m.observer != nil {
-		m.observer.Changed()
+	if taken {
+		m.told(Observer.Changed)
 	}
 }
 
-// adjustLinks starts a link to each listed endpoint and stops those to hosts that are gone or replaced.
-func (m *Manager) adjustLinks(ctx context.Context, links *sync.WaitGroup) {
-	for name, e := range m.view.Endpoints() {
-		l := m.links[name]
-		if l != nil && (e.Gone || l.address != e.Address) {
+// endOutdated ends the links whose host a new list shows as gone or replaced, before the list is taken.
+//
+// A report that was on its way would otherwise be merged into what is known of the replacement, which would count as
+// connected by the word of another host's agent, and what that agent has released would be taken for released by the
+// replacement.
+func (m *Manager) endOutdated(hosts []platform.Host, version uint64) {
+	for l, runs := range m.outdated(hosts, version) {
+		l.detach()
+		m.lost(l.name)
+		if !runs || !l.isConnected() {
 			l.stop()
-			delete(m.links, name)
-			l = nil
 		}
-		if l != nil || e.Gone {
+	}
+}
+
+// outdated returns the links that a list ends, and whether their host still runs: a leaving host that was replaced early
+// finishes its requests, so that its connection must be kept for them.
+func (m *Manager) outdated(hosts []platform.Host, version uint64) map[*link]bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	next := m.view.clone()
+	if !next.HostsRead(hosts, version) {
+		return nil
+	}
+	ended := map[*link]bool{}
+	for name, l := range m.links {
+		e, _ := next.Endpoint(name)
+		if !e.Gone && e.HostID == l.host && e.Address == l.address {
 			continue
 		}
-		m.startLink(ctx, links, name, e.Address)
+		delete(m.links, name)
+		ended[l] = next.runs(l.host)
+		if ended[l] {
+			m.retired[l] = true
+		}
+	}
+	for l := range m.retired {
+		if !next.runs(l.host) {
+			l.stop()
+		}
 	}
+	return ended
 }
 
-func (m *Manager) startLink(ctx context.Context, links *sync.WaitGroup, name, address string) {
+// startLinks starts a link to each listed endpoint that has none.
+func (m *Manager) startLinks(ctx context.Context, links *sync.WaitGroup) {
+	for name, e := range m.view.Endpoints() {
+		if m.links[name] == nil && !e.Gone {
+			m.startLink(ctx, links, e)
+		}
+	}
+}
+
+func (m *Manager) startLink(ctx context.Context, links *sync.WaitGroup, e *Endpoint) {
 	linkCtx, cancel := context.WithCancel(ctx)
-	l := newLink(m, name, address, cancel)
-	m.links[name] = l
-	links.Add(1)
-	go func() {
-		defer links.Done()
+	l := newLink(m, e, cancel)
+	m.links[e.Name] = l
+	links.Go(func() {
+		defer cancel()
 		l.run(linkCtx)
-	}()
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.retired, l)
+	})
+}
+
+// told calls the observer if there is one.
+func (m *Manager) told(f func(Observer)) {
+	if m.observer != nil {
+		f(m.observer)
+	}
 }
 
 // publish makes the view's present state visible to readers. The caller holds mu.
@@ -243,21 +293,16 @@
 		}
 		m.mu.Unlock()
 	}
-	if m.observer != nil {
-		m.observer.Reported(name, up)
-	}
+	m.told(func(o Observer) { o.Reported(name, up) })
 }
 
-func (m *Manager) lost(name string, l *link) {
+// lost notes that an agent's connection has ended, or speaks for the endpoint no more, and tells the observer.
+func (m *Manager) lost(name string) {
 	m.mu.Lock()
-	if m.links[name] == l {
-		m.view.Lost(name)
-		m.publish()
-	}
+	m.view.Lost(name)
+	m.publish()
 	m.mu.Unlock()
-	if m.observer != nil {
-		m.observer.Lost(name)
-	}
+	m.told(func(o Observer) { o.Lost(name) })
 }
 
 // jitter spreads d over 0.75 to 1.25 of itself, so that processes started together do not call together.
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -36,6 +36,8 @@
 	Status *wirepb.Status
 	// Replicas indexes Status.Replicas by model version.
 	Replicas map[string]*wirepb.Replica
+	// IdleSince is since when replicas have been idle that were last reported so, by model version.
+	IdleSince map[string]time.Time
 }
 
 // Entry is another entry host of the list.
@@ -51,12 +53,15 @@
 	version   uint64
 	read      bool
 	hosts     map[string]platform.HostState
+	past      pastHosts
 	endpoints map[string]*Endpoint
 	entries   []Entry
 }
 
 // NewView returns an empty view.
-func NewView() *View { return &View{endpoints: map[string]*Endpoint{}} }
+func NewView() *View {
+	return &View{endpoints: map[string]*Endpoint{}, past: pastHosts{states: map[string]platform.HostState{}}}
+}
 
 // Endpoint returns what is known of an endpoint.
 func (v *View) Endpoint(name string) (*Endpoint, bool) {
@@ -73,6 +78,21 @@
 // Hosts returns the version of the host list that was last taken and the states of the hosts in it.
 func (v *View) Hosts() (uint64, map[string]platform.HostState) { return v.version, v.hosts }
 
+// runs reports whether a host is listed and not gone.
+func (v *View) runs(host string) bool {
+	state, listed := v.hosts[host]
+	return listed && state != platform.HostGone
+}
+
+// clone returns a copy that may take in a list without a change of v.
+func (v *View) clone() *View {
+	copied := *v
+	copied.endpoints = maps.Clone(v.endpoints)
+	copied.past.states = maps.Clone(v.past.states)
+	copied.past.order = slices.Clone(v.past.order)
+	return &copied
+}
+
 // HostsRead takes in the host list and reports whether it says anything new: its version rises with each change.
 //
 // A list of a lower version than one seen before is ignored: the list lags, and two reads may be answered by replicas of
@@ -86,8 +106,10 @@
 	listed := map[string]bool{}
 	before := maps.Clone(v.endpoints)
 	v.entries = nil
+	previous := v.hosts
 	v.hosts = make(map[string]platform.HostState, len(hosts))
 	for _, h := range hosts {
+		h.State = v.past.note(h.ID, h.State)
 		v.hosts[h.ID] = h.State
 		switch h.Role {
 		case platform.RoleEntry:
@@ -96,11 +118,22 @@
 			v.listEndpoint(h, listed, before)
 		}
 	}
+	v.noteUnlisted(previous)
 	v.dropUnlisted(listed)
 	slices.SortFunc(v.entries, func(a, b Entry) int { return strings.Compare(a.ID, b.ID) })
 	return true
 }
 
+// noteUnlisted remembers the hosts of the list before that the new one does not name: the platform lists a host until it is
+// terminated.
+func (v *View) noteUnlisted(previous map[string]platform.HostState) {
+	for id := range previous {
+		if _, listed := v.hosts[id]; !listed {
+			v.past.note(id, platform.HostGone)
+		}
+	}
+}
+
 func (v *View) listEntry(h platform.Host) {
 	if h.State == platform.HostGone {
 		return
@@ -108,30 +141,38 @@
 	v.entries = append(v.entries, Entry{ID: h.ID, FailureDomain: h.FailureDomain, Address: h.Address, State: h.State})
 }
 
-// listEndpoint takes in one listed endpoint host. Where a replacement host has taken over the endpoint's name, the live
-// host counts, not the gone one.
+// listEndpoint takes in one listed endpoint host. Where a replacement host has taken over the endpoint's name, the host that
+// goes on longest counts.
 //
 // What is known of the host comes from the time before this list. If it were looked up among what the list has made so
 // far, a gone host that stands before its replacement would take the replacement's connection and status away with each
 // read, and no change report brings them back: the endpoint would get no request and no declarations from this entry.
 func (v *View) listEndpoint(h platform.Host, listed map[string]bool, before map[string]*Endpoint) {
-	if listed[h.Endpoint] && h.State == platform.HostGone {
-		return
-	}
-	listed[h.Endpoint] = true
 	next := &Endpoint{Name: h.Endpoint}
 	if old, ok := before[h.Endpoint]; ok && old.HostID == h.ID {
 		*next = *old
 	}
+	if listed[h.Endpoint] && worst(h.State, v.endpoints[h.Endpoint].Listed) == h.State {
+		return
+	}
+	listed[h.Endpoint] = true
 	next.HostID = h.ID
 	next.Address = h.Address
 	next.FailureDomain = h.FailureDomain
 	next.Listed = h.State
-	next.Gone = h.State == platform.HostGone
+	if h.State == platform.HostGone {
+		next.end()
+	}
 	next.Leaving = leaving(next)
 	v.endpoints[h.Endpoint] = next
 }
 
+// end notes that the host is gone, and with it the agent that its last report came from.
+func (e *Endpoint) end() {
+	e.Gone = true
+	e.Connected = false
+}
+
 // dropUnlisted marks endpoints that were listed and are not any more: the platform lists a host until it is terminated.
 func (v *View) dropUnlisted(listed map[string]bool) {
 	for name, e := range v.endpoints {
@@ -140,7 +181,7 @@
 		}
 		next := *e
 		next.Listed = ""
-		next.Gone = true
+		next.end()
 		next.Leaving = true
 		v.endpoints[name] = &next
 	}
@@ -154,10 +195,11 @@
 	return e.Status.GetLeaving()
 }
 
-// Reported merges a status report. A change report before a whole one is not usable and is dropped.
+// Reported merges a status report. A change report before a whole one is not usable and is dropped, and so is the late
+// report of a host that is gone.
 func (v *View) Reported(now time.Time, name string, status *wirepb.Status) bool {
 	old, ok := v.endpoints[name]
-	if !ok || status == nil {
+	if !ok || status == nil || old.Gone {
 		return false
 	}
 	if !status.Full && (old.Status == nil || !old.Connected) {
@@ -167,6 +209,7 @@
 	next.Connected = true
 	next.ReportedAt = now
 	next.Replicas = mergeReplicas(old.Replicas, status)
+	next.IdleSince = mergeIdle(old.IdleSince, now, status)
 	next.Status = status
 	if !status.Full {
 		keepFixed(status, old.Status)
@@ -209,6 +252,24 @@
 	return merged
 }
 
+// mergeIdle notes since when the changed replicas have been idle: a replica that stays idle is not reported again.
+func mergeIdle(old map[string]time.Time, now time.Time, status *wirepb.Status) map[string]time.Time {
+	if !status.Full && len(status.Replicas) == 0 {
+		return old
+	}
+	merged := map[string]time.Time{}
+	if !status.Full {
+		maps.Copy(merged, old)
+	}
+	for _, r := range status.Replicas {
+		delete(merged, r.Model)
+		if r.IdleMillis > 0 {
+			merged[r.Model] = now.Add(-time.Duration(r.IdleMillis) * time.Millisecond)
+		}
+	}
+	return merged
+}
+
 // Lost notes that the connection to an agent has ended.
 func (v *View) Lost(name string) {
 	old, ok := v.endpoints[name]
--- /dev/null
+++ b/internal/membership/view_cases_test.go
@@ -0,0 +1,215 @@
+package membership
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+
+	"balsamsail/internal/platform"
+	"balsamsail/internal/wire/wirepb"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// whole is a whole report of an agent that holds the given model versions.
+func whole(incarnation uint64, models ...string) *wirepb.Status {
+	s := &wirepb.Status{Full: true, Ready: true, Incarnation: incarnation, Labels: map[string]string{"pool": "a"}, Kind: "engine"}
+	for _, m := range models {
+		s.Replicas = append(s.Replicas, &wirepb.Replica{Model: m, State: wirepb.ReplicaState_LOADED, Revision: 1})
+	}
+	return s
+}
+
+// change is a change report.
+func change(replicas ...*wirepb.Replica) *wirepb.Status {
+	return &wirepb.Status{Ready: true, Replicas: replicas}
+}
+
+// Lists and reports come late, in any order and from several sources. Each case tells what an entry was told and what it
+// must make of the endpoint "engine".
+func TestViewCases(t *testing.T) {
+	const live, leaving, gone = platform.HostLive, platform.HostLeaving, platform.HostGone
+	list := func(version uint64, hosts ...platform.Host) func(*View) {
+		return func(v *View) { v.HostsRead(hosts, version) }
+	}
+	report := func(s *wirepb.Status) func(*View) {
+		return func(v *View) { v.Reported(time.Unix(1, 0), "engine", proto.CloneOf(s)) }
+	}
+	lost := func(v *View) { v.Lost("engine") }
+	leavingReport := proto.CloneOf(whole(1))
+	leavingReport.Leaving = true
+	h1, h2 := func(s platform.HostState) platform.Host { return endpointHost("h1", s) }, func(s platform.HostState) platform.Host { return endpointHost("h2", s) }
+	known := []func(*View){list(1, h1(live)), report(whole(1, "m@1"))}
+	cases := []struct {
+		name  string
+		steps []func(*View)
+		// want is the endpoint as text: host, state, flags and models.
+		want string
+	}{
+		{"listed", known[:1], "h1 live []"},
+		{"reported", known, "h1 live connected [m@1]"},
+		{"an older list", append(slices.Clone(known), list(5, h1(leaving)), list(4, h1(live))), "h1 leaving connected leaving [m@1]"},
+		{"the same list again", append(slices.Clone(known), list(1, h1(gone))), "h1 live connected [m@1]"},
+		{"a list of version 0 first", []func(*View){list(0, h1(live))}, "h1 live []"},
+		{"leaving by the list", append(slices.Clone(known), list(2, h1(leaving))), "h1 leaving connected leaving [m@1]"},
+		{"leaving by its agent", []func(*View){list(1, h1(live)), report(leavingReport)}, "h1 live connected leaving []"},
+		{"leaving by its agent, and a new list", []func(*View){list(1, h1(live)), report(leavingReport), list(2, h1(live))}, "h1 live connected leaving []"},
+		{"leaving by the list, its agent has not heard", append(slices.Clone(known), list(2, h1(leaving)), report(change())), "h1 leaving connected leaving [m@1]"},
+		{"a leaving host is listed as live again", append(slices.Clone(known), list(2, h1(leaving)), list(3, h1(live))), "h1 leaving connected leaving [m@1]"},
+		{"gone", append(slices.Clone(known), list(2, h1(gone))), "h1 gone leaving gone [m@1]"},
+		{"not listed any more", append(slices.Clone(known), list(2)), "h1  leaving gone [m@1]"},
+		{"a gone host is listed as live again", append(slices.Clone(known), list(2, h1(gone)), list(3, h1(live))), "h1 gone leaving gone [m@1]"},
+		{"a host that was not listed is again", append(slices.Clone(known), list(2), list(3, h1(live))), "h1 gone leaving gone [m@1]"},
+		{"a late report of a gone host", append(slices.Clone(known), list(2, h1(gone)), report(whole(1, "n@1"))), "h1 gone leaving gone [m@1]"},
+		{"replaced", append(slices.Clone(known), list(2, h2(live))), "h2 live []"},
+		{"replaced while the old host leaves, listed last", append(slices.Clone(known), list(2, h2(live), h1(leaving))), "h2 live []"},
+		{"replaced while the old host leaves, listed first", append(slices.Clone(known), list(2, h1(leaving), h2(live))), "h2 live []"},
+		{"replaced by a host that leaves as well", append(slices.Clone(known), list(2, h1(gone), h2(leaving))), "h2 leaving leaving []"},
+		{"a change report before a whole one", []func(*View){list(1, h1(live)), report(change())}, "h1 live []"},
+		{"a change report after a lost connection", append(slices.Clone(known), lost, report(change())), "h1 live [m@1]"},
+		{"a change report", append(slices.Clone(known), report(change(&wirepb.Replica{Model: "n@1", State: wirepb.ReplicaState_LOADING}))), "h1 live connected [m@1 n@1]"},
+		{"a replica without a slot is absent", append(slices.Clone(known), report(change(&wirepb.Replica{Model: "m@1"}))), "h1 live connected []"},
+		{"a replica with a slot is absent", append(slices.Clone(known), report(change(&wirepb.Replica{Model: "m@1", Revision: 3}))), "h1 live connected [m@1]"},
+		{"the agent starts anew", append(slices.Clone(known), lost, report(whole(2, "n@1"))), "h1 live connected [n@1]"},
+		{"a report of an endpoint that is not listed", []func(*View){report(whole(1)), list(1, h1(live))}, "h1 live []"},
+		{"a report without a status", append(slices.Clone(known), func(v *View) { v.Reported(time.Time{}, "engine", nil) }), "h1 live connected [m@1]"},
+		{"an entry host", append(slices.Clone(known), list(2, h1(live), platform.Host{ID: "e", Role: platform.RoleEntry, Endpoint: "engine"})), "h1 live connected [m@1]"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			v := NewView()
+			for _, step := range c.steps {
+				step(v)
+			}
+			if e, _ := v.Endpoint("engine"); e.text() != c.want {
+				t.Errorf("got  %s\nwant %s", e.text(), c.want)
+			}
+		})
+	}
+}
+
+func (e *Endpoint) text() string {
+	text := e.HostID + " " + string(e.Listed)
+	for _, flag := range []struct {
+		set  bool
+		name string
+	}{{e.Connected, "connected"}, {e.Leaving, "leaving"}, {e.Gone, "gone"}} {
+		if flag.set {
+			text += " " + flag.name
+		}
+	}
+	return fmt.Sprint(text, " ", slices.Sorted(maps.Keys(e.Replicas)))
+}
+
+// The entries are those that the list names and that are not gone, in order; hosts of other roles are none.
+func TestViewEntries(t *testing.T) {
+	v := NewView()
+	entry := func(id string, s platform.HostState) platform.Host {
+		return platform.Host{ID: id, Role: platform.RoleEntry, State: s, Address: id}
+	}
+	v.HostsRead([]platform.Host{entry("c", platform.HostLeaving), entry("b", platform.HostGone), entry("a", platform.HostLive),
+		endpointHost("h", platform.HostLive), {ID: "x", Role: "other"}}, 1)
+	var ids []string
+	for _, e := range v.Entries() {
+		ids = append(ids, e.ID+" "+string(e.State))
+	}
+	if want := []string{"a live", "c leaving"}; !slices.Equal(ids, want) {
+		t.Errorf("entries %v, want %v", ids, want)
+	}
+	if version, hosts := v.Hosts(); version != 1 || len(hosts) != 5 {
+		t.Errorf("version %d, hosts %v", version, hosts)
+	}
+}
+
+// viewOp is one random list or report.
+type viewOp struct{ kind, pick int }
+
+// Random lists, in and out of order, and reports of agents that come late, start anew or leave. A host never goes back to
+// a better state, a gone one never counts as connected, an endpoint that has ever been told to leave takes no work again on
+// the same host, and values that were handed out are never changed.
+func TestViewProperty(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(1)
+	parameters.MinSuccessfulTests = 2000
+	properties := gopter.NewProperties(parameters)
+	op := gopter.CombineGens(gen.IntRange(0, 5), gen.IntRange(0, 1<<20)).Map(func(v []any) viewOp {
+		return viewOp{kind: v[0].(int), pick: v[1].(int)}
+	})
+	properties.Property("hosts go one way", prop.ForAll(func(ops []viewOp) bool {
+		v := NewView()
+		worstSeen := map[string]platform.HostState{}
+		told := map[string]bool{}
+		for _, op := range ops {
+			var before *Endpoint
+			var text string
+			if e, ok := v.Endpoint("engine"); ok {
+				before, text = e, e.text()
+			}
+			applyViewOp(v, op, told)
+			if before != nil && before.text() != text {
+				panic(fmt.Sprintf("a value that was handed out changed from %s to %s", text, before.text()))
+			}
+			if e, ok := v.Endpoint("engine"); ok {
+				checkOneWay(e, worstSeen, told)
+			}
+		}
+		return true
+	}, gen.SliceOfN(40, op)))
+	properties.TestingRun(t)
+}
+
+// applyViewOp lets a random list or report come; told are the hosts whose agents have said that they leave.
+func applyViewOp(v *View, op viewOp, told map[string]bool) {
+	states := []platform.HostState{platform.HostLive, platform.HostLeaving, platform.HostGone, ""}
+	switch op.kind {
+	case 0, 1, 2:
+		var hosts []platform.Host
+		for i, id := range []string{"h1", "h2"} {
+			if s := states[op.pick>>(2*i)%4]; s != "" {
+				hosts = append(hosts, endpointHost(id, s))
+			}
+		}
+		if op.pick%3 == 0 {
+			slices.Reverse(hosts)
+		}
+		version, _ := v.Hosts()
+		v.HostsRead(hosts, version+uint64(op.pick/16%3))
+	case 3, 4:
+		s := whole(1, "m@1")
+		s.Full = op.kind == 3
+		e, ok := v.Endpoint("engine")
+		s.Leaving = op.pick%4 == 0 || ok && told[e.HostID]
+		if v.Reported(time.Unix(int64(op.pick), 0), "engine", s) && s.Leaving {
+			told[e.HostID] = true
+		}
+	case 5:
+		v.Lost("engine")
+	}
+}
+
+func checkOneWay(e *Endpoint, worstSeen map[string]platform.HostState, told map[string]bool) {
+	state := e.Listed
+	if e.Gone {
+		state = platform.HostGone
+	}
+	if seen := worstSeen[e.HostID]; worst(state, seen) != state {
+		panic(fmt.Sprintf("%s went from %s to %s", e.HostID, seen, state))
+	}
+	worstSeen[e.HostID] = state
+	if e.Gone && e.Connected {
+		panic("a gone host is connected")
+	}
+	if !e.Leaving && (state != platform.HostLive || told[e.HostID] && e.Connected) {
+		panic(fmt.Sprintf("%s is %s, its agent said so: %v, and it does not count as leaving", e.HostID, state, told[e.HostID]))
+	}
+	if e.Connected && e.Status == nil {
+		panic("connected without a whole report")
+	}
+}
--- a/internal/operator/types.go
+++ b/internal/operator/types.go
@@ -188,7 +188,7 @@
 	// Eligible counts the live engines that the selector matches.
 	Eligible int             `json:"eligible"`
 	Replicas []ReplicaStatus `json:"replicas,omitempty"`
-	// Queued counts the requests that wait at this entry.
+	// Queued counts the requests that wait at the agents.
 	Queued int    `json:"queued"`
 	Why    string `json:"why,omitempty"`
 }
