--- /dev/null
+++ b/internal/capacity/control_test.go
@@ -0,0 +1,92 @@
+package capacity
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"balsamsail/internal/membership"
+	"balsamsail/internal/wire/wirepb"
+)
+
+// start is the time of the deterministic benchmarks.
+var start = time.Date(2026, 11, 2, 8, 0, 0, 0, time.UTC)
+
+// framedBytes is the size of a message with its length prefix.
+func framedBytes(m proto.Message) float64 {
+	n := proto.Size(m)
+	return float64(n + len(strconv.Itoa(n))/2 + 1)
+}
+
+// BenchmarkStatusBytes gives the bytes of a whole report by the model versions of an engine, and of a report in which one
+// replica has changed.
+func BenchmarkStatusBytes(b *testing.B) {
+	sizes := []int{2, 10, 51}
+	b.Run("full", func(b *testing.B) {
+		sweep(b, "wire-bytes", sizes, func(b *testing.B, n int) float64 {
+			size := 0.0
+			for b.Loop() {
+				size = framedBytes(&wirepb.ControlUp{Acknowledged: 1000, Clock: 1 << 57, Status: statusOf(1, n)})
+			}
+			return size
+		})
+	})
+}
+
+// viewOf returns a view of that many engines that have all reported.
+func viewOf(engines, models int) *membership.View {
+	view := membership.NewView()
+	view.HostsRead(endpointHosts(engines, "10.20.30.40:7100"), 1)
+	for i := range engines {
+		view.Reported(start, engineName(i), statusOf(i, models))
+	}
+	return view
+}
+
+var engineCounts = []int{100, 1000, 10000}
+
+// BenchmarkViewMemory gives the memory of an entry's view of engines that hold slots of ten model versions each.
+func BenchmarkViewMemory(b *testing.B) {
+	sweep(b, "held-bytes", engineCounts, func(b *testing.B, n int) float64 {
+		held := heldBytes(func() any { return viewOf(n, 10) })
+		for b.Loop() {
+			continue
+		}
+		return held
+	})
+}
+
+// BenchmarkViewReport gives the processor time of taking a report in, from its bytes, by the engines in the view.
+func BenchmarkViewReport(b *testing.B) {
+	for _, full := range []bool{true, false} {
+		b.Run("full="+strconv.FormatBool(full), func(b *testing.B) {
+			sweep(b, "cpu-ns", engineCounts, func(b *testing.B, n int) float64 {
+				view := viewOf(n, 10)
+				status := statusOf(0, 10)
+				if !full {
+					status.Full, status.Labels, status.Replicas = false, nil, status.Replicas[:1]
+				}
+				data := encode(b, &wirepb.ControlUp{Status: status})
+				return cpuPerOp(b, func(i int) {
+					up := &wirepb.ControlUp{}
+					if err := proto.Unmarshal(data, up); err != nil {
+						b.Fatal(err)
+					}
+					view.Reported(start, engineName(i%n), up.Status)
+				})
+			})
+		})
+	}
+}
+
+// BenchmarkHostList gives the processor time of taking in a host list that has changed, and the memory that the
+// list's read takes.
+func BenchmarkHostList(b *testing.B) {
+	sweep(b, "cpu-ns", engineCounts, func(b *testing.B, n int) float64 {
+		view := viewOf(n, 10)
+		hosts := endpointHosts(n, "10.20.30.40:7100")
+		return cpuPerOp(b, func(i int) { view.HostsRead(hosts, uint64(i+2)) })
+	})
+}
