agent: small buffer for streamed answers

Cause looked for: 5,000 streams open at once cost the agent 308 MiB beyond its start, of which each stream's relay buffer (32 KiB) was thought to be half.

--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -122,9 +122,19 @@
 	return x.send(&wirepb.FromAgent{Frame: &wirepb.FromAgent_Head{Head: head}})
 }
 
+// eventBufferBytes is the buffer of a streamed answer, whose events are small: it is held for as long as the stream is open.
+const eventBufferBytes = 2 << 10
+
+func (r *relay) bufferBytes() int {
+	if strings.HasPrefix(r.response.Header.Get("Content-Type"), eventStream) {
+		return eventBufferBytes
+	}
+	return wire.ChunkBytes
+}
+
 // sendBody passes the body as it comes.
 func (r *relay) sendBody() error {
-	buffer := make([]byte, wire.ChunkBytes)
+	buffer := make([]byte, r.bufferBytes())
 	for {
 		n, err := r.response.Body.Read(buffer)
 		if n > 0 {
