test: kills in the middle of a load, crashes and races found in logs, nothing left behind by a failed test

Cause of one wrong verdict (pairs with -long): a test that ended early left its editors running, which met a later cluster at the same addresses once these came round again. They are stopped by a cleanup now. Of two more: a heal waited for an agent whose engine was still cut off by the other failure of the pair; heals no longer wait, and readiness is awaited once all of them are done. Change besides: kills, freezes and restarts of engines and agents begin while a load is under way; a process that panics or, with -race-binary, races fails the test.

--- a/test/evidence_test.go
+++ b/test/evidence_test.go
@@ -1,8 +1,10 @@
 package test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -35,6 +37,12 @@
 	t.Helper()
 	c := newCluster(t)
 	r := &run{cluster: c, workload: startWorkload(c), editors: startEditors(c), monitor: startMonitor(c)}
+	// A test that ends early must not leave callers behind, who would soon meet another cluster at the same addresses.
+	t.Cleanup(func() {
+		r.editors.stop()
+		r.workload.stop()
+		r.monitor.stop()
+	})
 	r.workload.awaitServed(5, 15*time.Second)
 	return r
 }
@@ -151,6 +159,7 @@
 		checkNotRun,
 		checkOnce,
 		checkDeclarations,
+		checkLogs,
 	} {
 		property(e).report(c)
 	}
@@ -158,3 +167,26 @@
 		checkUncut(e).report(c)
 	}
 }
+
+// faultsOfPrograms are what a process writes when it is wrong in itself.
+var faultsOfPrograms = []string{"panic:", "fatal error:", "WARNING: DATA RACE"}
+
+// checkLogs checks that no process has crashed by itself or, with -race-binary, raced.
+func checkLogs(e *evidence) *violations {
+	v := &violations{property: "no process is wrong in itself"}
+	for _, p := range e.cluster.processes() {
+		data, err := os.ReadFile(p.log)
+		if err != nil {
+			v.add("%s: %v", p.name, err)
+		}
+		for _, fault := range faultsOfPrograms {
+			if at := bytes.Index(data, []byte(fault)); at >= 0 {
+				v.add("%s: %s", p.name, data[at:min(len(data), at+maxFaultText)])
+			}
+		}
+	}
+	return v
+}
+
+// maxFaultText bounds what is shown of a crash or a race, in bytes.
+const maxFaultText = 3000
--- a/test/failure_table_test.go
+++ b/test/failure_table_test.go
@@ -16,34 +16,34 @@
 	return []failure{
 		made("entry killed", `An entry dies with requests of callers, offers to agents and claims in flight, and comes
 back later. Its callers see their connections end; nobody else may notice, and no call may run twice.`,
-			silenceLasts, killEntry("entry-1"), restartEntry("entry-1")),
+			silenceLasts, killEntry("entry-1"), startEntry("entry-1")),
 		made("entry frozen", `An entry is suspended past every time-out and goes on as if no time had passed: with old
 grants, old declarations and offers whose deadline is over.`,
 			silenceLasts, freezeEntry("entry-2"), thawEntry("entry-2")),
 		made("agent killed, its engine fences", `An agent dies in the middle of loads and answers while its engine lives
 on and finishes the orders. The next agent must find out what the engine holds before it orders anything.`,
-			silenceLasts, killAgent("engine-1"), restartAgent("engine-1")),
+			silenceLasts, whileLoading("engine-1", killAgent("engine-1")), startAgent("engine-1")),
 		made("agent killed, its engine does not fence", `As before, but the engine takes orders with any number, so that an
 order of the dead agent may still take effect when the next one has read the engine's state.`,
-			blip, killAgent("engine-3"), restartAgent("engine-3")),
+			blip, whileLoading("engine-3", killAgent("engine-3")), startAgent("engine-3")),
 		made("agent frozen, its engine fences", `An agent is suspended in the middle of its work, its grants move on, and
 it wakes up with decisions that it was about to carry out.`,
-			silenceLasts, freezeAgent("engine-2"), thawAgent("engine-2")),
+			silenceLasts, whileLoading("engine-2", freezeAgent("engine-2")), thawAgent("engine-2")),
 		made("agent frozen, its engine does not fence", `As before, at an engine that would carry out whatever comes.`,
-			silenceLasts, freezeAgent("engine-4"), thawAgent("engine-4")),
+			silenceLasts, whileLoading("engine-4", freezeAgent("engine-4")), thawAgent("engine-4")),
 		made("engine frozen", `An engine is suspended: orders and requests get no answer, the connection stays open, and all
 of them are carried out late.`,
-			silenceLasts, freezeServer("engine-2"), thawServer("engine-2")),
+			silenceLasts, whileLoading("engine-2", freezeServer("engine-2")), thawServer("engine-2")),
 		made("engine restarted", `An engine dies and comes back at once, empty, between two looks of its agent, in the middle
 of loads and answers.`,
-			blip, restartEngine("engine-1"), nothing),
+			blip, whileLoading("engine-1", restartEngine("engine-1")), nothing),
 		made("engine restarted twice, it does not fence", `An engine dies in the middle of its loads, and again while its
 agent is loading anew.`,
-			blip, restartEngine("engine-3"), restartEngine("engine-3")),
+			blip, whileLoading("engine-3", restartEngine("engine-3")), whileLoading("engine-3", restartEngine("engine-3"))),
 		made("service frozen", `A plain service is suspended with calls in it that may run only once; it runs them late.`,
 			silenceLasts, freezeServer("ledger-1"), thawServer("ledger-1")),
 		made("agent of a service killed", `The agent of a plain service dies with committed calls in flight.`,
-			blip, killAgent("ledger-1"), restartAgent("ledger-1")),
+			blip, killAgent("ledger-1"), startAgent("ledger-1")),
 		made("agent of a service frozen", `The agent of a plain service is suspended between an offer and its commit.`,
 			silenceLasts, freezeAgent("ledger-2"), thawAgent("ledger-2")),
 		restartsWithLateOrders(),
@@ -65,7 +65,6 @@
 		c.t.Helper()
 		c.background.stop()
 		onTime(c)
-		c.endpoint("engine-3").agent.awaitReady()
 	}
 	return made("agent restarted again and again while orders are late", `Each agent dies with orders on their way, and the
 next one finds the engine empty. The late loads must not meet those that it gives by itself: the engine does not tell old
--- a/test/monitor_test.go
+++ b/test/monitor_test.go
@@ -26,9 +26,10 @@
 
 // monitor looks again and again which revision is in force in each process, past every link.
 type monitor struct {
-	cluster *cluster
-	done    chan struct{}
-	looking sync.WaitGroup
+	cluster  *cluster
+	done     chan struct{}
+	stopOnce sync.Once
+	looking  sync.WaitGroup
 
 	mu   sync.Mutex
 	seen []observation
@@ -52,7 +53,7 @@
 
 // stop ends the looking and returns what was seen, in order for each process.
 func (m *monitor) stop() []observation {
-	close(m.done)
+	m.stopOnce.Do(func() { close(m.done) })
 	m.looking.Wait()
 	return m.seen
 }
--- a/test/operators_test.go
+++ b/test/operators_test.go
@@ -45,9 +45,10 @@
 // editors are two operators who change the same label again and again, one of them always on the revision that it last
 // saw.
 type editors struct {
-	cluster *cluster
-	stopped chan struct{}
-	running sync.WaitGroup
+	cluster  *cluster
+	stopped  chan struct{}
+	stopOnce sync.Once
+	running  sync.WaitGroup
 
 	mu    sync.Mutex
 	edits []*edit
@@ -62,7 +63,7 @@
 
 // stop ends the edits and returns all of them.
 func (e *editors) stop() []*edit {
-	close(e.stopped)
+	e.stopOnce.Do(func() { close(e.stopped) })
 	e.running.Wait()
 	return e.edits
 }
--- a/test/scenario_test.go
+++ b/test/scenario_test.go
@@ -119,10 +119,19 @@
 	r.finish().check()
 }
 
-// awaitRecovery waits until every kind of request is served again, and every model at every entry.
+// awaitRecovery waits until all processes are ready, every kind of request is served again, and every model at every
+// entry.
 func (r *run) awaitRecovery() {
 	c := r.cluster
 	c.t.Helper()
+	for _, e := range c.entries {
+		e.process.awaitReady()
+	}
+	for _, e := range c.endpoints {
+		if !e.gone {
+			e.agent.awaitReady()
+		}
+	}
 	r.workload.awaitServed(5, recoveryPatience)
 	caller := newCaller()
 	for _, target := range targets {
--- a/test/workload_test.go
+++ b/test/workload_test.go
@@ -57,6 +57,7 @@
 	balancer *balancer
 	caller   *caller
 	stopped  chan struct{}
+	stopOnce sync.Once
 	running  sync.WaitGroup
 	open     chan struct{}
 
@@ -103,9 +104,11 @@
 
 // stop ends the load and returns all exchanges once the last one has ended.
 func (w *workload) stop() []*exchange {
-	close(w.stopped)
-	w.running.Wait()
-	w.balancer.stop()
+	w.stopOnce.Do(func() {
+		close(w.stopped)
+		w.running.Wait()
+		w.balancer.stop()
+	})
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.exchanges
