--- a/internal/capacity/control_test.go
+++ b/internal/capacity/control_test.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"encoding/json"
 	"strconv"
 	"testing"
 	"time"
@@ -81,12 +82,17 @@
 	}
 }
 
-// BenchmarkHostList gives the processor time of taking in a host list that has changed, and the memory that the
-// list's read takes.
+// BenchmarkHostList gives the processor time of taking in a host list that has changed, and the bytes of a host's line.
 func BenchmarkHostList(b *testing.B) {
 	sweep(b, "cpu-ns", engineCounts, func(b *testing.B, n int) float64 {
 		view := viewOf(n, 10)
 		hosts := endpointHosts(n, "10.20.30.40:7100")
-		return cpuPerOp(b, func(i int) { view.HostsRead(hosts, uint64(i+2)) })
+		ns := cpuPerOp(b, func(i int) { view.HostsRead(hosts, uint64(i+2)) })
+		text, err := json.Marshal(hosts)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(text))/float64(n), "json-bytes/host")
+		return ns
 	})
 }
--- a/internal/capacity/declarations_test.go
+++ b/internal/capacity/declarations_test.go
@@ -91,8 +91,7 @@
 	sweep(b, "cpu-ns", []int{270, 2700, 27000}, func(b *testing.B, n int) float64 {
 		set := decodedSet(b, encode(b, snapshotOf(targetModels, n, 0)))
 		data := encode(b, deltaOf(2))
-		b.ReportMetric(float64(len(data)), "wire-bytes")
-		return cpuPerOp(b, func(int) {
+		ns := cpuPerOp(b, func(int) {
 			delta := &pb.Delta{}
 			if err := proto.Unmarshal(data, delta); err != nil {
 				b.Fatal(err)
@@ -101,5 +100,7 @@
 				b.Fatal(err)
 			}
 		})
+		b.ReportMetric(float64(len(data)), "wire-bytes")
+		return ns
 	})
 }
--- a/internal/capacity/process_test.go
+++ b/internal/capacity/process_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"log/slog"
 	"net"
-	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -243,12 +242,6 @@
 	}
 }
 
-func (c *conns) count() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.list)
-}
-
 func (c *conns) traffic() traffic {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -335,13 +328,3 @@
 		}
 	}
 }
-
-// isReady reports whether a process says that it is ready.
-func isReady(address string) bool {
-	response, err := http.Get("http://" + address + "/readyz")
-	if err != nil {
-		return false
-	}
-	_ = response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
--- a/internal/capacity/size_test.go
+++ b/internal/capacity/size_test.go
@@ -33,12 +33,11 @@
 // The limits at that size.
 const (
 	limitCPU    = 0.035
-	limitMemory = 128 << 20
-	limitBytes  = 4 << 10
+	limitMemory = 128e6
+	limitBytes  = 4e3
 	limitReads  = 2000.0
 	// limitWrites stands for "several hundred".
 	limitWrites = 300.0
-	limitSpread = 4.0
 )
 
 const gib = 1 << 30
