--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"balsamsail/internal/atmostonce"
 	"balsamsail/internal/routing"
 	"balsamsail/internal/timeline"
@@ -208,136 +205,6 @@
 	return wait
 }
 
-// eventOf turns a read into an event of the exchange.
-func (t *attempt) eventOf(ctx context.Context, frame *wirepb.FromAgent, err error) atmostonce.ExchangeEvent {
-	if errors.Is(err, wire.ErrTimeout) {
-		t.gone = ctx.Err() != nil
-		return atmostonce.GaveUp
-	}
-	if err != nil || frame.RequestId != t.rq.id {
-		return atmostonce.StreamBroke
-	}
-	if frame.Clock != 0 {
-		t.entry.recorder.Clock().Observe(frame.Clock)
-	}
-	switch f := frame.Frame.(type) {
-	case *wirepb.FromAgent_Accepted:
-		t.accepted(f.Accepted)
-		return atmostonce.GotAccepted
-	case *wirepb.FromAgent_Ready:
-		return t.ready()
-	case *wirepb.FromAgent_Refused:
-		t.refusal = f.Refused
-		return atmostonce.GotRefused
-	case *wirepb.FromAgent_Head:
-		return t.headCame(f.Head)
-	case *wirepb.FromAgent_Body:
-		return t.bodyCame(f.Body.Data)
-	case *wirepb.FromAgent_Trailer:
-		return t.trailerCame(f.Trailer)
-	case *wirepb.FromAgent_Failed:
-		return t.failedCame(f.Failed)
-	default:
-		return atmostonce.StreamBroke
-	}
-}
-
-func (t *attempt) accepted(a *wirepb.Accepted) {
-	t.stage = routing.StageAccepted
-	t.cold = a.Cold
-	t.expected = time.Duration(a.Load.GetWaitMicros()) * time.Microsecond
-	t.entry.record(timeline.RequestAccepted, t.rq, t.candidate.Endpoint, "")
-}
-
-// ready begins the sending of the rest of a large body. For a two-step request the commit goes first.
-func (t *attempt) ready() atmostonce.ExchangeEvent {
-	t.running = true
-	if t.rq.idempotent {
-		t.startBody()
-	}
-	return atmostonce.GotReady
-}
-
-// startBody sends the rest of a large body from its own goroutine, so that a refusal is seen meanwhile.
-func (t *attempt) startBody() {
-	if t.rq.rest == nil || t.bodyUsed {
-		return
-	}
-	t.bodyUsed = true
-	go t.sendBody()
-}
-
-// sendBody passes on the rest of the body.
-func (t *attempt) sendBody() {
-	buffer := make([]byte, wire.ChunkBytes)
-	for {
-		n, err := io.ReadFull(t.rq.rest, buffer)
-		last := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
-		if err != nil && !last {
-			_ = t.write(&wirepb.ToAgent{Frame: &wirepb.ToAgent_Cancel{Cancel: &wirepb.Cancel{Reason: "the caller's body broke"}}})
-			return
-		}
-		chunk := &wirepb.BodyChunk{Data: buffer[:n], Done: last}
-		if t.write(&wirepb.ToAgent{Frame: &wirepb.ToAgent_Body{Body: chunk}}) != nil || last {
-			return
-		}
-	}
-}
-
-// write sends one frame; the body's sender and the exchange share the stream.
-func (t *attempt) write(frame *wirepb.ToAgent) error {
-	t.writing.Lock()
-	defer t.writing.Unlock()
-	frame.RequestId = t.rq.id
-	if frame.GetBody() == nil {
-		frame.Clock = t.entry.recorder.Clock().Now()
-	}
-	return t.stream.Write(frame)
-}
-
-func (t *attempt) headCame(head *wirepb.Head) atmostonce.ExchangeEvent {
-	t.running = true
-	t.cold = t.cold || head.Cold
-	t.out.setHead(head)
-	t.answered = int(head.Status)
-	return atmostonce.GotHead
-}
-
-func (t *attempt) bodyCame(data []byte) atmostonce.ExchangeEvent {
-	if t.firstByte == 0 {
-		t.firstByte = t.entry.clock.Now().Sub(t.began)
-		t.entry.noteFirstByte(t.rq, t.cold)
-	}
-	err := t.out.add(data)
-	if errors.Is(err, errCallerGone) {
-		t.gone = true
-		return atmostonce.GaveUp
-	}
-	if err != nil {
-		return atmostonce.StreamBroke
-	}
-	return atmostonce.GotHead
-}
-
-func (t *attempt) trailerCame(trailer *wirepb.Trailer) atmostonce.ExchangeEvent {
-	if err := t.out.verify(trailer); err != nil {
-		t.entry.metrics.mismatches.Inc()
-		return atmostonce.StreamBroke
-	}
-	return atmostonce.GotTrailer
-}
-
-func (t *attempt) failedCame(f *wirepb.Failed) atmostonce.ExchangeEvent {
-	t.entry.record(timeline.RequestFailed, t.rq, t.candidate.Endpoint, f.Reason.String())
-	if f.Reason == wirepb.FailureReason_ENDPOINT_REFUSED {
-		t.refusal = &wirepb.Refused{Reason: wirepb.RefusalReason_QUEUE_FULL, Load: f.Load}
-	}
-	if f.MayHaveRun {
-		return atmostonce.GotFailedUnclear
-	}
-	return atmostonce.GotFailedClean
-}
-
 // act carries out one action of the exchange and reports whether the attempt has ended.
 func (t *attempt) act(action atmostonce.ExchangeAction) bool {
 	switch action {
@@ -403,47 +270,3 @@
 		callerGone:  t.gone,
 	}
 }
-
-// awaitFate follows a committed request whose caller was told nothing definite, so that its claim can be settled.
-func (t *attempt) awaitFate() {
-	defer func() { _ = t.stream.Close() }()
-	_ = t.stream.SetReadDeadline(t.entry.clock.Now().Add(t.entry.options.MaxAnswer))
-	for {
-		frame := &wirepb.FromAgent{}
-		err := t.stream.Read(frame)
-		event := fateEvent(frame, err, t.rq.id)
-		for _, action := range t.exchange.Step(event) {
-			switch action {
-			case atmostonce.SettleServed:
-				t.fate <- fateServed
-				return
-			case atmostonce.SettleNotRun:
-				t.fate <- fateNotRun
-				return
-			case atmostonce.SettleUnknown, atmostonce.EndUnknown, atmostonce.EndCut:
-				t.fate <- fateUnknown
-				return
-			}
-		}
-	}
-}
-
-// fateEvent is eventOf without an answer to pass on.
-func fateEvent(frame *wirepb.FromAgent, err error, id string) atmostonce.ExchangeEvent {
-	if err != nil || frame.RequestId != id {
-		return atmostonce.StreamBroke
-	}
-	switch f := frame.Frame.(type) {
-	case *wirepb.FromAgent_Refused:
-		return atmostonce.GotRefused
-	case *wirepb.FromAgent_Trailer:
-		return atmostonce.GotTrailer
-	case *wirepb.FromAgent_Failed:
-		if f.Failed.MayHaveRun {
-			return atmostonce.GotFailedUnclear
-		}
-		return atmostonce.GotFailedClean
-	default:
-		return atmostonce.GotAccepted
-	}
-}
