--- a/internal/membership/manager_test.go
+++ b/internal/membership/manager_test.go
@@ -158,6 +158,28 @@
 	}
 }
 
+// The agent of a replaced host has answered its last request and ends. Nobody connects to it again, though its host is
+// listed for a while.
+func TestManagerForgetsAReplacedHost(t *testing.T) {
+	old, next := newAgent(t, ""), newAgent(t, "")
+	list, seen := &scriptedList{}, &watcher{}
+	list.set(old.host("h1", live))
+	m := startManager(t, list, seen, nil)
+	old.report(old.connected(), whole(1))
+	retired := func() int {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return len(m.retired)
+	}
+	list.set(old.host("h1", leavingHost), next.host("h2", live))
+	next.connected()
+	if n := retired(); n != 1 {
+		t.Fatalf("%d connections to replaced hosts", n)
+	}
+	old.stop()
+	eventually(t, "the replaced host is connected to again", func() bool { return retired() == 0 })
+}
+
 // The platform's list is down, at the start or later. The last list stays in force, and until there is one the entry does
 // not count as knowing the hosts.
 func TestManagerOutlivesAnOutageOfTheList(t *testing.T) {
--- a/internal/membership/view_cases_test.go
+++ b/internal/membership/view_cases_test.go
@@ -129,6 +129,22 @@
 	}
 }
 
+// What is remembered of hosts that are gone is bounded, and the latest are remembered.
+func TestPastHostsAreBounded(t *testing.T) {
+	p := pastHosts{states: map[string]platform.HostState{}}
+	for i := range 2 * maxPastHosts {
+		p.note(fmt.Sprint(i), platform.HostLeaving)
+		p.note(fmt.Sprint(i), platform.HostGone)
+		p.note(fmt.Sprint("live ", i), platform.HostLive)
+	}
+	if len(p.states) != maxPastHosts || len(p.order) != maxPastHosts {
+		t.Errorf("%d and %d hosts are remembered", len(p.states), len(p.order))
+	}
+	if got := p.note(fmt.Sprint(2*maxPastHosts-1), platform.HostLive); got != platform.HostGone {
+		t.Errorf("the latest host is %s", got)
+	}
+}
+
 // viewOp is one random list or report.
 type viewOp struct{ kind, pick int }
 
