--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -17,6 +17,9 @@
 // that breaks can still be repeated.
 const holdBytes = 256 << 10
 
+// maxStatus is the highest status that an answer may have.
+const maxStatus = 999
+
 // errAnswerMismatch says that an answer's length or checksum is not what its trailer says.
 var errAnswerMismatch = errors.New("entry: answer does not match its trailer")
 
@@ -49,8 +52,12 @@
 	a.checksum.Reset()
 }
 
-// setHead takes the head of the endpoint's answer.
+// setHead takes the head of the endpoint's answer. One whose status is that of no answer is not taken, so that what
+// follows does not match.
 func (a *answer) setHead(head *wirepb.Head) {
+	if head.Status < http.StatusOK || head.Status > maxStatus {
+		return
+	}
 	a.head = head
 	a.streamed = false
 	for _, h := range head.Headers {
@@ -131,6 +138,7 @@
 		return nil
 	}
 	a.begin(len(a.held))
+	_ = a.control.SetWriteDeadline(time.Now().Add(stallTimeout))
 	if _, err := a.w.Write(a.held); err != nil {
 		return errors.Wrap(errCallerGone, err.Error())
 	}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -29,7 +29,7 @@
 	refusal   *wirepb.Refused
 	lastWord  atmostonce.ExchangeAction
 	gone      bool
-	bodyUsed  bool
+	bodyBegun bool
 	answered  int
 	fate      chan fate
 	// last is set when there is no other endpoint to move on to.
@@ -72,13 +72,14 @@
 		return t.end(routing.OutcomeNotSent)
 	}
 	t.stream = stream
-	wake := context.AfterFunc(ctx, func() { _ = stream.SetReadDeadline(time.Unix(1, 0)) })
-	defer wake()
+	stopWaking := wakeAtEnd(ctx, stream)
+	defer stopWaking()
 	if err := t.offer(); err != nil {
 		_ = stream.Close()
 		return t.end(t.notTaken())
 	}
 	t.follow(ctx)
+	stopWaking()
 	t.confirmWithdrawal()
 	if t.exchange.Open() {
 		t.fate = make(chan fate, 1)
@@ -89,6 +90,21 @@
 	return t.end(t.outcome())
 }
 
+// wakeAtEnd wakes the stream's reader when ctx ends. After the function that it returns no wake comes any more: a late one
+// would end the wait for the agent's last word.
+func wakeAtEnd(ctx context.Context, stream *wire.Stream) func() {
+	woken := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		_ = stream.SetReadDeadline(time.Unix(1, 0))
+		close(woken)
+	})
+	return sync.OnceFunc(func() {
+		if !stop() {
+			<-woken
+		}
+	})
+}
+
 // withdrawalPatience bounds the wait for the agent's word on a withdrawn request.
 const withdrawalPatience = 100 * time.Millisecond
 
@@ -135,7 +151,7 @@
 		Headers:        rq.headers,
 		BodyLength:     rq.length,
 		Body:           rq.body,
-		BodyDone:       rq.rest == nil,
+		BodyDone:       rq.isWhole(),
 		Caller:         rq.caller,
 		Stream:         rq.stream,
 	}}})
@@ -214,6 +230,8 @@
 		t.startBody()
 		return false
 	case atmostonce.SendCancel:
+		// A part of the body may wait for an endpoint that takes none, and would hold the withdrawal up.
+		t.stream.StopWriting()
 		_ = t.write(&wirepb.ToAgent{Frame: &wirepb.ToAgent_Cancel{Cancel: &wirepb.Cancel{}}})
 		return false
 	}
@@ -266,7 +284,7 @@
 			Cold:      t.cold,
 		},
 		answerBegun: t.out.begun,
-		bodyUsed:    t.bodyUsed,
+		bodyUsed:    t.bodyBegun && t.rq.rest != nil,
 		callerGone:  t.gone,
 	}
 }
--- a/internal/entry/claimed.go
+++ b/internal/entry/claimed.go
@@ -11,6 +11,7 @@
 
 	"balsamsail/internal/atmostonce"
 	"balsamsail/internal/timeline"
+	"balsamsail/internal/wire"
 )
 
 // settlePatience bounds the recording of a claim's end.
@@ -22,7 +23,7 @@
 	if rq.idempotent || key == "" {
 		return e.forward(r.Context(), rq, out)
 	}
-	if rq.rest != nil {
+	if !rq.isWhole() || len(rq.body) > wire.ChunkBytes {
 		return result{err: badRequest("a call with an idempotency key must have a body of at most 32 KiB, because it is compared")}
 	}
 	held, res := e.claim(r.Context(), rq, key, out)
--- a/internal/entry/coordinator.go
+++ b/internal/entry/coordinator.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"balsamsail/internal/loading/permits"
+	"balsamsail/internal/membership"
 	"balsamsail/internal/platform"
 	"balsamsail/internal/replicas"
 	"balsamsail/internal/timeline"
@@ -106,6 +107,7 @@
 		// An edit that came between the connection and its first report found the agent not connected yet.
 		c.noteHeld(endpoint, up.Status)
 		c.pushTo(endpoint)
+		c.tellLeaving(endpoint, ep)
 	}
 	c.catchUp(now, endpoint, up.Status)
 	c.permits(now, endpoint, up)
@@ -149,14 +151,22 @@
 	c.version.Add(1)
 	for name, ep := range e.members.Endpoints() {
 		c.noteListed(name, ep.Listed, ep.Gone)
-		if ep.Connected && ep.Listed == platform.HostLeaving && !ep.Status.GetLeaving() {
-			e.members.Send(name, &wirepb.ControlDown{HostState: wirepb.HostState_HOST_LEAVING})
+		if ep.Connected {
+			c.tellLeaving(name, ep)
 		}
 	}
 	e.grants.Notify()
 	e.changes.announce()
 }
 
+// tellLeaving tells an agent that its host leaves, until it says so itself. A list that came between its connection and its
+// first report found it not connected yet, and does not come again.
+func (c *coordinator) tellLeaving(endpoint string, ep *membership.Endpoint) {
+	if ep.Listed == platform.HostLeaving && !ep.Status.GetLeaving() {
+		c.entry.members.Send(endpoint, &wirepb.ControlDown{HostState: wirepb.HostState_HOST_LEAVING})
+	}
+}
+
 // noteListed tells the time line of a host's changed state, and forgets what was observed of one that is gone.
 func (c *coordinator) noteListed(endpoint string, state platform.HostState, gone bool) {
 	if gone {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -72,9 +72,9 @@
 				tried = nil
 			}
 		case routing.VerdictRefuse:
-			return result{err: refused(verdict.Reason, verdict.RetryAfter), fate: fateNotRun}
+			return result{err: rq.orBroken(refused(verdict.Reason, verdict.RetryAfter)), fate: fateNotRun}
 		case routing.VerdictUnknown:
-			return result{err: e.unknownAnswer(rq), later: t.fate}
+			return result{err: rq.orBroken(e.unknownAnswer(rq)), later: t.fate}
 		case routing.VerdictAbort:
 			return result{cut: true, later: t.fate}
 		}
@@ -120,7 +120,10 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.router.Observe(now, ended.observation)
+	if !ended.callerGone && rq.broken.Load() == nil {
+		// What the caller brought about says nothing of the endpoint.
+		e.router.Observe(now, ended.observation)
+	}
 	verdict := routing.Decide(now, ended.attempt, state)
 	if verdict.Kind == routing.VerdictDone {
 		e.budget.Success()
--- a/internal/entry/frames.go
+++ b/internal/entry/frames.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"time"
@@ -16,8 +17,10 @@
 
 // eventOf turns a read into an event of the exchange.
 func (t *attempt) eventOf(ctx context.Context, frame *wirepb.FromAgent, err error) atmostonce.ExchangeEvent {
-	if errors.Is(err, wire.ErrTimeout) {
+	if err != nil {
 		t.gone = ctx.Err() != nil
+	}
+	if errors.Is(err, wire.ErrTimeout) {
 		return atmostonce.GaveUp
 	}
 	if err != nil || frame.RequestId != t.rq.id {
@@ -66,20 +69,24 @@
 
 // startBody sends the rest of a large body from its own goroutine, so that a refusal is seen meanwhile.
 func (t *attempt) startBody() {
-	if t.rq.rest == nil || t.bodyUsed {
+	if t.rq.isWhole() || t.bodyBegun {
 		return
 	}
-	t.bodyUsed = true
-	go t.sendBody()
+	t.bodyBegun = true
+	rest := t.rq.rest
+	if rest == nil {
+		rest = bytes.NewReader(t.rq.kept)
+	}
+	go t.sendBody(rest)
 }
 
 // sendBody passes on the rest of the body.
-func (t *attempt) sendBody() {
+func (t *attempt) sendBody(rest io.Reader) {
 	buffer := make([]byte, wire.ChunkBytes)
 	for {
-		n, err := io.ReadFull(t.rq.rest, buffer)
-		last := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
-		if err != nil && !last {
+		n, last, err := readPart(rest, buffer)
+		if err != nil {
+			t.rq.breakBody(err)
 			_ = t.write(&wirepb.ToAgent{Frame: &wirepb.ToAgent_Cancel{Cancel: &wirepb.Cancel{Reason: "the caller's body broke"}}})
 			return
 		}
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -31,6 +31,8 @@
 func (e *Entry) serveChat(w http.ResponseWriter, r *http.Request) {
 	id := e.newRequestID()
 	now := e.clock.Now()
+	sent, w := newCallerBody(w, r)
+	defer sent.end()
 	class, deadline, refusal := e.classAndDeadline(r.Header, e.deadlines(), now)
 	if refusal == nil && !e.knowsEnough() {
 		refusal = refused(wirepb.RefusalReason_NOT_READY, minRetryAfter)
@@ -39,7 +41,8 @@
 		e.answerError(w, id, refusal)
 		return
 	}
-	body, refusal := readBody(w, r, e.options.MaxBody, deadline)
+	sent.bound(e.options.MaxBody, deadline)
+	body, refusal := sent.readAll()
 	if refusal != nil {
 		e.answerError(w, id, refusal)
 		return
@@ -63,7 +66,7 @@
 		caller:     callerKey(r),
 		length:     int64(len(body)),
 	}
-	rq.body, rq.rest = firstPart(body)
+	rq.body, rq.kept = firstPart(body)
 	e.serve(w, r, rq)
 }
 
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -6,15 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"balsamsail/internal/admission"
 	"balsamsail/internal/declarations"
-	"balsamsail/internal/wire"
 	"balsamsail/internal/wire/wirepb"
 )
 
@@ -32,10 +31,35 @@
 	path       string
 	headers    []*wirepb.Header
 	caller     string
-	// body is the first part of the body, whole when rest is nil; length is the whole length, -1 when not known.
+	// body is the first part of the body. The others, if any, are kept here, or come as rest from the caller and can be
+	// sent once only. length is the whole length, -1 when not known.
 	body   []byte
+	kept   []byte
 	rest   io.Reader
 	length int64
+	// broken is why the rest of the body could not be read.
+	broken atomic.Pointer[apiError]
+}
+
+// isWhole reports whether body is all of the body.
+func (rq *request) isWhole() bool { return rq.rest == nil && len(rq.kept) == 0 }
+
+// breakBody notes that the rest of the body could not be read.
+func (rq *request) breakBody(err error) {
+	if body, ok := rq.rest.(*callerBody); ok {
+		rq.broken.Store(body.refusal(err))
+	}
+}
+
+// orBroken is the error answer to the request: that its own body broke, if it did, with what is known of its outcome.
+func (rq *request) orBroken(otherwise *apiError) *apiError {
+	broken := rq.broken.Load()
+	if broken == nil {
+		return otherwise
+	}
+	answer := *broken
+	answer.outcome = otherwise.outcome
+	return &answer
 }
 
 // chatFields are the fields of a chat completion that routing needs.
@@ -83,23 +107,6 @@
 	return notRun(http.StatusBadRequest, CodeBadRequest, message, 0)
 }
 
-// readBody reads a bounded body whole, by the request's deadline: a caller that sends slowly must not hold a connection
-// for ever.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, *apiError) {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = control.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, notRun(http.StatusRequestEntityTooLarge, CodeBodyTooLarge, "the body is over "+strconv.FormatInt(limit, 10)+" bytes", 0)
-	}
-	if err != nil {
-		return nil, badRequest("the body ended early")
-	}
-	return body, nil
-}
-
 // chatTarget resolves the model of a chat completion and returns the body as the engine gets it.
 func chatTarget(set *declarations.Set, body []byte) (admission.Target, chatFields, []byte, *apiError) {
 	var fields chatFields
@@ -178,22 +185,14 @@
 	return strconv.FormatUint(h.Sum64(), 36)
 }
 
-// splitBody takes the first part of a service call's body; rest is nil when that was all.
-func splitBody(r io.Reader) ([]byte, io.Reader, error) {
-	first := make([]byte, wire.ChunkBytes)
-	n, err := io.ReadFull(r, first)
-	switch {
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
-		return first[:n], nil, nil
-	case err != nil:
-		return nil, nil, err
-	}
-	return first, r, nil
-}
-
-// servicePath is the path and query as the plain service gets them: without the declared prefix.
+// servicePath is the path and query as the plain service gets them: without the declared prefix, and otherwise as the
+// caller wrote them. Where the caller wrote the prefix itself with escapes, the rest is escaped anew.
 func servicePath(r *http.Request, prefix string) string {
-	path := "/" + strings.TrimPrefix(r.URL.EscapedPath(), prefix)
+	rest, found := strings.CutPrefix(r.URL.EscapedPath(), prefix)
+	if !found {
+		rest = (&url.URL{Path: strings.TrimPrefix(r.URL.Path, prefix)}).EscapedPath()
+	}
+	path := "/" + rest
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
 	}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"bytes"
-	"io"
 	"net/http"
 	"time"
 
@@ -16,6 +14,8 @@
 func (e *Entry) serveService(w http.ResponseWriter, r *http.Request) {
 	id := e.newRequestID()
 	now := e.clock.Now()
+	body, w := newCallerBody(w, r)
+	defer body.end()
 	service, ok := e.store.Current().ServiceFor(r.URL.Path)
 	if !ok && !e.knowsEnough() {
 		e.answerError(w, id, refused(wirepb.RefusalReason_NOT_READY, minRetryAfter))
@@ -26,9 +26,12 @@
 		return
 	}
 	class, deadline, refusal := e.classAndDeadline(r.Header, e.serviceDeadlines(service), now)
-	if refusal == nil {
-		refusal = e.checkLength(service, r.ContentLength)
+	if refusal != nil {
+		e.answerError(w, id, refusal)
+		return
 	}
+	body.bound(e.bodyLimit(service), deadline)
+	first, rest, refusal := body.split()
 	if refusal != nil {
 		e.answerError(w, id, refusal)
 		return
@@ -44,15 +47,10 @@
 		path:       servicePath(r, service.PathPrefix),
 		headers:    forwardedHeaders(r.Header),
 		caller:     callerKey(r),
+		body:       first,
+		rest:       rest,
 		length:     r.ContentLength,
 	}
-	body := http.MaxBytesReader(w, r.Body, e.bodyLimit(service))
-	first, rest, err := splitBody(body)
-	if err != nil {
-		e.answerError(w, id, badRequest("the body ended early"))
-		return
-	}
-	rq.body, rq.rest = first, rest
 	if rest == nil {
 		rq.length = int64(len(first))
 	}
@@ -75,18 +73,10 @@
 	return e.options.MaxBody
 }
 
-// checkLength refuses a body that is declared too large before any of it is read.
-func (e *Entry) checkLength(service *declarations.Service, length int64) *apiError {
-	if length > e.bodyLimit(service) {
-		return notRun(http.StatusRequestEntityTooLarge, CodeBodyTooLarge, "the body is over the service's limit", 0)
-	}
-	return nil
-}
-
 // firstPart splits a body that is held whole into what goes with the offer and the rest.
-func firstPart(body []byte) ([]byte, io.Reader) {
+func firstPart(body []byte) (first, kept []byte) {
 	if len(body) <= wire.MaxFrameBytes/2 {
 		return body, nil
 	}
-	return body[:wire.ChunkBytes], bytes.NewReader(body[wire.ChunkBytes:])
+	return body[:wire.ChunkBytes], body[wire.ChunkBytes:]
 }
