test: pairs that a suspended stand-in forbids are left out, a running process is not started twice

Cause: a stand-in that is suspended cannot be told to misbehave, so that one pair with -long failed in the test's own call.

--- a/test/failures_test.go
+++ b/test/failures_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"slices"
 	"time"
 
 	"balsamsail/internal/platform"
@@ -18,6 +19,27 @@
 	lasts  time.Duration
 	inject func(c *cluster)
 	heal   func(c *cluster)
+	// freezes names a stand-in that is suspended, and tells those that are told to misbehave.
+	freezes string
+	tells   []string
+}
+
+// excludes reports whether two failures cannot be brought about together: a stand-in that is suspended cannot be told
+// anything.
+func (f failure) excludes(other failure) bool {
+	return slices.Contains(other.tells, f.freezes) || slices.Contains(f.tells, other.freezes)
+}
+
+// freezing notes which stand-in a failure suspends.
+func (f failure) freezing(endpoint string) failure {
+	f.freezes = endpoint
+	return f
+}
+
+// telling notes which stand-ins a failure tells to misbehave.
+func (f failure) telling(endpoints ...string) failure {
+	f.tells = endpoints
+	return f
 }
 
 // The lengths of failures.
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -98,9 +98,12 @@
 	return work
 })
 
-// start starts the process without waiting for it to be ready.
+// start starts the process, unless it runs, without waiting for it to be ready.
 func (p *process) start() {
 	p.t.Helper()
+	if p.signal(0) {
+		return
+	}
 	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		p.t.Fatal(err)
--- a/test/scenario_test.go
+++ b/test/scenario_test.go
@@ -67,7 +67,9 @@
 	all := allFailures()
 	for i, first := range all {
 		for _, second := range all[i+1:] {
-			list = append(list, pair{first.name, second.name})
+			if !first.excludes(second) {
+				list = append(list, pair{first.name, second.name})
+			}
 		}
 	}
 	return list
