entry: the last guards of bodies and waits pinned by tests, two that nothing needs dropped

Dropped: the full duplex of callers' connections (the server drops nothing of a body where the connection ends with the answer) and taking back the read deadline at the body's end (the server does).

--- a/internal/entry/body_test.go
+++ b/internal/entry/body_test.go
@@ -172,6 +172,7 @@
 		{"a long call, its first part", with("PUT", "/ledger/n", fmt.Sprint("Content-Length: ", large)) + strings.Repeat("x", large/2)},
 		{"a long call in two steps, its first part", with("POST", "/ledger/n", fmt.Sprint("Content-Length: ", large)) + strings.Repeat("x", large/2)},
 		{"a chat", with("POST", pathChat, "Content-Length: 100") + "{"},
+		{"a call of no service", "PUT /nowhere" + lengthHeader(100)},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -210,6 +211,10 @@
 		if got.text() != want {
 			t.Errorf("%d bytes: got %s, want %s", size, got.text(), want)
 		}
+		header := strings.Replace(chunkedHeader, "\r\n\r\n", fmt.Sprintf("\r\n%s: chunked %d\r\n\r\n", headerIdempKey, size), 1)
+		if got := rawReply(t, s.rawMayEnd("POST /ledger/n"+header+chunked(size)+chunkedEnd)); got.text() != want {
+			t.Errorf("%d bytes of no known length: got %s, want %s", size, got.text(), want)
+		}
 	}
 }
 
--- a/internal/entry/callerbody.go
+++ b/internal/entry/callerbody.go
@@ -18,9 +18,10 @@
 
 // callerBody is a caller's body, bounded in length and time.
 //
-// The HTTP server reads what is left of a body before it sends an answer's head. That would take parts of a body that is
-// still passed on away from the endpoint, which would get the rest as if it were whole, and would keep a caller that sends
-// slowly from hearing why it is refused. So the body and the answer go beside each other.
+// The HTTP server reads what is left of a body before it sends an answer's head, unless the connection ends with the
+// answer. That would take parts of a body that is still passed on away from the endpoint, which would get the rest as if it
+// were whole, and would keep a caller that sends slowly from hearing why it is refused. So the connection ends with an
+// answer that begins before its body has come whole.
 type callerBody struct {
 	source  io.Reader
 	control *http.ResponseController
@@ -38,12 +39,10 @@
 		b.ended.Store(true)
 		return b, w
 	}
-	_ = b.control.EnableFullDuplex()
 	return b, besideBody{ResponseWriter: w, body: b}
 }
 
-// besideBody ends the connection after an answer that began before the body had come whole: what is left of the body could
-// be taken for the next request, and the server's reader may be found at work on it then.
+// besideBody writes an answer that may begin before the body has come whole, and then ends the connection with it.
 type besideBody struct {
 	http.ResponseWriter
 	body *callerBody
@@ -61,7 +60,7 @@
 func (w besideBody) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
 // bound sets how many bytes the body may have and by when it must have come: a caller that sends slowly must not hold a
-// connection for ever.
+// connection for ever. The server takes the deadline back at the body's end.
 func (b *callerBody) bound(limit int64, deadline time.Time) {
 	b.limit = limit
 	// The reader is not told of the answer's writer, which it would change from the goroutine that passes the body on.
@@ -74,9 +73,8 @@
 // Read implements io.Reader.
 func (b *callerBody) Read(p []byte) (int, error) {
 	n, err := b.source.Read(p)
-	if errors.Is(err, io.EOF) && !b.ended.Swap(true) {
-		// The server reads on to notice when the caller goes away; the deadline would look as if it had.
-		_ = b.control.SetReadDeadline(time.Time{})
+	if errors.Is(err, io.EOF) {
+		b.ended.Store(true)
 	}
 	return n, err
 }
--- a/internal/entry/callers_test.go
+++ b/internal/entry/callers_test.go
@@ -338,7 +338,8 @@
 	}
 }
 
-// A streamed chat passes on each part as it comes, and ends cleanly only with its trailer.
+// A streamed chat passes on each part as it comes, goes on past the deadline that its first part met, and ends cleanly only
+// with its trailer.
 func TestStreamedChat(t *testing.T) {
 	s := chatSite(t)
 	proceed := make(chan struct{})
@@ -354,8 +355,14 @@
 			x.trailer()
 		})
 	}
-	body := strings.NewReader(`{"model":"narrator","stream":true}`)
-	response, err := s.callers.Client().Post(s.callers.URL+pathChat, "application/json", body)
+	const left = 300 * time.Millisecond
+	began := time.Now()
+	request, err := http.NewRequestWithContext(t.Context(), post, s.callers.URL+pathChat, strings.NewReader(`{"model":"narrator","stream":true}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set(headerDeadline, fmt.Sprint(left.Milliseconds()))
+	response, err := s.callers.Client().Do(request)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -364,6 +371,7 @@
 	if _, err := io.ReadFull(response.Body, part); err != nil {
 		t.Fatal(err)
 	}
+	time.Sleep(time.Until(began.Add(left + 50*time.Millisecond)))
 	close(proceed)
 	rest, err := io.ReadAll(response.Body)
 	if err != nil || string(part)+string(rest) != "data: 1\n\ndata: [DONE]\n\n" {
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -50,6 +50,7 @@
 		{name: "a checksum that does not match, of a streamed body", method: get, first: func(x *exchangeStream) { x.head(200, eventStream); x.body("data"); x.trailerOf(4, 1) }, want: "cut", offers: 1},
 		{name: "a trailer without a head", method: get, first: func(x *exchangeStream) { x.trailer() }, want: "200 second", offers: 2},
 		{name: "a body without a head", method: get, first: func(x *exchangeStream) { x.body("first"); x.trailer() }, want: "200 second", offers: 2},
+		{name: "a long body without a head", method: get, first: func(x *exchangeStream) { x.body(long); x.body("more"); x.trailer() }, want: "200 second", offers: 2},
 		{name: "an empty frame", method: get, first: func(x *exchangeStream) { x.send(&wirepb.FromAgent{}) }, want: "200 second", offers: 2},
 		{name: "another request's answer", method: get, first: func(x *exchangeStream) { x.id = "other"; x.whole("crossed") }, want: "200 second", offers: 2},
 		{name: "another request's body", method: get, first: func(x *exchangeStream) { x.head(200); x.id = "other"; x.body("crossed") }, want: "200 second", offers: 2},
@@ -118,6 +119,9 @@
 			if n := len(s.agents[0].offered()) + len(s.agents[1].offered()); n != c.offers {
 				t.Errorf("%d offers, want %d", n, c.offers)
 			}
+			if c.offers == 2 && len(s.agents[0].offered()) != 1 {
+				t.Error("one endpoint was asked twice and the other not")
+			}
 			checkReply(t, got)
 		})
 	}
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -39,6 +39,9 @@
 // patience bounds what a test waits for; it is far above what any of them needs.
 const patience = 20 * time.Second
 
+// discard takes the logs of the tests.
+var discard = slog.New(slog.DiscardHandler)
+
 // eventually polls until a condition holds.
 func eventually(t *testing.T, otherwise string, holds func() bool) {
 	t.Helper()
