--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -17,11 +17,11 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"balsamsail/internal/admission"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/clock"
 	"balsamsail/internal/declarations"
 	"balsamsail/internal/endpoint"
 	"balsamsail/internal/loading"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/timeline"
 	"balsamsail/internal/wire"
 	"balsamsail/internal/wire/wirepb"
@@ -77,7 +77,7 @@
 type Dependencies struct {
 	Engine     endpoint.Engine
 	Caller     endpoint.Caller
-	Table      platform.Table
+	Table      backing.Table
 	Policy     IdlePolicy
 	Clock      clock.Clock
 	Logger     *slog.Logger
@@ -97,7 +97,7 @@
 	options  Options
 	engine   endpoint.Engine
 	caller   endpoint.Caller
-	table    platform.Table
+	table    backing.Table
 	clock    clock.Clock
 	logger   *slog.Logger
 	recorder *timeline.Recorder
--- a/internal/agent/exchange_rig_test.go
+++ b/internal/agent/exchange_rig_test.go
@@ -17,12 +17,12 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"balsamsail/internal/admission"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/clock"
 	pb "balsamsail/internal/declarations/declarationspb"
 	"balsamsail/internal/endpoint"
 	"balsamsail/internal/loading"
 	"balsamsail/internal/loading/idle"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/replicas"
 	"balsamsail/internal/replicas/replicaspb"
 	"balsamsail/internal/timeline"
@@ -177,29 +177,29 @@
 
 // grantTable holds one engine's grants.
 type grantTable struct {
-	platform.Table
+	backing.Table
 	down   atomic.Bool
 	models []string
 }
 
-func (g *grantTable) Commit(context.Context, platform.Txn) (uint64, error) {
+func (g *grantTable) Commit(context.Context, backing.Txn) (uint64, error) {
 	if g.down.Load() {
-		return 0, platform.ErrUnavailable
+		return 0, backing.ErrUnavailable
 	}
 	return 20, nil
 }
 
-func (g *grantTable) List(context.Context, string, uint64) (platform.Listing, error) {
+func (g *grantTable) List(context.Context, string, uint64) (backing.Listing, error) {
 	if g.down.Load() {
-		return platform.Listing{}, platform.ErrUnavailable
+		return backing.Listing{}, backing.ErrUnavailable
 	}
-	listing := platform.Listing{Revision: 20}
+	listing := backing.Listing{Revision: 20}
 	for _, row := range g.rows() {
 		value, err := replicas.EncodeRow(row)
 		if err != nil {
 			return listing, err
 		}
-		listing.Rows = append(listing.Rows, platform.Row{Key: replicas.Key(row.Model), Revision: row.Revision, Value: value})
+		listing.Rows = append(listing.Rows, backing.Row{Key: replicas.Key(row.Model), Revision: row.Revision, Value: value})
 	}
 	return listing, nil
 }
--- a/internal/agent/grants.go
+++ b/internal/agent/grants.go
@@ -4,8 +4,8 @@
 	"context"
 	"strconv"
 
+	"balsamsail/internal/backing"
 	"balsamsail/internal/loading"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/replicas"
 )
 
@@ -40,11 +40,11 @@
 // agent of this endpoint can have seen: fencing numbers derived from it are above all earlier ones. When its answer is
 // lost the listing may show a lower revision, so the read is given up and done again.
 func (a *Agent) readRows(ctx context.Context) (loading.RowsRead, error) {
-	put := platform.Put{
+	put := backing.Put{
 		Key:   registrationPrefix + a.options.Endpoint,
 		Value: []byte(strconv.FormatUint(a.options.Incarnation, 10)),
 	}
-	if _, err := a.table.Commit(ctx, platform.Txn{Puts: []platform.Put{put}}); err != nil {
+	if _, err := a.table.Commit(ctx, backing.Txn{Puts: []backing.Put{put}}); err != nil {
 		return loading.RowsRead{}, err
 	}
 	listing, err := a.table.List(ctx, replicas.KeyPrefix, 0)
--- a/internal/agent/shell_test.go
+++ b/internal/agent/shell_test.go
@@ -13,11 +13,11 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"balsamsail/internal/admission"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/clock"
 	"balsamsail/internal/endpoint"
 	"balsamsail/internal/loading"
 	"balsamsail/internal/loading/idle"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/timeline"
 	"balsamsail/internal/wire"
 	"balsamsail/internal/wire/wirepb"
@@ -35,11 +35,11 @@
 }
 
 // emptyTable holds nothing.
-type emptyTable struct{ platform.Table }
+type emptyTable struct{ backing.Table }
 
-func (emptyTable) Commit(context.Context, platform.Txn) (uint64, error) { return 1, nil }
-func (emptyTable) List(context.Context, string, uint64) (platform.Listing, error) {
-	return platform.Listing{Revision: 1}, nil
+func (emptyTable) Commit(context.Context, backing.Txn) (uint64, error) { return 1, nil }
+func (emptyTable) List(context.Context, string, uint64) (backing.Listing, error) {
+	return backing.Listing{Revision: 1}, nil
 }
 
 func newShell(kind string, engine endpoint.Engine) *Agent {
--- a/internal/agent/status_test.go
+++ b/internal/agent/status_test.go
@@ -8,8 +8,8 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"balsamsail/internal/backing"
 	"balsamsail/internal/membership"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/wire/wirepb"
 )
 
@@ -122,7 +122,7 @@
 func TestChangeReportsAddUp(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
 	view := membership.NewView()
-	view.HostsRead([]platform.Host{{ID: "h", Role: platform.RoleEndpoint, State: platform.HostLive, Endpoint: "engine-1"}}, 1)
+	view.HostsRead([]backing.Host{{ID: "h", Role: backing.RoleEndpoint, State: backing.HostLive, Endpoint: "engine-1"}}, 1)
 	var memo statusMemo
 	for step := range 5000 {
 		status := randomStatus(random)
--- a/internal/app/agent.go
+++ b/internal/app/agent.go
@@ -10,11 +10,11 @@
 
 	"balsamsail/internal/admission"
 	"balsamsail/internal/agent"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/clock"
 	"balsamsail/internal/endpoint"
 	"balsamsail/internal/loading"
 	"balsamsail/internal/loading/idle"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/process"
 	"balsamsail/internal/settings"
 	"balsamsail/internal/timeline"
@@ -70,7 +70,7 @@
 	return idle.NewPolicy(idle.Options{Min: s.Idle.Min, Max: s.Idle.Max})
 }
 
-func newAgent(s *settings.Agent, i Incarnation, engine endpoint.Engine, caller endpoint.Caller, policy agent.IdlePolicy, table platform.Table, c clock.Clock, l *slog.Logger, r prometheus.Registerer, line *timeline.Recorder) *agent.Agent {
+func newAgent(s *settings.Agent, i Incarnation, engine endpoint.Engine, caller endpoint.Caller, policy agent.IdlePolicy, table backing.Table, c clock.Clock, l *slog.Logger, r prometheus.Registerer, line *timeline.Recorder) *agent.Agent {
 	return agent.New(agentOptions(s, i), agent.Dependencies{
 		Engine:     engine,
 		Caller:     caller,
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -16,8 +16,8 @@
 	"go.uber.org/dig"
 	"golang.org/x/sync/errgroup"
 
+	"balsamsail/internal/backing"
 	"balsamsail/internal/clock"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/process"
 	"balsamsail/internal/settings"
 	"balsamsail/internal/settings/inifile"
@@ -86,18 +86,18 @@
 // platformClients are the clients of the platform's services.
 type platformClients struct {
 	dig.Out
-	Table platform.Table
-	Hosts platform.HostList
+	Table backing.Table
+	Hosts backing.HostList
 }
 
 func newPlatformClients(p settings.Platform) platformClients {
-	o := platform.Options{
+	o := backing.Options{
 		TableURL:   string(p.TableURL),
 		ObjectsURL: string(p.ObjectsURL),
 		HostsURL:   string(p.HostsURL),
 		Timeout:    p.Timeout,
 	}
-	return platformClients{Table: platform.NewHTTPTable(o, nil), Hosts: platform.NewHTTPHosts(o, nil)}
+	return platformClients{Table: backing.NewHTTPTable(o, nil), Hosts: backing.NewHTTPHosts(o, nil)}
 }
 
 func wireOptions(w settings.Wire) wire.Options {
--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -11,13 +11,13 @@
 
 	"balsamsail/internal/admission"
 	"balsamsail/internal/atmostonce"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/clock"
 	"balsamsail/internal/declarations"
 	"balsamsail/internal/entry"
 	"balsamsail/internal/loading/permits"
 	"balsamsail/internal/membership"
 	"balsamsail/internal/operator"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/process"
 	"balsamsail/internal/replicas"
 	"balsamsail/internal/routing"
@@ -59,7 +59,7 @@
 	Recorder *timeline.Recorder
 }
 
-func newMembers(s *settings.Entry, i Incarnation, hosts platform.HostList, c clock.Clock, l *slog.Logger, r prometheus.Registerer, line *timeline.Recorder) *membership.Manager {
+func newMembers(s *settings.Entry, i Incarnation, hosts backing.HostList, c clock.Clock, l *slog.Logger, r prometheus.Registerer, line *timeline.Recorder) *membership.Manager {
 	return membership.NewManager(membership.Options{
 		EntryID:           s.Entry.ID,
 		Incarnation:       uint64(i),
@@ -72,7 +72,7 @@
 	}, hosts, c, l, r, line)
 }
 
-func newStore(s *settings.Entry, i Incarnation, table platform.Table, c clock.Clock, l *slog.Logger, r prometheus.Registerer) *declarations.Store {
+func newStore(s *settings.Entry, i Incarnation, table backing.Table, c clock.Clock, l *slog.Logger, r prometheus.Registerer) *declarations.Store {
 	return declarations.NewStore(declarations.Options{
 		PollInterval: s.Declarations.PollInterval,
 		MaxBackoff:   s.Declarations.MaxBackoff,
@@ -82,7 +82,7 @@
 	}, table, c, l, r)
 }
 
-func newClaims(s *settings.Entry, i Incarnation, table platform.Table) *atmostonce.Claims {
+func newClaims(s *settings.Entry, i Incarnation, table backing.Table) *atmostonce.Claims {
 	return atmostonce.NewClaims(table, atmostonce.ClaimsOptions{
 		Patience:     s.Claims.Patience,
 		Retention:    s.Claims.Retention,
@@ -126,7 +126,7 @@
 	}
 }
 
-func newGrants(s *settings.Entry, i Incarnation, e *entry.Entry, table platform.Table, c clock.Clock, l *slog.Logger, r prometheus.Registerer, line *timeline.Recorder) *replicas.Manager {
+func newGrants(s *settings.Entry, i Incarnation, e *entry.Entry, table backing.Table, c clock.Clock, l *slog.Logger, r prometheus.Registerer, line *timeline.Recorder) *replicas.Manager {
 	o := replicas.DefaultOptions()
 	o.Incarnation = uint64(i)
 	o.Seed = uint64(i)
--- a/internal/app/standin.go
+++ b/internal/app/standin.go
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/process"
 	"balsamsail/internal/settings"
 	standinengine "balsamsail/internal/standin/engine"
@@ -37,13 +37,13 @@
 	return runStandin(ctx, s.Standin, s.Log, server.Handler(), out)
 }
 
-func listedHosts(hosts []settings.StandinHost) []platform.Host {
-	var list []platform.Host
+func listedHosts(hosts []settings.StandinHost) []backing.Host {
+	var list []backing.Host
 	for _, h := range hosts {
-		list = append(list, platform.Host{
+		list = append(list, backing.Host{
 			ID:            h.ID,
-			Role:          platform.HostRole(h.Role),
-			State:         platform.HostState(h.State),
+			Role:          backing.HostRole(h.Role),
+			State:         backing.HostState(h.State),
 			FailureDomain: h.FailureDomain,
 			Address:       string(h.Address),
 			Endpoint:      h.Endpoint,
--- a/internal/atmostonce/claiming.go
+++ b/internal/atmostonce/claiming.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 )
 
 // tableEvent is what came of a call to the table.
@@ -30,7 +30,7 @@
 	event tableEvent
 	// revision is that of a write that was done, and row the result of a read.
 	revision uint64
-	row      platform.Row
+	row      backing.Row
 }
 
 // tableCall is the next call that a machine wants.
@@ -63,7 +63,7 @@
 	maybeWritten bool
 
 	outcome ClaimOutcome
-	held    platform.Row
+	held    backing.Row
 	claim   Claim
 	ended   bool
 }
@@ -79,7 +79,7 @@
 func (c *claiming) step(in tableInput) tableCall {
 	switch in.event {
 	case writeDone:
-		return c.end(ClaimGranted, platform.Row{Revision: in.revision}, Claim{})
+		return c.end(ClaimGranted, backing.Row{Revision: in.revision}, Claim{})
 	case writeConflict:
 		return callRead
 	case writeNoEffect:
@@ -95,12 +95,12 @@
 	case readFailed:
 		return callPauseRead
 	default:
-		return c.end(0, platform.Row{}, Claim{})
+		return c.end(0, backing.Row{}, Claim{})
 	}
 }
 
 // found judges the row that stands in the table.
-func (c *claiming) found(row platform.Row) tableCall {
+func (c *claiming) found(row backing.Row) tableCall {
 	var claim Claim
 	if err := json.Unmarshal(row.Value, &claim); err != nil {
 		// A row that cannot be read may belong to a request that ran.
@@ -123,7 +123,7 @@
 	}
 }
 
-func (c *claiming) end(outcome ClaimOutcome, row platform.Row, claim Claim) tableCall {
+func (c *claiming) end(outcome ClaimOutcome, row backing.Row, claim Claim) tableCall {
 	c.ended = true
 	c.outcome, c.held, c.claim = outcome, row, claim
 	return callEnd
--- a/internal/atmostonce/claims.go
+++ b/internal/atmostonce/claims.go
@@ -12,7 +12,7 @@
 
 	"github.com/pkg/errors"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 )
 
 // ClaimOutcome is what came of an attempt to claim a key.
@@ -95,7 +95,7 @@
 
 // Claims keeps idempotency keys in the platform's table. It is safe for concurrent use.
 type Claims struct {
-	table   platform.Table
+	table   backing.Table
 	options ClaimsOptions
 	// nonce sets this process's owners apart from those of all others.
 	nonce    string
@@ -108,7 +108,7 @@
 }
 
 // NewClaims returns the claims in a table.
-func NewClaims(table platform.Table, options ClaimsOptions) *Claims {
+func NewClaims(table backing.Table, options ClaimsOptions) *Claims {
 	return &Claims{
 		table:    table,
 		options:  options.withDefaults(),
@@ -234,7 +234,7 @@
 	switch {
 	case err == nil:
 		return tableInput{event: rowRead, row: row}
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, backing.ErrNotFound):
 		return tableInput{event: rowAbsent}
 	default:
 		return tableInput{event: readFailed}
@@ -246,19 +246,19 @@
 	if err != nil {
 		return tableInput{event: timeUp}
 	}
-	revision, err := c.table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: rowKey, Revision: condition}},
-		Puts:       []platform.Put{{Key: rowKey, Value: value}},
+	revision, err := c.table.Commit(ctx, backing.Txn{
+		Conditions: []backing.Condition{{Key: rowKey, Revision: condition}},
+		Puts:       []backing.Put{{Key: rowKey, Value: value}},
 	})
-	var conflict *platform.ConflictError
+	var conflict *backing.ConflictError
 	switch {
 	case err == nil:
 		return tableInput{event: writeDone, revision: revision}
 	case errors.As(err, &conflict):
 		return tableInput{event: writeConflict}
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrRateLimited):
+	case errors.Is(err, backing.ErrUnavailable), errors.Is(err, backing.ErrRateLimited):
 		return tableInput{event: writeNoEffect}
-	case errors.Is(err, platform.ErrInvalid):
+	case errors.Is(err, backing.ErrInvalid):
 		return tableInput{event: timeUp}
 	default:
 		return tableInput{event: writeLost}
--- a/internal/atmostonce/claims_test.go
+++ b/internal/atmostonce/claims_test.go
@@ -9,13 +9,13 @@
 	"testing/synctest"
 	"time"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 )
 
 // memoryTable is a table whose next calls of Commit and Get can be made to fail.
 type memoryTable struct {
 	mu       sync.Mutex
-	rows     map[string]platform.Row
+	rows     map[string]backing.Row
 	revision uint64
 	// commits and gets are the errors of the next calls; a commit that fails with errAfterWrite took effect.
 	commits, gets []error
@@ -25,9 +25,9 @@
 
 var errAfterWrite = errors.New("the connection broke after the write")
 
-func newMemoryTable() *memoryTable { return &memoryTable{rows: map[string]platform.Row{}} }
+func newMemoryTable() *memoryTable { return &memoryTable{rows: map[string]backing.Row{}} }
 
-func (m *memoryTable) Commit(_ context.Context, txn platform.Txn) (uint64, error) {
+func (m *memoryTable) Commit(_ context.Context, txn backing.Txn) (uint64, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	err := m.down
@@ -39,12 +39,12 @@
 	}
 	for _, c := range txn.Conditions {
 		if m.rows[c.Key].Revision != c.Revision {
-			return 0, &platform.ConflictError{Key: c.Key, Revision: m.rows[c.Key].Revision}
+			return 0, &backing.ConflictError{Key: c.Key, Revision: m.rows[c.Key].Revision}
 		}
 	}
 	m.revision++
 	for _, p := range txn.Puts {
-		m.rows[p.Key] = platform.Row{Key: p.Key, Revision: m.revision, Value: p.Value}
+		m.rows[p.Key] = backing.Row{Key: p.Key, Revision: m.revision, Value: p.Value}
 	}
 	for _, key := range txn.Deletes {
 		delete(m.rows, key)
@@ -52,7 +52,7 @@
 	return m.revision, err
 }
 
-func (m *memoryTable) Get(_ context.Context, key string) (platform.Row, error) {
+func (m *memoryTable) Get(_ context.Context, key string) (backing.Row, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	err := m.down
@@ -61,15 +61,15 @@
 	}
 	row, ok := m.rows[key]
 	if err == nil && !ok {
-		err = platform.ErrNotFound
+		err = backing.ErrNotFound
 	}
 	return row, err
 }
 
-func (m *memoryTable) List(_ context.Context, prefix string, _ uint64) (platform.Listing, error) {
+func (m *memoryTable) List(_ context.Context, prefix string, _ uint64) (backing.Listing, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var listing platform.Listing
+	var listing backing.Listing
 	for key, row := range m.rows {
 		if strings.HasPrefix(key, prefix) {
 			listing.Rows = append(listing.Rows, row)
@@ -143,7 +143,7 @@
 // The table's answer to a claim is lost, before or after the write took effect, or the table is down. The claim must come
 // to the one true outcome, or say within its patience that there is none.
 func TestClaimWhenTheTableFails(t *testing.T) {
-	unavailable, lost := platform.ErrUnavailable, platform.ErrOutcomeUnknown
+	unavailable, lost := backing.ErrUnavailable, backing.ErrOutcomeUnknown
 	cases := []struct {
 		name    string
 		commits []error
@@ -154,10 +154,10 @@
 		{"lost after the write", []error{errAfterWrite}, nil, nil, nil},
 		{"lost before the write", []error{lost}, nil, nil, nil},
 		{"lost, and the read fails", []error{errAfterWrite}, []error{unavailable, unavailable}, nil, nil},
-		{"refused over the rate, then taken", []error{platform.ErrRateLimited, unavailable}, nil, nil, nil},
+		{"refused over the rate, then taken", []error{backing.ErrRateLimited, unavailable}, nil, nil, nil},
 		{"outage", nil, nil, unavailable, ErrClaimUnavailable},
 		{"outage after a lost write", []error{errAfterWrite}, nil, unavailable, ErrClaimUnknown},
-		{"malformed", []error{platform.ErrInvalid}, nil, nil, ErrClaimUnavailable},
+		{"malformed", []error{backing.ErrInvalid}, nil, nil, ErrClaimUnavailable},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -186,7 +186,7 @@
 func TestRunFreesKeysThatWereGivenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := newMemoryTable()
-		table.commits, table.down = []error{errAfterWrite}, platform.ErrUnavailable
+		table.commits, table.down = []error{errAfterWrite}, backing.ErrUnavailable
 		claims := NewClaims(table, ClaimsOptions{})
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = claims.Run(ctx) }()
@@ -209,7 +209,7 @@
 		table := newMemoryTable()
 		claims := NewClaims(table, ClaimsOptions{})
 		held := claim(t, claims, notice("first"), ClaimGranted)
-		table.setDown(platform.ErrUnavailable)
+		table.setDown(backing.ErrUnavailable)
 		if err := claims.Finish(t.Context(), held, ClaimDone, Answer{Status: 200}); !errors.Is(err, ErrClaimUnavailable) {
 			t.Fatalf("error %v", err)
 		}
--- a/internal/atmostonce/faults_test.go
+++ b/internal/atmostonce/faults_test.go
@@ -4,14 +4,14 @@
 	"encoding/json"
 	"math/rand/v2"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 )
 
 // lossyTable is a table that loses answers, delays writes and refuses calls.
 type lossyTable struct {
 	random   *rand.Rand
 	faults   bool
-	rows     map[string]platform.Row
+	rows     map[string]backing.Row
 	revision uint64
 	delayed  []func()
 	// lost counts the answers that were lost, before or after the write, and failed the calls that had no effect.
@@ -25,7 +25,7 @@
 			return tableInput{event: writeConflict}
 		}
 		t.revision++
-		t.rows[key] = platform.Row{Key: key, Revision: t.revision, Value: value}
+		t.rows[key] = backing.Row{Key: key, Revision: t.revision, Value: value}
 		return tableInput{event: writeDone, revision: t.revision}
 	}
 	if !t.faults {
--- a/internal/atmostonce/fuzz_test.go
+++ b/internal/atmostonce/fuzz_test.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"testing"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 )
 
 // FuzzClaimRow feeds rows of any content to a claim: only a row that names this owner as its holder may grant the key, and
@@ -19,7 +19,7 @@
 		var claim Claim
 		readable := json.Unmarshal(value, &claim) == nil
 		machine := newClaiming("me", 7)
-		call := machine.step(tableInput{event: rowRead, row: platform.Row{Revision: 5, Value: value}})
+		call := machine.step(tableInput{event: rowRead, row: backing.Row{Revision: 5, Value: value}})
 		mine := readable && claim.Owner == "me" && claim.State == ClaimHeld
 		if granted := machine.outcome == ClaimGranted; granted != mine {
 			t.Errorf("granted %v by %q", granted, value)
--- a/internal/atmostonce/settling.go
+++ b/internal/atmostonce/settling.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 )
 
 // settling writes the end of a claim over the row in which it is held. Each write is conditioned on the revision at which
@@ -66,7 +66,7 @@
 	}
 }
 
-func (s *settling) found(row platform.Row) tableCall {
+func (s *settling) found(row backing.Row) tableCall {
 	var claim Claim
 	if err := json.Unmarshal(row.Value, &claim); err != nil {
 		return s.end(false)
--- a/internal/atmostonce/sweep.go
+++ b/internal/atmostonce/sweep.go
@@ -10,7 +10,7 @@
 	"slices"
 	"time"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 )
 
 const (
@@ -117,14 +117,14 @@
 	return slices.Sorted(maps.Keys(services))
 }
 
-func (c *Claims) deleteOld(ctx context.Context, rows []platform.Row) {
+func (c *Claims) deleteOld(ctx context.Context, rows []backing.Row) {
 	now := time.Now()
-	old := slices.DeleteFunc(rows, func(r platform.Row) bool { return !c.isOld(now, r) })
+	old := slices.DeleteFunc(rows, func(r backing.Row) bool { return !c.isOld(now, r) })
 	batches := 0
 	for batch := range slices.Chunk(old, sweepBatch) {
-		var txn platform.Txn
+		var txn backing.Txn
 		for _, r := range batch {
-			txn.Conditions = append(txn.Conditions, platform.Condition{Key: r.Key, Revision: r.Revision})
+			txn.Conditions = append(txn.Conditions, backing.Condition{Key: r.Key, Revision: r.Revision})
 			txn.Deletes = append(txn.Deletes, r.Key)
 		}
 		batches++
@@ -135,7 +135,7 @@
 }
 
 // isOld reports whether a row may be deleted. A row that cannot be read stays.
-func (c *Claims) isOld(now time.Time, r platform.Row) bool {
+func (c *Claims) isOld(now time.Time, r backing.Row) bool {
 	var claim Claim
 	if err := json.Unmarshal(r.Value, &claim); err != nil {
 		return false
--- a/internal/atmostonce/world_test.go
+++ b/internal/atmostonce/world_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 )
 
 type phase int
@@ -57,7 +57,7 @@
 
 func newWorld(seed uint64) *world {
 	random := rand.New(rand.NewPCG(seed, 0))
-	table := &lossyTable{random: random, faults: true, rows: map[string]platform.Row{}}
+	table := &lossyTable{random: random, faults: true, rows: map[string]backing.Row{}}
 	return &world{random: random, table: table}
 }
 
--- a/internal/platform/platform.go
+++ b/internal/backing/backing.go
@@ -1,10 +1,10 @@
-// Package platform holds the clients of the services that the platform runs: the transactional table, the object store
+// Package backing holds the clients of the services that the platform runs: the transactional table, the object store
 // and the host list.
 //
 // Every call may fail in one of three ways that callers must tell apart: it certainly had no effect (ErrUnavailable,
 // ErrRateLimited, *ConflictError), its outcome is unknown (ErrOutcomeUnknown: the answer was lost, the write may have
 // taken effect or may still do so), or it is malformed (ErrInvalid).
-package platform
+package backing
 
 import (
 	"context"
--- a/internal/platform/contract_test.go
+++ b/internal/backing/contract_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package backing_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/standin/control"
 	standin "balsamsail/internal/standin/platform"
 )
@@ -30,9 +30,9 @@
 // clients are the clients of one stand-in.
 type clients struct {
 	standin *standin.Server
-	table   platform.Table
-	objects platform.ObjectStore
-	hosts   platform.HostList
+	table   backing.Table
+	objects backing.ObjectStore
+	hosts   backing.HostList
 }
 
 func newClients(t *testing.T, o standin.Options) clients {
@@ -44,17 +44,17 @@
 }
 
 func clientsOf(s *standin.Server, url string) clients {
-	o := platform.Options{TableURL: url, ObjectsURL: url, HostsURL: url, Timeout: callTimeout}
+	o := backing.Options{TableURL: url, ObjectsURL: url, HostsURL: url, Timeout: callTimeout}
 	return clients{
 		standin: s,
-		table:   platform.NewHTTPTable(o, nil),
-		objects: platform.NewHTTPObjects(o, nil),
-		hosts:   platform.NewHTTPHosts(o, nil),
+		table:   backing.NewHTTPTable(o, nil),
+		objects: backing.NewHTTPObjects(o, nil),
+		hosts:   backing.NewHTTPHosts(o, nil),
 	}
 }
 
-func put(key, value string) platform.Txn {
-	return platform.Txn{Puts: []platform.Put{{Key: key, Value: []byte(value)}}}
+func put(key, value string) backing.Txn {
+	return backing.Txn{Puts: []backing.Put{{Key: key, Value: []byte(value)}}}
 }
 
 // waitFor waits until a condition holds.
@@ -90,24 +90,24 @@
 	silent bool
 }{
 	{name: "no fault", effect: hasEffect},
-	{name: "outage", faults: standin.StoreFaults{Outage: true}, want: platform.ErrUnavailable},
-	{name: "hangs", faults: standin.StoreFaults{Hang: true}, want: platform.ErrOutcomeUnknown, silent: true},
+	{name: "outage", faults: standin.StoreFaults{Outage: true}, want: backing.ErrUnavailable},
+	{name: "hangs", faults: standin.StoreFaults{Hang: true}, want: backing.ErrOutcomeUnknown, silent: true},
 	{
 		name:   "slower than the time-out",
 		faults: standin.StoreFaults{LatencySeconds: 1e6},
-		want:   platform.ErrOutcomeUnknown,
+		want:   backing.ErrOutcomeUnknown,
 		silent: true,
 	},
-	{name: "lost before", faults: standin.StoreFaults{LoseBefore: next(1)}, want: platform.ErrOutcomeUnknown},
-	{name: "lost after", faults: standin.StoreFaults{LoseAfter: next(1)}, want: platform.ErrOutcomeUnknown, effect: hasEffect},
-	{name: "each lost after", faults: standin.StoreFaults{LoseAfter: always}, want: platform.ErrOutcomeUnknown, effect: hasEffect},
+	{name: "lost before", faults: standin.StoreFaults{LoseBefore: next(1)}, want: backing.ErrOutcomeUnknown},
+	{name: "lost after", faults: standin.StoreFaults{LoseAfter: next(1)}, want: backing.ErrOutcomeUnknown, effect: hasEffect},
+	{name: "each lost after", faults: standin.StoreFaults{LoseAfter: always}, want: backing.ErrOutcomeUnknown, effect: hasEffect},
 	{
 		name:   "delayed",
 		faults: standin.StoreFaults{Delay: next(1), DelaySeconds: 0.05},
-		want:   platform.ErrOutcomeUnknown,
+		want:   backing.ErrOutcomeUnknown,
 		effect: laterEffect,
 	},
-	{name: "over the rate", limits: standin.StoreLimits{WritesPerSecond: 1e-9}, want: platform.ErrRateLimited},
+	{name: "over the rate", limits: standin.StoreLimits{WritesPerSecond: 1e-9}, want: backing.ErrRateLimited},
 }
 
 func TestWriteFaults(t *testing.T) {
@@ -185,8 +185,8 @@
 		t.Fatalf("got %v, want %v", err, want)
 	}
 	for _, other := range []error{
-		platform.ErrNotFound, platform.ErrUnavailable, platform.ErrRateLimited,
-		platform.ErrOutcomeUnknown, platform.ErrInvalid,
+		backing.ErrNotFound, backing.ErrUnavailable, backing.ErrRateLimited,
+		backing.ErrOutcomeUnknown, backing.ErrInvalid,
 	} {
 		if other != want && errors.Is(err, other) {
 			t.Errorf("%v is also %v", err, other)
@@ -203,10 +203,10 @@
 		silent bool
 	}{
 		{name: "no fault"},
-		{name: "outage", faults: standin.StoreFaults{Outage: true}, want: platform.ErrUnavailable},
-		{name: "hangs", faults: standin.StoreFaults{Hang: true}, want: platform.ErrUnavailable, silent: true},
-		{name: "every answer lost", faults: standin.StoreFaults{LoseAfter: always}, want: platform.ErrUnavailable},
-		{name: "over the rate", limits: standin.StoreLimits{ReadsPerSecond: 1e-9}, want: platform.ErrRateLimited},
+		{name: "outage", faults: standin.StoreFaults{Outage: true}, want: backing.ErrUnavailable},
+		{name: "hangs", faults: standin.StoreFaults{Hang: true}, want: backing.ErrUnavailable, silent: true},
+		{name: "every answer lost", faults: standin.StoreFaults{LoseAfter: always}, want: backing.ErrUnavailable},
+		{name: "over the rate", limits: standin.StoreLimits{ReadsPerSecond: 1e-9}, want: backing.ErrRateLimited},
 	}
 	reads := []struct {
 		name string
@@ -237,10 +237,10 @@
 	server.Close()
 	c := clientsOf(nil, server.URL)
 	_, commitErr := c.table.Commit(t.Context(), put("k", "v"))
-	checkError(t, commitErr, platform.ErrUnavailable)
-	checkError(t, c.objects.PutObject(t.Context(), "k", nil), platform.ErrUnavailable)
+	checkError(t, commitErr, backing.ErrUnavailable)
+	checkError(t, c.objects.PutObject(t.Context(), "k", nil), backing.ErrUnavailable)
 	_, _, hostsErr := c.hosts.Hosts(t.Context())
-	checkError(t, hostsErr, platform.ErrUnavailable)
+	checkError(t, hostsErr, backing.ErrUnavailable)
 }
 
 // A commit is answered by something between client and table, such as a failing balancer: only the answers that the
@@ -252,15 +252,15 @@
 		body   string
 		want   error
 	}{
-		{"success without revision", http.StatusOK, `{}`, platform.ErrOutcomeUnknown},
-		{"success cut short", http.StatusOK, `{"revision":`, platform.ErrOutcomeUnknown},
-		{"conflict without row", http.StatusConflict, `conflict`, platform.ErrOutcomeUnknown},
-		{"server error", http.StatusInternalServerError, `oops`, platform.ErrOutcomeUnknown},
-		{"bad gateway", http.StatusBadGateway, ``, platform.ErrOutcomeUnknown},
-		{"gateway time-out", http.StatusGatewayTimeout, ``, platform.ErrOutcomeUnknown},
-		{"redirect", http.StatusTemporaryRedirect, ``, platform.ErrOutcomeUnknown},
-		{"malformed", http.StatusBadRequest, `{"error":{"code":"invalid"}}`, platform.ErrInvalid},
-		{"no such path", http.StatusNotFound, `404 page not found`, platform.ErrInvalid},
+		{"success without revision", http.StatusOK, `{}`, backing.ErrOutcomeUnknown},
+		{"success cut short", http.StatusOK, `{"revision":`, backing.ErrOutcomeUnknown},
+		{"conflict without row", http.StatusConflict, `conflict`, backing.ErrOutcomeUnknown},
+		{"server error", http.StatusInternalServerError, `oops`, backing.ErrOutcomeUnknown},
+		{"bad gateway", http.StatusBadGateway, ``, backing.ErrOutcomeUnknown},
+		{"gateway time-out", http.StatusGatewayTimeout, ``, backing.ErrOutcomeUnknown},
+		{"redirect", http.StatusTemporaryRedirect, ``, backing.ErrOutcomeUnknown},
+		{"malformed", http.StatusBadRequest, `{"error":{"code":"invalid"}}`, backing.ErrInvalid},
+		{"no such path", http.StatusNotFound, `404 page not found`, backing.ErrInvalid},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -287,7 +287,7 @@
 	c := newClients(t, standin.Options{})
 	c.standin.Faults().Update(func(f *standin.Faults) { f.Table.Hang = true })
 	_, err := c.table.Get(patience(t, true), "k")
-	checkError(t, err, platform.ErrUnavailable)
+	checkError(t, err, backing.ErrUnavailable)
 	if !errors.Is(err, context.DeadlineExceeded) {
 		t.Errorf("%v hides its cause", err)
 	}
@@ -297,19 +297,19 @@
 }
 
 func TestHostListFaults(t *testing.T) {
-	host := platform.Host{
-		ID: "h1", Role: platform.RoleEndpoint, State: platform.HostLeaving,
+	host := backing.Host{
+		ID: "h1", Role: backing.RoleEndpoint, State: backing.HostLeaving,
 		FailureDomain: "hall-north", Address: "10.0.0.1:7000", Endpoint: "engine-1",
 	}
 	cases := []struct {
 		name   string
 		faults standin.HostFaults
 		want   error
-		hosts  []platform.Host
+		hosts  []backing.Host
 	}{
-		{name: "no fault", hosts: []platform.Host{host}},
-		{name: "late", faults: standin.HostFaults{LagSeconds: 1e6}, hosts: []platform.Host{}},
-		{name: "outage", faults: standin.HostFaults{Outage: true}, want: platform.ErrUnavailable},
+		{name: "no fault", hosts: []backing.Host{host}},
+		{name: "late", faults: standin.HostFaults{LagSeconds: 1e6}, hosts: []backing.Host{}},
+		{name: "outage", faults: standin.HostFaults{Outage: true}, want: backing.ErrUnavailable},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/platform/table_test.go
+++ b/internal/backing/table_test.go
@@ -1,11 +1,11 @@
-package platform_test
+package backing_test
 
 import (
 	"errors"
 	"slices"
 	"testing"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 	standin "balsamsail/internal/standin/platform"
 )
 
@@ -14,40 +14,40 @@
 func TestTransactions(t *testing.T) {
 	cases := []struct {
 		name string
-		txn  platform.Txn
-		want *platform.ConflictError
+		txn  backing.Txn
+		want *backing.ConflictError
 		keys []string
 	}{
 		{"unconditional", put("c", "v"), nil, []string{"a", "b", "c"}},
 		{
 			name: "conditions hold",
-			txn: platform.Txn{
-				Conditions: []platform.Condition{{Key: "a", Revision: 1}, {Key: "c"}},
-				Puts:       []platform.Put{{Key: "c"}},
+			txn: backing.Txn{
+				Conditions: []backing.Condition{{Key: "a", Revision: 1}, {Key: "c"}},
+				Puts:       []backing.Put{{Key: "c"}},
 				Deletes:    []string{"a"},
 			},
 			keys: []string{"b", "c"},
 		},
 		{
 			name: "second condition fails",
-			txn: platform.Txn{
-				Conditions: []platform.Condition{{Key: "a", Revision: 1}, {Key: "b", Revision: 1}},
-				Puts:       []platform.Put{{Key: "c"}},
+			txn: backing.Txn{
+				Conditions: []backing.Condition{{Key: "a", Revision: 1}, {Key: "b", Revision: 1}},
+				Puts:       []backing.Put{{Key: "c"}},
 				Deletes:    []string{"a"},
 			},
-			want: &platform.ConflictError{Key: "b", Revision: 2},
+			want: &backing.ConflictError{Key: "b", Revision: 2},
 			keys: []string{"a", "b"},
 		},
 		{
 			name: "row should be absent",
-			txn:  platform.Txn{Conditions: []platform.Condition{{Key: "a"}}, Puts: []platform.Put{{Key: "a"}}},
-			want: &platform.ConflictError{Key: "a", Revision: 1},
+			txn:  backing.Txn{Conditions: []backing.Condition{{Key: "a"}}, Puts: []backing.Put{{Key: "a"}}},
+			want: &backing.ConflictError{Key: "a", Revision: 1},
 			keys: []string{"a", "b"},
 		},
 		{
 			name: "row should be there",
-			txn:  platform.Txn{Conditions: []platform.Condition{{Key: "c", Revision: 1}}},
-			want: &platform.ConflictError{Key: "c"},
+			txn:  backing.Txn{Conditions: []backing.Condition{{Key: "c", Revision: 1}}},
+			want: &backing.ConflictError{Key: "c"},
 			keys: []string{"a", "b"},
 		},
 	}
@@ -57,7 +57,7 @@
 			mustCommit(t, clients, put("a", "1"))
 			mustCommit(t, clients, put("b", "2"))
 			revision, err := clients.table.Commit(t.Context(), c.txn)
-			var conflict *platform.ConflictError
+			var conflict *backing.ConflictError
 			if errors.As(err, &conflict) != (c.want != nil) || (conflict != nil && *conflict != *c.want) {
 				t.Fatalf("got %v, want conflict %v", err, c.want)
 			}
@@ -75,7 +75,7 @@
 	}
 }
 
-func mustCommit(t *testing.T, c clients, txn platform.Txn) uint64 {
+func mustCommit(t *testing.T, c clients, txn backing.Txn) uint64 {
 	t.Helper()
 	revision, err := c.table.Commit(t.Context(), txn)
 	if err != nil {
@@ -84,7 +84,7 @@
 	return revision
 }
 
-func keysOf(listing platform.Listing) []string {
+func keysOf(listing backing.Listing) []string {
 	var keys []string
 	for _, row := range listing.Rows {
 		keys = append(keys, row.Key)
@@ -103,7 +103,7 @@
 		t.Errorf("got %+v, %v", row, err)
 	}
 	_, err = c.table.Get(t.Context(), "absent")
-	checkError(t, err, platform.ErrNotFound)
+	checkError(t, err, backing.ErrNotFound)
 	listing, err := c.table.List(t.Context(), "p/", 1)
 	if err != nil || listing.Revision != last || !slices.Equal(keysOf(listing), []string{"p/z"}) {
 		t.Errorf("got %+v, %v", listing, err)
@@ -122,7 +122,7 @@
 	if err != nil || string(data) != "data" {
 		t.Errorf("got %q, %v", data, err)
 	}
-	checkError(t, c.objects.PutObject(t.Context(), name, []byte("other")), platform.ErrInvalid)
+	checkError(t, c.objects.PutObject(t.Context(), name, []byte("other")), backing.ErrInvalid)
 	_, err = c.objects.GetObject(t.Context(), "absent")
-	checkError(t, err, platform.ErrNotFound)
+	checkError(t, err, backing.ErrNotFound)
 }
--- a/internal/capacity/agent_run_test.go
+++ b/internal/capacity/agent_run_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/replicas"
 	"balsamsail/internal/replicas/replicaspb"
 	"balsamsail/internal/standin/engine"
@@ -52,7 +52,7 @@
 // grant writes the rows that give the agent's engine its slots.
 func (r *agentRun) grant(s *site) {
 	r.t.Helper()
-	table := platform.NewHTTPTable(platform.Options{TableURL: s.url, Timeout: 10 * time.Second}, nil)
+	table := backing.NewHTTPTable(backing.Options{TableURL: s.url, Timeout: 10 * time.Second}, nil)
 	for i := range r.models {
 		row := rowOf(i, 4)
 		row.Slots[0].Engine, row.Slots[0].Host = engineName(0), hostName(0)
@@ -60,8 +60,8 @@
 		if err != nil {
 			r.t.Fatal(err)
 		}
-		put := platform.Put{Key: replicas.Key(row.Model), Value: value}
-		if row.Revision, err = table.Commit(context.Background(), platform.Txn{Puts: []platform.Put{put}}); err != nil {
+		put := backing.Put{Key: replicas.Key(row.Model), Value: value}
+		if row.Revision, err = table.Commit(context.Background(), backing.Txn{Puts: []backing.Put{put}}); err != nil {
 			r.t.Fatal(err)
 		}
 		r.rows = append(r.rows, row)
--- a/internal/capacity/decision_test.go
+++ b/internal/capacity/decision_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/replicas"
 	"balsamsail/internal/selector"
 )
@@ -28,11 +28,11 @@
 		Declared:       replicas.Declared{Revision: 1},
 		Rows:           map[string]replicas.RowView{},
 		EnginesVersion: 1,
-		Hosts:          replicas.HostsView{Version: 1, States: map[string]platform.HostState{}},
+		Hosts:          replicas.HostsView{Version: 1, States: map[string]backing.HostState{}},
 		Since:          start.Add(-time.Hour),
 	}
 	for i := range engines {
-		s.snapshot.Hosts.States[hostName(i)] = platform.HostLive
+		s.snapshot.Hosts.States[hostName(i)] = backing.HostLive
 		s.snapshot.Engines = append(s.snapshot.Engines, replicas.EngineView{
 			Name:          engineName(i),
 			FailureDomain: domainName(i),
@@ -84,7 +84,7 @@
 	s.snapshot.Hosts.Version++
 	for _, e := range s.snapshot.Engines {
 		if e.FailureDomain == domain {
-			s.snapshot.Hosts.States[e.Host] = platform.HostGone
+			s.snapshot.Hosts.States[e.Host] = backing.HostGone
 		}
 	}
 }
@@ -147,7 +147,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		stored := platform.Row{Key: replicas.Key(versionName(1)), Revision: 7, Value: value}
+		stored := backing.Row{Key: replicas.Key(versionName(1)), Revision: 7, Value: value}
 		decode := func() any {
 			row, err := replicas.DecodeRow(stored)
 			if err != nil {
--- a/internal/capacity/entry_run_test.go
+++ b/internal/capacity/entry_run_test.go
@@ -12,8 +12,8 @@
 	"testing"
 	"time"
 
+	"balsamsail/internal/backing"
 	pb "balsamsail/internal/declarations/declarationspb"
-	"balsamsail/internal/platform"
 )
 
 // sizesOr returns the sizes of the flag, or the given ones.
@@ -81,8 +81,8 @@
 	r.t.Helper()
 	r.begun = time.Now()
 	r.entry = startChild(r.t, "entry", "entry-1", r.site.entrySettings("entry-1", ""))
-	r.site.platform.PutHost(platform.Host{
-		ID: "entry-1", Role: platform.RoleEntry, State: platform.HostLive,
+	r.site.platform.PutHost(backing.Host{
+		ID: "entry-1", Role: backing.RoleEntry, State: backing.HostLive,
 		FailureDomain: domainName(0), Address: r.entry.addresses["operators"],
 	})
 	eventually(r.t, 5*time.Minute, "all agents have the declarations", func() bool {
--- a/internal/capacity/fleet_run_test.go
+++ b/internal/capacity/fleet_run_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
+	"balsamsail/internal/backing"
 	"balsamsail/internal/operator"
-	"balsamsail/internal/platform"
 )
 
 // fleet is real entries and real agents beside stand-in engines that share this process.
@@ -34,8 +34,8 @@
 		id := fmt.Sprintf("entry-%d", i+1)
 		e := startChild(t, "entry", id, f.site.entrySettings(id, ""))
 		f.entries = append(f.entries, e)
-		f.site.platform.PutHost(platform.Host{
-			ID: id, Role: platform.RoleEntry, State: platform.HostLive,
+		f.site.platform.PutHost(backing.Host{
+			ID: id, Role: backing.RoleEntry, State: backing.HostLive,
 			FailureDomain: domainName(0), Address: e.addresses["operators"],
 		})
 	}
--- a/internal/capacity/process_test.go
+++ b/internal/capacity/process_test.go
@@ -22,10 +22,10 @@
 	"github.com/prometheus/procfs"
 	"golang.org/x/sys/unix"
 
+	"balsamsail/internal/backing"
 	"balsamsail/internal/clock"
 	"balsamsail/internal/declarations"
 	pb "balsamsail/internal/declarations/declarationspb"
-	"balsamsail/internal/platform"
 	standin "balsamsail/internal/standin/platform"
 )
 
@@ -168,7 +168,7 @@
 	})
 	web := httptest.NewServer(server.Handler())
 	t.Cleanup(web.Close)
-	table := platform.NewHTTPTable(platform.Options{TableURL: web.URL, Timeout: 10 * time.Second}, nil)
+	table := backing.NewHTTPTable(backing.Options{TableURL: web.URL, Timeout: 10 * time.Second}, nil)
 	logger := slog.New(slog.DiscardHandler)
 	return &site{
 		platform: server,
--- a/internal/capacity/size_test.go
+++ b/internal/capacity/size_test.go
@@ -3,9 +3,9 @@
 import (
 	"fmt"
 
+	"balsamsail/internal/backing"
 	"balsamsail/internal/declarations"
 	pb "balsamsail/internal/declarations/declarationspb"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/replicas/replicaspb"
 	"balsamsail/internal/wire/wirepb"
 )
@@ -124,13 +124,13 @@
 }
 
 // endpointHosts returns the host list's lines of that many engines, all at one address.
-func endpointHosts(n int, address string) []platform.Host {
-	hosts := make([]platform.Host, n)
+func endpointHosts(n int, address string) []backing.Host {
+	hosts := make([]backing.Host, n)
 	for i := range hosts {
-		hosts[i] = platform.Host{
+		hosts[i] = backing.Host{
 			ID:            hostName(i),
-			Role:          platform.RoleEndpoint,
-			State:         platform.HostLive,
+			Role:          backing.RoleEndpoint,
+			State:         backing.HostLive,
 			FailureDomain: domainName(i),
 			Address:       address,
 			Endpoint:      engineName(i),
--- a/internal/capacity/table_test.go
+++ b/internal/capacity/table_test.go
@@ -11,10 +11,10 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"balsamsail/internal/atmostonce"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/clock"
 	"balsamsail/internal/declarations"
 	pb "balsamsail/internal/declarations/declarationspb"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/replicas"
 	standin "balsamsail/internal/standin/platform"
 )
@@ -23,7 +23,7 @@
 type tableRig struct {
 	tb     testing.TB
 	server *standin.Server
-	table  platform.Table
+	table  backing.Table
 }
 
 func newTableRig(tb testing.TB) *tableRig {
@@ -31,7 +31,7 @@
 	server := standin.New(standin.Options{Table: standin.StoreLimits{ReadsPerSecond: 1e6, WritesPerSecond: 1e6}})
 	web := httptest.NewServer(server.Handler())
 	tb.Cleanup(web.Close)
-	return &tableRig{tb: tb, server: server, table: platform.NewHTTPTable(platform.Options{TableURL: web.URL}, nil)}
+	return &tableRig{tb: tb, server: server, table: backing.NewHTTPTable(backing.Options{TableURL: web.URL}, nil)}
 }
 
 // calls are the table's calls that something took; a conflict is a write that had no effect.
--- a/internal/declarations/edit.go
+++ b/internal/declarations/edit.go
@@ -10,8 +10,8 @@
 
 	"github.com/pkg/errors"
 
+	"balsamsail/internal/backing"
 	pb "balsamsail/internal/declarations/declarationspb"
-	"balsamsail/internal/platform"
 )
 
 // Edit makes one edit and returns once it is known to be made, or to be lost. The error is a *ConflictError when another
@@ -102,16 +102,16 @@
 // commit runs a transaction. What the platform doesn't name as without effect counts as lost.
 func (s *Store) commit(ctx context.Context, action commitTxn) editEvent {
 	row, err := s.table.Commit(ctx, action.txn)
-	var conflict *platform.ConflictError
+	var conflict *backing.ConflictError
 	switch {
 	case err == nil:
 		s.adoptOwn(row, action.delta)
 		return committed{}
 	case errors.As(err, &conflict):
 		return conflicted{}
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrRateLimited):
+	case errors.Is(err, backing.ErrUnavailable), errors.Is(err, backing.ErrRateLimited):
 		return refused{}
-	case errors.Is(err, platform.ErrInvalid):
+	case errors.Is(err, backing.ErrInvalid):
 		return rejected{err: err}
 	default:
 		return answerLost{}
--- a/internal/declarations/edit_test.go
+++ b/internal/declarations/edit_test.go
@@ -13,8 +13,8 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
+	"balsamsail/internal/backing"
 	pb "balsamsail/internal/declarations/declarationspb"
-	"balsamsail/internal/platform"
 )
 
 func TestEditIsInForceInAnotherStore(t *testing.T) {
@@ -122,11 +122,11 @@
 func TestEditSurvivesALostAnswer(t *testing.T) {
 	cases := []struct {
 		name   string
-		commit func(t *memTable, txn platform.Txn)
+		commit func(t *memTable, txn backing.Txn)
 	}{
-		{"lost before the write", func(*memTable, platform.Txn) {}},
-		{"lost after the write", func(table *memTable, txn platform.Txn) { table.apply(txn) }},
-		{"write comes late", func(table *memTable, txn platform.Txn) {
+		{"lost before the write", func(*memTable, backing.Txn) {}},
+		{"lost after the write", func(table *memTable, txn backing.Txn) { table.apply(txn) }},
+		{"write comes late", func(table *memTable, txn backing.Txn) {
 			time.AfterFunc(3*time.Second, func() { table.apply(txn) })
 		}},
 	}
@@ -136,13 +136,13 @@
 				table := newMemTable()
 				s := newTestStore(table, Options{})
 				lost := 0
-				table.beforeCommit = func(_ context.Context, txn platform.Txn) (bool, error) {
+				table.beforeCommit = func(_ context.Context, txn backing.Txn) (bool, error) {
 					lost++
 					if lost > 3 {
 						return false, nil
 					}
 					c.commit(table, txn)
-					return true, errors.Wrap(platform.ErrOutcomeUnknown, "answer lost")
+					return true, errors.Wrap(backing.ErrOutcomeUnknown, "answer lost")
 				}
 				result := mustEdit(t, s, EditRequest{BasedOn: 0, OperationID: "op", Change: putEngine("e")})
 				time.Sleep(10 * time.Second)
@@ -160,8 +160,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		table := newMemTable()
 		s := newTestStore(table, Options{EditTimeout: 5 * time.Second})
-		var late platform.Txn
-		table.beforeCommit = func(ctx context.Context, txn platform.Txn) (bool, error) {
+		var late backing.Txn
+		table.beforeCommit = func(ctx context.Context, txn backing.Txn) (bool, error) {
 			late = txn
 			<-ctx.Done()
 			return true, ctx.Err()
@@ -207,13 +207,13 @@
 		fault func(*memTable)
 	}{
 		{"reads fail", func(t *memTable) {
-			t.beforeRead = func(context.Context) error { return platform.ErrUnavailable }
+			t.beforeRead = func(context.Context) error { return backing.ErrUnavailable }
 		}},
 		{"reads hang", func(t *memTable) {
 			t.beforeRead = func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }
 		}},
 		{"writes are refused", func(t *memTable) {
-			t.beforeCommit = func(context.Context, platform.Txn) (bool, error) { return true, platform.ErrRateLimited }
+			t.beforeCommit = func(context.Context, backing.Txn) (bool, error) { return true, backing.ErrRateLimited }
 		}},
 	}
 	for _, c := range cases {
@@ -239,7 +239,7 @@
 func TestEditEndsWithItsContext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := newMemTable()
-		table.beforeRead = func(context.Context) error { return platform.ErrUnavailable }
+		table.beforeRead = func(context.Context) error { return backing.ErrUnavailable }
 		s := newTestStore(table, Options{})
 		ctx, cancel := context.WithCancel(t.Context())
 		time.AfterFunc(time.Second, cancel)
@@ -261,7 +261,7 @@
 	mustEdit(t, s, EditRequest{Change: putEngine("f")})
 	s.Edit(t.Context(), EditRequest{BasedOn: 1, Change: putEngine("g")})
 	s.Edit(t.Context(), EditRequest{Change: putEngine("?")})
-	table.beforeRead = func(context.Context) error { return platform.ErrUnavailable }
+	table.beforeRead = func(context.Context) error { return backing.ErrUnavailable }
 	s.Edit(t.Context(), EditRequest{Change: putEngine("g")})
 	want := map[string]float64{
 		outcomeMade: 2, outcomeUnchanged: 1, outcomeConflict: 1, outcomeInvalid: 1, outcomeUnavailable: 1, outcomeUnknown: 0,
@@ -289,13 +289,13 @@
 			time.Sleep(time.Duration(draw(5)) * time.Millisecond)
 			return nil
 		}
-		table.beforeCommit = func(_ context.Context, txn platform.Txn) (bool, error) {
+		table.beforeCommit = func(_ context.Context, txn backing.Txn) (bool, error) {
 			time.Sleep(time.Duration(draw(5)) * time.Millisecond)
 			if draw(4) > 0 {
 				return false, nil
 			}
 			table.apply(txn)
-			return true, platform.ErrOutcomeUnknown
+			return true, backing.ErrOutcomeUnknown
 		}
 		stores := []*Store{newTestStore(table, Options{EditTimeout: time.Minute}), newTestStore(table, Options{EditTimeout: time.Minute, Seed: 1})}
 		runStore(t, stores[0])
--- a/internal/declarations/editor.go
+++ b/internal/declarations/editor.go
@@ -6,8 +6,8 @@
 
 	"github.com/pkg/errors"
 
+	"balsamsail/internal/backing"
 	pb "balsamsail/internal/declarations/declarationspb"
-	"balsamsail/internal/platform"
 )
 
 // EditRequest asks for one edit of the declarations.
@@ -100,7 +100,7 @@
 	readView struct{}
 	// commitTxn asks for a transaction, which is answered by what became of it. It writes the delta.
 	commitTxn struct {
-		txn   platform.Txn
+		txn   backing.Txn
 		delta *pb.Delta
 	}
 	// wait asks for a waited after a time.
--- a/internal/declarations/race_test.go
+++ b/internal/declarations/race_test.go
@@ -11,8 +11,8 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/pkg/errors"
 
+	"balsamsail/internal/backing"
 	pb "balsamsail/internal/declarations/declarationspb"
-	"balsamsail/internal/platform"
 )
 
 // The tests of this file play operators who race each other with conflicting edits while the table loses answers, lets
@@ -215,7 +215,7 @@
 }
 
 // commit lets a transaction through, or loses it or its answer, delays it, or refuses it.
-func (w *raceWorld) commit(txn platform.Txn, answer func(editEvent)) {
+func (w *raceWorld) commit(txn backing.Txn, answer func(editEvent)) {
 	reply := func(event editEvent) { w.after(w.latency(), func() { answer(event) }) }
 	switch {
 	case w.hits(0.2):
@@ -235,7 +235,7 @@
 	}
 }
 
-func (w *raceWorld) apply(txn platform.Txn) bool {
+func (w *raceWorld) apply(txn backing.Txn) bool {
 	if _, err := w.table.apply(txn); err != nil {
 		return false
 	}
--- a/internal/declarations/refresh.go
+++ b/internal/declarations/refresh.go
@@ -6,8 +6,8 @@
 
 	"github.com/pkg/errors"
 
+	"balsamsail/internal/backing"
 	pb "balsamsail/internal/declarations/declarationspb"
-	"balsamsail/internal/platform"
 )
 
 // refresh brings the store to the table's newest revision and returns what the table holds.
@@ -62,7 +62,7 @@
 	known, seen := s.headRow, s.seen
 	s.mu.Unlock()
 	row, err := s.table.Get(ctx, headKey)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, backing.ErrNotFound) {
 		return errors.Wrap(ErrUnavailable, err.Error())
 	}
 	if seen && row.Revision == known {
--- a/internal/declarations/store.go
+++ b/internal/declarations/store.go
@@ -11,9 +11,9 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/semaphore"
 
+	"balsamsail/internal/backing"
 	"balsamsail/internal/clock"
 	pb "balsamsail/internal/declarations/declarationspb"
-	"balsamsail/internal/platform"
 )
 
 // Options are the settings of a Store. A zero takes the default that is given with it.
@@ -58,7 +58,7 @@
 // for concurrent use.
 type Store struct {
 	options Options
-	table   platform.Table
+	table   backing.Table
 	clock   clock.Clock
 	logger  *slog.Logger
 	metrics *metrics
@@ -78,7 +78,7 @@
 }
 
 // NewStore returns a store that holds the empty set; Run starts it.
-func NewStore(o Options, table platform.Table, c clock.Clock, logger *slog.Logger, registerer prometheus.Registerer) *Store {
+func NewStore(o Options, table backing.Table, c clock.Clock, logger *slog.Logger, registerer prometheus.Registerer) *Store {
 	o = o.withDefaults()
 	s := &Store{
 		options:    o,
--- a/internal/declarations/store_test.go
+++ b/internal/declarations/store_test.go
@@ -13,13 +13,13 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"balsamsail/internal/backing"
 	"balsamsail/internal/clock"
 	pb "balsamsail/internal/declarations/declarationspb"
-	"balsamsail/internal/platform"
 	standinplatform "balsamsail/internal/standin/platform"
 )
 
-func newTestStore(table platform.Table, o Options) *Store {
+func newTestStore(table backing.Table, o Options) *Store {
 	return NewStore(o, table, clock.Real{}, slog.New(slog.DiscardHandler), prometheus.NewRegistry())
 }
 
@@ -104,7 +104,7 @@
 		peer := newTestStore(table, Options{})
 		mustEdit(t, peer, EditRequest{OperationID: "first", Change: SetDrain("e", true)})
 		mustEdit(t, peer, EditRequest{OperationID: "second", Change: SetDrain("e", false)})
-		table.beforeRead = func(context.Context) error { return platform.ErrUnavailable }
+		table.beforeRead = func(context.Context) error { return backing.ErrUnavailable }
 		s := newTestStore(table, Options{})
 		runStore(t, s)
 		time.Sleep(5 * time.Second)
@@ -162,7 +162,7 @@
 	if _, err := s.refresh(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	table.rows = map[string]platform.Row{}
+	table.rows = map[string]backing.Row{}
 	if _, err := s.refresh(t.Context()); !errors.Is(err, ErrUnavailable) {
 		t.Errorf("error is %v", err)
 	}
@@ -175,7 +175,7 @@
 func TestRunBacksOffAndRecovers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := newMemTable()
-		table.beforeRead = func(context.Context) error { return platform.ErrUnavailable }
+		table.beforeRead = func(context.Context) error { return backing.ErrUnavailable }
 		s := newTestStore(table, Options{})
 		runStore(t, s)
 		time.Sleep(10 * time.Minute)
@@ -202,7 +202,7 @@
 	standin := standinplatform.New(standinplatform.Options{Seed: 1})
 	server := httptest.NewServer(standin.Handler())
 	defer server.Close()
-	table := platform.NewHTTPTable(platform.Options{TableURL: server.URL, Timeout: 2 * time.Second}, server.Client())
+	table := backing.NewHTTPTable(backing.Options{TableURL: server.URL, Timeout: 2 * time.Second}, server.Client())
 	s := newTestStore(table, Options{})
 	fault := func(change func(*standinplatform.StoreFaults)) {
 		standin.Faults().Update(func(f *standinplatform.Faults) { change(&f.Table) })
--- a/internal/declarations/table.go
+++ b/internal/declarations/table.go
@@ -7,8 +7,8 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"balsamsail/internal/backing"
 	pb "balsamsail/internal/declarations/declarationspb"
-	"balsamsail/internal/platform"
 )
 
 // The rows of the table: the head names the newest revision, the log holds one delta a revision, and an object its
@@ -27,25 +27,25 @@
 // ErrRow says that a row of the table can't be read.
 var ErrRow = errors.New("declarations: malformed row")
 
-func decodeRow(row platform.Row, message proto.Message) error {
+func decodeRow(row backing.Row, message proto.Message) error {
 	if err := proto.Unmarshal(row.Value, message); err != nil {
 		return errors.Wrapf(ErrRow, "%s: %v", row.Key, err)
 	}
 	return nil
 }
 
-func putRow(key string, message proto.Message) (platform.Put, error) {
+func putRow(key string, message proto.Message) (backing.Put, error) {
 	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(message)
 	if err != nil {
-		return platform.Put{}, errors.Wrapf(ErrInvalid, "%s: %v", key, err)
+		return backing.Put{}, errors.Wrapf(ErrInvalid, "%s: %v", key, err)
 	}
-	return platform.Put{Key: key, Value: value}, nil
+	return backing.Put{Key: key, Value: value}, nil
 }
 
 // transaction returns the writes of an edit that is made on the head's row revision. The log's row that is keep revisions
 // old is trimmed along.
-func transaction(headRow uint64, delta *pb.Delta, keep uint64) (platform.Txn, error) {
-	txn := platform.Txn{Conditions: []platform.Condition{{Key: headKey, Revision: headRow}}}
+func transaction(headRow uint64, delta *pb.Delta, keep uint64) (backing.Txn, error) {
+	txn := backing.Txn{Conditions: []backing.Condition{{Key: headKey, Revision: headRow}}}
 	head := &pb.Head{Revision: delta.GetRevision(), OperationId: delta.GetOperationId(), Author: delta.GetAuthor()}
 	if err := addPut(&txn, headKey, head); err != nil {
 		return txn, err
@@ -67,7 +67,7 @@
 	return txn, nil
 }
 
-func addPut(txn *platform.Txn, key string, message proto.Message) error {
+func addPut(txn *backing.Txn, key string, message proto.Message) error {
 	put, err := putRow(key, message)
 	txn.Puts = append(txn.Puts, put)
 	return err
@@ -83,7 +83,7 @@
 
 // decodeContent sorts rows by what they hold. The rows are in the order of their keys, so that the log is in the order of
 // its revisions.
-func decodeContent(rows []platform.Row) (*tableContent, error) {
+func decodeContent(rows []backing.Row) (*tableContent, error) {
 	content := &tableContent{head: &pb.Head{}}
 	for _, row := range rows {
 		if err := content.add(row); err != nil {
@@ -93,7 +93,7 @@
 	return content, nil
 }
 
-func (c *tableContent) add(row platform.Row) error {
+func (c *tableContent) add(row backing.Row) error {
 	switch {
 	case row.Key == headKey:
 		c.headRow = row.Revision
--- a/internal/declarations/table_test.go
+++ b/internal/declarations/table_test.go
@@ -6,51 +6,51 @@
 	"strings"
 	"sync"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 )
 
 // memTable is a table in memory. Its hooks run before a call and may fail it.
 type memTable struct {
 	mu       sync.Mutex
 	revision uint64
-	rows     map[string]platform.Row
+	rows     map[string]backing.Row
 
 	// beforeRead fails a read with the error that it returns.
 	beforeRead func(ctx context.Context) error
 	// beforeCommit answers a commit itself when it returns true.
-	beforeCommit func(ctx context.Context, txn platform.Txn) (bool, error)
+	beforeCommit func(ctx context.Context, txn backing.Txn) (bool, error)
 
 	reads, lists, commits int
 }
 
-func newMemTable() *memTable { return &memTable{rows: map[string]platform.Row{}} }
+func newMemTable() *memTable { return &memTable{rows: map[string]backing.Row{}} }
 
-func (t *memTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t *memTable) Get(ctx context.Context, key string) (backing.Row, error) {
 	if err := t.admitRead(ctx, &t.reads); err != nil {
-		return platform.Row{}, err
+		return backing.Row{}, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row, ok := t.rows[key]
 	if !ok {
-		return platform.Row{}, platform.ErrNotFound
+		return backing.Row{}, backing.ErrNotFound
 	}
 	return row, nil
 }
 
-func (t *memTable) List(ctx context.Context, prefix string, after uint64) (platform.Listing, error) {
+func (t *memTable) List(ctx context.Context, prefix string, after uint64) (backing.Listing, error) {
 	if err := t.admitRead(ctx, &t.lists); err != nil {
-		return platform.Listing{}, err
+		return backing.Listing{}, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	listing := platform.Listing{Revision: t.revision}
+	listing := backing.Listing{Revision: t.revision}
 	for key, row := range t.rows {
 		if strings.HasPrefix(key, prefix) && row.Revision > after {
 			listing.Rows = append(listing.Rows, row)
 		}
 	}
-	slices.SortFunc(listing.Rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(listing.Rows, func(a, b backing.Row) int { return strings.Compare(a.Key, b.Key) })
 	return listing, nil
 }
 
@@ -65,7 +65,7 @@
 	return before(ctx)
 }
 
-func (t *memTable) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+func (t *memTable) Commit(ctx context.Context, txn backing.Txn) (uint64, error) {
 	t.mu.Lock()
 	t.commits++
 	before := t.beforeCommit
@@ -79,12 +79,12 @@
 }
 
 // apply runs a transaction past the hooks.
-func (t *memTable) apply(txn platform.Txn) (uint64, error) {
+func (t *memTable) apply(txn backing.Txn) (uint64, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, c := range txn.Conditions {
 		if has := t.rows[c.Key].Revision; has != c.Revision {
-			return 0, &platform.ConflictError{Key: c.Key, Revision: has}
+			return 0, &backing.ConflictError{Key: c.Key, Revision: has}
 		}
 	}
 	t.revision++
@@ -92,7 +92,7 @@
 		delete(t.rows, key)
 	}
 	for _, put := range txn.Puts {
-		t.rows[put.Key] = platform.Row{Key: put.Key, Revision: t.revision, Value: put.Value}
+		t.rows[put.Key] = backing.Row{Key: put.Key, Revision: t.revision, Value: put.Value}
 	}
 	return t.revision, nil
 }
--- a/internal/entry/bounds_test.go
+++ b/internal/entry/bounds_test.go
@@ -13,10 +13,10 @@
 
 	"balsamsail/internal/admission"
 	"balsamsail/internal/atmostonce"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/clock"
 	"balsamsail/internal/declarations"
 	"balsamsail/internal/membership"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/replicas"
 	"balsamsail/internal/timeline"
 	"balsamsail/internal/wire/wirepb"
@@ -60,19 +60,19 @@
 
 // outageTable takes one commit and is down from then on.
 type outageTable struct {
-	platform.Table
+	backing.Table
 	commits atomic.Int32
 }
 
-func (o *outageTable) Commit(context.Context, platform.Txn) (uint64, error) {
+func (o *outageTable) Commit(context.Context, backing.Txn) (uint64, error) {
 	if o.commits.Add(1) == 1 {
 		return 1, nil
 	}
-	return 0, platform.ErrUnavailable
+	return 0, backing.ErrUnavailable
 }
 
-func (o *outageTable) Get(context.Context, string) (platform.Row, error) {
-	return platform.Row{}, platform.ErrUnavailable
+func (o *outageTable) Get(context.Context, string) (backing.Row, error) {
+	return backing.Row{}, backing.ErrUnavailable
 }
 
 // A call with an idempotency key is claimed, then the table goes down, and no endpoint takes the call. The caller was told
--- a/internal/entry/callers_test.go
+++ b/internal/entry/callers_test.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"balsamsail/internal/admission"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/declarations"
 	pb "balsamsail/internal/declarations/declarationspb"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/process"
 	"balsamsail/internal/wire/wirepb"
 )
@@ -389,7 +389,7 @@
 	if err := control.Read(first); err != nil || first.HostState != wirepb.HostState_LIVE {
 		t.Fatalf("%v, %v", first, err)
 	}
-	server.PutHost(platform.Host{ID: "host-1", Role: platform.RoleEndpoint, State: platform.HostLeaving, Address: agent.address, Endpoint: "engine-1"})
+	server.PutHost(backing.Host{ID: "host-1", Role: backing.RoleEndpoint, State: backing.HostLeaving, Address: agent.address, Endpoint: "engine-1"})
 	eventually(t, "the list is not read", func() bool {
 		ep := e.members.Endpoint("engine-1")
 		return ep != nil && ep.Leaving
--- a/internal/entry/coordinator.go
+++ b/internal/entry/coordinator.go
@@ -7,9 +7,9 @@
 	"sync/atomic"
 	"time"
 
+	"balsamsail/internal/backing"
 	"balsamsail/internal/loading/permits"
 	"balsamsail/internal/membership"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/replicas"
 	"balsamsail/internal/timeline"
 	"balsamsail/internal/wire/wirepb"
@@ -32,7 +32,7 @@
 	// since is when an endpoint's reachability last changed.
 	since map[string]reachability
 	// listed is each endpoint's state in the host list as last seen.
-	listed map[string]platform.HostState
+	listed map[string]backing.HostState
 	// behind is what is known of agents that hold a higher revision than this entry.
 	behind behind
 }
@@ -60,7 +60,7 @@
 		wake:   make(chan struct{}, 1),
 		told:   map[string]uint64{},
 		since:  map[string]reachability{},
-		listed: map[string]platform.HostState{},
+		listed: map[string]backing.HostState{},
 	}
 }
 
@@ -162,15 +162,15 @@
 // tellLeaving tells an agent that its host leaves, until it says so itself. A list that came between its connection and its
 // first report found it not connected yet, and does not come again.
 func (c *coordinator) tellLeaving(endpoint string, ep *membership.Endpoint) {
-	if ep.Listed == platform.HostLeaving && !ep.Status.GetLeaving() {
+	if ep.Listed == backing.HostLeaving && !ep.Status.GetLeaving() {
 		c.entry.members.Send(endpoint, &wirepb.ControlDown{HostState: wirepb.HostState_HOST_LEAVING})
 	}
 }
 
 // noteListed tells the time line of a host's changed state, and forgets what was observed of one that is gone.
-func (c *coordinator) noteListed(endpoint string, state platform.HostState, gone bool) {
+func (c *coordinator) noteListed(endpoint string, state backing.HostState, gone bool) {
 	if gone {
-		state = platform.HostGone
+		state = backing.HostGone
 	}
 	c.mu.Lock()
 	old := c.listed[endpoint]
@@ -180,11 +180,11 @@
 		return
 	}
 	switch state {
-	case platform.HostLive:
+	case backing.HostLive:
 		c.entry.recorder.Record(timeline.Event{Kind: timeline.HostSeen, Endpoint: endpoint})
-	case platform.HostLeaving:
+	case backing.HostLeaving:
 		c.entry.recorder.Record(timeline.Event{Kind: timeline.HostLeaving, Endpoint: endpoint})
-	case platform.HostGone:
+	case backing.HostGone:
 		c.entry.recorder.Record(timeline.Event{Kind: timeline.HostGone, Endpoint: endpoint})
 		c.entry.forget(endpoint)
 	}
@@ -203,7 +203,7 @@
 	next := reachability{since: now}
 	if ep != nil {
 		next.reachable = ep.Connected && ep.Status.GetReady()
-		next.leaving = ep.Listed == platform.HostLeaving
+		next.leaving = ep.Listed == backing.HostLeaving
 		next.memory = ep.Status.GetMemoryBytes()
 		next.kind = ep.Status.GetKind()
 		next.labels = ep.Status.GetLabels()
@@ -239,7 +239,7 @@
 // hostState is what an agent is told of its own host.
 func (c *coordinator) hostState(endpoint string) wirepb.HostState {
 	ep := c.entry.members.Endpoint(endpoint)
-	if ep != nil && ep.Listed == platform.HostLeaving {
+	if ep != nil && ep.Listed == backing.HostLeaving {
 		return wirepb.HostState_HOST_LEAVING
 	}
 	return wirepb.HostState_LIVE
--- a/internal/entry/coordinator_test.go
+++ b/internal/entry/coordinator_test.go
@@ -12,10 +12,10 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"balsamsail/internal/atmostonce"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/clock"
 	"balsamsail/internal/declarations"
 	"balsamsail/internal/membership"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/replicas"
 	standin "balsamsail/internal/standin/platform"
 	"balsamsail/internal/timeline"
@@ -82,20 +82,20 @@
 // startEntryAt is startEntry with the platform that it runs at.
 func startEntryAt(t *testing.T, agentAddress string) (*Entry, *standin.Server) {
 	t.Helper()
-	server := standin.New(standin.Options{Hosts: []platform.Host{
-		{ID: "entry-1", Role: platform.RoleEntry, State: platform.HostLive, FailureDomain: "a", Address: "127.0.0.1:1"},
-		{ID: "host-1", Role: platform.RoleEndpoint, State: platform.HostLive, FailureDomain: "a", Address: agentAddress, Endpoint: "engine-1"},
+	server := standin.New(standin.Options{Hosts: []backing.Host{
+		{ID: "entry-1", Role: backing.RoleEntry, State: backing.HostLive, FailureDomain: "a", Address: "127.0.0.1:1"},
+		{ID: "host-1", Role: backing.RoleEndpoint, State: backing.HostLive, FailureDomain: "a", Address: agentAddress, Endpoint: "engine-1"},
 	}})
 	site := httptest.NewServer(server.Handler())
 	t.Cleanup(site.Close)
-	o := platform.Options{TableURL: site.URL, ObjectsURL: site.URL, HostsURL: site.URL, Timeout: time.Second}
-	table := platform.NewHTTPTable(o, nil)
+	o := backing.Options{TableURL: site.URL, ObjectsURL: site.URL, HostsURL: site.URL, Timeout: time.Second}
+	table := backing.NewHTTPTable(o, nil)
 	logger := slog.New(slog.DiscardHandler)
 	registry := prometheus.NewRegistry()
 	recorder := timeline.NewRecorder("entry-1", 1024, timeline.NewHybridClock(time.Now))
 	memberOptions := membership.DefaultOptions()
 	memberOptions.EntryID = "entry-1"
-	members := membership.NewManager(memberOptions, platform.NewHTTPHosts(o, nil), clock.Real{}, logger, registry, recorder)
+	members := membership.NewManager(memberOptions, backing.NewHTTPHosts(o, nil), clock.Real{}, logger, registry, recorder)
 	e := New(Options{ID: "entry-1", FailureDomain: "a", MaxAttempts: 2}, Dependencies{
 		Members:    members,
 		Store:      declarations.NewStore(declarations.Options{}, table, clock.Real{}, logger, registry),
--- a/internal/entry/inputs.go
+++ b/internal/entry/inputs.go
@@ -3,9 +3,9 @@
 import (
 	"strconv"
 
+	"balsamsail/internal/backing"
 	"balsamsail/internal/declarations"
 	"balsamsail/internal/membership"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/replicas"
 	"balsamsail/internal/wire/wirepb"
 )
@@ -27,7 +27,7 @@
 	}
 	declared := replicas.Declared{
 		Revision: set.Revision(),
-		Head:     platform.Condition{Key: declarations.HeadKey, Revision: headRow},
+		Head:     backing.Condition{Key: declarations.HeadKey, Revision: headRow},
 	}
 	for _, m := range set.Models() {
 		for _, version := range m.Versions {
@@ -83,7 +83,7 @@
 		Since:         reach.since,
 		// The agent's own word is not taken: an agent that is only restarted comes back to its engine, and giving its slots
 		// up and granting them anew would leave its models unserved for up to the life of an order.
-		Leaving: ep.Listed == platform.HostLeaving,
+		Leaving: ep.Listed == backing.HostLeaving,
 		Drain:   g.entry.drained(ep.Name),
 	}
 }
@@ -101,7 +101,7 @@
 func (g grantInputs) Live() []string {
 	ids := []string{}
 	for _, peer := range g.entry.members.Entries() {
-		if peer.State == platform.HostLive {
+		if peer.State == backing.HostLive {
 			ids = append(ids, peer.ID)
 		}
 	}
--- a/internal/entry/inputs_test.go
+++ b/internal/entry/inputs_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/wire/wirepb"
 )
 
@@ -16,20 +16,20 @@
 	cases := []struct {
 		name   string
 		report bool
-		listed platform.HostState
+		listed backing.HostState
 		want   bool
 	}{
-		{"serving", false, platform.HostLive, false},
-		{"the agent stops", true, platform.HostLive, false},
-		{"the host leaves", true, platform.HostLeaving, true},
-		{"the host leaves and the agent does not know", false, platform.HostLeaving, true},
+		{"serving", false, backing.HostLive, false},
+		{"the agent stops", true, backing.HostLive, false},
+		{"the host leaves", true, backing.HostLeaving, true},
+		{"the host leaves and the agent does not know", false, backing.HostLeaving, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			agent := newScriptedAgent(t)
 			e, site := startEntryAt(t, agent.address)
-			host := platform.Host{
-				ID: "host-1", Role: platform.RoleEndpoint, State: c.listed, FailureDomain: "a",
+			host := backing.Host{
+				ID: "host-1", Role: backing.RoleEndpoint, State: c.listed, FailureDomain: "a",
 				Address: agent.address, Endpoint: "engine-1",
 			}
 			site.PutHost(host)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -12,8 +12,8 @@
 
 	"github.com/pkg/errors"
 
+	"balsamsail/internal/backing"
 	"balsamsail/internal/operator"
-	"balsamsail/internal/platform"
 )
 
 const (
@@ -37,7 +37,7 @@
 func (e *Entry) self() operator.ProcessRevision {
 	return operator.ProcessRevision{
 		Process:       e.options.ID,
-		Role:          string(platform.RoleEntry),
+		Role:          string(backing.RoleEntry),
 		FailureDomain: e.options.FailureDomain,
 		Revision:      e.store.Current().Revision(),
 	}
@@ -72,7 +72,7 @@
 				answer.Unreachable = true
 			}
 			answer.Process = peer.ID
-			answer.Role = string(platform.RoleEntry)
+			answer.Role = string(backing.RoleEntry)
 			answer.FailureDomain = peer.FailureDomain
 			answer.Address = peer.Address
 			mu.Lock()
@@ -135,7 +135,7 @@
 	for _, peer := range e.members.Entries() {
 		list.Processes = append(list.Processes, operator.Process{
 			Name:          peer.ID,
-			Role:          string(platform.RoleEntry),
+			Role:          string(backing.RoleEntry),
 			FailureDomain: peer.FailureDomain,
 			URL:           "http://" + peer.Address,
 		})
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -21,11 +21,11 @@
 
 	"balsamsail/internal/admission"
 	"balsamsail/internal/atmostonce"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/clock"
 	"balsamsail/internal/declarations"
 	pb "balsamsail/internal/declarations/declarationspb"
 	"balsamsail/internal/membership"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/replicas"
 	"balsamsail/internal/routing"
 	standin "balsamsail/internal/standin/platform"
@@ -89,11 +89,11 @@
 func newSite(t *testing.T, o siteOptions) *site {
 	t.Helper()
 	s := &site{t: t}
-	hosts := []platform.Host{{ID: "entry-1", Role: platform.RoleEntry, State: platform.HostLive, Address: "127.0.0.1:1"}}
+	hosts := []backing.Host{{ID: "entry-1", Role: backing.RoleEntry, State: backing.HostLive, Address: "127.0.0.1:1"}}
 	for i := range o.agents {
 		a := newExchangeAgent(t, fmt.Sprintf("ledger-%d", i+1), o.kind)
 		s.agents = append(s.agents, a)
-		hosts = append(hosts, platform.Host{ID: "host-" + a.name, Role: platform.RoleEndpoint, State: platform.HostLive, Address: a.address, Endpoint: a.name})
+		hosts = append(hosts, backing.Host{ID: "host-" + a.name, Role: backing.RoleEndpoint, State: backing.HostLive, Address: a.address, Endpoint: a.name})
 	}
 	s.platform = standin.New(standin.Options{Hosts: hosts})
 	web := httptest.NewServer(s.platform.Handler())
@@ -120,8 +120,8 @@
 	transport := &http.Transport{}
 	s.t.Cleanup(transport.CloseIdleConnections)
 	client := &http.Client{Transport: transport}
-	o := platform.Options{TableURL: url, ObjectsURL: url, HostsURL: url, Timeout: 300 * time.Millisecond}
-	table := platform.NewHTTPTable(o, client)
+	o := backing.Options{TableURL: url, ObjectsURL: url, HostsURL: url, Timeout: 300 * time.Millisecond}
+	table := backing.NewHTTPTable(o, client)
 	logger := slog.New(slog.DiscardHandler)
 	registry := prometheus.NewRegistry()
 	recorder := timeline.NewRecorder("entry-1", 1024, timeline.NewHybridClock(time.Now))
@@ -136,7 +136,7 @@
 		so.change(&options)
 	}
 	s.entry = New(options, Dependencies{
-		Members:    membership.NewManager(mo, platform.NewHTTPHosts(o, client), clock.Real{}, logger, registry, recorder),
+		Members:    membership.NewManager(mo, backing.NewHTTPHosts(o, client), clock.Real{}, logger, registry, recorder),
 		Store:      declarations.NewStore(declarations.Options{PollInterval: 10 * time.Millisecond}, table, clock.Real{}, logger, registry),
 		Claims:     atmostonce.NewClaims(table, atmostonce.ClaimsOptions{Patience: 500 * time.Millisecond}),
 		Clock:      clock.Real{},
--- a/internal/joined/agent_test.go
+++ b/internal/joined/agent_test.go
@@ -5,11 +5,11 @@
 	"time"
 
 	"balsamsail/internal/admission"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/declarations"
 	"balsamsail/internal/endpoint"
 	"balsamsail/internal/loading"
 	"balsamsail/internal/loading/idle"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/replicas"
 	"balsamsail/internal/wire/wirepb"
 )
@@ -215,8 +215,8 @@
 		})
 	}
 	a.later(a.w.net.latency(), func() {
-		put := platform.Put{Key: "agents/" + a.host.endpoint, Value: []byte(a.name)}
-		if _, err := a.table.Commit(context.Background(), platform.Txn{Puts: []platform.Put{put}}); err != nil {
+		put := backing.Put{Key: "agents/" + a.host.endpoint, Value: []byte(a.name)}
+		if _, err := a.table.Commit(context.Background(), backing.Txn{Puts: []backing.Put{put}}); err != nil {
 			again()
 			return
 		}
@@ -235,7 +235,7 @@
 	})
 }
 
-func (a *agent) rowsOf(listing platform.Listing) loading.RowsRead {
+func (a *agent) rowsOf(listing backing.Listing) loading.RowsRead {
 	read := loading.RowsRead{Revision: listing.Revision}
 	for _, stored := range listing.Rows {
 		row, err := replicas.DecodeRow(stored)
--- a/internal/joined/coordinator_test.go
+++ b/internal/joined/coordinator_test.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"balsamsail/internal/admission"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/declarations"
 	"balsamsail/internal/membership"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/replicas"
 	"balsamsail/internal/replicas/replicaspb"
 	"balsamsail/internal/routing"
@@ -84,7 +84,7 @@
 		if ep.Gone {
 			e.router.Forget(name)
 		}
-		if ep.Connected && ep.Listed == platform.HostLeaving && !ep.Status.GetLeaving() {
+		if ep.Connected && ep.Listed == backing.HostLeaving && !ep.Status.GetLeaving() {
 			e.send(name, &wirepb.ControlDown{HostState: wirepb.HostState_HOST_LEAVING})
 		}
 	}
@@ -204,7 +204,7 @@
 		return replicas.Declared{}, false
 	}
 	declared := replicas.Declared{
-		Revision: set.Revision(), Head: platform.Condition{Key: declarations.HeadKey, Revision: headRow},
+		Revision: set.Revision(), Head: backing.Condition{Key: declarations.HeadKey, Revision: headRow},
 	}
 	for _, m := range set.Models() {
 		for _, version := range m.Versions {
@@ -252,7 +252,7 @@
 func (e *entry) Live() []string {
 	live := []string{}
 	for _, peer := range e.view.Entries() {
-		if peer.State == platform.HostLive {
+		if peer.State == backing.HostLive {
 			live = append(live, peer.ID)
 		}
 	}
--- a/internal/joined/entry_test.go
+++ b/internal/joined/entry_test.go
@@ -10,10 +10,10 @@
 
 	"balsamsail/internal/admission"
 	"balsamsail/internal/atmostonce"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/declarations"
 	"balsamsail/internal/loading/permits"
 	"balsamsail/internal/membership"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/replicas"
 	"balsamsail/internal/routing"
 	"balsamsail/internal/wire/wirepb"
@@ -380,7 +380,7 @@
 
 // hostState is what an agent is told of its own host.
 func (e *entry) hostState(endpoint string) wirepb.HostState {
-	if ep := e.endpoint(endpoint); ep != nil && ep.Listed == platform.HostLeaving {
+	if ep := e.endpoint(endpoint); ep != nil && ep.Listed == backing.HostLeaving {
 		return wirepb.HostState_HOST_LEAVING
 	}
 	return wirepb.HostState_LIVE
--- a/internal/joined/faults_test.go
+++ b/internal/joined/faults_test.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 )
 
 // fault is something that goes wrong for a while, with its weight.
@@ -227,10 +227,10 @@
 
 // hostLeaves lets the platform take a host away and put another one in its place.
 func (w *world) hostLeaves(h *host) {
-	if h.state != platform.HostLive || !h.up {
+	if h.state != backing.HostLive || !h.up {
 		return
 	}
-	h.state, h.listedLeavingAt = platform.HostLeaving, w.at
+	h.state, h.listedLeavingAt = backing.HostLeaving, w.at
 	if h.leavingAt == 0 {
 		h.leavingAt = w.at
 	}
@@ -267,7 +267,7 @@
 	}
 	h.terminate()
 	w.until(w.between(0, 3*time.Second), func() {
-		h.state = platform.HostGone
+		h.state = backing.HostGone
 		w.publishHosts()
 	})
 	w.until(w.between(0, 5*time.Second), func() {
--- a/internal/joined/hosts_test.go
+++ b/internal/joined/hosts_test.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 )
 
 // host is an endpoint host: a machine with an engine or a plain service and the agent beside it.
@@ -15,7 +15,7 @@
 	kind                 string
 	up                   bool
 	// state is that of the newest host list; empty when the host is not listed any more.
-	state platform.HostState
+	state backing.HostState
 	// leavingAt is when the platform, or a planned stop of the agent, began to take the endpoint away; 0 when it has not.
 	leavingAt time.Duration
 	// listedLeavingAt is when the list first said so; 0 when it has not.
@@ -34,7 +34,7 @@
 	if !h.up || h.listening() {
 		return
 	}
-	if h.state != platform.HostLeaving {
+	if h.state != backing.HostLeaving {
 		h.leavingAt = 0
 	}
 	h.agent = newAgent(h)
@@ -83,7 +83,7 @@
 
 type hostListVersion struct {
 	at    time.Duration
-	hosts []platform.Host
+	hosts []backing.Host
 }
 
 const (
@@ -94,12 +94,12 @@
 )
 
 // publish makes a new version of the list.
-func (l *hostList) publish(hosts []platform.Host) {
+func (l *hostList) publish(hosts []backing.Host) {
 	l.versions = append(l.versions, hostListVersion{at: l.at, hosts: hosts})
 }
 
-// Hosts implements platform.HostList. Two reads may be answered by replicas that lag differently.
-func (l *hostList) Hosts(context.Context) ([]platform.Host, uint64, error) {
+// Hosts implements backing.HostList. Two reads may be answered by replicas that lag differently.
+func (l *hostList) Hosts(context.Context) ([]backing.Host, uint64, error) {
 	oldest := l.at - l.between(0, hostListLag)
 	if l.old = !l.old && l.chance(12); l.old {
 		oldest = l.at - l.between(0, rareHostListLag)
@@ -113,16 +113,16 @@
 
 // publishHosts makes the present states a new version of the list.
 func (w *world) publishHosts() {
-	var list []platform.Host
+	var list []backing.Host
 	for _, h := range w.allHosts {
 		if h.state != "" {
-			list = append(list, platform.Host{
-				ID: h.id, Role: platform.RoleEndpoint, State: h.state, FailureDomain: h.domain, Address: h.id, Endpoint: h.endpoint,
+			list = append(list, backing.Host{
+				ID: h.id, Role: backing.RoleEndpoint, State: h.state, FailureDomain: h.domain, Address: h.id, Endpoint: h.endpoint,
 			})
 		}
 	}
 	for _, e := range w.entryNames {
-		list = append(list, platform.Host{ID: e, Role: platform.RoleEntry, State: platform.HostLive, Address: e})
+		list = append(list, backing.Host{ID: e, Role: backing.RoleEntry, State: backing.HostLive, Address: e})
 	}
 	w.hosts.publish(list)
 }
--- a/internal/joined/settled_test.go
+++ b/internal/joined/settled_test.go
@@ -6,8 +6,8 @@
 	"strings"
 	"time"
 
+	"balsamsail/internal/backing"
 	"balsamsail/internal/declarations"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/replicas/replicaspb"
 	"balsamsail/internal/wire/wirepb"
 )
@@ -16,7 +16,7 @@
 func (w *world) able(m *declarations.Model) []*host {
 	var list []*host
 	for _, h := range w.allHosts {
-		if h.engine == nil || !h.up || h.state != platform.HostLive || h.agent.core.leaving {
+		if h.engine == nil || !h.up || h.state != backing.HostLive || h.agent.core.leaving {
 			continue
 		}
 		labels := h.labels()
@@ -86,7 +86,7 @@
 	}
 	for _, h := range w.allHosts {
 		_, drained := w.drainedAt[h.endpoint]
-		if h.service != nil && h.up && h.state == platform.HostLive && !drained {
+		if h.service != nil && h.up && h.state == backing.HostLive && !drained {
 			w.last = append(w.last, &lastCall{service: serviceName})
 		}
 	}
--- a/internal/joined/story_test.go
+++ b/internal/joined/story_test.go
@@ -5,10 +5,10 @@
 	"testing"
 	"time"
 
+	"balsamsail/internal/backing"
 	"balsamsail/internal/declarations"
 	pb "balsamsail/internal/declarations/declarationspb"
 	"balsamsail/internal/endpoint"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/replicas/replicaspb"
 )
 
@@ -228,7 +228,7 @@
 		s.publishHosts()
 		s.chat(s.entry(1), "a", 6*time.Second)
 		s.pass(4 * time.Second)
-		old.state = platform.HostGone
+		old.state = backing.HostGone
 		s.publishHosts()
 		s.await("a slot", 20*time.Second, func() bool { return s.slot("a@1", "e0") == replicaspb.SlotState_GRANTED })
 		s.served(s.chat(s.entry(0), "a", 15*time.Second))
--- a/internal/joined/table_test.go
+++ b/internal/joined/table_test.go
@@ -7,34 +7,34 @@
 	"strings"
 	"time"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 )
 
 // memoryTable is the platform's transactional table.
 type memoryTable struct {
 	*sim
 	revision uint64
-	rows     map[string]platform.Row
+	rows     map[string]backing.Row
 	// down is set in an outage; lossy is one in how many calls goes wrong, 0 for none.
 	down  bool
 	lossy int
 	// late are the commits that are on their way although their senders have given up on them.
 	late []*lateCommit
 	// changed is told of each row that a commit changes.
-	changed func(before, after platform.Row)
+	changed func(before, after backing.Row)
 	faults  int
 }
 
 type lateCommit struct {
-	txn  platform.Txn
+	txn  backing.Txn
 	done bool
 }
 
 func newMemoryTable(s *sim) *memoryTable {
-	return &memoryTable{sim: s, rows: map[string]platform.Row{}}
+	return &memoryTable{sim: s, rows: map[string]backing.Row{}}
 }
 
-// tableClient is a process's way to the table. It implements platform.Table.
+// tableClient is a process's way to the table. It implements backing.Table.
 type tableClient struct {
 	*memoryTable
 	// cut is set while the process does not reach the table.
@@ -53,56 +53,56 @@
 	return false
 }
 
-// Get implements platform.Table.
-func (c *tableClient) Get(_ context.Context, key string) (platform.Row, error) {
+// Get implements backing.Table.
+func (c *tableClient) Get(_ context.Context, key string) (backing.Row, error) {
 	if c.unreachable() {
-		return platform.Row{}, platform.ErrUnavailable
+		return backing.Row{}, backing.ErrUnavailable
 	}
 	row, ok := c.rows[key]
 	if !ok {
-		return platform.Row{}, platform.ErrNotFound
+		return backing.Row{}, backing.ErrNotFound
 	}
 	return row, nil
 }
 
-// List implements platform.Table.
-func (c *tableClient) List(_ context.Context, prefix string, after uint64) (platform.Listing, error) {
+// List implements backing.Table.
+func (c *tableClient) List(_ context.Context, prefix string, after uint64) (backing.Listing, error) {
 	if c.unreachable() {
-		return platform.Listing{}, platform.ErrUnavailable
+		return backing.Listing{}, backing.ErrUnavailable
 	}
-	listing := platform.Listing{Revision: c.revision}
+	listing := backing.Listing{Revision: c.revision}
 	for key, row := range c.rows {
 		if strings.HasPrefix(key, prefix) && row.Revision > after {
 			listing.Rows = append(listing.Rows, row)
 		}
 	}
-	slices.SortFunc(listing.Rows, func(a, b platform.Row) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(listing.Rows, func(a, b backing.Row) int { return cmp.Compare(a.Key, b.Key) })
 	return listing, nil
 }
 
-// Commit implements platform.Table. A commit that goes wrong is refused, lost before it took effect, after it, or still to
+// Commit implements backing.Table. A commit that goes wrong is refused, lost before it took effect, after it, or still to
 // take effect.
-func (c *tableClient) Commit(_ context.Context, txn platform.Txn) (uint64, error) {
+func (c *tableClient) Commit(_ context.Context, txn backing.Txn) (uint64, error) {
 	if !c.unreachable() {
 		return c.commit(txn)
 	}
 	switch c.random.IntN(5) {
 	case 0:
-		return 0, platform.ErrRateLimited
+		return 0, backing.ErrRateLimited
 	case 1:
 		if !c.down && !c.cut {
 			_, _ = c.commit(txn)
 		}
-		return 0, platform.ErrOutcomeUnknown
+		return 0, backing.ErrOutcomeUnknown
 	case 2:
 		late := &lateCommit{txn: txn}
 		c.memoryTable.late = append(c.memoryTable.late, late)
 		c.after(c.between(0, 8*time.Second), func() { c.take(late) })
-		return 0, platform.ErrOutcomeUnknown
+		return 0, backing.ErrOutcomeUnknown
 	case 3:
-		return 0, platform.ErrOutcomeUnknown
+		return 0, backing.ErrOutcomeUnknown
 	default:
-		return 0, platform.ErrUnavailable
+		return 0, backing.ErrUnavailable
 	}
 }
 
@@ -123,23 +123,23 @@
 	t.logf("late commit: %v", err)
 }
 
-func (t *memoryTable) commit(txn platform.Txn) (uint64, error) {
+func (t *memoryTable) commit(txn backing.Txn) (uint64, error) {
 	for _, c := range txn.Conditions {
 		if at := t.rows[c.Key].Revision; at != c.Revision {
-			return 0, &platform.ConflictError{Key: c.Key, Revision: at}
+			return 0, &backing.ConflictError{Key: c.Key, Revision: at}
 		}
 	}
 	t.revision++
 	for _, p := range txn.Puts {
-		t.replace(p.Key, platform.Row{Key: p.Key, Revision: t.revision, Value: p.Value})
+		t.replace(p.Key, backing.Row{Key: p.Key, Revision: t.revision, Value: p.Value})
 	}
 	for _, key := range txn.Deletes {
-		t.replace(key, platform.Row{})
+		t.replace(key, backing.Row{})
 	}
 	return t.revision, nil
 }
 
-func (t *memoryTable) replace(key string, after platform.Row) {
+func (t *memoryTable) replace(key string, after backing.Row) {
 	before := t.rows[key]
 	t.rows[key] = after
 	if after.Key == "" {
--- a/internal/joined/world_test.go
+++ b/internal/joined/world_test.go
@@ -12,9 +12,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"balsamsail/internal/atmostonce"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/declarations"
 	pb "balsamsail/internal/declarations/declarationspb"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/replicas"
 	"balsamsail/internal/replicas/replicaspb"
 	"testing/synctest"
@@ -148,7 +148,7 @@
 func (w *world) addHost(endpoint, kind, domain string, f fencing) *host {
 	w.hostIDs++
 	h := &host{
-		world: w, id: fmt.Sprint("h", w.hostIDs), endpoint: endpoint, domain: domain, kind: kind, up: true, state: platform.HostLive,
+		world: w, id: fmt.Sprint("h", w.hostIDs), endpoint: endpoint, domain: domain, kind: kind, up: true, state: backing.HostLive,
 	}
 	if kind == kindEngine {
 		h.engine = newEngine(h, f)
@@ -195,7 +195,7 @@
 }
 
 // changed follows each commit as it happens.
-func (w *world) changed(before, after platform.Row) {
+func (w *world) changed(before, after backing.Row) {
 	key := before.Key + after.Key
 	if after.Key != "" {
 		key = after.Key
@@ -212,7 +212,7 @@
 	}
 }
 
-func decodeRow(stored platform.Row) *replicaspb.Row {
+func decodeRow(stored backing.Row) *replicaspb.Row {
 	if stored.Key == "" {
 		return nil
 	}
--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -12,8 +12,8 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"balsamsail/internal/backing"
 	"balsamsail/internal/clock"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/timeline"
 	"balsamsail/internal/wire"
 	"balsamsail/internal/wire/wirepb"
@@ -66,7 +66,7 @@
 // Manager is the shell around View.
 type Manager struct {
 	options  Options
-	hosts    platform.HostList
+	hosts    backing.HostList
 	clock    clock.Clock
 	logger   *slog.Logger
 	recorder *timeline.Recorder
@@ -88,7 +88,7 @@
 }
 
 // NewManager returns a manager; Run starts it.
-func NewManager(o Options, hosts platform.HostList, c clock.Clock, logger *slog.Logger, r prometheus.Registerer, recorder *timeline.Recorder) *Manager {
+func NewManager(o Options, hosts backing.HostList, c clock.Clock, logger *slog.Logger, r prometheus.Registerer, recorder *timeline.Recorder) *Manager {
 	m := &Manager{
 		options:  o,
 		hosts:    hosts,
@@ -133,7 +133,7 @@
 func (m *Manager) Entries() []Entry { return *m.entries.Load() }
 
 // Hosts returns the version of the host list and the states of its hosts. The map must not be changed.
-func (m *Manager) Hosts() (uint64, map[string]platform.HostState) {
+func (m *Manager) Hosts() (uint64, map[string]backing.HostState) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.view.Hosts()
@@ -209,7 +209,7 @@
 // A report that was on its way would otherwise be merged into what is known of the replacement, which would count as
 // connected by the word of another host's agent, and what that agent has released would be taken for released by the
 // replacement.
-func (m *Manager) endOutdated(hosts []platform.Host, version uint64) {
+func (m *Manager) endOutdated(hosts []backing.Host, version uint64) {
 	for l, runs := range m.outdated(hosts, version) {
 		l.detach()
 		m.lost(l.name)
@@ -221,7 +221,7 @@
 
 // outdated returns the links that a list ends, and whether their host still runs: a leaving host that was replaced early
 // finishes its requests, so that its connection must be kept for them.
-func (m *Manager) outdated(hosts []platform.Host, version uint64) map[*link]bool {
+func (m *Manager) outdated(hosts []backing.Host, version uint64) map[*link]bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	next := m.view.clone()
--- a/internal/membership/manager_rig_test.go
+++ b/internal/membership/manager_rig_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"balsamsail/internal/backing"
 	"balsamsail/internal/clock"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/timeline"
 	"balsamsail/internal/wire"
 	"balsamsail/internal/wire/wirepb"
@@ -101,20 +101,20 @@
 // scriptedList is the host list.
 type scriptedList struct {
 	mu      sync.Mutex
-	hosts   []platform.Host
+	hosts   []backing.Host
 	version uint64
 	err     error
 	reads   int
 }
 
-func (l *scriptedList) Hosts(context.Context) ([]platform.Host, uint64, error) {
+func (l *scriptedList) Hosts(context.Context) ([]backing.Host, uint64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reads++
 	return l.hosts, l.version, l.err
 }
 
-func (l *scriptedList) set(hosts ...platform.Host) {
+func (l *scriptedList) set(hosts ...backing.Host) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.hosts, l.err = hosts, nil
@@ -124,7 +124,7 @@
 func (l *scriptedList) fail() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.err = platform.ErrUnavailable
+	l.err = backing.ErrUnavailable
 }
 
 // readAgain waits for two more reads, of which the second began after now.
@@ -140,8 +140,8 @@
 }
 
 // host is a listed host of "engine" at an agent's address.
-func (a *scriptedAgent) host(id string, s platform.HostState) platform.Host {
-	return platform.Host{ID: id, Role: platform.RoleEndpoint, State: s, Address: a.address, Endpoint: "engine"}
+func (a *scriptedAgent) host(id string, s backing.HostState) backing.Host {
+	return backing.Host{ID: id, Role: backing.RoleEndpoint, State: s, Address: a.address, Endpoint: "engine"}
 }
 
 // watcher is an observer that notes what it is told.
--- a/internal/membership/manager_test.go
+++ b/internal/membership/manager_test.go
@@ -7,14 +7,14 @@
 
 	"github.com/pkg/errors"
 
+	"balsamsail/internal/backing"
 	pb "balsamsail/internal/declarations/declarationspb"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/replicas/replicaspb"
 	"balsamsail/internal/wire"
 	"balsamsail/internal/wire/wirepb"
 )
 
-const live, leavingHost, goneHost = platform.HostLive, platform.HostLeaving, platform.HostGone
+const live, leavingHost, goneHost = backing.HostLive, backing.HostLeaving, backing.HostGone
 
 // request opens a request stream and returns both its ends.
 func request(t *testing.T, m *Manager, a *scriptedAgent) (*wire.Stream, *wire.Stream) {
@@ -99,22 +99,22 @@
 	cases := []struct {
 		name string
 		// list is what the platform says next, given the agents of the old and the new host.
-		list func(old, next *scriptedAgent) []platform.Host
+		list func(old, next *scriptedAgent) []backing.Host
 		// cut is set when the old host's requests end.
 		cut  bool
 		want string
 	}{
-		{"gone", func(old, _ *scriptedAgent) []platform.Host { return []platform.Host{old.host("h1", goneHost)} }, true, "h1 gone leaving gone [m@1]"},
-		{"not listed", func(_, _ *scriptedAgent) []platform.Host { return nil }, true, "h1  leaving gone [m@1]"},
-		{"leaving", func(old, _ *scriptedAgent) []platform.Host { return []platform.Host{old.host("h1", leavingHost)} }, false, "h1 leaving connected leaving [m@1]"},
-		{"replaced", func(_, next *scriptedAgent) []platform.Host { return []platform.Host{next.host("h2", live)} }, true, "h2 live connected [n@1]"},
-		{"replaced, the old host listed as gone", func(old, next *scriptedAgent) []platform.Host {
-			return []platform.Host{old.host("h1", goneHost), next.host("h2", live)}
+		{"gone", func(old, _ *scriptedAgent) []backing.Host { return []backing.Host{old.host("h1", goneHost)} }, true, "h1 gone leaving gone [m@1]"},
+		{"not listed", func(_, _ *scriptedAgent) []backing.Host { return nil }, true, "h1  leaving gone [m@1]"},
+		{"leaving", func(old, _ *scriptedAgent) []backing.Host { return []backing.Host{old.host("h1", leavingHost)} }, false, "h1 leaving connected leaving [m@1]"},
+		{"replaced", func(_, next *scriptedAgent) []backing.Host { return []backing.Host{next.host("h2", live)} }, true, "h2 live connected [n@1]"},
+		{"replaced, the old host listed as gone", func(old, next *scriptedAgent) []backing.Host {
+			return []backing.Host{old.host("h1", goneHost), next.host("h2", live)}
 		}, true, "h2 live connected [n@1]"},
-		{"replaced while the old host leaves", func(old, next *scriptedAgent) []platform.Host {
-			return []platform.Host{next.host("h2", live), old.host("h1", leavingHost)}
+		{"replaced while the old host leaves", func(old, next *scriptedAgent) []backing.Host {
+			return []backing.Host{next.host("h2", live), old.host("h1", leavingHost)}
 		}, false, "h2 live connected [n@1]"},
-		{"at another address", func(_, next *scriptedAgent) []platform.Host { return []platform.Host{next.host("h1", live)} }, false, "h1 live connected [n@1]"},
+		{"at another address", func(_, next *scriptedAgent) []backing.Host { return []backing.Host{next.host("h1", live)} }, false, "h1 live connected [n@1]"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -193,7 +193,7 @@
 		t.Fatal("a list that was never read counts as read")
 	default:
 	}
-	list.set(agent.host("h1", live), platform.Host{ID: "e2", Role: platform.RoleEntry, State: live})
+	list.set(agent.host("h1", live), backing.Host{ID: "e2", Role: backing.RoleEntry, State: live})
 	agent.report(agent.connected(), whole(1, "m@1"))
 	awaitEndpoint(t, m, "h1 live connected [m@1]")
 	within(t, m.Listed(), "a list that was read does not count")
--- a/internal/membership/past.go
+++ b/internal/membership/past.go
@@ -1,6 +1,6 @@
 package membership
 
-import "balsamsail/internal/platform"
+import "balsamsail/internal/backing"
 
 // maxPastHosts bounds the hosts whose end is remembered; the earliest are forgotten.
 const maxPastHosts = 4096
@@ -11,15 +11,15 @@
 // it held counts as given up and may be held elsewhere by now: a list that shows it better than an earlier one did, after a
 // fault of the platform, would have it chosen in vain, or a model loaded more often than was decided.
 type pastHosts struct {
-	states map[string]platform.HostState
+	states map[string]backing.HostState
 	order  []string
 }
 
 // note takes in a host's state and returns the worst that it was ever in.
-func (p *pastHosts) note(id string, state platform.HostState) platform.HostState {
+func (p *pastHosts) note(id string, state backing.HostState) backing.HostState {
 	past, known := p.states[id]
 	state = worst(state, past)
-	if state == past || state == platform.HostLive {
+	if state == past || state == backing.HostLive {
 		return state
 	}
 	if !known {
@@ -39,8 +39,8 @@
 }
 
 // worst returns the state that a host comes to later in its life.
-func worst(a, b platform.HostState) platform.HostState {
-	for _, state := range []platform.HostState{platform.HostGone, platform.HostLeaving} {
+func worst(a, b backing.HostState) backing.HostState {
+	for _, state := range []backing.HostState{backing.HostGone, backing.HostLeaving} {
 		if a == state || b == state {
 			return state
 		}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/wire/wirepb"
 )
 
@@ -23,7 +23,7 @@
 	Address       string
 	FailureDomain string
 	// Listed is the state in the host list; empty when the host is not listed any more.
-	Listed platform.HostState
+	Listed backing.HostState
 	// Connected says that the agent has a working control stream and has reported its whole status.
 	Connected bool
 	// Leaving says that the endpoint takes no new work: by the list, the agent's own word, or both.
@@ -45,14 +45,14 @@
 	ID            string
 	FailureDomain string
 	Address       string
-	State         platform.HostState
+	State         backing.HostState
 }
 
 // View merges host list and reports. It is not safe for concurrent use; the values it returns are.
 type View struct {
 	version   uint64
 	read      bool
-	hosts     map[string]platform.HostState
+	hosts     map[string]backing.HostState
 	past      pastHosts
 	endpoints map[string]*Endpoint
 	entries   []Entry
@@ -60,7 +60,7 @@
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{endpoints: map[string]*Endpoint{}, past: pastHosts{states: map[string]platform.HostState{}}}
+	return &View{endpoints: map[string]*Endpoint{}, past: pastHosts{states: map[string]backing.HostState{}}}
 }
 
 // Endpoint returns what is known of an endpoint.
@@ -76,12 +76,12 @@
 func (v *View) Entries() []Entry { return v.entries }
 
 // Hosts returns the version of the host list that was last taken and the states of the hosts in it.
-func (v *View) Hosts() (uint64, map[string]platform.HostState) { return v.version, v.hosts }
+func (v *View) Hosts() (uint64, map[string]backing.HostState) { return v.version, v.hosts }
 
 // runs reports whether a host is listed and not gone.
 func (v *View) runs(host string) bool {
 	state, listed := v.hosts[host]
-	return listed && state != platform.HostGone
+	return listed && state != backing.HostGone
 }
 
 // clone returns a copy that may take in a list without a change of v.
@@ -97,7 +97,7 @@
 //
 // A list of a lower version than one seen before is ignored: the list lags, and two reads may be answered by replicas of
 // the platform that lag differently, so that an older list would let a leaving host seem live again and get new work.
-func (v *View) HostsRead(hosts []platform.Host, version uint64) bool {
+func (v *View) HostsRead(hosts []backing.Host, version uint64) bool {
 	if v.read && version <= v.version {
 		return false
 	}
@@ -107,14 +107,14 @@
 	before := maps.Clone(v.endpoints)
 	v.entries = nil
 	previous := v.hosts
-	v.hosts = make(map[string]platform.HostState, len(hosts))
+	v.hosts = make(map[string]backing.HostState, len(hosts))
 	for _, h := range hosts {
 		h.State = v.past.note(h.ID, h.State)
 		v.hosts[h.ID] = h.State
 		switch h.Role {
-		case platform.RoleEntry:
+		case backing.RoleEntry:
 			v.listEntry(h)
-		case platform.RoleEndpoint:
+		case backing.RoleEndpoint:
 			v.listEndpoint(h, listed, before)
 		}
 	}
@@ -126,16 +126,16 @@
 
 // noteUnlisted remembers the hosts of the list before that the new one does not name: the platform lists a host until it is
 // terminated.
-func (v *View) noteUnlisted(previous map[string]platform.HostState) {
+func (v *View) noteUnlisted(previous map[string]backing.HostState) {
 	for id := range previous {
 		if _, listed := v.hosts[id]; !listed {
-			v.past.note(id, platform.HostGone)
+			v.past.note(id, backing.HostGone)
 		}
 	}
 }
 
-func (v *View) listEntry(h platform.Host) {
-	if h.State == platform.HostGone {
+func (v *View) listEntry(h backing.Host) {
+	if h.State == backing.HostGone {
 		return
 	}
 	v.entries = append(v.entries, Entry{ID: h.ID, FailureDomain: h.FailureDomain, Address: h.Address, State: h.State})
@@ -147,7 +147,7 @@
 // What is known of the host comes from the time before this list. If it were looked up among what the list has made so
 // far, a gone host that stands before its replacement would take the replacement's connection and status away with each
 // read, and no change report brings them back: the endpoint would get no request and no declarations from this entry.
-func (v *View) listEndpoint(h platform.Host, listed map[string]bool, before map[string]*Endpoint) {
+func (v *View) listEndpoint(h backing.Host, listed map[string]bool, before map[string]*Endpoint) {
 	next := &Endpoint{Name: h.Endpoint}
 	if old, ok := before[h.Endpoint]; ok && old.HostID == h.ID {
 		*next = *old
@@ -160,7 +160,7 @@
 	next.Address = h.Address
 	next.FailureDomain = h.FailureDomain
 	next.Listed = h.State
-	if h.State == platform.HostGone {
+	if h.State == backing.HostGone {
 		next.end()
 	}
 	next.Leaving = leaving(next)
@@ -189,7 +189,7 @@
 
 // leaving joins the sources that say an endpoint stops. One of them suffices, so that the slowest does not matter.
 func leaving(e *Endpoint) bool {
-	if e.Gone || e.Listed == platform.HostLeaving {
+	if e.Gone || e.Listed == backing.HostLeaving {
 		return true
 	}
 	return e.Status.GetLeaving()
--- a/internal/membership/view_cases_test.go
+++ b/internal/membership/view_cases_test.go
@@ -13,7 +13,7 @@
 	"go.uber.org/goleak"
 	"google.golang.org/protobuf/proto"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/wire/wirepb"
 )
 
@@ -36,8 +36,8 @@
 // Lists and reports come late, in any order and from several sources. Each case tells what an entry was told and what it
 // must make of the endpoint "engine".
 func TestViewCases(t *testing.T) {
-	const live, leaving, gone = platform.HostLive, platform.HostLeaving, platform.HostGone
-	list := func(version uint64, hosts ...platform.Host) func(*View) {
+	const live, leaving, gone = backing.HostLive, backing.HostLeaving, backing.HostGone
+	list := func(version uint64, hosts ...backing.Host) func(*View) {
 		return func(v *View) { v.HostsRead(hosts, version) }
 	}
 	report := func(s *wirepb.Status) func(*View) {
@@ -46,7 +46,7 @@
 	lost := func(v *View) { v.Lost("engine") }
 	leavingReport := proto.CloneOf(whole(1))
 	leavingReport.Leaving = true
-	h1, h2 := func(s platform.HostState) platform.Host { return endpointHost("h1", s) }, func(s platform.HostState) platform.Host { return endpointHost("h2", s) }
+	h1, h2 := func(s backing.HostState) backing.Host { return endpointHost("h1", s) }, func(s backing.HostState) backing.Host { return endpointHost("h2", s) }
 	known := []func(*View){list(1, h1(live)), report(whole(1, "m@1"))}
 	cases := []struct {
 		name  string
@@ -81,7 +81,7 @@
 		{"the agent starts anew", append(slices.Clone(known), lost, report(whole(2, "n@1"))), "h1 live connected [n@1]"},
 		{"a report of an endpoint that is not listed", []func(*View){report(whole(1)), list(1, h1(live))}, "h1 live []"},
 		{"a report without a status", append(slices.Clone(known), func(v *View) { v.Reported(time.Time{}, "engine", nil) }), "h1 live connected [m@1]"},
-		{"an entry host", append(slices.Clone(known), list(2, h1(live), platform.Host{ID: "e", Role: platform.RoleEntry, Endpoint: "engine"})), "h1 live connected [m@1]"},
+		{"an entry host", append(slices.Clone(known), list(2, h1(live), backing.Host{ID: "e", Role: backing.RoleEntry, Endpoint: "engine"})), "h1 live connected [m@1]"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -112,11 +112,11 @@
 // The entries are those that the list names and that are not gone, in order; hosts of other roles are none.
 func TestViewEntries(t *testing.T) {
 	v := NewView()
-	entry := func(id string, s platform.HostState) platform.Host {
-		return platform.Host{ID: id, Role: platform.RoleEntry, State: s, Address: id}
+	entry := func(id string, s backing.HostState) backing.Host {
+		return backing.Host{ID: id, Role: backing.RoleEntry, State: s, Address: id}
 	}
-	v.HostsRead([]platform.Host{entry("c", platform.HostLeaving), entry("b", platform.HostGone), entry("a", platform.HostLive),
-		endpointHost("h", platform.HostLive), {ID: "x", Role: "other"}}, 1)
+	v.HostsRead([]backing.Host{entry("c", backing.HostLeaving), entry("b", backing.HostGone), entry("a", backing.HostLive),
+		endpointHost("h", backing.HostLive), {ID: "x", Role: "other"}}, 1)
 	var ids []string
 	for _, e := range v.Entries() {
 		ids = append(ids, e.ID+" "+string(e.State))
@@ -131,16 +131,16 @@
 
 // What is remembered of hosts that are gone is bounded, and the latest are remembered.
 func TestPastHostsAreBounded(t *testing.T) {
-	p := pastHosts{states: map[string]platform.HostState{}}
+	p := pastHosts{states: map[string]backing.HostState{}}
 	for i := range 2 * maxPastHosts {
-		p.note(fmt.Sprint(i), platform.HostLeaving)
-		p.note(fmt.Sprint(i), platform.HostGone)
-		p.note(fmt.Sprint("live ", i), platform.HostLive)
+		p.note(fmt.Sprint(i), backing.HostLeaving)
+		p.note(fmt.Sprint(i), backing.HostGone)
+		p.note(fmt.Sprint("live ", i), backing.HostLive)
 	}
 	if len(p.states) != maxPastHosts || len(p.order) != maxPastHosts {
 		t.Errorf("%d and %d hosts are remembered", len(p.states), len(p.order))
 	}
-	if got := p.note(fmt.Sprint(2*maxPastHosts-1), platform.HostLive); got != platform.HostGone {
+	if got := p.note(fmt.Sprint(2*maxPastHosts-1), backing.HostLive); got != backing.HostGone {
 		t.Errorf("the latest host is %s", got)
 	}
 }
@@ -160,7 +160,7 @@
 	})
 	properties.Property("hosts go one way", prop.ForAll(func(ops []viewOp) bool {
 		v := NewView()
-		worstSeen := map[string]platform.HostState{}
+		worstSeen := map[string]backing.HostState{}
 		told := map[string]bool{}
 		for _, op := range ops {
 			var before *Endpoint
@@ -183,10 +183,10 @@
 
 // applyViewOp lets a random list or report come; told are the hosts whose agents have said that they leave.
 func applyViewOp(v *View, op viewOp, told map[string]bool) {
-	states := []platform.HostState{platform.HostLive, platform.HostLeaving, platform.HostGone, ""}
+	states := []backing.HostState{backing.HostLive, backing.HostLeaving, backing.HostGone, ""}
 	switch op.kind {
 	case 0, 1, 2:
-		var hosts []platform.Host
+		var hosts []backing.Host
 		for i, id := range []string{"h1", "h2"} {
 			if s := states[op.pick>>(2*i)%4]; s != "" {
 				hosts = append(hosts, endpointHost(id, s))
@@ -210,10 +210,10 @@
 	}
 }
 
-func checkOneWay(e *Endpoint, worstSeen map[string]platform.HostState, told map[string]bool) {
+func checkOneWay(e *Endpoint, worstSeen map[string]backing.HostState, told map[string]bool) {
 	state := e.Listed
 	if e.Gone {
-		state = platform.HostGone
+		state = backing.HostGone
 	}
 	if seen := worstSeen[e.HostID]; worst(state, seen) != state {
 		panic(fmt.Sprintf("%s went from %s to %s", e.HostID, seen, state))
@@ -222,7 +222,7 @@
 	if e.Gone && e.Connected {
 		panic("a gone host is connected")
 	}
-	if !e.Leaving && (state != platform.HostLive || told[e.HostID] && e.Connected) {
+	if !e.Leaving && (state != backing.HostLive || told[e.HostID] && e.Connected) {
 		panic(fmt.Sprintf("%s is %s, its agent said so: %v, and it does not count as leaving", e.HostID, state, told[e.HostID]))
 	}
 	if e.Connected && e.Status == nil {
--- a/internal/membership/view_test.go
+++ b/internal/membership/view_test.go
@@ -5,31 +5,31 @@
 	"testing"
 	"time"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/wire/wirepb"
 )
 
 // endpointHost is a listed host of the endpoint "engine".
-func endpointHost(id string, state platform.HostState) platform.Host {
-	return platform.Host{ID: id, Role: platform.RoleEndpoint, State: state, Address: id, Endpoint: "engine"}
+func endpointHost(id string, state backing.HostState) backing.Host {
+	return backing.Host{ID: id, Role: backing.RoleEndpoint, State: state, Address: id, Endpoint: "engine"}
 }
 
 // An engine's host is replaced. For a while the platform lists the old host as gone beside the new one. The new agent
 // connects and reports, the entry reads the list again, and from then on the engine gets no request and no declarations,
 // although its connection works: the line of the gone host had taken away what was known of the live one.
 func TestReplacementKeepsItsConnectionWhileTheGoneHostIsListed(t *testing.T) {
-	gone, live := endpointHost("h1", platform.HostGone), endpointHost("h2", platform.HostLive)
+	gone, live := endpointHost("h1", backing.HostGone), endpointHost("h2", backing.HostLive)
 	cases := []struct {
 		name string
-		list []platform.Host
+		list []backing.Host
 	}{
-		{"the gone host first", []platform.Host{gone, live}},
-		{"the live host first", []platform.Host{live, gone}},
+		{"the gone host first", []backing.Host{gone, live}},
+		{"the live host first", []backing.Host{live, gone}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			v := NewView()
-			v.HostsRead([]platform.Host{endpointHost("h1", platform.HostLive)}, 1)
+			v.HostsRead([]backing.Host{endpointHost("h1", backing.HostLive)}, 1)
 			v.HostsRead(slices.Clone(c.list), 2)
 			replica := &wirepb.Replica{Model: "m@1", State: wirepb.ReplicaState_LOADED, Revision: 3}
 			status := &wirepb.Status{Full: true, Ready: true, Replicas: []*wirepb.Replica{replica}}
--- a/internal/replicas/bench_test.go
+++ b/internal/replicas/bench_test.go
@@ -7,7 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 )
 
 // benchSizes are today's larger deployment and the size to design for, at a region's and the whole fleet's engines. Slots
@@ -58,7 +58,7 @@
 			}
 		})
 		b.Run(name+"/engine gone", func(b *testing.B) {
-			s.listHosts(func(states map[string]platform.HostState) { states["h0"] = platform.HostGone })
+			s.listHosts(func(states map[string]backing.HostState) { states["h0"] = backing.HostGone })
 			b.ReportAllocs()
 			changes := 0
 			for b.Loop() {
@@ -90,7 +90,7 @@
 			options := DefaultOptions()
 			options.Interval, options.FullInterval = 1<<62, 1<<62
 			m := newTestManager(options, newMemoryTable(), &siteInputs{site: s, self: "entry"})
-			m.store.take(s.now, platform.Listing{}, true)
+			m.store.take(s.now, backing.Listing{}, true)
 			for _, view := range s.Rows {
 				m.store.put(s.now, view.Row)
 			}
--- a/internal/replicas/change.go
+++ b/internal/replicas/change.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/replicas/replicaspb"
 )
 
@@ -73,7 +73,7 @@
 	// Expected is the revision of the row that the decision was made from; 0 when there was none.
 	Expected uint64
 	// Head is a further condition of the write when its key is not empty; see Declared.
-	Head  platform.Condition
+	Head  backing.Condition
 	Steps []Step
 }
 
--- a/internal/replicas/decider_test.go
+++ b/internal/replicas/decider_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/selector"
 	"balsamsail/internal/wire/wirepb"
 )
@@ -42,8 +42,8 @@
 	return func(s *site) { s.edit(engine, func(e *EngineView) { e.Drain = true }) }
 }
 
-func host(name string, state platform.HostState) func(*site) {
-	return func(s *site) { s.listHosts(func(states map[string]platform.HostState) { states[name] = state }) }
+func host(name string, state backing.HostState) func(*site) {
+	return func(s *site) { s.listHosts(func(states map[string]backing.HostState) { states[name] = state }) }
 }
 
 func confirmed(engine, hostName string, revision uint64) func(*site) {
@@ -94,7 +94,7 @@
 		{name: "one replica, drained engine frozen", min: 1, max: 1, stages: []stage{
 			{"drained", drain("e0"), "e0-"},
 			{"silent for an hour", func(s *site) { s.silence("e0"); s.pass(time.Hour) }, "e0-"},
-			{"host gone", host("h0", platform.HostGone), "e2"},
+			{"host gone", host("h0", backing.HostGone), "e2"},
 		}},
 		// The engine was granted a slot again after an earlier release. Its late confirmation of that one says nothing
 		// about what it has loaded since.
@@ -170,29 +170,29 @@
 		}},
 		{name: "host reclaimed", min: 2, max: 2, stages: []stage{
 			{"leaving", func(s *site) { s.edit("e0", func(e *EngineView) { e.Leaving = true }) }, "e0- e2"},
-			{"gone", host("h0", platform.HostGone), "e2 e3"},
+			{"gone", host("h0", backing.HostGone), "e2 e3"},
 		}},
 		// The list names a gone host for a while only. Processes that did not look then must still find out, and one
 		// that reads an older list must not take a new host for a gone one.
 		{name: "host not listed any more", min: 2, max: 2, stages: []stage{
-			{"older list without it", func(s *site) { s.Hosts = HostsView{Version: 1, States: map[string]platform.HostState{}} }, "e0 e2"},
+			{"older list without it", func(s *site) { s.Hosts = HostsView{Version: 1, States: map[string]backing.HostState{}} }, "e0 e2"},
 			{"later list without it", func(s *site) {
-				s.Hosts = HostsView{Version: 2, States: map[string]platform.HostState{
-					"h1": platform.HostLive, "h2": platform.HostLive, "h3": platform.HostLive,
+				s.Hosts = HostsView{Version: 2, States: map[string]backing.HostState{
+					"h1": backing.HostLive, "h2": backing.HostLive, "h3": backing.HostLive,
 				}}
 			}, "e2 e3"},
 		}},
 		{name: "host replaced, engine of the same name", min: 1, max: 1, stages: []stage{
 			{"new host listed, old one still thought alive", func(s *site) {
 				s.edit("e0", func(e *EngineView) { e.Host = "h9" })
-				host("h9", platform.HostLive)(s)
+				host("h9", backing.HostLive)(s)
 			}, "e0"},
-			{"old one gone", host("h0", platform.HostGone), "e2"},
+			{"old one gone", host("h0", backing.HostGone), "e2"},
 		}},
 		{name: "host replaced, old one not known to be gone for long", min: 2, max: 3, stages: []stage{
 			{"new host listed", func(s *site) {
 				s.edit("e0", func(e *EngineView) { e.Host = "h9" })
-				host("h9", platform.HostLive)(s)
+				host("h9", backing.HostLive)(s)
 			}, "e0 e2"},
 			{"long after", pass(time.Minute), "e3 e0 e2"},
 		}},
@@ -202,10 +202,10 @@
 		}},
 		// A failure domain was away while slots were granted; when it is back, two slots share another domain.
 		{name: "failure domain back", min: 2, max: 3, stages: []stage{
-			{"two domains away", all(host("h1", platform.HostGone), host("h2", platform.HostGone)), "e0 e3"},
+			{"two domains away", all(host("h1", backing.HostGone), host("h2", backing.HostGone)), "e0 e3"},
 			{"one back, on another host", func(s *site) {
 				s.edit("e1", func(e *EngineView) { e.Host = "h9" })
-				host("h9", platform.HostLive)(s)
+				host("h9", backing.HostLive)(s)
 			}, "e0 e3- e1"},
 			{"confirmed", (*site).confirm, "e0 e1"},
 		}},
--- a/internal/replicas/engines.go
+++ b/internal/replicas/engines.go
@@ -5,7 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 )
 
 // engineIndex is what is worked out once for a set of engines.
@@ -91,7 +91,7 @@
 	}
 	x.liveVersion = hosts.Version
 	for i := range x.engines {
-		x.live[i] = hosts.States[x.engines[i].Host] == platform.HostLive
+		x.live[i] = hosts.States[x.engines[i].Host] == backing.HostLive
 	}
 }
 
--- a/internal/replicas/guards_test.go
+++ b/internal/replicas/guards_test.go
@@ -6,7 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/replicas/replicaspb"
 )
 
@@ -46,7 +46,7 @@
 	case guardReleasingCounts:
 		return decideUncounted(d, now, s)
 	case guardHead:
-		s.Declared.Head = platform.Condition{}
+		s.Declared.Head = backing.Condition{}
 	case guardUnlisted:
 		s.Hosts = unlistedAreGone(s)
 	}
@@ -105,14 +105,14 @@
 
 // unlistedAreGone counts every host that the list does not name as gone.
 func unlistedAreGone(s *Snapshot) HostsView {
-	view := HostsView{Version: s.Hosts.Version, States: map[string]platform.HostState{}}
+	view := HostsView{Version: s.Hosts.Version, States: map[string]backing.HostState{}}
 	for host, state := range s.Hosts.States {
 		view.States[host] = state
 	}
 	for _, row := range s.Rows {
 		for _, slot := range row.Row.Slots {
 			if _, listed := view.States[slot.Host]; !listed {
-				view.States[slot.Host] = platform.HostGone
+				view.States[slot.Host] = backing.HostGone
 			}
 		}
 	}
--- a/internal/replicas/helpers_test.go
+++ b/internal/replicas/helpers_test.go
@@ -13,7 +13,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/replicas/replicaspb"
 	"balsamsail/internal/selector"
 )
@@ -27,57 +27,57 @@
 type memoryTable struct {
 	mu       sync.Mutex
 	revision uint64
-	rows     map[string]platform.Row
+	rows     map[string]backing.Row
 	// gets, lists and commits count the calls.
 	gets, lists, commits int
 	// fault, when set, is asked before each commit; the error that it returns is the commit's answer. When takeEffect is
 	// true the commit happens all the same.
-	fault func(platform.Txn) (err error, takeEffect bool)
+	fault func(backing.Txn) (err error, takeEffect bool)
 	// down makes all calls fail.
 	down bool
 	// observe, when set, is told of each row that a commit changes.
-	observe func(before, after platform.Row)
+	observe func(before, after backing.Row)
 }
 
-func newMemoryTable() *memoryTable { return &memoryTable{rows: map[string]platform.Row{}} }
+func newMemoryTable() *memoryTable { return &memoryTable{rows: map[string]backing.Row{}} }
 
-func (t *memoryTable) Get(_ context.Context, key string) (platform.Row, error) {
+func (t *memoryTable) Get(_ context.Context, key string) (backing.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.gets++
 	if t.down {
-		return platform.Row{}, platform.ErrUnavailable
+		return backing.Row{}, backing.ErrUnavailable
 	}
 	row, ok := t.rows[key]
 	if !ok {
-		return platform.Row{}, platform.ErrNotFound
+		return backing.Row{}, backing.ErrNotFound
 	}
 	return row, nil
 }
 
-func (t *memoryTable) List(_ context.Context, prefix string, after uint64) (platform.Listing, error) {
+func (t *memoryTable) List(_ context.Context, prefix string, after uint64) (backing.Listing, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.lists++
 	if t.down {
-		return platform.Listing{}, platform.ErrUnavailable
+		return backing.Listing{}, backing.ErrUnavailable
 	}
-	listing := platform.Listing{Revision: t.revision}
+	listing := backing.Listing{Revision: t.revision}
 	for key, row := range t.rows {
 		if strings.HasPrefix(key, prefix) && row.Revision > after {
 			listing.Rows = append(listing.Rows, row)
 		}
 	}
-	slices.SortFunc(listing.Rows, func(a, b platform.Row) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(listing.Rows, func(a, b backing.Row) int { return cmp.Compare(a.Key, b.Key) })
 	return listing, nil
 }
 
-func (t *memoryTable) Commit(_ context.Context, txn platform.Txn) (uint64, error) {
+func (t *memoryTable) Commit(_ context.Context, txn backing.Txn) (uint64, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.commits++
 	if t.down {
-		return 0, platform.ErrUnavailable
+		return 0, backing.ErrUnavailable
 	}
 	if t.fault == nil {
 		return t.commit(txn)
@@ -92,23 +92,23 @@
 	return 0, err
 }
 
-func (t *memoryTable) commit(txn platform.Txn) (uint64, error) {
+func (t *memoryTable) commit(txn backing.Txn) (uint64, error) {
 	for _, c := range txn.Conditions {
 		if at := t.rows[c.Key].Revision; at != c.Revision {
-			return 0, &platform.ConflictError{Key: c.Key, Revision: at}
+			return 0, &backing.ConflictError{Key: c.Key, Revision: at}
 		}
 	}
 	t.revision++
 	for _, p := range txn.Puts {
-		t.replace(p.Key, platform.Row{Key: p.Key, Revision: t.revision, Value: p.Value})
+		t.replace(p.Key, backing.Row{Key: p.Key, Revision: t.revision, Value: p.Value})
 	}
 	for _, key := range txn.Deletes {
-		t.replace(key, platform.Row{})
+		t.replace(key, backing.Row{})
 	}
 	return t.revision, nil
 }
 
-func (t *memoryTable) replace(key string, after platform.Row) {
+func (t *memoryTable) replace(key string, after backing.Row) {
 	before := t.rows[key]
 	t.rows[key] = after
 	if after.Key == "" {
@@ -148,9 +148,9 @@
 	s.Since = start
 	s.Declared = Declared{Revision: 1, Models: models}
 	s.Engines = engines
-	s.Hosts = HostsView{Version: 1, States: map[string]platform.HostState{}}
+	s.Hosts = HostsView{Version: 1, States: map[string]backing.HostState{}}
 	for _, e := range engines {
-		s.Hosts.States[e.Host] = platform.HostLive
+		s.Hosts.States[e.Host] = backing.HostLive
 	}
 	s.Rows = map[string]RowView{}
 	s.Demand = map[string]Demand{}
@@ -264,7 +264,7 @@
 }
 
 // listHosts makes a new version of the host list.
-func (s *site) listHosts(change func(states map[string]platform.HostState)) {
+func (s *site) listHosts(change func(states map[string]backing.HostState)) {
 	s.Hosts = HostsView{Version: s.Hosts.Version + 1, States: maps.Clone(s.Hosts.States)}
 	change(s.Hosts.States)
 }
--- a/internal/replicas/manager.go
+++ b/internal/replicas/manager.go
@@ -10,8 +10,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/time/rate"
 
+	"balsamsail/internal/backing"
 	"balsamsail/internal/clock"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/replicas/replicaspb"
 	"balsamsail/internal/timeline"
 	"balsamsail/internal/wire/wirepb"
@@ -62,7 +62,7 @@
 // Manager follows the rows of the table, decides and proposes.
 type Manager struct {
 	options  Options
-	table    platform.Table
+	table    backing.Table
 	inputs   Inputs
 	clock    clock.Clock
 	log      *slog.Logger
@@ -93,7 +93,7 @@
 }
 
 // NewManager returns a Manager; it does nothing before Run.
-func NewManager(o Options, table platform.Table, in Inputs, c clock.Clock, log *slog.Logger,
+func NewManager(o Options, table backing.Table, in Inputs, c clock.Clock, log *slog.Logger,
 	registerer prometheus.Registerer, recorder *timeline.Recorder) *Manager {
 	random := rand.New(rand.NewPCG(o.Seed, o.Incarnation))
 	return &Manager{
--- a/internal/replicas/manager_test.go
+++ b/internal/replicas/manager_test.go
@@ -11,8 +11,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"google.golang.org/protobuf/proto"
 
+	"balsamsail/internal/backing"
 	"balsamsail/internal/clock"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/replicas/replicaspb"
 	"balsamsail/internal/wire/wirepb"
 )
@@ -47,7 +47,7 @@
 func (f *siteInputs) Live() []string               { return f.live }
 func (f *siteInputs) Usage(string) (int, []string) { return 0, nil }
 
-func newTestManager(o Options, table platform.Table, in *siteInputs) *Manager {
+func newTestManager(o Options, table backing.Table, in *siteInputs) *Manager {
 	return NewManager(o, table, Inputs{in, in, in, in}, clock.Real{}, slog.New(slog.DiscardHandler),
 		prometheus.NewRegistry(), nil)
 }
@@ -152,7 +152,7 @@
 			{"engine silent, one slot for each of its own", func() {
 				c.change(func(s *site) { s.edit("e2", func(e *EngineView) { e.Reachable, e.Since = false, time.Now() }) })
 			}, func() int { return slotsOf("e2") }},
-			{"its host gone", func() { c.change(host("h2", platform.HostGone)) }, func() int { return slotsOf("e2") }},
+			{"its host gone", func() { c.change(host("h2", backing.HostGone)) }, func() int { return slotsOf("e2") }},
 			{"slot wanted", func() {
 				for _, m := range c.managers {
 					m.Wanted("e0", "m0@1", wirepb.RefusalReason_QUEUE_FULL, 1)
@@ -213,7 +213,7 @@
 // The table refuses all writes over its rate, and answers reads. Hundreds of decided changes must not add to the load.
 func TestWritesRefused(t *testing.T) {
 	runCluster(t, newSite(models(200), engines(18, "north", "east")), 0, func(c *cluster) {
-		c.table.fault = func(platform.Txn) (error, bool) { return platform.ErrRateLimited, false }
+		c.table.fault = func(backing.Txn) (error, bool) { return backing.ErrRateLimited, false }
 		if commits, _ := c.callsIn(time.Minute); commits > 150 {
 			t.Errorf("%d writes in a minute by three entries", commits)
 		}
@@ -233,7 +233,7 @@
 func TestLostAnswers(t *testing.T) {
 	runCluster(t, newSite(models(30), engines(6, "north", "east")), 0, func(c *cluster) {
 		c.table.mu.Lock()
-		c.table.fault = func(platform.Txn) (error, bool) { return platform.ErrOutcomeUnknown, true }
+		c.table.fault = func(backing.Txn) (error, bool) { return backing.ErrOutcomeUnknown, true }
 		c.table.mu.Unlock()
 		commits, _ := c.callsIn(30 * time.Second)
 		if commits != 30 {
@@ -271,7 +271,7 @@
 // An entry's declarations lag behind an accepted edit, so that each of its writes fails. It must not try without a pause.
 func TestLaggingDeclarationsDoNotFloodTheTable(t *testing.T) {
 	s := newSite(models(1), engines(2, "north", "east"))
-	s.Declared.Head = platform.Condition{Key: headKey, Revision: 7}
+	s.Declared.Head = backing.Condition{Key: headKey, Revision: 7}
 	runCluster(t, s, 0, func(c *cluster) {
 		const seconds = 20
 		if commits, _ := c.callsIn(seconds * time.Second); commits > 3*2*seconds {
--- a/internal/replicas/outcome.go
+++ b/internal/replicas/outcome.go
@@ -5,7 +5,7 @@
 
 	"github.com/pkg/errors"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/replicas/replicaspb"
 	"balsamsail/internal/timeline"
 )
@@ -38,7 +38,7 @@
 func (m *Manager) reread(ctx context.Context, model string) {
 	stored, err := m.table.Get(ctx, Key(model))
 	now := m.clock.Now()
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, backing.ErrNotFound) {
 		if old := m.store.row(model); old != nil {
 			m.store.drop(now, model, old.Revision)
 		}
--- a/internal/replicas/placement_test.go
+++ b/internal/replicas/placement_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/selector"
 )
 
@@ -68,7 +68,7 @@
 				t.Errorf("%d homes on one engine, %.1f on average", most, even)
 			}
 
-			s.listHosts(func(states map[string]platform.HostState) { states["h1"] = platform.HostGone })
+			s.listHosts(func(states map[string]backing.HostState) { states["h1"] = backing.HostGone })
 			s.Engines = append(engines(1, "north"), s.Engines[2:]...)
 			s.run(t)
 			left, _ := s.moved(before)
@@ -79,7 +79,7 @@
 			before = s.homes()
 			fresh := engines(2, "east")[1]
 			fresh.Host = "h-new"
-			s.listHosts(func(states map[string]platform.HostState) { states[fresh.Host] = platform.HostLive })
+			s.listHosts(func(states map[string]backing.HostState) { states[fresh.Host] = backing.HostLive })
 			s.Engines = append(s.Engines[:len(s.Engines):len(s.Engines)], fresh)
 			s.run(t)
 			joined, mostJoined := s.moved(before)
@@ -103,9 +103,9 @@
 	s := newSite(models(60), engines(4, "north", "east"))
 	s.run(t)
 	s.Engines = engines(8, "north", "east")
-	s.listHosts(func(states map[string]platform.HostState) {
+	s.listHosts(func(states map[string]backing.HostState) {
 		for _, e := range s.Engines {
-			states[e.Host] = platform.HostLive
+			states[e.Host] = backing.HostLive
 		}
 	})
 	s.run(t)
--- a/internal/replicas/property_test.go
+++ b/internal/replicas/property_test.go
@@ -11,7 +11,7 @@
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/replicas/replicaspb"
 )
 
@@ -194,7 +194,7 @@
 	case 2:
 		if w.random.IntN(3) == 0 {
 			e.Leaving = true
-			w.listHost(e.Host, platform.HostLeaving)
+			w.listHost(e.Host, backing.HostLeaving)
 		}
 	default:
 		e.Labels = map[string]string{"pool": []string{"a", "b"}[w.random.IntN(2)]}
@@ -220,20 +220,20 @@
 // either at once or later.
 func (w *world) replaceHost(e *worldEngine) {
 	e.alive = false
-	w.listHost(e.Host, platform.HostGone)
+	w.listHost(e.Host, backing.HostGone)
 	view := e.EngineView
 	view.Host = w.newID("h")
 	view.Leaving = false
 	w.engines[e.Name] = newWorldEngine(view, w.broken == guardHostInSlot)
 	if w.random.IntN(2) == 0 {
-		w.listHost(view.Host, platform.HostLive)
+		w.listHost(view.Host, backing.HostLive)
 	}
 }
 
 // forgetHost lets the list drop a gone host, or learn of a new one.
 func (w *world) forgetHost() {
 	for _, host := range slices.Sorted(maps.Keys(w.hosts.States)) {
-		if w.hosts.States[host] == platform.HostGone {
+		if w.hosts.States[host] == backing.HostGone {
 			w.listHost(host, "")
 			return
 		}
@@ -245,7 +245,7 @@
 	for _, name := range slices.Sorted(maps.Keys(w.engines)) {
 		host := w.engines[name].Host
 		if _, listed := w.hosts.States[host]; !listed {
-			w.listHost(host, platform.HostLive)
+			w.listHost(host, backing.HostLive)
 		}
 	}
 }
--- a/internal/replicas/propose.go
+++ b/internal/replicas/propose.go
@@ -6,7 +6,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/replicas/replicaspb"
 )
 
@@ -18,7 +18,7 @@
 // the write may still be on its way. Then, too, the caller decides anew from the row as it stands: the lost write has
 // the old revision as its condition, so it commits only if nothing else has been written in between, and any later
 // decision is made and conditioned on the state in which it did.
-func Propose(ctx context.Context, table platform.Table, c Change) (*replicaspb.Row, error) {
+func Propose(ctx context.Context, table backing.Table, c Change) (*replicaspb.Row, error) {
 	txn, err := transaction(c)
 	if err != nil {
 		return nil, err
@@ -27,15 +27,15 @@
 	if err == nil {
 		return committed(c, revision), nil
 	}
-	if errors.Is(err, platform.ErrOutcomeUnknown) || ctx.Err() != nil {
+	if errors.Is(err, backing.ErrOutcomeUnknown) || ctx.Err() != nil {
 		return readBack(ctx, table, c)
 	}
 	return nil, commitError(err)
 }
 
-func transaction(c Change) (platform.Txn, error) {
+func transaction(c Change) (backing.Txn, error) {
 	key := Key(c.Model)
-	txn := platform.Txn{Conditions: []platform.Condition{{Key: key, Revision: c.Expected}}}
+	txn := backing.Txn{Conditions: []backing.Condition{{Key: key, Revision: c.Expected}}}
 	if c.Head.Key != "" {
 		txn.Conditions = append(txn.Conditions, c.Head)
 	}
@@ -45,9 +45,9 @@
 	}
 	value, err := EncodeRow(c.Next)
 	if err != nil {
-		return platform.Txn{}, errors.Wrap(ErrInvalid, err.Error())
+		return backing.Txn{}, errors.Wrap(ErrInvalid, err.Error())
 	}
-	txn.Puts = []platform.Put{{Key: key, Value: value}}
+	txn.Puts = []backing.Put{{Key: key, Value: value}}
 	return txn, nil
 }
 
@@ -61,10 +61,10 @@
 }
 
 // readBack finds out what became of a write whose answer was lost, as far as that can be known now.
-func readBack(ctx context.Context, table platform.Table, c Change) (*replicaspb.Row, error) {
+func readBack(ctx context.Context, table backing.Table, c Change) (*replicaspb.Row, error) {
 	deleted := len(c.Next.GetSlots()) == 0
 	stored, err := table.Get(ctx, Key(c.Model))
-	if errors.Is(err, platform.ErrNotFound) && deleted {
+	if errors.Is(err, backing.ErrNotFound) && deleted {
 		return nil, nil
 	}
 	if err != nil || deleted {
@@ -82,13 +82,13 @@
 
 // commitError turns an error of the table into one of this package.
 func commitError(err error) error {
-	var conflict *platform.ConflictError
+	var conflict *backing.ConflictError
 	switch {
 	case errors.As(err, &conflict):
 		return errors.Wrapf(ErrConflict, "%s is at revision %d", conflict.Key, conflict.Revision)
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrRateLimited):
+	case errors.Is(err, backing.ErrUnavailable), errors.Is(err, backing.ErrRateLimited):
 		return errors.Wrap(ErrUnavailable, err.Error())
-	case errors.Is(err, platform.ErrInvalid):
+	case errors.Is(err, backing.ErrInvalid):
 		return errors.Wrap(ErrInvalid, err.Error())
 	default:
 		return errors.Wrap(ErrOutcomeUnknown, err.Error())
--- a/internal/replicas/propose_test.go
+++ b/internal/replicas/propose_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 )
 
 // firstChange returns a change that creates the row of m0@1.
@@ -24,7 +24,7 @@
 // An operator sees a grant reported as made, or as not made, and the table says otherwise: the answer to a write was
 // lost, and the process claimed an outcome without looking.
 func TestProposeOutcomes(t *testing.T) {
-	lost := platform.ErrOutcomeUnknown
+	lost := backing.ErrOutcomeUnknown
 	cases := []struct {
 		name       string
 		answer     error
@@ -36,9 +36,9 @@
 		{name: "committed", stored: true},
 		{name: "answer lost after the write", answer: lost, takeEffect: true, stored: true},
 		{name: "answer lost, no write seen", answer: lost, want: ErrOutcomeUnknown},
-		{name: "refused for rate", answer: platform.ErrRateLimited, want: ErrUnavailable},
-		{name: "not taken", answer: platform.ErrUnavailable, want: ErrUnavailable},
-		{name: "malformed", answer: platform.ErrInvalid, want: ErrInvalid},
+		{name: "refused for rate", answer: backing.ErrRateLimited, want: ErrUnavailable},
+		{name: "not taken", answer: backing.ErrUnavailable, want: ErrUnavailable},
+		{name: "malformed", answer: backing.ErrInvalid, want: ErrInvalid},
 		{name: "another process was first", raced: true, want: ErrConflict, stored: true},
 		{name: "answer lost, another process was first", raced: true, answer: lost, want: ErrOutcomeUnknown, stored: true},
 	}
@@ -50,7 +50,7 @@
 					t.Fatal(err)
 				}
 			}
-			table.fault = func(platform.Txn) (error, bool) { return c.answer, c.takeEffect }
+			table.fault = func(backing.Txn) (error, bool) { return c.answer, c.takeEffect }
 			row, err := Propose(context.Background(), table, firstChange(t, "own"))
 			if !errors.Is(err, c.want) {
 				t.Errorf("error %v, want %v", err, c.want)
--- a/internal/replicas/row.go
+++ b/internal/replicas/row.go
@@ -5,7 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/replicas/replicaspb"
 )
 
@@ -16,7 +16,7 @@
 func Key(model string) string { return KeyPrefix + model }
 
 // DecodeRow reads a row of the table and sets its revision.
-func DecodeRow(r platform.Row) (*replicaspb.Row, error) {
+func DecodeRow(r backing.Row) (*replicaspb.Row, error) {
 	row := &replicaspb.Row{}
 	if err := proto.Unmarshal(r.Value, row); err != nil {
 		return nil, ErrCorruptRow
--- a/internal/replicas/snapshot.go
+++ b/internal/replicas/snapshot.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/replicas/replicaspb"
 	"balsamsail/internal/wire/wirepb"
 )
@@ -36,7 +36,7 @@
 	// Head, when its key is not empty, is added to the conditions of each write: the table's row that names the newest
 	// revision of the declarations, at the table revision read with this set. No grant decided under an older set can
 	// then commit after an edit was accepted.
-	Head   platform.Condition
+	Head   backing.Condition
 	Models []ModelSpec
 }
 
@@ -60,7 +60,7 @@
 // HostsView is the platform's host list as last read. The zero value knows nothing.
 type HostsView struct {
 	Version uint64
-	States  map[string]platform.HostState
+	States  map[string]backing.HostState
 }
 
 // Gone reports whether a host that was seen in the given version of the list (0: never) is known to be gone.
@@ -74,7 +74,7 @@
 	}
 	state, listed := v.States[host]
 	if listed {
-		return state == platform.HostGone
+		return state == backing.HostGone
 	}
 	return seen > 0 && v.Version > seen
 }
--- a/internal/replicas/store.go
+++ b/internal/replicas/store.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/replicas/replicaspb"
 )
 
@@ -86,7 +86,7 @@
 
 // take takes in a listing, of all rows or of those that changed since the last one, and returns the keys of rows that
 // cannot be read.
-func (s *store) take(now time.Time, listing platform.Listing, full bool) (corrupt []string) {
+func (s *store) take(now time.Time, listing backing.Listing, full bool) (corrupt []string) {
 	listed := make(map[string]struct{}, len(listing.Rows))
 	for _, r := range listing.Rows {
 		listed[ModelOfKey(r.Key)] = struct{}{}
--- a/internal/replicas/world_test.go
+++ b/internal/replicas/world_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/pkg/errors"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/replicas/replicaspb"
 	"balsamsail/internal/selector"
 	"balsamsail/internal/wire/wirepb"
@@ -56,7 +56,7 @@
 	// pushes are rows on their way to agents.
 	pushes []push
 	// late are writes whose answers were lost and that may still arrive.
-	late []platform.Txn
+	late []backing.Txn
 	// broken names the guard that is left out; empty in the real thing.
 	broken guard
 	// broke is the first violation of what must always hold, unsettled the first thing wrong after the faults have stopped.
@@ -89,7 +89,7 @@
 		now:     start,
 		table:   newMemoryTable(),
 		engines: map[string]*worldEngine{},
-		hosts:   HostsView{States: map[string]platform.HostState{}},
+		hosts:   HostsView{States: map[string]backing.HostState{}},
 		models:  map[string]ModelSpec{},
 		rows:    map[string]*replicaspb.Row{},
 		broken:  broken,
@@ -101,7 +101,7 @@
 		view.Labels = map[string]string{"pool": []string{"a", "b"}[i%2]}
 		w.engines[view.Name] = newWorldEngine(view, broken == guardHostInSlot)
 		w.engines[view.Name].begin(nil, 0)
-		w.listHost(view.Host, platform.HostLive)
+		w.listHost(view.Host, backing.HostLive)
 	}
 	for i := range worldModels {
 		w.declare(fmt.Sprintf("m%d@1", i))
@@ -164,18 +164,18 @@
 
 // publish makes the declared models a new revision of the declarations.
 func (w *world) publish() {
-	head, err := w.table.Commit(context.Background(), platform.Txn{Puts: []platform.Put{{Key: headKey}}})
+	head, err := w.table.Commit(context.Background(), backing.Txn{Puts: []backing.Put{{Key: headKey}}})
 	if err != nil {
 		panic(err)
 	}
-	w.declared = Declared{Revision: head, Head: platform.Condition{Key: headKey, Revision: head}}
+	w.declared = Declared{Revision: head, Head: backing.Condition{Key: headKey, Revision: head}}
 	for _, model := range slices.Sorted(maps.Keys(w.models)) {
 		w.declared.Models = append(w.declared.Models, w.models[model])
 	}
 }
 
 // listHost makes a new version of the host list; with no state the host is not listed any more.
-func (w *world) listHost(host string, state platform.HostState) {
+func (w *world) listHost(host string, state backing.HostState) {
 	next := HostsView{Version: w.hosts.Version + 1, States: maps.Clone(w.hosts.States)}
 	if state == "" {
 		delete(next.States, host)
@@ -187,7 +187,7 @@
 
 // observe checks each commit as it happens: a grant keeps to the maximum in force, a slot that is being released is never
 // granted again, and nothing leaves a row that its engine holds.
-func (w *world) observe(before, after platform.Row) {
+func (w *world) observe(before, after backing.Row) {
 	if !strings.HasPrefix(before.Key+after.Key, KeyPrefix) {
 		return
 	}
@@ -219,7 +219,7 @@
 	}
 }
 
-func mustDecode(r platform.Row) *replicaspb.Row {
+func mustDecode(r backing.Row) *replicaspb.Row {
 	if r.Key == "" {
 		return nil
 	}
@@ -343,17 +343,17 @@
 }
 
 // commitFault loses some answers, with the write made, never made, or still to come.
-func (w *world) commitFault(txn platform.Txn) (error, bool) {
+func (w *world) commitFault(txn backing.Txn) (error, bool) {
 	switch w.random.IntN(12) {
 	case 0:
-		return platform.ErrOutcomeUnknown, true
+		return backing.ErrOutcomeUnknown, true
 	case 1:
-		return platform.ErrOutcomeUnknown, false
+		return backing.ErrOutcomeUnknown, false
 	case 2:
 		w.late = append(w.late, txn)
-		return platform.ErrOutcomeUnknown, false
+		return backing.ErrOutcomeUnknown, false
 	case 3:
-		return platform.ErrUnavailable, false
+		return backing.ErrUnavailable, false
 	default:
 		return nil, false
 	}
--- a/internal/standin/platform/hosts.go
+++ b/internal/standin/platform/hosts.go
@@ -9,7 +9,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/standin/control"
 )
 
@@ -23,8 +23,8 @@
 
 // HostsAnswer is the answer to a read of the host list.
 type HostsAnswer struct {
-	Version uint64          `json:"version"`
-	Hosts   []platform.Host `json:"hosts"`
+	Version uint64         `json:"version"`
+	Hosts   []backing.Host `json:"hosts"`
 }
 
 // hosts is a list that shows each change only after a lag.
@@ -41,7 +41,7 @@
 
 type hostChange struct {
 	at   time.Time
-	host platform.Host
+	host backing.Host
 }
 
 func newHosts(s *Server, o Options) *hosts {
@@ -71,7 +71,7 @@
 }
 
 func (h *hosts) put(w http.ResponseWriter, r *http.Request) {
-	var host platform.Host
+	var host backing.Host
 	if err := control.ReadJSON(r, &host); err != nil {
 		control.WriteError(w, http.StatusBadRequest, "invalid", err.Error())
 		return
@@ -81,7 +81,7 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (h *hosts) set(host platform.Host) {
+func (h *hosts) set(host backing.Host) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.pending = append(h.pending, hostChange{at: h.server.clock.Now(), host: host})
@@ -95,11 +95,11 @@
 	if !known {
 		return
 	}
-	host.State = platform.HostGone
+	host.State = backing.HostGone
 	h.pending = append(h.pending, hostChange{at: h.server.clock.Now(), host: host})
 }
 
-func (h *hosts) latest(id string) (platform.Host, bool) {
+func (h *hosts) latest(id string) (backing.Host, bool) {
 	for _, change := range slices.Backward(h.pending) {
 		if change.host.ID == id {
 			return change.host, true
@@ -115,11 +115,11 @@
 	defer h.mu.Unlock()
 	extra := h.server.faults.Get().Hosts.LagSeconds
 	h.advance(h.server.clock.Now().Add(-h.lag - control.Seconds(extra)))
-	answer := HostsAnswer{Version: h.version, Hosts: []platform.Host{}}
+	answer := HostsAnswer{Version: h.version, Hosts: []backing.Host{}}
 	for _, change := range h.shown {
 		answer.Hosts = append(answer.Hosts, change.host)
 	}
-	slices.SortFunc(answer.Hosts, func(a, b platform.Host) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(answer.Hosts, func(a, b backing.Host) int { return strings.Compare(a.ID, b.ID) })
 	return answer
 }
 
@@ -131,7 +131,7 @@
 		h.version++
 	}
 	for id, change := range h.shown {
-		if change.host.State == platform.HostGone && until.Sub(change.at) > h.goneListed {
+		if change.host.State == backing.HostGone && until.Sub(change.at) > h.goneListed {
 			delete(h.shown, id)
 			h.version++
 		}
@@ -139,7 +139,7 @@
 }
 
 // PutHost lists a host or changes its line, seen after the lag.
-func (s *Server) PutHost(host platform.Host) { s.hosts.set(host) }
+func (s *Server) PutHost(host backing.Host) { s.hosts.set(host) }
 
 // RemoveHost marks a host as gone, seen after the lag.
 func (s *Server) RemoveHost(id string) { s.hosts.remove(id) }
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -1,14 +1,14 @@
 // Package platform stands in for the services that the platform runs, for tests and the dev command: the transactional
 // table, the object store, the weight store and the host list, in one HTTP server that keeps all in memory.
 //
-//	GET    /table/row?key=K             platform.Row, 404 if absent
-//	GET    /table/rows?prefix=P&after=N platform.Listing
-//	POST   /table/commit                platform.Txn in, {"revision":N} out; 409 with {"key","revision"}
+//	GET    /table/row?key=K             backing.Row, 404 if absent
+//	GET    /table/rows?prefix=P&after=N backing.Listing
+//	POST   /table/commit                backing.Txn in, {"revision":N} out; 409 with {"key","revision"}
 //	PUT    /objects/{name}              immutable blob; 409 if it exists with other content
 //	GET    /objects/{name}
 //	POST   /weights/fetch               FetchRequest in; the answer comes when the transfer ends
 //	GET    /hosts                       {"version","hosts"}, lagging
-//	PUT    /hosts/{id}                  platform.Host in
+//	PUT    /hosts/{id}                  backing.Host in
 //	DELETE /hosts/{id}                  the host is gone
 //	GET    /faults, POST, DELETE        Faults
 //	GET    /truth                       Truth
@@ -20,8 +20,8 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"balsamsail/internal/backing"
 	"balsamsail/internal/clock"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/standin/control"
 )
 
@@ -40,7 +40,7 @@
 	// GoneListed is how long a host that is gone stays listed (one minute).
 	GoneListed time.Duration
 	// Hosts are listed from the start, without lag.
-	Hosts []platform.Host
+	Hosts []backing.Host
 }
 
 // StoreLimits are the calls a second that a store takes.
@@ -71,7 +71,7 @@
 	s := &Server{clock: o.Clock, faults: control.NewSwitch[Faults](o.Seed), router: chi.NewRouter()}
 	s.table = &table{
 		store: newStore(s, o.Table, func(f *Faults) *StoreFaults { return &f.Table }),
-		rows:  map[string]platform.Row{},
+		rows:  map[string]backing.Row{},
 	}
 	s.objects = &objects{
 		store: newStore(s, o.Objects, func(f *Faults) *StoreFaults { return &f.Objects }),
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -12,7 +12,7 @@
 	"testing/synctest"
 	"time"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 )
 
 func call(s *Server, method, path, body string) *httptest.ResponseRecorder {
@@ -101,8 +101,8 @@
 
 func TestHostListLags(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		first := platform.Host{ID: "a", State: platform.HostLive}
-		s := New(Options{HostsLag: 5 * time.Second, GoneListed: time.Minute, Hosts: []platform.Host{first}})
+		first := backing.Host{ID: "a", State: backing.HostLive}
+		s := New(Options{HostsLag: 5 * time.Second, GoneListed: time.Minute, Hosts: []backing.Host{first}})
 		call(s, http.MethodPut, "/hosts/b", `{"state":"leaving"}`)
 		call(s, http.MethodDelete, "/hosts/a", "")
 		call(s, http.MethodDelete, "/hosts/unknown", "")
--- a/internal/standin/platform/table.go
+++ b/internal/standin/platform/table.go
@@ -11,7 +11,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/standin/control"
 )
 
@@ -21,7 +21,7 @@
 
 	mu       sync.Mutex
 	revision uint64
-	rows     map[string]platform.Row
+	rows     map[string]backing.Row
 }
 
 func (t *table) mount(r chi.Router) {
@@ -53,21 +53,21 @@
 	t.store.read(w, r, func() { control.WriteJSON(w, http.StatusOK, t.snapshot(query.Get("prefix"), after)) })
 }
 
-func (t *table) snapshot(prefix string, after uint64) platform.Listing {
+func (t *table) snapshot(prefix string, after uint64) backing.Listing {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	listing := platform.Listing{Revision: t.revision, Rows: []platform.Row{}}
+	listing := backing.Listing{Revision: t.revision, Rows: []backing.Row{}}
 	for key, row := range t.rows {
 		if strings.HasPrefix(key, prefix) && row.Revision > after {
 			listing.Rows = append(listing.Rows, row)
 		}
 	}
-	slices.SortFunc(listing.Rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(listing.Rows, func(a, b backing.Row) int { return strings.Compare(a.Key, b.Key) })
 	return listing
 }
 
 func (t *table) commit(w http.ResponseWriter, r *http.Request) {
-	var txn platform.Txn
+	var txn backing.Txn
 	if err := control.ReadJSON(r, &txn); err != nil {
 		control.WriteError(w, http.StatusBadRequest, "invalid", err.Error())
 		return
@@ -87,13 +87,13 @@
 }
 
 // apply runs a transaction and returns its revision, or the row whose condition failed.
-func (t *table) apply(txn platform.Txn) (uint64, *platform.Condition) {
+func (t *table) apply(txn backing.Txn) (uint64, *backing.Condition) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, condition := range txn.Conditions {
 		if has := t.rows[condition.Key].Revision; has != condition.Revision {
 			t.store.count(func(c *StoreTruth) { c.Conflicts++ })
-			return 0, &platform.Condition{Key: condition.Key, Revision: has}
+			return 0, &backing.Condition{Key: condition.Key, Revision: has}
 		}
 	}
 	t.revision++
@@ -101,14 +101,14 @@
 		delete(t.rows, key)
 	}
 	for _, put := range txn.Puts {
-		t.rows[put.Key] = platform.Row{Key: put.Key, Revision: t.revision, Value: put.Value}
+		t.rows[put.Key] = backing.Row{Key: put.Key, Revision: t.revision, Value: put.Value}
 	}
 	t.store.countWrite()
 	return t.revision, nil
 }
 
 // Rows returns all rows of the table whose keys begin with prefix, past every fault.
-func (s *Server) Rows(prefix string) platform.Listing { return s.table.snapshot(prefix, 0) }
+func (s *Server) Rows(prefix string) backing.Listing { return s.table.snapshot(prefix, 0) }
 
 // objects is a store of immutable blobs.
 type objects struct {
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
+	"balsamsail/internal/backing"
 	"balsamsail/internal/operator"
-	"balsamsail/internal/platform"
 	"balsamsail/internal/settings"
 )
 
@@ -31,11 +31,11 @@
 func (e *entryHost) operatorsURL() string { return "http://" + at(e.ip, portOperators) }
 
 // host is the entry's line in the host list.
-func (e *entryHost) host() platform.Host {
-	return platform.Host{
+func (e *entryHost) host() backing.Host {
+	return backing.Host{
 		ID:            e.name,
-		Role:          platform.RoleEntry,
-		State:         platform.HostLive,
+		Role:          backing.RoleEntry,
+		State:         backing.HostLive,
 		FailureDomain: e.domain,
 		Address:       at(e.ip, portOperators),
 	}
@@ -57,11 +57,11 @@
 func (e *endpointHost) agentURL() string { return "http://" + at(e.ip, portAgentHTTP) }
 
 // host is the endpoint's line in the host list.
-func (e *endpointHost) host() platform.Host {
-	return platform.Host{
+func (e *endpointHost) host() backing.Host {
+	return backing.Host{
 		ID:            "host-" + e.name,
-		Role:          platform.RoleEndpoint,
-		State:         platform.HostLive,
+		Role:          backing.RoleEndpoint,
+		State:         backing.HostLive,
 		FailureDomain: e.domain,
 		Address:       at(e.ip, portAgent),
 		Endpoint:      e.name,
--- a/test/failures_test.go
+++ b/test/failures_test.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/standin/control"
 	standin "balsamsail/internal/standin/platform"
 )
@@ -131,5 +131,5 @@
 	c.readEndpoint(e, e.last)
 	e.gone = true
 	e.server.kill()
-	c.platform.setState(e.host(), platform.HostGone)
+	c.platform.setState(e.host(), backing.HostGone)
 }
--- a/test/planned_test.go
+++ b/test/planned_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
+	"balsamsail/internal/backing"
 	"balsamsail/internal/operator"
-	"balsamsail/internal/platform"
 )
 
 // leaveLimit is the time after which an endpoint that leaves must get no new work.
@@ -136,7 +136,7 @@
 	c.t.Helper()
 	e := c.endpoint(endpoint)
 	began := time.Now()
-	c.platform.setState(e.host(), platform.HostLeaving)
+	c.platform.setState(e.host(), backing.HostLeaving)
 	time.Sleep(leaveLimit + 2*time.Second)
 	c.loseHost(e)
 	return []departure{{endpoint, span{begin: began, end: time.Now()}}}
@@ -153,7 +153,7 @@
 	defer c.platform.setHostsLag(0)
 	e := c.endpoint(endpoint)
 	began := time.Now()
-	c.platform.setState(e.host(), platform.HostLeaving)
+	c.platform.setState(e.host(), backing.HostLeaving)
 	time.Sleep(lateBy + leaveLimit + 2*time.Second)
 	c.loseHost(e)
 	return []departure{{endpoint, span{begin: began.Add(lateBy), end: time.Now()}}}
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -11,7 +11,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"balsamsail/internal/platform"
+	"balsamsail/internal/backing"
 	"balsamsail/internal/replicas"
 	"balsamsail/internal/replicas/replicaspb"
 	standin "balsamsail/internal/standin/platform"
@@ -130,7 +130,7 @@
 }
 
 // setState lists a host in a state.
-func (p *platformHost) setState(host platform.Host, state platform.HostState) {
+func (p *platformHost) setState(host backing.Host, state backing.HostState) {
 	host.State = state
 	p.server.PutHost(host)
 }
