--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -85,7 +85,7 @@
 		},
 	}
 	transport := &http.Transport{
-		DialContext:         netconn.Dialer().DialContext,
+		DialContext:         netconn.DialAbortive(),
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     20 * time.Second,
 		DisableCompression:  true,
--- a/internal/control/agents.go
+++ b/internal/control/agents.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"balsamsail/internal/catalog"
 	"balsamsail/internal/control/controlpb"
 	"balsamsail/internal/fleet"
@@ -133,6 +135,7 @@
 		kick:    make(chan struct{}, 1),
 		tick:    func(now time.Time, s *sender) error { return a.tick(al, now, s) },
 		receive: func(stream *wire.Stream) error { return a.receive(al, stream) },
+		ended:   func(err error) { a.ended(al, err) },
 	}
 	a.links[address] = al
 	a.running.Go(func() { al.link.run(ctx) })
@@ -223,6 +226,15 @@
 	return nil
 }
 
+// ended notes how a link ended. An agent that was killed resets its connections, and its engine is well; one that falls
+// silent stands on a host that is frozen or cut off, and the engine on that host with it.
+func (a *Agents) ended(l *agentLink, err error) {
+	a.mu.Lock()
+	id := l.endpoint.ID
+	a.mu.Unlock()
+	a.fleet.SetSilent(id, errors.Is(err, wire.ErrTimeout))
+}
+
 // Peers returns the gateways that agents have lately named, this one included.
 func (a *Agents) Peers(now time.Time) []string {
 	a.mu.Lock()
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -63,6 +63,8 @@
 	tick func(now time.Time, s *sender) error
 	// receive reads one message and takes it in.
 	receive func(stream *wire.Stream) error
+	// ended is told why the link could not be made, or was lost; nil where nobody asks.
+	ended func(err error)
 }
 
 // run keeps the link until ctx ends.
@@ -70,6 +72,9 @@
 	up := false
 	for ctx.Err() == nil {
 		err := l.once(ctx, &up)
+		if l.ended != nil && ctx.Err() == nil {
+			l.ended(err)
+		}
 		if up {
 			l.logger.Info("link lost", "event", "link_lost", "peer", l.address, "error", err)
 			up = false
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -78,6 +78,9 @@
 			continue
 		}
 		prospect = max(prospect, NotHeld)
+		if !e.answers(now) {
+			continue
+		}
 		if w.Model != "" && (!e.holds(now, w.Model) || e.saysAbsent(now, Adapter{Model: w.Model})) {
 			continue
 		}
--- a/internal/fleet/engines.go
+++ b/internal/fleet/engines.go
@@ -11,14 +11,14 @@
 	Reported bool
 }
 
-// Engines returns the engines of a service. Those without a fresh word of their agent have the models that they registered
+// Engines returns the engines of a service whose hosts answer. Those without a fresh word of their agent have the models that they registered
 // with.
 func (f *Fleet) Engines(service string, now time.Time) []Engine {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var list []Engine
 	for _, e := range f.endpoints {
-		if e.Service != service {
+		if e.Service != service || !e.answers(now) {
 			continue
 		}
 		engine := Engine{ID: e.ID, Leaving: e.Leaving, Reported: e.fresh(now)}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -10,10 +10,14 @@
 	"balsamsail/internal/routing"
 )
 
-// agentSilence is the age from which an agent's word on its engine no longer counts. Agents repeat themselves every half
-// second.
+// agentSilence is the age from which an agent's word on its engine no longer counts. Agents repeat themselves every
+// quarter of a second.
 const agentSilence = 2 * time.Second
 
+// hostSilence is the age of the agent's last word from which its host counts as frozen or cut off, unless the link was
+// closed: three heartbeats of a quarter of a second.
+const hostSilence = 750 * time.Millisecond
+
 // absenceMemory is for how long an engine that said that it does not hold a model is not asked again, unless its agent
 // reports a change first. Reports are up to a fifth of a second old.
 const absenceMemory = 300 * time.Millisecond
@@ -48,6 +52,10 @@
 	absent    map[Adapter]time.Time
 	headerRun int
 	headerAt  time.Time
+	// linked is set while the link to the agent stands.
+	linked bool
+	// silent is set while the endpoint's host does not answer, told by the link to the agent there.
+	silent bool
 }
 
 // Adapter names an adapter of a model; Name is empty for the model itself.
@@ -158,10 +166,13 @@
 	if e == nil {
 		return
 	}
+	if state != nil || !e.linked || e.silent {
+		f.notify()
+	}
+	e.linked, e.silent = true, false
 	if state != nil {
 		e.state = state
 		clear(e.absent)
-		f.notify()
 	}
 	if e.state != nil {
 		e.stateAt = now
@@ -169,6 +180,25 @@
 	}
 }
 
+// SetSilent notes whether an endpoint's host has stopped answering altogether.
+func (f *Fleet) SetSilent(id string, silent bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if e := f.endpoints[id]; e != nil && (e.linked || e.silent != silent) {
+		e.linked, e.silent = false, silent
+		f.notify()
+	}
+}
+
+// answers reports whether an endpoint's host seems to answer.
+//
+// A frozen host takes requests into its kernel and lets them wait there until it wakes: each sent there is lost for its
+// client, while another engine might serve it. The agent on that host repeats itself every quarter of a second, so that its
+// silence shows soonest.
+func (e *endpoint) answers(now time.Time) bool {
+	return !e.silent && (e.state == nil || !e.linked || now.Sub(e.stateAt) < hostSilence)
+}
+
 // holds reports whether an endpoint holds a model, by the best word that there is.
 func (e *endpoint) holds(now time.Time, model string) bool {
 	if e.fresh(now) {
--- a/internal/netconn/netconn.go
+++ b/internal/netconn/netconn.go
@@ -45,6 +45,28 @@
 	}}
 }
 
+// DialAbortive returns a dial function whose connections are reset when they are closed.
+//
+// It guards against a request that arrives after its client has left: bytes for a host that stands still, or is cut off,
+// wait in the sender's kernel, and after an orderly close they are still delivered when the host is back, seconds later. A
+// reset drops them.
+func DialAbortive() func(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := Dialer()
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			if err := tcp.SetLinger(0); err != nil {
+				_ = conn.Close()
+				return nil, err
+			}
+		}
+		return conn, nil
+	}
+}
+
 func keepAlive() net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount}
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -50,7 +50,7 @@
 	Listen       inifile.Address `ini:"listen" doc:"Address for the control links of others."`
 	AgentPort    int             `ini:"agent_port" min:"1" max:"65535" doc:"Port at which agents listen, the same on all hosts."`
 	Interval     time.Duration   `ini:"interval" default:"100ms" min:"10ms" max:"10s" doc:"Least time between two messages of the same kind on a link."`
-	Heartbeat    time.Duration   `ini:"heartbeat" default:"500ms" min:"10ms" max:"10s" doc:"Longest time between two messages on a link."`
+	Heartbeat    time.Duration   `ini:"heartbeat" default:"250ms" min:"10ms" max:"10s" doc:"Longest time between two messages on a link."`
 	SilenceLimit time.Duration   `ini:"silence_limit" default:"1500ms" min:"20ms" max:"1m" doc:"Silence after which a link is made anew."`
 }
 
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -68,7 +68,7 @@
 	dialer := net.Dialer{Timeout: o.DialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, errors.Wrap(ErrBroken, err.Error())
+		return nil, dialError(err)
 	}
 	mux, err := yamux.Client(conn, o.config(logger))
 	if err != nil {
@@ -78,6 +78,15 @@
 	return &Session{mux: mux}, nil
 }
 
+// dialError tells a peer that does not answer from one that refuses.
+func dialError(err error) error {
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return errors.Wrap(ErrTimeout, err.Error())
+	}
+	return errors.Wrap(ErrBroken, err.Error())
+}
+
 // Open opens a stream and sends its header.
 func (s *Session) Open(header *wirepb.StreamHeader, limit int64) (*Stream, error) {
 	raw, err := s.mux.OpenStream()
