watch: the first row of an empty store is seen

Cause: a list of an empty store gave revision 0, which was taken as 1, the revision of the first configuration: the watch went on behind it. The test fails without the change (it hangs: the watch also asked a store without history without a pause).

--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -75,7 +75,9 @@
 	options Options
 	logger  *slog.Logger
 
-	// revision is where the next call goes on; 0 means that the table must be read whole.
+	// listed is set once the table has been read whole, as of revision, where the next call goes on. An empty store is at
+	// revision 0.
+	listed   bool
 	revision int64
 	lost     bool
 	backoff  time.Duration
@@ -83,13 +85,15 @@
 
 // step makes one call of the store.
 func (f *follower) step(ctx context.Context) error {
-	if f.revision == 0 {
+	if !f.listed {
 		return f.list(ctx)
 	}
 	rows, revision, err := f.source.Changes(ctx, f.options.Table, f.revision, f.wait())
 	if errors.Is(err, ErrHistoryGone) {
 		f.logger.Info("history of the store is gone, table is read whole", "event", "watch_restart", "table", f.options.Table, "revision", f.revision)
-		f.revision = 0
+		f.listed = false
+		// A store whose history is always too short would otherwise be asked without a pause.
+		pause(ctx, f.options.Gather)
 		return nil
 	}
 	if err != nil {
@@ -118,7 +122,7 @@
 		return err
 	}
 	f.answered()
-	f.revision = max(revision, 1)
+	f.listed, f.revision = true, revision
 	f.sink.Replace(rows)
 	return nil
 }
--- /dev/null
+++ b/internal/watch/watch_test.go
@@ -0,0 +1,177 @@
+package watch
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// scriptedStore is a store in memory. It forgets what lies before its horizon and knows nothing behind its revision.
+type scriptedStore struct {
+	mu       sync.Mutex
+	rows     map[string]Row
+	revision int64
+	horizon  int64
+	down     bool
+	calls    int
+}
+
+func (s *scriptedStore) put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.rows[key] = Row{Key: key, Value: []byte(value), Revision: s.revision}
+}
+
+func (s *scriptedStore) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+func (s *scriptedStore) List(context.Context, string) ([]Row, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return nil, 0, ErrUnavailable
+	}
+	var rows []Row
+	for _, r := range s.rows {
+		rows = append(rows, r)
+	}
+	return rows, s.revision, nil
+}
+
+func (s *scriptedStore) Changes(ctx context.Context, _ string, after int64, wait time.Duration) ([]Row, int64, error) {
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	deadline := time.Now().Add(wait)
+	for {
+		s.mu.Lock()
+		down, gone, revision := s.down, after < s.horizon || after > s.revision, s.revision
+		var rows []Row
+		for _, r := range s.rows {
+			if r.Revision > after {
+				rows = append(rows, r)
+			}
+		}
+		s.mu.Unlock()
+		switch {
+		case down:
+			return nil, 0, ErrUnavailable
+		case gone:
+			return nil, 0, ErrHistoryGone
+		case len(rows) > 0 || !time.Now().Before(deadline) || ctx.Err() != nil:
+			return rows, revision, nil
+		}
+		pause(ctx, 10*time.Millisecond)
+	}
+}
+
+// recordingSink keeps what it was told.
+type recordingSink struct {
+	mu         sync.Mutex
+	values     map[string]string
+	lost, back int
+}
+
+func (s *recordingSink) Replace(rows []Row) { s.Apply(rows) }
+
+func (s *recordingSink) Apply(rows []Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range rows {
+		s.values[r.Key] = string(r.Value)
+	}
+}
+
+func (s *recordingSink) Lost(error) { s.mu.Lock(); defer s.mu.Unlock(); s.lost++ }
+func (s *recordingSink) Back()      { s.mu.Lock(); defer s.mu.Unlock(); s.back++ }
+
+func (s *recordingSink) value(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.values[key]
+}
+
+// follow runs a watch of a store in a bubble of time.
+func follow(t *testing.T, store *scriptedStore, story func(sink *recordingSink)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		sink := &recordingSink{values: make(map[string]string)}
+		ctx, cancel := context.WithCancel(t.Context())
+		options := Options{Table: "t", Wait: 5 * time.Second, Gather: 100 * time.Millisecond, MinBackoff: 100 * time.Millisecond, MaxBackoff: 400 * time.Millisecond}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			Run(ctx, store, sink, options, slog.New(slog.DiscardHandler))
+		}()
+		story(sink)
+		cancel()
+		<-done
+	})
+}
+
+// Story: all processes start before the operator has written anything. The table is read while the store is still empty;
+// then the first configuration comes as the store's first revision. A gateway that missed it refused every request until the
+// next change, 20 to 30 s later.
+func TestFirstRowOfAnEmptyStoreIsSeen(t *testing.T) {
+	store := &scriptedStore{rows: make(map[string]Row)}
+	follow(t, store, func(sink *recordingSink) {
+		time.Sleep(50 * time.Millisecond)
+		store.put("config", "first")
+		time.Sleep(500 * time.Millisecond)
+		if got := sink.value("config"); got != "first" {
+			t.Errorf("configuration after half a second: %q, want the first", got)
+		}
+	})
+}
+
+// Story: the store drops its history while the watch hears nothing, and cuts it off. What changed in the gap must be seen
+// within a second, by a read of the whole table, and a store that keeps no history at all must not be asked without a pause.
+func TestLostHistoryIsReadAgain(t *testing.T) {
+	store := &scriptedStore{rows: make(map[string]Row)}
+	store.put("a", "1")
+	follow(t, store, func(sink *recordingSink) {
+		time.Sleep(time.Second)
+		store.set(func() { store.revision += 10; store.horizon = store.revision + 1 })
+		store.put("a", "2")
+		time.Sleep(time.Second)
+		if got := sink.value("a"); got != "2" {
+			t.Errorf("row after the history was lost: %q, want the newest", got)
+		}
+		store.set(func() { store.horizon = 1 << 40; store.calls = 0 })
+		time.Sleep(10 * time.Second)
+		store.set(func() {
+			if store.calls > 250 {
+				t.Errorf("%d calls in 10 s of a store without history, want a pause between them", store.calls)
+			}
+		})
+	})
+}
+
+// Story: the store is away for ten seconds while something changes. The watch says once that it is lost and once that it is
+// back, and then has the newest row.
+func TestOutageIsToldOnce(t *testing.T) {
+	store := &scriptedStore{rows: make(map[string]Row)}
+	store.put("a", "1")
+	follow(t, store, func(sink *recordingSink) {
+		time.Sleep(time.Second)
+		store.set(func() { store.down = true })
+		time.Sleep(10 * time.Second)
+		store.put("a", "2")
+		store.set(func() { store.down = false })
+		time.Sleep(time.Second)
+		if got := sink.value("a"); got != "2" {
+			t.Errorf("row after the outage: %q, want the newest", got)
+		}
+		if sink.lost != 1 || sink.back != 1 {
+			t.Errorf("told %d times lost and %d times back, want once each", sink.lost, sink.back)
+		}
+	})
+}
