--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -245,6 +245,7 @@
 			DrainTimeout: drain.Grace - drain.LameDuck - drain.Reserve,
 			OnStop: func() {
 				stopping.Store(true)
+				r.Gateway.StopBy(time.Now().Add(drain.Grace - drain.Reserve))
 				r.Logger.Info("stop begins", "event", "stopping", "active", r.Gateway.Active())
 			},
 			Logger: r.Logger,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,12 @@
 	metrics *Metrics
 
 	active atomic.Int64
+	// waitEnds is when requests that wait for an endpoint are refused because the process stops, in Unix nanoseconds; 0 while
+	// it does not.
+	waitEnds atomic.Int64
+	// cut ends when requests that still run are given up.
+	cut    context.Context
+	cutNow context.CancelFunc
 
 	mu      sync.Mutex
 	random  *rand.Rand
@@ -55,7 +61,10 @@
 
 // New returns a gateway that sends through the given transport.
 func New(options Options, codec Codec, f *fleet.Fleet, transport http.RoundTripper, logger *slog.Logger, metrics *Metrics) *Gateway {
+	cut, cutNow := context.WithCancel(context.Background())
 	return &Gateway{
+		cut:     cut,
+		cutNow:  cutNow,
 		options: options,
 		codec:   codec,
 		fleet:   f,
@@ -70,6 +79,27 @@
 // Active returns how many requests are being answered.
 func (g *Gateway) Active() int { return int(g.active.Load()) }
 
+// refuseBeforeCut is how long before the end of a planned stop waiting requests are refused, and answersBeforeExit how long
+// before it those at endpoints are given up, so that each client still gets an answer on its connection.
+const (
+	refuseBeforeCut   = time.Second
+	answersBeforeExit = 150 * time.Millisecond
+)
+
+// StopBy tells the gateway that the process ends at a time. Requests that wait for an endpoint go on waiting until shortly
+// before; then they are refused as not run, so that their clients try another gateway. What endpoints have not answered by
+// the end is answered as unknown: a connection that just closes tells a client nothing.
+func (g *Gateway) StopBy(end time.Time) {
+	g.waitEnds.Store(end.Add(-refuseBeforeCut).UnixNano())
+	time.AfterFunc(time.Until(end.Add(-answersBeforeExit)), g.cutNow)
+}
+
+// stopsWaiting reports whether waiting requests are refused because the process stops.
+func (g *Gateway) stopsWaiting(now time.Time) bool {
+	end := g.waitEnds.Load()
+	return end != 0 && now.UnixNano() >= end
+}
+
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,157 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// Each case is a fault of endpoints, and what the client of a request that may run once, and of one that may run more often,
+// must get.
+func TestFaultsOfEndpoints(t *testing.T) {
+	wrongID := func(w http.ResponseWriter, r *http.Request) {
+		r.Header.Set("Id", "another")
+		good(w, r)
+	}
+	unsigned := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		_, _ = io.WriteString(w, "done")
+	}
+	encoded := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Encoding", "gzip")
+		good(w, r)
+	}
+	falsePromise := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Signed", "yes")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	short := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		good(w, r)
+		hangsUp(w, r)
+	}
+	cases := []struct {
+		name  string
+		fault endpointScript
+		// once and often are the statuses for the two kinds of requests when every endpoint has the fault.
+		once, often int
+		// runs bounds how often a request that may run once reaches endpoints.
+		runs int
+	}{
+		{"answers", good, 200, 200, 1},
+		{"refuses all", refuses, 503, 503, 2},
+		{"hangs up", hangsUp, 502, 502, 1},
+		{"answers another request", wrongID, 502, 502, 1},
+		{"does not sign", unsigned, 502, 502, 1},
+		{"encodes", encoded, 502, 502, 1},
+		{"says not run by the status alone", falsePromise, 502, 502, 1},
+		{"breaks off", short, 502, 502, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, map[string]endpointScript{"plain-1": c.fault, "plain-2": c.fault})
+			if got := r.send("a", "/plain/x", ""); got.status != c.once || got.err != nil {
+				t.Errorf("run once: status %d, error %v, want %d", got.status, got.err, c.once)
+			}
+			if n := r.ran("a"); n > c.runs {
+				t.Errorf("run once: reached endpoints %d times, want at most %d", n, c.runs)
+			}
+			if got := r.send("b", "/read/x", ""); got.status != c.often {
+				t.Errorf("idempotent: status %d, want %d", got.status, c.often)
+			}
+			r.gateway.fleet.SetEndpoints(nil)
+			if got := r.send("c", "/plain/x", ""); got.status != 503 || got.header.Get("Retry-After") == "" || got.took > time.Second {
+				t.Errorf("no endpoints: status %d, Retry-After %q after %v, want 503 at once with a time", got.status, got.header.Get("Retry-After"), got.took)
+			}
+		})
+	}
+}
+
+// Story: one endpoint of two fails requests in its own way. A request that may run more often is served by the other one; one
+// that may run once is only where the first said that it did not run it.
+func TestSecondEndpointServes(t *testing.T) {
+	for name, fault := range map[string]endpointScript{"hangs up": hangsUp, "refuses": refuses} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, map[string]endpointScript{"plain-1": fault, "plain-2": good})
+			for i := range 20 {
+				id := string(rune('a' + i))
+				if got := r.send(id, "/read/x", ""); got.status != 200 || got.body != "done" {
+					t.Fatalf("status %d, body %q, want the second endpoint's answer", got.status, got.body)
+				}
+			}
+		})
+	}
+}
+
+// Story: an engine crashes in the middle of an event. A stream that may go on elsewhere reaches the client whole, each event
+// once; one that may not is cut, so that the client sees that it is not complete.
+func TestBrokenStream(t *testing.T) {
+	script := func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("After") == "" {
+			events(1, 3, true)(w, r)
+			return
+		}
+		events(1, 6, false)(w, r)
+	}
+	r := newRig(t, map[string]endpointScript{"engine-1": script, "engine-2": script})
+	if got := r.send("a", "/case/x", "m"); got.err != nil || numbers(got.body) != "1,2,3,4,5,6" {
+		t.Errorf("resumable: events %s, error %v, want 1 to 6 once each", numbers(got.body), got.err)
+	}
+	if got := r.send("b", "/chat/x", "m"); got.err == nil || numbers(got.body) != "1,2,3" {
+		t.Errorf("not resumable: events %s, error %v, want 1 to 3 and a broken connection", numbers(got.body), got.err)
+	}
+}
+
+// Story: a gateway is told to stop while a request waits for a model that no engine holds, and another is at an endpoint that
+// does not answer. Both connections used to be closed without an answer when the time to stop was over; the clients could not
+// know whether their requests had run. The first must be refused with a time to come back, the second be told that its
+// outcome is unknown.
+func TestStopAnswersWhatItHolds(t *testing.T) {
+	silent := func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}
+	r := newRig(t, map[string]endpointScript{"engine-1": good, "plain-1": silent})
+	waiting, running := make(chan answer, 1), make(chan answer, 1)
+	go func() { waiting <- r.send("w", "/chat/x", "sleeping") }()
+	go func() { running <- r.send("r", "/plain/x", "") }()
+	time.Sleep(100 * time.Millisecond)
+	r.gateway.StopBy(time.Now().Add(refuseBeforeCut + 300*time.Millisecond))
+	if got := <-waiting; got.status != 503 || got.header.Get("Retry-After") == "" {
+		t.Errorf("waiting: status %d, Retry-After %q, error %v, want 503 with a time", got.status, got.header.Get("Retry-After"), got.err)
+	}
+	if r.ran("w") != 0 {
+		t.Error("waiting: reached an endpoint")
+	}
+	if got := <-running; got.status != 502 {
+		t.Errorf("running: status %d, error %v, want 502", got.status, got.err)
+	}
+}
+
+// Story: a client leaves while its request is at an endpoint. The endpoint must see the end of it at once.
+func TestClientLeaves(t *testing.T) {
+	left := make(chan struct{})
+	silent := func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(left)
+	}
+	r := newRig(t, map[string]endpointScript{"plain-1": silent})
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, r.server.URL+"/plain/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "site"
+	if _, err := http.DefaultTransport.RoundTrip(request); err == nil {
+		t.Fatal("got an answer")
+	}
+	select {
+	case <-left:
+	case <-time.After(time.Second):
+		t.Error("the endpoint still works on the request a second after its client left")
+	}
+}
--- /dev/null
+++ b/internal/gateway/rig_test.go
@@ -0,0 +1,214 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"balsamsail/internal/catalog"
+	"balsamsail/internal/fleet"
+	"balsamsail/internal/routing"
+)
+
+// testCodec speaks a small dialect of its own.
+type testCodec struct{}
+
+func (testCodec) ReadCall(r *http.Request) (Call, error) {
+	ms, _ := strconv.Atoi(r.Header.Get("Patience"))
+	model, adapter, _ := strings.Cut(r.Header.Get("Model"), "/")
+	return Call{ID: r.Header.Get("Id"), Model: model, Adapter: adapter, Patience: time.Duration(ms) * time.Millisecond}, nil
+}
+
+func (testCodec) NewRequest(ctx context.Context, r *http.Request, body []byte, a Attempt) *http.Request {
+	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+a.Address+r.URL.Path, io.NopCloser(strings.NewReader(string(body))))
+	if err != nil {
+		panic(err)
+	}
+	request.ContentLength = int64(len(body))
+	request.Header.Set("Id", r.Header.Get("Id"))
+	request.Header.Set("Endpoint", a.EndpointID)
+	request.Header.Set("Left", strconv.FormatInt(a.Left.Milliseconds(), 10))
+	request.Header.Set("After", a.LastEventID)
+	return request
+}
+
+func (testCodec) ReadAnswer(resp *http.Response) Answer {
+	return Answer{
+		ID:             resp.Header.Get("Id"),
+		Signed:         resp.Header.Get("Signed") != "",
+		NotRun:         resp.Header.Get("Not-Run") != "",
+		Absent:         resp.StatusCode == http.StatusMisdirectedRequest,
+		PromisesNotRun: resp.StatusCode == http.StatusServiceUnavailable,
+		Encoded:        resp.Header.Get("Content-Encoding") != "",
+	}
+}
+
+func (testCodec) CopyHeader(to, from http.Header) { to["Signed"] = from["Signed"] }
+
+func (testCodec) SetRetryAfter(h http.Header, after time.Duration) {
+	h.Set("Retry-After", after.String())
+}
+
+// endpointScript answers the requests at one endpoint.
+type endpointScript func(w http.ResponseWriter, r *http.Request)
+
+// rig is a gateway with scripted endpoints.
+type rig struct {
+	t       *testing.T
+	gateway *Gateway
+	fleet   *fleet.Fleet
+	server  *httptest.Server
+
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// newRig returns a gateway with the routes /plain/ (run once), /read/ (idempotent), /chat/ (a stream) and /case/ (a stream
+// that may go on elsewhere). The endpoints' names begin with the name of their service.
+func newRig(t *testing.T, endpoints map[string]endpointScript) *rig {
+	t.Helper()
+	r := &rig{t: t, fleet: fleet.New("here", 1), runs: make(map[string]int)}
+	var list []catalog.Endpoint
+	for id, script := range endpoints {
+		server := httptest.NewServer(r.counted(script))
+		t.Cleanup(server.Close)
+		service, _, _ := strings.Cut(id, "-")
+		list = append(list, catalog.Endpoint{ID: id, Service: service, Address: server.Listener.Addr().String(), Models: []string{"m"}, Revision: 1})
+	}
+	metrics, err := NewMetrics(prometheus.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.fleet.SetConfig(testConfig())
+	r.fleet.SetEndpoints(list)
+	r.gateway = New(Options{Budget: routing.BudgetOptions{Burst: 100}}, testCodec{}, r.fleet, &http.Transport{}, slog.New(slog.DiscardHandler), metrics)
+	r.server = httptest.NewServer(r.gateway)
+	t.Cleanup(r.server.Close)
+	return r
+}
+
+func testConfig() *catalog.Config {
+	route := func(prefix, service string) *catalog.Route {
+		return &catalog.Route{Name: prefix, Host: "site", Prefix: prefix, Timeout: 5 * time.Second, MaxAttempts: 2,
+			Services: []catalog.WeightedService{{Service: service, Weight: 1}}}
+	}
+	read := route("/read/", "plain")
+	read.Repeat = catalog.Idempotent
+	chat := route("/chat/", "engine")
+	chat.Streaming = true
+	resumable := route("/case/", "engine")
+	resumable.Streaming, resumable.Resumable, resumable.GapTarget = true, true, 50*time.Millisecond
+	engine := &catalog.EngineClass{Batch: 8, Models: map[string]catalog.Model{"m": {Name: "m"}, "sleeping": {Name: "sleeping"}}}
+	services := map[string]*catalog.Service{"plain": {Name: "plain"}, "engine": {Name: "engine", Engine: engine}}
+	return catalog.NewConfig(1, catalog.ClientLimits{}, services, []*catalog.Route{route("/plain/", "plain"), read, chat, resumable})
+}
+
+func (r *rig) counted(script endpointScript) http.HandlerFunc {
+	return func(w http.ResponseWriter, request *http.Request) {
+		r.mu.Lock()
+		r.runs[request.Header.Get("Id")]++
+		r.mu.Unlock()
+		script(w, request)
+	}
+}
+
+// ran returns how often endpoints got a request.
+func (r *rig) ran(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs[id]
+}
+
+// answer is what a client got.
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	// err is set when the connection or the body broke.
+	err  error
+	took time.Duration
+}
+
+// send sends a request as a client would.
+func (r *rig) send(id, path, model string) answer {
+	r.t.Helper()
+	request, err := http.NewRequestWithContext(r.t.Context(), http.MethodPost, r.server.URL+path, strings.NewReader("body"))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	request.Host = "site"
+	request.Header.Set("Id", id)
+	request.Header.Set("Model", model)
+	began := time.Now()
+	response, err := (&http.Transport{}).RoundTrip(request)
+	if err != nil {
+		return answer{err: err, took: time.Since(began)}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, body: string(body), header: response.Header, err: err, took: time.Since(began)}
+}
+
+// good answers a request whole.
+func good(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Id", r.Header.Get("Id"))
+	w.Header().Set("Signed", "yes")
+	_, _ = io.WriteString(w, "done")
+}
+
+// refuses says that it does not run the request.
+func refuses(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Run", "yes")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// hangsUp closes the connection without an answer.
+func hangsUp(w http.ResponseWriter, _ *http.Request) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+}
+
+// events sends the events of a stream from one number to another; breaks ends it with half an event.
+func events(from, to int, breaks bool) endpointScript {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Signed", "yes")
+		first := from
+		if after, err := strconv.Atoi(r.Header.Get("After")); err == nil {
+			first = after + 1
+		}
+		for i := first; i <= to; i++ {
+			_, _ = io.WriteString(w, "id: "+strconv.Itoa(i)+"\ndata: "+strconv.Itoa(i)+"\n\n")
+			_ = http.NewResponseController(w).Flush()
+		}
+		if breaks {
+			_, _ = io.WriteString(w, "id: "+strconv.Itoa(to+1)+"\nda")
+			_ = http.NewResponseController(w).Flush()
+			hangsUp(w, r)
+		}
+	}
+}
+
+// numbers returns the data of a stream's events.
+func numbers(body string) string {
+	var list []string
+	for line := range strings.Lines(body) {
+		if data, ok := strings.CutPrefix(line, "data: "); ok {
+			list = append(list, strings.TrimSpace(data))
+		}
+	}
+	return strings.Join(list, ",")
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -40,6 +40,7 @@
 	g.fleet.Arrived(q.want.Target)
 	ctx, cancel := contextUntil(r.Context(), q.until.Add(deadlineSlack))
 	defer cancel()
+	defer context.AfterFunc(g.cut, cancel)()
 	out := &response{writer: w, codec: g.codec, lastEventID: q.call.LastEventID}
 	for {
 		choice, ok := g.choose(ctx, q)
@@ -91,7 +92,7 @@
 
 // worthWaiting reports whether a request without an endpoint may get one in time.
 func (g *Gateway) worthWaiting(q *request, prospect fleet.Prospect, now time.Time) bool {
-	if q.until.Sub(now) < leastTimeLeft {
+	if q.until.Sub(now) < leastTimeLeft || g.stopsWaiting(now) {
 		return false
 	}
 	switch prospect {
