--- a/internal/placement/manager.go
+++ b/internal/placement/manager.go
@@ -226,8 +226,10 @@
 		}
 	}
 	for model, r := range s.rates {
-		r.update(now, counts[model])
 		sum := sums[model]
+		r.observe(now, sum.Running+sum.Waiting)
+		r.update(now, counts[model])
+		sum.Peak = int(r.peak + 0.5)
 		sum.Rate, sum.LongRate, sum.LastArrival = r.short, r.long, r.lastArrival
 		sums[model] = sum
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -16,6 +16,9 @@
 	// between tokens grow little with the batch, but each new prompt delays all streams of its engine, so the prompts of a
 	// busy model are spread.
 	batchShare = 0.2
+	// storeShare is that part where only the weight store has another copy: a load from there keeps an engine from all other
+	// orders for as long as some four loads from disk take.
+	storeShare = 0.5
 	// spareRate is the rate of requests, in 1/s, from which a model has a second replica: if its only engine crashes, that
 	// many wait for a load.
 	spareRate = 1.5
@@ -59,6 +62,9 @@
 	Running int
 	// Rate is the rate of requests of the last seconds, and LongRate that of the last half minute, in 1/s.
 	Rate, LongRate float64
+	// Peak is the most requests that ran or waited in the last seconds. Replicas are kept for it: a load that has just been
+	// paid for should not make way when the load that it took over has gone down.
+	Peak int
 	// LastArrival is when the last request came.
 	LastArrival time.Time
 }
@@ -114,8 +120,8 @@
 	return p.commands
 }
 
-// wanted is how many replicas a model should have for its demand.
-func (p *plan) wanted(model string) int {
+// wanted is how many replicas a model should have for its demand, if each fills a share of an engine's batch.
+func (p *plan) wanted(model string, share float64) int {
 	d := p.Demand[model]
 	n := 0
 	if d.Waiting > 0 || d.Running > 0 {
@@ -124,8 +130,8 @@
 	if d.Rate >= spareRate {
 		n = 2
 	}
-	perReplica := max(1, batchShare*float64(p.Class.Batch))
-	return max(n, int(math.Ceil(float64(d.Running+d.Waiting)/perReplica)))
+	perReplica := max(1, share*float64(p.Class.Batch))
+	return min(len(p.Engines), max(n, int(math.Ceil(float64(max(d.Peak, d.Running+d.Waiting))/perReplica))))
 }
 
 // serveWaiting loads models that requests wait for, the longest wait first.
@@ -133,18 +139,22 @@
 	for _, m := range p.models(func(m string) bool { return p.Demand[m].Waiting > 0 && p.replicas[m] == 0 }, func(a, b string) int {
 		return cmp.Compare(p.Demand[b].OldestWait, p.Demand[a].OldestWait)
 	}) {
-		p.load(m, "requests wait", true)
+		p.load(m, "requests wait", FromStore, true)
 	}
 }
 
 // addReplicas gives busy models more replicas, the one that lacks most first.
 func (p *plan) addReplicas() {
-	lacking := func(m string) int { return min(p.wanted(m), len(p.Engines)) - p.replicas[m] }
-	for _, m := range p.models(func(m string) bool { return lacking(m) > 0 && p.wanted(m) > 1 }, func(a, b string) int {
-		return cmp.Compare(lacking(b), lacking(a))
+	lacking := func(m string, share float64) int { return p.wanted(m, share) - p.replicas[m] }
+	for _, m := range p.models(func(m string) bool { return lacking(m, batchShare) > 0 && p.wanted(m, batchShare) > 1 }, func(a, b string) int {
+		return cmp.Compare(lacking(b, batchShare), lacking(a, batchShare))
 	}) {
-		for range lacking(m) {
-			if !p.load(m, "busy", false) {
+		for range lacking(m, batchShare) {
+			slowest := FromDisk
+			if lacking(m, storeShare) > 0 {
+				slowest = FromStore
+			}
+			if !p.load(m, "busy", slowest, false) {
 				break
 			}
 		}
@@ -178,7 +188,7 @@
 		}
 	}
 	for _, m := range p.models(func(m string) bool { return p.replicas[m] == 0 && !known[m] }, p.likelier) {
-		if p.StoreLoads <= 0 || !p.load(m, "fetch ahead", false) {
+		if p.StoreLoads <= 0 || !p.load(m, "fetch ahead", FromStore, false) {
 			return
 		}
 	}
@@ -212,14 +222,15 @@
 	return list
 }
 
-// load gives the best free engine the command to load a model, and reports whether there was one.
-func (p *plan) load(model, reason string, urgent bool) bool {
+// load gives the best free engine the command to load a model from a source up to the slowest, and reports whether there was
+// one.
+func (p *plan) load(model, reason string, slowest Source, urgent bool) bool {
 	var best *Engine
 	var bestUnload []string
 	bestCost := math.Inf(1)
 	for _, e := range p.freeEngines() {
 		source := sourceOf(e, model)
-		if e.Holds[model] || source == FromStore && p.StoreLoads <= 0 {
+		if e.Holds[model] || source > slowest || source == FromStore && p.StoreLoads <= 0 {
 			continue
 		}
 		unload, loss, ok := p.makeRoom(e, model, urgent)
@@ -348,11 +359,11 @@
 // loss is what the loss of one of a model's replicas costs, in seconds of load time that requests will likely wait.
 func (p *plan) loss(model string) float64 {
 	d := p.Demand[model]
-	surplus := p.replicas[model] - max(1, p.wanted(model))
+	surplus := p.replicas[model] - max(1, p.wanted(model, batchShare))
 	switch {
 	case surplus > 0 && d.Waiting == 0:
 		return 0
-	case d.Waiting > 0 || p.wanted(model) > 1:
+	case d.Waiting > 0 || p.wanted(model, batchShare) > 1:
 		return neverEvict
 	case d.Running > 0:
 		// The unload would wait for them, and the load behind it.
--- a/internal/placement/rates.go
+++ b/internal/placement/rates.go
@@ -10,6 +10,9 @@
 	// rising model within a second or two, the long one tells models apart that are asked for a few times a minute.
 	rateWindow     = 2 * time.Second
 	longRateWindow = 30 * time.Second
+	// peakWindow is for how long the most requests at once count. Demand moves from one model to the next over some five
+	// seconds and swings over some ten.
+	peakWindow = 6 * time.Second
 )
 
 // rates follows the requests for one model over all gateways.
@@ -18,6 +21,13 @@
 	short, long float64
 	at          time.Time
 	lastArrival time.Time
+	// peak falls by one part in e over peakWindow.
+	peak float64
+}
+
+// observe takes in how many requests run or wait now.
+func (r *rates) observe(now time.Time, requests int) {
+	r.peak = max(float64(requests), decay(r.peak, now.Sub(r.at), peakWindow))
 }
 
 // update takes in how many requests each gateway has counted since its start.
