--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -181,6 +181,8 @@
 	waited     time.Duration
 	endpoint   string
 	firstEvent time.Duration
+	// longestGap is the longest pause between two parts of a stream.
+	longestGap time.Duration
 	// lastRefusal is what the last endpoint said that did not run the request.
 	lastRefusal int
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -155,5 +155,5 @@
 func (g *Gateway) logEnd(q *request, outcome string, status int) {
 	g.logger.Info("request ended", "event", "ended", "request", q.call.ID, "route", q.route.Name, "service", q.want.Service,
 		"model", q.want.Model, "adapter", q.want.Adapter, "outcome", outcome, "status", status, "endpoint", q.endpoint,
-		"sendings", q.attempts, "first_event", q.firstEvent, "waited", q.waited, "took", time.Since(q.arrived), "config", q.version)
+		"sendings", q.attempts, "first_event", q.firstEvent, "longest_gap", q.longestGap, "waited", q.waited, "took", time.Since(q.arrived), "config", q.version)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -64,6 +64,7 @@
 func (g *Gateway) passStream(parent context.Context, out *response, q *request, choice fleet.Choice, result sendonce.Result, watchdog *time.Timer, began time.Time) verdict {
 	resumed := out.begun
 	first := true
+	heard := time.Now()
 	reader := eventReader{source: result.Response.Body, skipUpTo: out.lastEventID}
 	for {
 		data, lastID, err := reader.next()
@@ -71,7 +72,10 @@
 			if first {
 				first = false
 				g.observeFirst(q, choice, resumed, time.Since(began))
+			} else {
+				q.longestGap = max(q.longestGap, time.Since(heard))
 			}
+			heard = time.Now()
 			g.rearm(q, watchdog)
 			if err := out.events(result.Response, data); err != nil {
 				result.Discard()
