--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -20,6 +20,10 @@
 	Target
 	// Adapter of the model; empty for none.
 	Adapter string
+	// PromptTokens is the length of the prompt, and Paced the time until which the request is held back from engines that
+	// have prompts to read.
+	PromptTokens int
+	Paced        time.Time
 	// Tried lists the endpoints that must not get the request again.
 	Tried []string
 }
@@ -37,6 +41,8 @@
 	NotHeld
 	// AdapterMissing: an engine holds the model, and its agent was asked for the adapter.
 	AdapterMissing
+	// PromptsAhead: the engines that hold the model have prompts of this entry to read first.
+	PromptsAhead
 	// AllTried: every endpoint that could take the request has had it.
 	AllTried
 )
@@ -44,13 +50,23 @@
 // Choice is the endpoint for one attempt.
 type Choice struct {
 	ID, Address string
+	// sent is shared by the copies of a choice.
+	sent *sending
 }
 
+// sending is what one request at an endpoint adds to the endpoint's account.
+type sending struct{ prompts int }
+
 // Choose returns the endpoint for a request's next attempt and counts the request as sent there, until Done is called.
 func (f *Fleet) Choose(now time.Time, w *Want) (Choice, Prospect, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	candidates, prospect := f.candidates(now, w)
+	if now.Before(w.Paced) {
+		if candidates = f.unburdened(candidates, w); len(candidates) == 0 && prospect == AllTried {
+			return Choice{}, PromptsAhead, false
+		}
+	}
 	i, ok := f.router.Pick(now, candidates, w.Tried, wirepb.Class_INTERACTIVE)
 	if !ok {
 		return Choice{}, prospect, false
@@ -61,11 +77,12 @@
 		return Choice{}, AdapterMissing, false
 	}
 	e.sent++
+	e.prompts += w.PromptTokens
 	e.perModel[w.Model]++
 	if w.Adapter != "" {
 		e.adapters[w.adapter()]++
 	}
-	return Choice{ID: e.ID, Address: e.Address}, prospect, true
+	return Choice{ID: e.ID, Address: e.Address, sent: &sending{prompts: w.PromptTokens}}, prospect, true
 }
 
 // candidates lists the endpoints that may take a request now. Where no engine holds the adapter, the list has just the one
@@ -154,12 +171,49 @@
 		return
 	}
 	e.sent--
+	e.read(c)
 	release(e.perModel, w.Model)
 	if w.Adapter != "" {
 		release(e.adapters, w.adapter())
 	}
 }
 
+// Prefilled notes that a request's first event has come: the engine has read its prompt.
+func (f *Fleet) Prefilled(c Choice, w *Want) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if e := f.endpoints[c.ID]; e != nil && w.Model != "" && c.sent.prompts > 0 {
+		e.read(c)
+		f.notify()
+	}
+}
+
+// read takes a request's prompt out of the endpoint's account, once.
+func (e *endpoint) read(c Choice) {
+	e.prompts -= c.sent.prompts
+	c.sent.prompts = 0
+}
+
+// promptShare is how many prompt tokens one entry may have unread at an engine, unless it is a single prompt. An engine reads
+// some 40 a millisecond between the steps of its streams, so that four entries together delay a step by 150 ms at most; a pause
+// is late from 250 ms on.
+const promptShare = 1500
+
+// unburdened keeps the candidates that have few prompts of this entry to read.
+//
+// Prompts come in clumps, and an engine reads all that wait between two steps of its streams. Ten at once make a pause of
+// 250 ms in every stream there; sent one after another to the replicas they delay none that much, and their own first events
+// hardly.
+func (f *Fleet) unburdened(candidates []routing.Candidate, w *Want) []routing.Candidate {
+	if w.PromptTokens == 0 {
+		return candidates
+	}
+	return slices.DeleteFunc(candidates, func(c routing.Candidate) bool {
+		unread := f.endpoints[c.Endpoint].prompts
+		return unread > 0 && unread+w.PromptTokens > promptShare
+	})
+}
+
 func release[K comparable](counts map[K]int, key K) {
 	if counts[key]--; counts[key] <= 0 {
 		delete(counts, key)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -44,9 +44,11 @@
 // endpoint is what the entry knows of one endpoint.
 type endpoint struct {
 	catalog.Endpoint
-	state     *EngineState
-	stateAt   time.Time
-	sent      int
+	state   *EngineState
+	stateAt time.Time
+	sent    int
+	// prompts are the tokens of prompts that were sent and whose first event has not come.
+	prompts   int
 	perModel  map[string]int
 	adapters  map[Adapter]int
 	absent    map[Adapter]time.Time
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -14,6 +14,8 @@
 	ID string
 	// Model and Adapter are empty for plain services.
 	Model, Adapter string
+	// PromptTokens is the length of the prompt; 0 where it is not told.
+	PromptTokens int
 	// Patience is how long the client will wait; 0 means that it did not say.
 	Patience time.Duration
 	// LastEventID is set where the client resumes a stream.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,9 @@
 	// comeBackEmpty is the time to come back when a service has no endpoint that takes work: a replaced one registers
 	// itself within about a heartbeat of 1.2 s.
 	comeBackEmpty = time.Second
+	// maxPacing is how long a request may be held so that its prompt does not come on top of others at an engine. Half of a
+	// first event's usual target of 500 ms is left.
+	maxPacing = 200 * time.Millisecond
 	// bodyTimeout bounds the reading of a body whose sender says nothing of its patience.
 	bodyTimeout = 10 * time.Second
 )
@@ -203,7 +206,7 @@
 		call:    call,
 		route:   route,
 		version: config.Version,
-		want:    fleet.Want{Target: target, Adapter: call.Adapter},
+		want:    fleet.Want{Target: target, Adapter: call.Adapter, PromptTokens: call.PromptTokens, Paced: arrived.Add(maxPacing)},
 		inbound: r,
 		body:    body,
 		arrived: arrived,
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -101,6 +101,7 @@
 
 func (g *Gateway) observeFirst(q *request, choice fleet.Choice, resumed bool, took time.Duration) {
 	g.observe(q, choice, routing.OutcomeServed, took)
+	g.fleet.Prefilled(choice, &q.want)
 	if !resumed {
 		q.firstEvent = time.Since(q.arrived)
 	}
--- a/internal/placement/manager.go
+++ b/internal/placement/manager.go
@@ -59,6 +59,8 @@
 	id    uint64
 	at    time.Time
 	taken bool
+	// loading is set once the engine has begun the load.
+	loading bool
 }
 
 // NewManager returns a manager.
@@ -114,6 +116,7 @@
 		Class:      class,
 		Demand:     s.demand(now, service, demand),
 		StoreLoads: s.pipe.room(now, class.LoadsPerSecond),
+		StoreLimit: s.pipe.limit,
 	}
 	for _, e := range known {
 		in.Engines = append(in.Engines, s.engine(now, e, class))
@@ -146,6 +149,10 @@
 			continue
 		}
 		g.taken = g.taken || e.Command == g.id
+		if g.taken && e.Busy && !holdsAny(e, g.Unload) && !g.loading {
+			g.loading = true
+			s.pipe.started(now, e.ID)
+		}
 		switch {
 		case e.Command == g.id && e.Loading == "" && !e.Busy:
 			_, loaded := e.Models[g.Load]
@@ -161,6 +168,15 @@
 	}
 }
 
+func holdsAny(e fleet.Engine, models []string) bool {
+	for _, m := range models {
+		if _, ok := e.Models[m]; ok {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *serviceState) end(now time.Time, engine string, succeeded bool) {
 	delete(s.given, engine)
 	s.pipe.end(now, engine, succeeded)
@@ -172,6 +188,7 @@
 		ID:        e.ID,
 		Free:      e.Reported && !e.Leaving && !e.Busy && e.Loading == "" && s.given[e.ID] == nil,
 		Holds:     make(map[string]bool, len(e.Models)),
+		Running:   e.Running + e.Queued,
 		Loading:   e.Loading,
 		Unloading: e.Unloading,
 		InMemory:  e.InMemory,
--- a/internal/placement/pipe.go
+++ b/internal/placement/pipe.go
@@ -63,6 +63,14 @@
 	}
 }
 
+// started notes that an engine has begun its load: the order took a time of its own, and longer where its answer was lost.
+func (p *pipe) started(now time.Time, engine string) {
+	if l, ok := p.running[engine]; ok {
+		l.began = now
+		p.running[engine] = l
+	}
+}
+
 // end notes that an engine's load is over; it has succeeded if the model is there.
 func (p *pipe) end(now time.Time, engine string, succeeded bool) {
 	l, ok := p.running[engine]
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -24,6 +24,12 @@
 	spareRate = 1.5
 	// busyRate is the rate, in 1/s, above which a model's replicas are not taken away for a model that is asked for less.
 	busyRate = 0.5
+	// maxGrowth bounds the growth that is expected of a rising model.
+	maxGrowth = 1.5
+	// keptForUrgent is how many of the store's loads at once are left to models that requests need now, and keptFrom the
+	// limit from which.
+	keptForUrgent = 1
+	keptFrom      = 3
 )
 
 // Source is where the weights of a load come from.
@@ -44,6 +50,8 @@
 	// Free engines can take a command now.
 	Free  bool
 	Holds map[string]bool
+	// Running is how many requests it runs or queues.
+	Running int
 	// Loading is the model that a command brings, Unloading those that it takes away, and Remaining the expected time to its
 	// end.
 	Loading   string
@@ -76,6 +84,8 @@
 	Demand  map[string]Demand
 	// StoreLoads is how many more loads from the weight store may begin.
 	StoreLoads int
+	// StoreLimit is how many run at full speed at once, as far as is known.
+	StoreLimit int
 }
 
 // Command is a change of one engine's models.
@@ -91,14 +101,20 @@
 // plan is a decision in the making.
 type plan struct {
 	Input
-	free     map[string]*Engine
-	replicas map[string]int
+	free map[string]*Engine
+	// replicas counts those that are there or are being loaded, ready only those that serve now.
+	replicas, ready map[string]int
+	// total is how many requests run or wait, over all models.
+	total    int
 	commands []Command
 }
 
 // Decide returns the commands to give now, at most one an engine.
 func Decide(in Input) []Command {
-	p := &plan{Input: in, free: make(map[string]*Engine), replicas: make(map[string]int)}
+	p := &plan{Input: in, free: make(map[string]*Engine), replicas: make(map[string]int), ready: make(map[string]int)}
+	for _, d := range in.Demand {
+		p.total += d.Running + d.Waiting
+	}
 	for i := range in.Engines {
 		e := &in.Engines[i]
 		if e.Free {
@@ -107,6 +123,7 @@
 		for m := range e.Holds {
 			if !e.Unloading[m] {
 				p.replicas[m]++
+				p.ready[m]++
 			}
 		}
 		if e.Loading != "" && !e.Holds[e.Loading] {
@@ -131,7 +148,21 @@
 		n = 2
 	}
 	perReplica := max(1, share*float64(p.Class.Batch))
-	return min(len(p.Engines), max(n, int(math.Ceil(float64(max(d.Peak, d.Running+d.Waiting))/perReplica))))
+	return min(len(p.Engines), max(n, int(math.Ceil(float64(max(d.Peak, p.expected(d)))/perReplica))))
+}
+
+// expected is how many requests for a model will run a few seconds from now.
+//
+// Demand moves from one busy model to the next within some five seconds, as long as a load from the store takes. Replicas that
+// are loaded for what runs now are there when several times as much runs, and one engine has carried all of it until then. A
+// model whose short rate is above its long one is rising; it can't take over more than all that runs.
+func (p *plan) expected(d Demand) int {
+	now := d.Running + d.Waiting
+	if d.Rate < spareRate || d.LongRate <= 0 {
+		return now
+	}
+	growth := min(max(d.Rate/d.LongRate, 1), maxGrowth)
+	return max(now, min(int(float64(now)*growth), p.total))
 }
 
 // serveWaiting loads models that requests wait for, the longest wait first.
@@ -175,7 +206,11 @@
 
 // fetchAhead brings models of which no host has a copy, so that they can be loaded from one in time when they are asked for.
 func (p *plan) fetchAhead() {
-	if p.StoreLoads <= 0 {
+	kept := 0
+	if p.StoreLimit >= keptFrom && p.total > 0 {
+		kept = keptForUrgent
+	}
+	if p.StoreLoads <= kept {
 		return
 	}
 	known := make(map[string]bool)
@@ -188,7 +223,7 @@
 		}
 	}
 	for _, m := range p.models(func(m string) bool { return p.replicas[m] == 0 && !known[m] }, p.likelier) {
-		if p.StoreLoads <= 0 || !p.load(m, "fetch ahead", FromStore, false) {
+		if p.StoreLoads <= kept || !p.load(m, "fetch ahead", FromStore, false) {
 			return
 		}
 	}
@@ -280,6 +315,7 @@
 	p.replicas[model]++
 	for _, m := range unload {
 		p.replicas[m]--
+		p.ready[m]--
 	}
 	delete(p.free, e.ID)
 }
@@ -335,10 +371,10 @@
 		held = append(held, m)
 	}
 	slices.SortFunc(held, func(a, b string) int {
-		return cmp.Or(cmp.Compare(p.loss(a), p.loss(b)), p.Demand[a].LastArrival.Compare(p.Demand[b].LastArrival), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(p.loss(e, a), p.loss(e, b)), p.Demand[a].LastArrival.Compare(p.Demand[b].LastArrival), cmp.Compare(a, b))
 	})
 	for _, m := range held {
-		l := p.loss(m)
+		l := p.loss(e, m)
 		if l >= neverEvict || !urgent && l >= dearEvict {
 			return nil, 0, false
 		}
@@ -356,13 +392,16 @@
 	dearEvict  = 100.0
 )
 
-// loss is what the loss of one of a model's replicas costs, in seconds of load time that requests will likely wait.
-func (p *plan) loss(model string) float64 {
+// loss is what the loss of a model's replica at an engine costs, in seconds of load time that requests will likely wait.
+//
+// Replicas that are still being loaded do not make another one superfluous: the only one that serves was taken away for them
+// with 31 requests running, and all of these had to end before the engine could go on.
+func (p *plan) loss(e *Engine, model string) float64 {
 	d := p.Demand[model]
-	surplus := p.replicas[model] - max(1, p.wanted(model, batchShare))
+	surplus := p.ready[model] - max(1, p.wanted(model, batchShare))
 	switch {
 	case surplus > 0 && d.Waiting == 0:
-		return 0
+		return min(1, float64(e.Running)/float64(max(1, p.Class.Batch)))
 	case d.Waiting > 0 || p.wanted(model, batchShare) > 1:
 		return neverEvict
 	case d.Running > 0:
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -102,7 +102,7 @@
 // EngineOrders sets the reading of reports and the giving of orders.
 type EngineOrders struct {
 	ReportInterval time.Duration `ini:"report_interval" default:"100ms" min:"10ms" max:"10s" doc:"Time between two reads of the engine's report."`
-	Timeout        time.Duration `ini:"timeout" default:"500ms" min:"10ms" max:"1m" doc:"Bound of one call of the engine."`
+	Timeout        time.Duration `ini:"timeout" default:"200ms" min:"10ms" max:"1m" doc:"Bound of one call of the engine, which answers within a few milliseconds on its own host."`
 }
 
 // LoadGateway reads a gateway's settings from a file.
