gateway, fleet: late requests are paced too, crowded engines are left alone

Cause: when a model that many wait for becomes ready, all of them were sent to its first replica at once, since their time for pacing had passed, and made each stream there late.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -199,6 +199,10 @@
 // is late from 250 ms on.
 const promptShare = 1500
 
+// crowdedShare is the part of an engine's batch from which it counts as crowded: with more streams each new prompt delays more
+// of them, and the reports are up to a fifth of a second old.
+const crowdedShare = 0.75
+
 // unburdened keeps the candidates that have few prompts of this entry to read.
 //
 // Prompts come in clumps, and an engine reads all that wait between two steps of its streams. Ten at once make a pause of
@@ -209,8 +213,9 @@
 		return candidates
 	}
 	return slices.DeleteFunc(candidates, func(c routing.Candidate) bool {
-		unread := f.endpoints[c.Endpoint].prompts
-		return unread > 0 && unread+w.PromptTokens > promptShare
+		e := f.endpoints[c.Endpoint]
+		crowded := e.Slots > 0 && float64(c.Running+c.Queued) >= crowdedShare*float64(e.Slots)
+		return crowded || e.prompts > 0 && e.prompts+w.PromptTokens > promptShare
 	})
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,9 +25,11 @@
 	// comeBackEmpty is the time to come back when a service has no endpoint that takes work: a replaced one registers
 	// itself within about a heartbeat of 1.2 s.
 	comeBackEmpty = time.Second
-	// maxPacing is how long a request may be held so that its prompt does not come on top of others at an engine. Half of a
-	// first event's usual target of 500 ms is left.
-	maxPacing = 200 * time.Millisecond
+	// pacingShare is the part of its target for the first event for which a request may be held so that its prompt does not
+	// come on top of others at an engine; latePacing is that limit, in targets, for one that is late already. Clients leave a
+	// stream that has not begun after four targets.
+	pacingShare = 0.4
+	latePacing  = 3
 	// bodyTimeout bounds the reading of a body whose sender says nothing of its patience.
 	bodyTimeout = 10 * time.Second
 )
@@ -206,7 +208,7 @@
 		call:    call,
 		route:   route,
 		version: config.Version,
-		want:    fleet.Want{Target: target, Adapter: call.Adapter, PromptTokens: call.PromptTokens, Paced: arrived.Add(maxPacing)},
+		want:    fleet.Want{Target: target, Adapter: call.Adapter, PromptTokens: call.PromptTokens},
 		inbound: r,
 		body:    body,
 		arrived: arrived,
@@ -219,6 +221,18 @@
 	return q.route.Repeat == catalog.Idempotent || q.route.Streaming && q.route.Resumable
 }
 
+// pacedUntil is until when the request is held back from engines that have prompts to read, as of now.
+//
+// One that waited for its model is late when the model is there, and with it all others that waited. Sent at once they would
+// make late what runs there too; sent one after another they harm nobody.
+func (q *request) pacedUntil(now time.Time) time.Time {
+	target := q.route.Target
+	if now.After(q.arrived.Add(target)) {
+		return q.arrived.Add(latePacing * target)
+	}
+	return q.arrived.Add(time.Duration(pacingShare * float64(target)))
+}
+
 // budget returns the retry budget of a service.
 func (g *Gateway) budget(service string) *routing.RetryBudget {
 	b := g.budgets[service]
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -74,6 +74,7 @@
 	for {
 		changed := g.fleet.Changed()
 		now := time.Now()
+		q.want.Paced = q.pacedUntil(now)
 		choice, prospect, ok := g.fleet.Choose(now, &q.want)
 		if ok {
 			return choice, true
