--- a/cmd/balsamsail/roles.go
+++ b/cmd/balsamsail/roles.go
@@ -83,12 +83,18 @@
 }
 
 func gatewayCommand() *ffcli.Command {
-	return roleCommand("gateway", "run a gateway on the users' platform", settings.RoleGateway, settings.LoadGateway, app.RunGateway)
+	return roleCommand("gateway", "run a gateway on the users' platform", settings.RoleGateway, settings.LoadGateway,
+		logsToStandardOutput(app.RunGateway))
 }
 
 func engineAgentCommand() *ffcli.Command {
 	return roleCommand("engine-agent", "run the agent beside an engine on the users' platform", settings.RoleEngineAgent,
-		settings.LoadEngineAgent, app.RunEngineAgent)
+		settings.LoadEngineAgent, logsToStandardOutput(app.RunEngineAgent))
+}
+
+// logsToStandardOutput makes a role log where the users' platform collects logs.
+func logsToStandardOutput[S any](run func(context.Context, *S, app.Output) error) func(context.Context, *S, app.Output) error {
+	return func(ctx context.Context, s *S, _ app.Output) error { return run(ctx, s, app.Output{Writer: os.Stdout}) }
 }
 
 func standinCommand() *ffcli.Command {
--- a/internal/app/engineagent.go
+++ b/internal/app/engineagent.go
@@ -20,8 +20,10 @@
 )
 
 // RunEngineAgent runs the agent beside an engine until ctx ends.
-func RunEngineAgent(ctx context.Context, s *settings.EngineAgent, out Output) error {
+func RunEngineAgent(ctx context.Context, s *settings.EngineAgent, logs Output) error {
 	ignoreHangup()
+	out, flush := neverBlocking(logs)
+	defer flush()
 	container := dig.New()
 	err := provideAll(container,
 		func() *settings.EngineAgent { return s },
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -40,8 +40,10 @@
 )
 
 // RunGateway runs a gateway until ctx ends and it has drained.
-func RunGateway(ctx context.Context, s *settings.Gateway, out Output) error {
+func RunGateway(ctx context.Context, s *settings.Gateway, logs Output) error {
 	ignoreHangup()
+	out, flush := neverBlocking(logs)
+	defer flush()
 	container := dig.New()
 	err := provideAll(container,
 		func() *settings.Gateway { return s },
@@ -67,6 +69,19 @@
 	return invoke(container, func(role gatewayRole) error { return role.run(ctx) })
 }
 
+// flushPatience bounds the wait for the last log lines at the end of a process.
+const flushPatience = 200 * time.Millisecond
+
+// neverBlocking returns a log's writer that never blocks, and a function that writes out what is left.
+func neverBlocking(logs Output) (Output, func()) {
+	w := process.NewAsyncWriter(logs)
+	return Output{w}, func() {
+		giveUp, cancel := context.WithTimeout(context.Background(), flushPatience)
+		defer cancel()
+		w.Close(giveUp.Done())
+	}
+}
+
 // ignoreHangup keeps a process running when it is told that its settings file has changed: its settings are read at its
 // start.
 func ignoreHangup() { signal.Ignore(syscall.SIGHUP) }
