--- a/internal/control/agents.go
+++ b/internal/control/agents.go
@@ -261,6 +261,7 @@
 	}
 	state := &fleet.EngineState{
 		EndpointID: s.EndpointId,
+		Down:       s.Down,
 		Models:     make(map[string]map[string]bool, len(s.Replicas)),
 		Busy:       s.Busy,
 		Loading:    s.Loading,
--- a/internal/engineagent/agent.go
+++ b/internal/engineagent/agent.go
@@ -106,6 +106,7 @@
 			a.logger.Warn("engine does not report", "event", "engine_lost", "error", err)
 		}
 		a.core.NoReport(now)
+		a.publish(now)
 		return
 	}
 	if a.dark {
@@ -139,14 +140,14 @@
 	state.CommandAgeMs = 0
 	entries := a.core.Entries(now)
 	slices.Sort(entries)
-	r := a.core.report
-	loadChanged := abs(r.Running-a.running)+abs(r.Queued-a.queued) >= loadStep
+	running, queued := a.core.load()
+	loadChanged := abs(running-a.running)+abs(queued-a.queued) >= loadStep
 	structureChanged := a.state == nil || !equalButAge(a.state, state) || !slices.Equal(entries, a.entries)
 	state.CommandAgeMs = age
 	if !structureChanged && !loadChanged {
 		return
 	}
-	a.running, a.queued = r.Running, r.Queued
+	a.running, a.queued = running, queued
 	if structureChanged {
 		a.state, a.entries = state, entries
 	}
--- a/internal/engineagent/core.go
+++ b/internal/engineagent/core.go
@@ -131,6 +131,8 @@
 	reportAt time.Time
 	// stale is set when an order has been sent since the report: no further one is decided on it.
 	stale bool
+	// down is set while the engine does not answer.
+	down bool
 	// calling is set while a call of the engine is under way.
 	calling bool
 	// notBefore is when the next order may be sent.
@@ -206,16 +208,24 @@
 		// The engine was restarted and has forgotten its orders.
 		c.command = nil
 	}
-	c.report, c.reportAt, c.stale, c.calling = r, now, false, false
+	c.report, c.reportAt, c.stale, c.calling, c.down = r, now, false, false, false
 	c.finishCommand(now)
 }
 
 // NoReport notes that the engine did not answer.
 func (c *Core) NoReport(now time.Time) {
-	c.calling = false
+	c.calling, c.down = false, true
 	c.reportAt = now
 }
 
+// load returns the engine's requests.
+func (c *Core) load() (running, queued int) {
+	if c.report == nil || c.down {
+		return 0, 0
+	}
+	return c.report.Running, c.report.Queued
+}
+
 // finishCommand ends a command that holds, or that can't be carried out in its time.
 func (c *Core) finishCommand(now time.Time) {
 	if c.command == nil {
@@ -274,7 +284,7 @@
 	if c.calling {
 		return Action{At: now.Add(c.reportInterval)}
 	}
-	if c.report == nil || c.stale || now.Sub(c.reportAt) >= c.interval() {
+	if !c.down && (c.report == nil || c.stale) || now.Sub(c.reportAt) >= c.interval() {
 		c.calling = true
 		return Action{Read: true}
 	}
@@ -294,7 +304,7 @@
 
 // nextOrder returns the order to give now, if there is one.
 func (c *Core) nextOrder(now time.Time) *Order {
-	if c.endpointID == "" || c.class == nil || now.Before(c.notBefore) {
+	if c.endpointID == "" || c.class == nil || c.down || now.Before(c.notBefore) {
 		return nil
 	}
 	if order := c.adapterOrder(now); order != nil {
--- a/internal/engineagent/messages.go
+++ b/internal/engineagent/messages.go
@@ -42,6 +42,9 @@
 
 // state returns what gateways should know of the engine, or nil before the first report.
 func (c *Core) state(now time.Time) *controlpb.EngineState {
+	if c.down {
+		return &controlpb.EngineState{EndpointId: c.endpointID, Down: true}
+	}
 	if c.report == nil {
 		return nil
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,6 +18,10 @@
 // closed: three heartbeats of a quarter of a second.
 const hostSilence = 750 * time.Millisecond
 
+// refusedMemory is for how long an endpoint that refused a connection gets nothing. A crashed one loses its registration after
+// three heartbeats of 1.2 s.
+const refusedMemory = time.Second
+
 // absenceMemory is for how long an engine that said that it does not hold a model is not asked again, unless its agent
 // reports a change first. Reports are up to a fifth of a second old.
 const absenceMemory = 300 * time.Millisecond
@@ -25,6 +29,8 @@
 // EngineState is what an agent says of its engine.
 type EngineState struct {
 	EndpointID string
+	// Down is set while the engine does not answer its agent.
+	Down bool
 	// Adapters of each model that the engine holds.
 	Models map[string]map[string]bool
 	// Busy is set while the engine carries out an order on a model.
@@ -56,6 +62,10 @@
 	headerAt  time.Time
 	// linked is set while the link to the agent stands.
 	linked bool
+	// refusedUntil is until when the endpoint gets nothing because it refused a connection.
+	refusedUntil time.Time
+	// replaced is set when another incarnation answered at the address.
+	replaced bool
 	// silent is set while the endpoint's host does not answer, told by the link to the agent there.
 	silent bool
 }
@@ -203,9 +213,31 @@
 // client, while another engine might serve it. The agent on that host repeats itself every quarter of a second, so that its
 // silence shows soonest.
 func (e *endpoint) answers(now time.Time) bool {
+	if e.replaced || now.Before(e.refusedUntil) || e.fresh(now) && e.state.Down {
+		return false
+	}
 	return !e.silent && (e.state == nil || !e.linked || now.Sub(e.stateAt) < hostSilence)
 }
 
+// Refused notes that an endpoint's host is there and nothing listens at the endpoint's address: the endpoint has crashed.
+// Another incarnation will have another identifier; refusedMemory covers one that is only slow to listen.
+func (f *Fleet) Refused(now time.Time, id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if e := f.endpoints[id]; e != nil {
+		e.refusedUntil = now.Add(refusedMemory)
+	}
+}
+
+// Replaced notes that another incarnation answers at an endpoint's address.
+func (f *Fleet) Replaced(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if e := f.endpoints[id]; e != nil {
+		e.replaced = true
+	}
+}
+
 // holds reports whether an endpoint holds a model, by the best word that there is.
 func (e *endpoint) holds(now time.Time, model string) bool {
 	if e.fresh(now) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -127,6 +128,9 @@
 	}
 	g.logger.Info("attempt failed", "event", "attempt_failed", "request", q.call.ID, "endpoint", choice.ID, "sending", q.attempts,
 		"maybe_sent", maybeSent, "error", err, "left", time.Until(q.until))
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		g.fleet.Refused(time.Now(), choice.ID)
+	}
 	if !maybeSent {
 		g.observe(q, choice, routing.OutcomeNotSent, 0)
 		return orFailed(g.mayGoOn(parent, q, false))
@@ -141,14 +145,19 @@
 	status := result.Response.StatusCode
 	g.metrics.attempted("refused")
 	g.observe(q, choice, routing.OutcomeRefused, 0)
-	if a.Absent {
+	switch {
+	case a.Absent && a.Incarnation != "" && a.Incarnation != choice.ID:
+		g.fleet.Replaced(choice.ID)
+	case a.Absent:
 		g.fleet.Absent(time.Now(), choice.ID, &q.want)
 	}
 	g.drop(result)
 	q.lastRefusal = status
 	g.logger.Info("endpoint refused", "event", "endpoint_refused", "request", q.call.ID, "endpoint", choice.ID, "status", status,
 		"model", q.want.Model, "adapter", q.want.Adapter, "sending", q.attempts)
-	return orFailed(g.mayGoOn(q.inbound.Context(), q, true))
+	// What has not run can wait until the budget allows another sending.
+	q.owes = true
+	return orFailed(g.mayGoOn(q.inbound.Context(), q, false))
 }
 
 func orFailed(goOn bool) verdict {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -45,6 +45,8 @@
 	NotRun bool
 	// Absent says that it did not because it does not hold the model or adapter, or is another incarnation.
 	Absent bool
+	// Incarnation is the one that answers, where it is told.
+	Incarnation string
 	// PromisesNotRun is set for statuses that clients take as a promise that the request did not run.
 	PromisesNotRun bool
 	// Encoded answers carry a content coding that nobody asked for.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
+
+	"balsamsail/internal/catalog"
 )
 
 // Each case is a fault of endpoints, and what the client of a request that may run once, and of one that may run more often,
@@ -155,3 +158,31 @@
 		t.Error("the endpoint still works on the request a second after its client left")
 	}
 }
+
+// Story: the only engine that holds a model crashes; its address refuses connections, and its registration stands for three more
+// heartbeats. Each request for the model was sent there six times within 50 ms and then refused, though 20 s were left and
+// another engine had the model a second later. It must wait and be served there.
+func TestCrashedEngineIsNotTriedOverAndOver(t *testing.T) {
+	r := newRig(t, map[string]endpointScript{"engine-1": events(1, 2, false)})
+	unused, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	crashed := catalog.Endpoint{ID: "engine-0", Service: "engine", Address: unused.Addr().String(), Models: []string{"sleeping"}, Revision: 1}
+	unused.Close()
+	r.fleet.SetEndpoints([]catalog.Endpoint{crashed})
+	served := make(chan answer, 1)
+	go func() { served <- r.send("a", "/chat/x", "sleeping") }()
+	time.Sleep(300 * time.Millisecond)
+	select {
+	case got := <-served:
+		t.Fatalf("status %d after %v, want the request to wait", got.status, got.took)
+	default:
+	}
+	other := r.endpoints["engine-1"]
+	other.Models, other.Revision = []string{"sleeping"}, 2
+	r.fleet.SetEndpoints([]catalog.Endpoint{crashed, other})
+	if got := <-served; got.status != 200 || numbers(got.body) != "1,2" {
+		t.Errorf("status %d, body %q, error %v, want the other engine's answer", got.status, got.body, got.err)
+	}
+}
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -68,6 +68,8 @@
 	gateway *Gateway
 	fleet   *fleet.Fleet
 	server  *httptest.Server
+	// endpoints are those that are listed at first.
+	endpoints map[string]catalog.Endpoint
 
 	mu   sync.Mutex
 	runs map[string]int
@@ -77,13 +79,14 @@
 // that may go on elsewhere). The endpoints' names begin with the name of their service.
 func newRig(t *testing.T, endpoints map[string]endpointScript) *rig {
 	t.Helper()
-	r := &rig{t: t, fleet: fleet.New("here", 1), runs: make(map[string]int)}
+	r := &rig{t: t, fleet: fleet.New("here", 1), runs: make(map[string]int), endpoints: make(map[string]catalog.Endpoint)}
 	var list []catalog.Endpoint
 	for id, script := range endpoints {
 		server := httptest.NewServer(r.counted(script))
 		t.Cleanup(server.Close)
 		service, _, _ := strings.Cut(id, "-")
-		list = append(list, catalog.Endpoint{ID: id, Service: service, Address: server.Listener.Addr().String(), Models: []string{"m"}, Revision: 1})
+		r.endpoints[id] = catalog.Endpoint{ID: id, Service: service, Address: server.Listener.Addr().String(), Models: []string{"m"}, Revision: 1}
+		list = append(list, r.endpoints[id])
 	}
 	metrics, err := NewMetrics(prometheus.NewRegistry())
 	if err != nil {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -74,6 +74,13 @@
 	for {
 		changed := g.fleet.Changed()
 		now := time.Now()
+		if q.owes && !g.mayRepeat(q.want.Service, now) {
+			if !g.worthWaiting(q, fleet.NotHeld, now) || !sleep(ctx, nil, recheck) {
+				return fleet.Choice{}, false
+			}
+			continue
+		}
+		q.owes = false
 		q.want.Paced = q.pacedUntil(now)
 		choice, prospect, ok := g.fleet.Choose(now, &q.want)
 		if ok {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -35,7 +35,7 @@
 type Store struct {
 	Address    inifile.Address `ini:"address" doc:"Address of the store."`
 	Wait       time.Duration   `ini:"wait" default:"5s" min:"100ms" max:"30s" doc:"How long one call waits for changes. Each call has a price; a connection that fell silent shows by the kernel's probes within 3 s."`
-	Gather     time.Duration   `ini:"gather" default:"150ms" min:"0s" max:"1s" doc:"Pause before the next call after changes came; a draining endpoint gets work for that much longer."`
+	Gather     time.Duration   `ini:"gather" default:"400ms" min:"0s" max:"1s" doc:"Pause before the next call after changes came: registrations change several times a second, and each call has a price. A draining endpoint gets work for that much longer; 2 s are allowed."`
 	MinBackoff time.Duration   `ini:"min_backoff" default:"150ms" min:"10ms" max:"10s" doc:"First pause after a call that failed; doubled each time."`
 	MaxBackoff time.Duration   `ini:"max_backoff" default:"500ms" min:"10ms" max:"1m" doc:"Longest such pause."`
 }
