agent: a test waits until the service has seen the cut before it lets calls through

Cause of the failure beside load: the service's gate was opened when the agent's place was free, which is before the service has seen the connection close; its handler then had both ways open. The check is as strict: one call is cut, exactly.

--- a/internal/agent/exchange_test.go
+++ b/internal/agent/exchange_test.go
@@ -246,6 +246,9 @@
 			c.abandon(entry, x)
 			next := dialAgent(t, a).offer("r-2", post(nil))
 			within(t, s.begun, "the place is not free")
+			// The agent's place is free as soon as it has closed its connection; the service sees that a moment later, and must
+			// see it while it is still held at the gate: let through before, it would end the abandoned call whole.
+			eventually(t, "the abandoned call is not cut", func() bool { return s.cut.Load() == 1 })
 			close(s.gate)
 			if got := next.end(); got != endTrailer {
 				t.Errorf("the next call ended with %s", got)
