--- a/internal/engineagent/core.go
+++ b/internal/engineagent/core.go
@@ -371,8 +371,12 @@
 	return held
 }
 
-// adapterOrder returns the order that brings the next adapter that requests wait for, or makes room for it.
+// adapterOrder returns the order that brings the next adapter that requests wait for, or makes room for it. An engine that
+// carries out an order on a model refuses all others until it is done.
 func (c *Core) adapterOrder(now time.Time) *Order {
+	if c.report.Busy {
+		return nil
+	}
 	for a, at := range c.wanted {
 		if now.Sub(at) > wishLife {
 			delete(c.wanted, a)
--- a/internal/engineagent/core_test.go
+++ b/internal/engineagent/core_test.go
@@ -34,6 +34,8 @@
 	busy     *Order
 	busyEnds time.Time
 	late     []lateOrder
+	// refusedBusy counts the orders that came while it carried out another.
+	refusedBusy int
 }
 
 func newEngine(t *testing.T, models ...string) *engine {
@@ -70,7 +72,10 @@
 	if o.EndpointID != e.id {
 		return WrongEndpoint
 	}
-	if o.Sequence != e.sequence || e.busy != nil && o.Adapter == "" {
+	if e.busy != nil {
+		e.refusedBusy++
+	}
+	if o.Sequence != e.sequence || e.busy != nil {
 		return Conflict
 	}
 	e.sequence++
@@ -204,6 +209,24 @@
 	}
 }
 
+// Story: an engine loads a model for six seconds, and requests wait for an adapter there. Orders for it are refused until the load
+// is over; the agent gave one every 90 ms, each at a price, and held the adapter's requests to this engine.
+func TestBusyEngineIsNotOrdered(t *testing.T) {
+	c, e := NewCore(100*time.Millisecond), newEngine(t, "a", "b", "c")
+	tell(c, start, EntryMessage{Command: &Command{ID: 1, EndpointID: "i1", Unload: []string{"b"}, Load: "d"}})
+	now := start
+	for range 20 {
+		tell(c, now, EntryMessage{Wanted: []Adapter{{"a", "1"}}})
+		now = drive(c, e, now, 200*time.Millisecond, e.take)
+	}
+	if e.refusedBusy > 0 {
+		t.Errorf("%d orders given while the engine was busy, want none", e.refusedBusy)
+	}
+	if !e.models["a"]["1"] {
+		t.Error("the adapter was not loaded after the model")
+	}
+}
+
 // Places for adapters are few: one that requests use stays, the one that was used longest ago makes way.
 func TestAdapterUsedLongestAgoMakesWay(t *testing.T) {
 	c, e := NewCore(100*time.Millisecond), newEngine(t, "a")
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -113,7 +113,22 @@
 	if len(list) > 0 || len(bare) == 0 {
 		return list, prospect
 	}
-	return adapterHome(bare, w), prospect
+	return adapterHome(f.notBusy(now, bare), w), prospect
+}
+
+// notBusy keeps the engines that take orders now, if there are any: one that loads a model refuses to fetch adapters for as
+// long, which is 6 s where the model comes from the weight store.
+func (f *Fleet) notBusy(now time.Time, list []routing.Candidate) []routing.Candidate {
+	var free []routing.Candidate
+	for _, c := range list {
+		if e := f.endpoints[c.Endpoint]; !e.fresh(now) || !e.state.Busy && e.state.Loading == "" {
+			free = append(free, c)
+		}
+	}
+	if len(free) == 0 {
+		return list
+	}
+	return free
 }
 
 func (f *Fleet) candidate(now time.Time, e *endpoint, w *Want) routing.Candidate {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -105,6 +105,21 @@
 	}
 }
 
+// Story: the engine that should fetch an adapter loads a model for six seconds and refuses to. The other one that holds the model
+// must be asked.
+func TestBusyEngineIsNotAskedForAnAdapter(t *testing.T) {
+	for _, busy := range []string{"e1", "e2"} {
+		f := twoEngines()
+		f.SetState(busy, &EngineState{EndpointID: busy, Busy: true, Loading: "x", Models: map[string]map[string]bool{"m": {}}}, 0, 0, start)
+		w := wantModel(0)
+		w.Adapter = "a7"
+		f.Choose(start, w)
+		if len(f.wanted[busy]) > 0 || len(f.wanted) != 1 {
+			t.Errorf("%s is busy, asked of %v", busy, f.wanted)
+		}
+	}
+}
+
 // Story: an engine says 421 for a model that its agent's last report still shows, because it was unloaded a moment ago. The
 // request must go to the other engine, and come back to the first only after a new report or a short time.
 func TestAbsentModelIsNotAskedAgain(t *testing.T) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -314,8 +314,15 @@
 	if source != FromStore {
 		return 0
 	}
-	const perCopy = 0.05
-	return perCopy * float64(len(e.OnDisk))
+	const perCopy, perBusyModel = 0.05, 2.0
+	loss := perCopy * float64(len(e.OnDisk))
+	for m := range e.Holds {
+		// Requests for its adapters wait as well.
+		if p.Class.Models[m].Adapters > 0 && p.Demand[m].Rate > 0 {
+			loss += perBusyModel
+		}
+	}
+	return loss
 }
 
 func (p *plan) give(e *Engine, model string, unload []string, reason string) {
