--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -189,7 +189,7 @@
 
 // Story: a model that no host has a copy of is asked for; it takes six seconds from the weight store, and clients leave a stream
 // that has not begun after two. Held, each of them waited in vain. They must be refused at once and told when the model will be
-// there.
+// there; and the model must be loaded for them, which did not happen while refused requests were not counted as waiting.
 func TestModelThatComesTooLateIsRefusedWithItsTime(t *testing.T) {
 	r := newRig(t, map[string]endpointScript{"engine-1": good})
 	got := r.send("a", "/chat/x", "distant")
@@ -200,4 +200,13 @@
 	if after < 6*time.Second || after > 8*time.Second {
 		t.Errorf("told to come back in %v, want some 6 s", after)
 	}
+	waiting := int32(0)
+	for _, m := range r.fleet.Demand(time.Now()).Models {
+		if m.Model == "distant" {
+			waiting = m.Waiting
+		}
+	}
+	if waiting != 1 {
+		t.Errorf("%d requests count as waiting for the model, want the refused one until it is back", waiting)
+	}
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -135,6 +135,9 @@
 		return false
 	}
 	q.readyIn = ready
+	// The client comes back for the model: nobody would load it if only those counted that wait here.
+	waiter := g.fleet.Wait(q.want.Target, now)
+	time.AfterFunc(ready+comeBackSpread, func() { g.fleet.StopWaiting(q.want.Target, waiter) })
 	return true
 }
 
