--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,77 @@
+package catalog
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	route := func(name, host, prefix string) *Route { return &Route{Name: name, Host: host, Prefix: prefix} }
+	c := NewConfig(1, ClientLimits{}, nil, []*Route{
+		route("short", "h", "/a/"), route("long", "h", "/a/b/"), route("other", "g", "/a/b/c/"),
+	})
+	for path, want := range map[string]string{"/a/x": "short", "/a/b/x": "long", "/a/b": "short", "/a/b/c/d": "long", "/x": "", "/a": ""} {
+		got := ""
+		if r, ok := c.Match("h", path); ok {
+			got = r.Name
+		}
+		if got != want {
+			t.Errorf("%s: route %q, want %q", path, got, want)
+		}
+	}
+}
+
+func TestSplitFollowsWeights(t *testing.T) {
+	r := &Route{Services: []WeightedService{{"a", 90}, {"b", 10}}}
+	for draw, want := range map[float64]string{0: "a", 0.89: "a", 0.91: "b", 0.999: "b"} {
+		if got := r.Pick(draw); got != want {
+			t.Errorf("draw %v: service %s, want %s", draw, got, want)
+		}
+	}
+}
+
+func ids(list []Endpoint) []string {
+	var names []string
+	for _, e := range list {
+		names = append(names, e.ID)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Story: the store is away for longer than endpoints' registrations last. When it is back, its table is empty at first, and the
+// endpoints, which were well all the time, register again within two seconds. They must count until then; one that has not come
+// back is gone. One that was leaving before does not come back into use, and without an outage a removed one is gone at once.
+func TestRegistrationsThatLapsedInAnOutage(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e := NewEndpoints()
+	e.Replace([]Endpoint{{ID: "well", Revision: 1}, {ID: "dead", Revision: 2}, {ID: "leaving", Leaving: true, Revision: 3}, {ID: "removed", Revision: 4}}, now)
+	e.Remove("removed", now)
+	e.StoreLost()
+	now = now.Add(10 * time.Second)
+	e.StoreBack(now)
+	e.Replace(nil, now)
+	if got := ids(e.Live(now)); !slices.Equal(got, []string{"dead", "well"}) {
+		t.Errorf("right after the outage %v count, want the two that lapsed", got)
+	}
+	e.Put(Endpoint{ID: "well", Revision: 9})
+	now = now.Add(returnGrace)
+	if got := ids(e.Live(now)); !slices.Equal(got, []string{"well"}) {
+		t.Errorf("%v count two seconds later, want the one that is back", got)
+	}
+	e.Remove("well", now)
+	if got := e.Live(now); len(got) != 0 {
+		t.Errorf("%v count after a removal without an outage", ids(got))
+	}
+}
+
+// A registration that is read late must not undo a newer one, or a draining endpoint gets work again.
+func TestOlderRegistrationIsDropped(t *testing.T) {
+	e := NewEndpoints()
+	e.Put(Endpoint{ID: "a", Leaving: true, Revision: 5})
+	e.Put(Endpoint{ID: "a", Revision: 4})
+	if live := e.Live(time.Unix(0, 0)); len(live) != 1 || !live[0].Leaving {
+		t.Errorf("%v, want the endpoint still leaving", live)
+	}
+}
--- a/internal/catalog/endpoints.go
+++ b/internal/catalog/endpoints.go
@@ -33,8 +33,6 @@
 	listed map[string]Endpoint
 	// lapsed holds endpoints whose entry vanished while the store was away, with the time until which they still count.
 	lapsed map[string]lapsedEndpoint
-	// revision is the store's commit counter up to which the list is complete.
-	revision int64
 	// away is set while the store does not answer.
 	away bool
 	// graceEnds is set for the time after an outage in which vanished entries may come back.
