--- a/internal/app/engineagent.go
+++ b/internal/app/engineagent.go
@@ -43,7 +43,6 @@
 	return engineagent.New(engineagent.Options{
 		ReportInterval: s.Orders.ReportInterval,
 		Timeout:        s.Orders.Timeout,
-		Interval:       s.Control.Interval,
 		Heartbeat:      s.Control.Heartbeat,
 		SilenceLimit:   s.Control.SilenceLimit,
 		Wire:           w,
--- a/internal/control/agents.go
+++ b/internal/control/agents.go
@@ -222,8 +222,8 @@
 	if a.firstHeard.IsZero() {
 		a.firstHeard = now
 	}
-	if message.Entries != nil {
-		l.peers = message.Entries.Addresses
+	if message.Gateways != nil {
+		l.peers = message.Gateways.Addresses
 	}
 	id := l.endpoint.ID
 	a.mu.Unlock()
--- a/internal/engineagent/agent.go
+++ b/internal/engineagent/agent.go
@@ -28,10 +28,10 @@
 	ReportInterval time.Duration
 	// Timeout bounds one call of the engine.
 	Timeout time.Duration
-	// Interval is the least time between two messages about load to a gateway, Heartbeat the longest between any two, and
-	// SilenceLimit the silence after which a gateway's stream ends.
-	Interval, Heartbeat, SilenceLimit time.Duration
-	Wire                              wire.Options
+	// Heartbeat is the longest time between two messages to a gateway, and SilenceLimit the silence after which a gateway's
+	// stream ends.
+	Heartbeat, SilenceLimit time.Duration
+	Wire                    wire.Options
 }
 
 // loadStep is the change of an engine's requests that is told before the next heartbeat.
@@ -43,15 +43,15 @@
 	engine  Engine
 	logger  *slog.Logger
 
-	mu      sync.Mutex
-	core    *Core
-	state   *controlpb.EngineState
-	running int
-	queued  int
-	entries []string
-	changed chan struct{}
-	wake    chan struct{}
-	dark    bool
+	mu       sync.Mutex
+	core     *Core
+	state    *controlpb.EngineState
+	running  int
+	queued   int
+	gateways []string
+	changed  chan struct{}
+	wake     chan struct{}
+	dark     bool
 }
 
 // New returns an agent beside an engine.
@@ -138,18 +138,18 @@
 	}
 	age := state.CommandAgeMs
 	state.CommandAgeMs = 0
-	entries := a.core.Entries(now)
-	slices.Sort(entries)
+	gateways := a.core.Gateways(now)
+	slices.Sort(gateways)
 	running, queued := a.core.load()
 	loadChanged := abs(running-a.running)+abs(queued-a.queued) >= loadStep
-	structureChanged := a.state == nil || !equalButAge(a.state, state) || !slices.Equal(entries, a.entries)
+	structureChanged := a.state == nil || !equalButAge(a.state, state) || !slices.Equal(gateways, a.gateways)
 	state.CommandAgeMs = age
 	if !structureChanged && !loadChanged {
 		return
 	}
 	a.running, a.queued = running, queued
 	if structureChanged {
-		a.state, a.entries = state, entries
+		a.state, a.gateways = state, gateways
 	}
 	close(a.changed)
 	a.changed = make(chan struct{})
@@ -196,7 +196,7 @@
 			return err
 		}
 		a.mu.Lock()
-		a.core.FromEntry(time.Now(), name, decode(message))
+		a.core.FromGateway(time.Now(), name, decode(message))
 		a.mu.Unlock()
 		select {
 		case a.wake <- struct{}{}:
@@ -208,7 +208,7 @@
 // write tells a gateway what changes, and at each heartbeat.
 func (a *Agent) write(ctx context.Context, stream *wire.Stream) {
 	var sentState *controlpb.EngineState
-	var sentEntries []string
+	var sentGateways []string
 	heartbeat := time.NewTicker(a.options.Heartbeat)
 	defer heartbeat.Stop()
 	for {
@@ -218,10 +218,10 @@
 		if a.state != sentState {
 			message.State = a.state
 		}
-		if sentEntries == nil || !slices.Equal(a.entries, sentEntries) {
-			message.Entries = &controlpb.EntryList{Addresses: a.entries}
+		if sentGateways == nil || !slices.Equal(a.gateways, sentGateways) {
+			message.Gateways = &controlpb.GatewayList{Addresses: a.gateways}
 		}
-		sentState, sentEntries = a.state, a.entries
+		sentState, sentGateways = a.state, a.gateways
 		a.mu.Unlock()
 		if err := stream.Write(message); err != nil {
 			return
--- a/internal/engineagent/core.go
+++ b/internal/engineagent/core.go
@@ -17,8 +17,8 @@
 	busyReportInterval = 40 * time.Millisecond
 	// wishLife is for how long a wish for an adapter counts. Requests that still wait repeat it.
 	wishLife = 400 * time.Millisecond
-	// entryLife is for how long a gateway's last message counts.
-	entryLife = 1500 * time.Millisecond
+	// gatewayLife is for how long a gateway's last message counts.
+	gatewayLife = 1500 * time.Millisecond
 )
 
 // Model is what an operator declares of a model.
@@ -101,8 +101,8 @@
 	Load       string
 }
 
-// EntryMessage is what a gateway tells.
-type EntryMessage struct {
+// GatewayMessage is what a gateway tells.
+type GatewayMessage struct {
 	EndpointID       string
 	EndpointRevision int64
 	Class            *EngineClass
@@ -110,8 +110,8 @@
 	Command          *Command
 }
 
-// entry is what a gateway told last.
-type entry struct {
+// gateway is what a gateway told last.
+type gateway struct {
 	heard time.Time
 	used  []Adapter
 }
@@ -123,7 +123,7 @@
 	endpointID       string
 	endpointRevision int64
 	class            *EngineClass
-	entries          map[string]*entry
+	gateways         map[string]*gateway
 	wanted           map[Adapter]time.Time
 	lastUsed         map[Adapter]time.Time
 
@@ -150,18 +150,18 @@
 func NewCore(reportInterval time.Duration) *Core {
 	return &Core{
 		reportInterval: reportInterval,
-		entries:        make(map[string]*entry),
+		gateways:       make(map[string]*gateway),
 		wanted:         make(map[Adapter]time.Time),
 		lastUsed:       make(map[Adapter]time.Time),
 	}
 }
 
-// FromEntry takes in a gateway's message.
-func (c *Core) FromEntry(now time.Time, name string, m EntryMessage) {
-	e := c.entries[name]
+// FromGateway takes in a gateway's message.
+func (c *Core) FromGateway(now time.Time, name string, m GatewayMessage) {
+	e := c.gateways[name]
 	if e == nil {
-		e = &entry{}
-		c.entries[name] = e
+		e = &gateway{}
+		c.gateways[name] = e
 	}
 	e.heard, e.used = now, m.Used
 	for _, a := range m.Used {
@@ -189,13 +189,13 @@
 }
 
 // Forget drops a gateway whose link has ended.
-func (c *Core) Forget(name string) { delete(c.entries, name) }
+func (c *Core) Forget(name string) { delete(c.gateways, name) }
 
-// Entries returns the gateways that are connected.
-func (c *Core) Entries(now time.Time) []string {
+// Gateways returns the gateways that are connected.
+func (c *Core) Gateways(now time.Time) []string {
 	var names []string
-	for name, e := range c.entries {
-		if now.Sub(e.heard) < entryLife {
+	for name, e := range c.gateways {
+		if now.Sub(e.heard) < gatewayLife {
 			names = append(names, name)
 		}
 	}
@@ -446,8 +446,8 @@
 // idlestAdapter returns the adapter that no request uses and that was used longest ago.
 func (c *Core) idlestAdapter(now time.Time) (Adapter, bool) {
 	inUse := make(map[Adapter]bool)
-	for _, e := range c.entries {
-		if now.Sub(e.heard) >= entryLife {
+	for _, e := range c.gateways {
+		if now.Sub(e.heard) >= gatewayLife {
 			continue
 		}
 		for _, a := range e.used {
--- a/internal/engineagent/core_test.go
+++ b/internal/engineagent/core_test.go
@@ -131,14 +131,14 @@
 	return now
 }
 
-func tell(c *Core, now time.Time, m EntryMessage) {
+func tell(c *Core, now time.Time, m GatewayMessage) {
 	m.EndpointID, m.EndpointRevision, m.Class = "i1", 1, testClass()
-	c.FromEntry(now, "gateway", m)
+	c.FromGateway(now, "gateway", m)
 }
 
 func TestCommandSwapsModels(t *testing.T) {
 	c, e := NewCore(100*time.Millisecond), newEngine(t, "a", "b", "c")
-	tell(c, start, EntryMessage{Command: &Command{ID: 1, EndpointID: "i1", Unload: []string{"b"}, Load: "d"}})
+	tell(c, start, GatewayMessage{Command: &Command{ID: 1, EndpointID: "i1", Unload: []string{"b"}, Load: "d"}})
 	drive(c, e, start, 4*time.Second, e.take)
 	if _, ok := e.models["d"]; !ok || len(e.models) != 3 {
 		t.Errorf("the engine holds %v, want a, c and d", e.models)
@@ -151,7 +151,7 @@
 // A command that would overcommit memory is dropped, whatever its sender believed.
 func TestCommandWithoutRoomIsDropped(t *testing.T) {
 	c, e := NewCore(100*time.Millisecond), newEngine(t, "a", "b", "c")
-	tell(c, start, EntryMessage{Command: &Command{ID: 1, EndpointID: "i1", Load: "d"}})
+	tell(c, start, GatewayMessage{Command: &Command{ID: 1, EndpointID: "i1", Load: "d"}})
 	drive(c, e, start, 2*time.Second, e.take)
 	if e.sequence != 0 || c.command != nil {
 		t.Errorf("%d orders accepted, command %v, want none", e.sequence, c.command)
@@ -178,7 +178,7 @@
 			if len(held) == 3 {
 				command.Unload = []string{held[random.IntN(3)]}
 			}
-			tell(c, now, EntryMessage{Command: command, Wanted: []Adapter{{"a", fmt.Sprint(random.IntN(8))}, {"b", fmt.Sprint(random.IntN(8))}}})
+			tell(c, now, GatewayMessage{Command: command, Wanted: []Adapter{{"a", fmt.Sprint(random.IntN(8))}, {"b", fmt.Sprint(random.IntN(8))}}})
 			now = drive(c, e, now, time.Duration(random.IntN(4000))*time.Millisecond, func(now time.Time, o Order) Result {
 				switch random.IntN(4) {
 				case 0:
@@ -204,7 +204,7 @@
 	c := NewCore(100 * time.Millisecond)
 	for i := range 3 {
 		now := start.Add(time.Duration(i) * 300 * time.Millisecond)
-		c.FromEntry(now, "gateway", EntryMessage{EndpointID: "i1", EndpointRevision: 1, Class: e.class, Wanted: []Adapter{{"a", fmt.Sprint(i)}}})
+		c.FromGateway(now, "gateway", GatewayMessage{EndpointID: "i1", EndpointRevision: 1, Class: e.class, Wanted: []Adapter{{"a", fmt.Sprint(i)}}})
 		drive(c, e, now, 300*time.Millisecond, e.take)
 	}
 }
@@ -213,10 +213,10 @@
 // is over; the agent gave one every 90 ms, each at a price, and held the adapter's requests to this engine.
 func TestBusyEngineIsNotOrdered(t *testing.T) {
 	c, e := NewCore(100*time.Millisecond), newEngine(t, "a", "b", "c")
-	tell(c, start, EntryMessage{Command: &Command{ID: 1, EndpointID: "i1", Unload: []string{"b"}, Load: "d"}})
+	tell(c, start, GatewayMessage{Command: &Command{ID: 1, EndpointID: "i1", Unload: []string{"b"}, Load: "d"}})
 	now := start
 	for range 20 {
-		tell(c, now, EntryMessage{Wanted: []Adapter{{"a", "1"}}})
+		tell(c, now, GatewayMessage{Wanted: []Adapter{{"a", "1"}}})
 		now = drive(c, e, now, 200*time.Millisecond, e.take)
 	}
 	if e.refusedBusy > 0 {
@@ -232,7 +232,7 @@
 	c, e := NewCore(100*time.Millisecond), newEngine(t, "a")
 	now := start
 	for i := range 5 {
-		tell(c, now, EntryMessage{Wanted: []Adapter{{"a", fmt.Sprint(i)}}, Used: []Adapter{{"a", "0"}}})
+		tell(c, now, GatewayMessage{Wanted: []Adapter{{"a", fmt.Sprint(i)}}, Used: []Adapter{{"a", "0"}}})
 		now = drive(c, e, now, 300*time.Millisecond, e.take)
 	}
 	held := e.models["a"]
@@ -245,7 +245,7 @@
 // command for the one before.
 func TestRestartedEngineEndsTheCommand(t *testing.T) {
 	c, e := NewCore(100*time.Millisecond), newEngine(t, "a", "b", "c")
-	tell(c, start, EntryMessage{Command: &Command{ID: 1, EndpointID: "i1", Unload: []string{"a"}, Load: "d"}})
+	tell(c, start, GatewayMessage{Command: &Command{ID: 1, EndpointID: "i1", Unload: []string{"a"}, Load: "d"}})
 	now := drive(c, e, start, 300*time.Millisecond, e.take)
 	e.id, e.sequence, e.busy = "i2", 0, nil
 	clear(e.models)
@@ -253,7 +253,7 @@
 	if e.sequence != 0 || c.command != nil {
 		t.Errorf("%d orders accepted by the new incarnation, command %v, want none", e.sequence, c.command)
 	}
-	c.FromEntry(now, "gateway", EntryMessage{EndpointID: "i2", EndpointRevision: 2, Command: &Command{ID: 2, EndpointID: "i2", Load: "a"}})
+	c.FromGateway(now, "gateway", GatewayMessage{EndpointID: "i2", EndpointRevision: 2, Command: &Command{ID: 2, EndpointID: "i2", Load: "a"}})
 	drive(c, e, now, 2*time.Second, e.take)
 	if _, ok := e.models["a"]; !ok {
 		t.Error("the new incarnation gets no orders")
--- a/internal/engineagent/messages.go
+++ b/internal/engineagent/messages.go
@@ -8,8 +8,8 @@
 	"balsamsail/internal/control/controlpb"
 )
 
-func decode(m *controlpb.ToAgent) EntryMessage {
-	message := EntryMessage{
+func decode(m *controlpb.ToAgent) GatewayMessage {
+	message := GatewayMessage{
 		EndpointID:       m.EndpointId,
 		EndpointRevision: m.EndpointRevision,
 		Wanted:           decodeAdapters(m.Wanted),
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -42,7 +42,7 @@
 	NotHeld
 	// AdapterMissing: an engine holds the model, and its agent was asked for the adapter.
 	AdapterMissing
-	// PromptsAhead: the engines that hold the model have prompts of this entry to read first.
+	// PromptsAhead: the engines that hold the model have prompts of this gateway to read first.
 	PromptsAhead
 	// AllTried: every endpoint that could take the request has had it.
 	AllTried
@@ -79,7 +79,6 @@
 	}
 	e.sent++
 	e.prompts += w.PromptTokens
-	e.perModel[w.Model]++
 	if w.Adapter != "" {
 		e.adapters[w.adapter()]++
 	}
@@ -148,7 +147,7 @@
 	return c
 }
 
-// adapterHome keeps of the engines that hold a model the one that should hold one of its adapters: the same at all entries,
+// adapterHome keeps of the engines that hold a model the one that should hold one of its adapters: the same at all gateways,
 // so that an adapter is fetched once, and spread by name over the engines, whose places for adapters are few.
 func adapterHome(bare []routing.Candidate, w *Want) []routing.Candidate {
 	best, bestScore := -1, uint64(0)
@@ -188,7 +187,6 @@
 	}
 	e.sent--
 	e.read(c)
-	release(e.perModel, w.Model)
 	if w.Adapter != "" {
 		release(e.adapters, w.adapter())
 	}
@@ -210,8 +208,8 @@
 	c.sent.prompts = 0
 }
 
-// promptShare is how many prompt tokens one entry may have unread at an engine, unless it is a single prompt. An engine reads
-// some 40 a millisecond between the steps of its streams, so that four entries together delay a step by 150 ms at most; a pause
+// promptShare is how many prompt tokens one gateway may have unread at an engine, unless it is a single prompt. An engine reads
+// some 40 a millisecond between the steps of its streams, so that four gateways together delay a step by 150 ms at most; a pause
 // is late from 250 ms on.
 const promptShare = 1500
 
@@ -219,7 +217,7 @@
 // of them, and the reports are up to a fifth of a second old.
 const crowdedShare = 0.75
 
-// unburdened keeps the candidates that have few prompts of this entry to read.
+// unburdened keeps the candidates that have few prompts of this gateway to read.
 //
 // Prompts come in clumps, and an engine reads all that wait between two steps of its streams. Ten at once make a pause of
 // 250 ms in every stream there; sent one after another to the replicas they delay none that much, and their own first events
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -6,7 +6,7 @@
 	"balsamsail/internal/control/controlpb"
 )
 
-// demand is what this entry's requests for one target do now.
+// demand is what this gateway's requests for one target do now.
 type demand struct {
 	arrived int64
 	running int
@@ -81,7 +81,7 @@
 	}
 }
 
-// Demand returns what this entry's requests ask for.
+// Demand returns what this gateway's requests ask for.
 func (f *Fleet) Demand(now time.Time) *controlpb.Demand {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,5 +1,5 @@
-// Package fleet is an entry's view of its site: the newest configuration, the endpoints, what their agents say of them, and
-// what this entry itself has under way there. Requests choose their endpoints from it and wait for it to change.
+// Package fleet is a gateway's view of its site: the newest configuration, the endpoints, what their agents say of them, and
+// what this gateway itself has under way there. Requests choose their endpoints from it and wait for it to change.
 package fleet
 
 import (
@@ -43,11 +43,11 @@
 	// Command is the last one that was taken up, and CommandAge how long it has been carried out.
 	Command    uint64
 	CommandAge time.Duration
-	// Running and Queued are the engine's requests, from all entries.
+	// Running and Queued are the engine's requests, from all gateways.
 	Running, Queued int
 }
 
-// endpoint is what the entry knows of one endpoint.
+// endpoint is what the gateway knows of one endpoint.
 type endpoint struct {
 	catalog.Endpoint
 	state   *EngineState
@@ -57,7 +57,6 @@
 	sent        int
 	// prompts are the tokens of prompts that were sent and whose first event has not come.
 	prompts   int
-	perModel  map[string]int
 	adapters  map[Adapter]int
 	absent    map[Adapter]time.Time
 	headerRun int
@@ -98,7 +97,7 @@
 // block. It is set before the first request.
 func (f *Fleet) OnWanted(call func(endpointID string)) { f.onWanted = call }
 
-// New returns an empty view of an entry in a failure domain; seed seeds its random choices.
+// New returns an empty view of a gateway in a failure domain; seed seeds its random choices.
 func New(domain string, seed uint64) *Fleet {
 	return &Fleet{
 		domain:    domain,
@@ -153,7 +152,7 @@
 		present[e.ID] = true
 		known := f.endpoints[e.ID]
 		if known == nil {
-			known = &endpoint{perModel: make(map[string]int), adapters: make(map[Adapter]int), absent: make(map[Adapter]time.Time)}
+			known = &endpoint{adapters: make(map[Adapter]int), absent: make(map[Adapter]time.Time)}
 			f.endpoints[e.ID] = known
 			added = append(added, e)
 		}
@@ -170,7 +169,7 @@
 	return added, removed
 }
 
-// Ready reports whether the entry knows enough to serve.
+// Ready reports whether the gateway knows enough to serve.
 func (f *Fleet) Ready() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -152,7 +152,6 @@
 		g.fleet.Absent(time.Now(), choice.ID, &q.want)
 	}
 	g.drop(result)
-	q.lastRefusal = status
 	g.logger.Info("endpoint refused", "event", "endpoint_refused", "request", q.call.ID, "endpoint", choice.ID, "status", status,
 		"model", q.want.Model, "adapter", q.want.Adapter, "sending", q.attempts)
 	// What has not run can wait until the budget allows another sending.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -192,8 +192,6 @@
 	firstEvent time.Duration
 	// longestGap is the longest pause between two parts of a stream.
 	longestGap time.Duration
-	// lastRefusal is what the last endpoint said that did not run the request.
-	lastRefusal int
 }
 
 func (g *Gateway) newRequest(r *http.Request, call Call, route *catalog.Route, config *catalog.Config, body []byte, arrived time.Time) *request {
@@ -287,8 +285,3 @@
 	g.logger.Info("request refused", "event", "refused", "request", f.id, "status", f.status, "reason", f.reason,
 		"retry_after", f.after, "config", f.version)
 }
-
-// contextUntil returns a context that ends at a time.
-func contextUntil(ctx context.Context, until time.Time) (context.Context, context.CancelFunc) {
-	return context.WithDeadline(ctx, until)
-}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -44,7 +44,7 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, q *request) {
 	g.countRequest(q.want.Service)
 	g.fleet.Arrived(q.want.Target, q.route.Target)
-	ctx, cancel := contextUntil(r.Context(), q.until.Add(deadlineSlack))
+	ctx, cancel := context.WithDeadline(r.Context(), q.until.Add(deadlineSlack))
 	defer cancel()
 	defer context.AfterFunc(g.cut, cancel)()
 	out := &response{writer: w, codec: g.codec, lastEventID: q.call.LastEventID}
