--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"balsamsail/internal/clock"
 	"balsamsail/internal/loading"
 	"balsamsail/internal/timeline"
 	"balsamsail/internal/wire"
@@ -246,7 +247,7 @@
 		case <-held:
 		case <-s.wake:
 			stirred = true
-			pause(ctx, a.options.BatchDelay)
+			clock.Pause(ctx, a.options.BatchDelay)
 		}
 		status := a.status()
 		if stirred {
@@ -274,16 +275,6 @@
 	return stream.Write(up)
 }
 
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // wait waits for d on the agent's clock or the end of ctx.
 func (a *Agent) wait(ctx context.Context, d time.Duration) {
 	timer := a.clock.NewTimer(d)
--- a/internal/app/engineagent.go
+++ b/internal/app/engineagent.go
@@ -10,12 +10,12 @@
 	"go.uber.org/dig"
 	"golang.org/x/sync/errgroup"
 
+	"balsamsail/internal/control"
 	"balsamsail/internal/engineagent"
 	"balsamsail/internal/netconn"
 	"balsamsail/internal/process"
 	"balsamsail/internal/settings"
 	"balsamsail/internal/settings/inifile"
-	"balsamsail/internal/wire"
 	"balsamsail/platform"
 )
 
@@ -38,14 +38,12 @@
 }
 
 func newEngineAgent(s *settings.EngineAgent, l *slog.Logger) *engineagent.Agent {
-	w := wire.DefaultOptions()
-	w.KeepAlive, w.WriteTimeout = 10*s.Control.SilenceLimit, s.Control.SilenceLimit
 	return engineagent.New(engineagent.Options{
 		ReportInterval: s.Orders.ReportInterval,
 		Timeout:        s.Orders.Timeout,
 		Heartbeat:      s.Control.Heartbeat,
 		SilenceLimit:   s.Control.SilenceLimit,
-		Wire:           w,
+		Wire:           control.WireOptions(s.Control.SilenceLimit),
 	}, platform.NewEngine(string(s.Agent.Engine), s.Agent.Host), l)
 }
 
--- a/internal/catalog/config.go
+++ b/internal/catalog/config.go
@@ -148,3 +148,12 @@
 	}
 	return n
 }
+
+// EngineClass returns the class of a service's engines, or nil for a plain or unknown service and before the first
+// configuration.
+func (c *Config) EngineClass(service string) *EngineClass {
+	if c == nil || c.Services[service] == nil {
+		return nil
+	}
+	return c.Services[service].Engine
+}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,7 +1,10 @@
 // Package clock is the source of time that shells hand to the deciding code, so that tests inject their own.
 package clock
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // Clock tells the time and makes timers.
 type Clock interface {
@@ -30,3 +33,13 @@
 type realTimer struct{ *time.Timer }
 
 func (t realTimer) C() <-chan time.Time { return t.Timer.C }
+
+// Pause waits for d or the end of ctx, on the machine's clock.
+func Pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/control/agents.go
+++ b/internal/control/agents.go
@@ -85,7 +85,7 @@
 	config := a.fleet.Config()
 	newest := make(map[string]catalog.Endpoint)
 	for _, e := range list {
-		if !isEngine(config, e.Service) {
+		if config.EngineClass(e.Service) == nil {
 			continue
 		}
 		if address, ok := a.agentAddress(e.Address); ok && e.Revision >= newest[address].Revision {
@@ -109,14 +109,6 @@
 	}
 }
 
-func isEngine(config *catalog.Config, service string) bool {
-	if config == nil {
-		return false
-	}
-	s := config.Services[service]
-	return s != nil && s.Engine != nil
-}
-
 func (a *Agents) agentAddress(endpoint string) (string, bool) {
 	host, _, err := net.SplitHostPort(endpoint)
 	if err != nil {
@@ -195,10 +187,10 @@
 // engineClass returns the class of a service's engines, or nil where the agent has it.
 func (a *Agents) engineClass(service string, sent int64) *controlpb.EngineClass {
 	config := a.fleet.Config()
-	if config == nil || config.Version == sent || !isEngine(config, service) {
+	engine := config.EngineClass(service)
+	if engine == nil || config.Version == sent {
 		return nil
 	}
-	engine := config.Services[service].Engine
 	class := &controlpb.EngineClass{
 		ConfigVersion: config.Version,
 		MemoryMb:      engine.MemoryMB,
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -11,6 +11,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"balsamsail/internal/clock"
 	"balsamsail/internal/wire"
 	"balsamsail/internal/wire/wirepb"
 )
@@ -79,7 +80,7 @@
 			l.logger.Info("link lost", "event", "link_lost", "peer", l.address, "error", err)
 			up = false
 		}
-		wait(ctx, redialMin+rand.N(redialMax-redialMin))
+		clock.Pause(ctx, redialMin+rand.N(redialMax-redialMin))
 	}
 }
 
@@ -87,7 +88,7 @@
 func (l *link) once(ctx context.Context, up *bool) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	session, err := wire.Dial(ctx, l.address, wireOptions(l.options), l.logger)
+	session, err := wire.Dial(ctx, l.address, WireOptions(l.options.SilenceLimit), l.logger)
 	if err != nil {
 		return err
 	}
@@ -142,20 +143,11 @@
 	}
 }
 
-// wireOptions are the settings of the connections below links. Their own probes are slower than the links' heartbeats,
-// which find a silent peer first.
-func wireOptions(o Options) wire.Options {
+// WireOptions are the settings of the connections below links that are made anew after a silence. Their own probes are
+// slower than the links' heartbeats, which find a silent peer first.
+func WireOptions(silenceLimit time.Duration) wire.Options {
 	w := wire.DefaultOptions()
-	w.KeepAlive = 10 * o.SilenceLimit
-	w.WriteTimeout = o.SilenceLimit
+	w.KeepAlive = 10 * silenceLimit
+	w.WriteTimeout = silenceLimit
 	return w
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"balsamsail/internal/catalog"
+	"balsamsail/internal/clock"
 	"balsamsail/internal/control/controlpb"
 	"balsamsail/internal/fleet"
 	"balsamsail/internal/wire"
@@ -44,7 +45,7 @@
 	a := &scriptedAgent{listener: listener, cancel: cancel, done: make(chan struct{}), gateways: gateways}
 	go func() {
 		defer close(a.done)
-		_ = wire.Serve(ctx, listener, wireOptions(testOptions("")), quiet, a.serve)
+		_ = wire.Serve(ctx, listener, WireOptions(testOptions("").SilenceLimit), quiet, a.serve)
 	}()
 	t.Cleanup(func() { cancel(); <-a.done })
 	return a
@@ -73,7 +74,7 @@
 		if !frozen && stream.Write(message) != nil {
 			return
 		}
-		wait(ctx, 40*time.Millisecond)
+		clock.Pause(ctx, 40*time.Millisecond)
 	}
 }
 
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -134,7 +134,7 @@
 
 // Serve takes the demand of other gateways until ctx ends.
 func (p *Peers) Serve(ctx context.Context, listener net.Listener) error {
-	return wire.Serve(ctx, listener, wireOptions(p.options), p.logger, p.serveStream)
+	return wire.Serve(ctx, listener, WireOptions(p.options.SilenceLimit), p.logger, p.serveStream)
 }
 
 func (p *Peers) serveStream(_ context.Context, header *wirepb.StreamHeader, stream *wire.Stream) {
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"balsamsail/internal/catalog"
 	"balsamsail/internal/routing"
 	"balsamsail/internal/wire/wirepb"
 )
@@ -262,15 +261,6 @@
 	e.absent[Adapter{Model: w.Model}] = until
 }
 
-// Leaving notes that an endpoint has said itself that it leaves.
-func (f *Fleet) Leaving(id string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if e := f.endpoints[id]; e != nil {
-		e.Leaving = true
-	}
-}
-
 // Load notes the load that an endpoint told in an answer.
 func (f *Fleet) Load(now time.Time, id string, running, queued int) {
 	f.mu.Lock()
@@ -295,7 +285,7 @@
 func (f *Fleet) ReadyIn(now time.Time, t Target) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	class := f.engineClass(t.Service)
+	class := f.config.EngineClass(t.Service)
 	if class == nil {
 		return 0
 	}
@@ -322,10 +312,3 @@
 	}
 	return estimate
 }
-
-func (f *Fleet) engineClass(service string) *catalog.EngineClass {
-	if f.config == nil || f.config.Services[service] == nil {
-		return nil
-	}
-	return f.config.Services[service].Engine
-}
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -73,9 +73,9 @@
 // wantAdapter notes that a request needs an adapter at an engine. The lock is held.
 func (f *Fleet) wantAdapter(id string, a Adapter) {
 	if f.wanted[id] == nil {
-		f.wanted[id] = make(map[Adapter]int)
+		f.wanted[id] = make(map[Adapter]bool)
 	}
-	f.wanted[id][a]++
+	f.wanted[id][a] = true
 	if f.onWanted != nil {
 		f.onWanted(id)
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -83,7 +83,7 @@
 	endpoints map[string]*endpoint
 	router    *routing.Router
 	demand    map[Target]*demand
-	wanted    map[string]map[Adapter]int
+	wanted    map[string]map[Adapter]bool
 	onWanted  func(endpointID string)
 	onWaiting func()
 	changed   chan struct{}
@@ -104,7 +104,7 @@
 		endpoints: make(map[string]*endpoint),
 		router:    routing.NewRouter(routing.Options{Seed: seed, FailureDomain: domain}),
 		demand:    make(map[Target]*demand),
-		wanted:    make(map[string]map[Adapter]int),
+		wanted:    make(map[string]map[Adapter]bool),
 		changed:   make(chan struct{}),
 	}
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -51,8 +51,6 @@
 	PromisesNotRun bool
 	// Encoded answers carry a content coding that nobody asked for.
 	Encoded bool
-	// Closing says that the endpoint ends the connection, as one that leaves does.
-	Closing bool
 	// Running and Queued tell its load, if HasLoad is set.
 	HasLoad         bool
 	Running, Queued int
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// comeBackUnconfigured is the time to come back that an entry names before it knows a configuration; one is read within
+	// comeBackUnconfigured is the time to come back that a gateway names before it knows a configuration; one is read within
 	// about half a second where the store answers.
 	comeBackUnconfigured = 500 * time.Millisecond
 	// comeBackEmpty is the time to come back when a service has no endpoint that takes work: a replaced one registers
@@ -203,7 +203,7 @@
 	service := route.Pick(g.random.Float64())
 	g.mu.Unlock()
 	target := fleet.Target{Service: service}
-	if s := config.Services[service]; s != nil && s.Engine != nil {
+	if config.EngineClass(service) != nil {
 		target.Model = call.Model
 	}
 	return &request{
--- a/internal/membership/link.go
+++ b/internal/membership/link.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"balsamsail/internal/clock"
 	"balsamsail/internal/timeline"
 	"balsamsail/internal/wire"
 	"balsamsail/internal/wire/wirepb"
@@ -187,7 +188,7 @@
 			return
 		case <-heartbeat.C:
 		case <-l.wake:
-			pause(ctx, m.options.BatchDelay)
+			clock.Pause(ctx, m.options.BatchDelay)
 		}
 		sequence++
 		batch := l.take()
@@ -233,13 +234,3 @@
 	}
 	into.WantState = into.WantState || d.WantState
 }
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/placement/manager.go
+++ b/internal/placement/manager.go
@@ -203,16 +203,11 @@
 	}
 	if g := s.given[e.ID]; g != nil {
 		engine.Loading, engine.Unloading = g.Load, names(g.Unload)
-		engine.Remaining = max(0, plannedTime(class, g.Command)-now.Sub(g.at))
+		engine.Remaining = max(0, g.Source.loadTime(class.Models[g.Load])-now.Sub(g.at))
 	}
 	return engine
 }
 
-func plannedTime(class *catalog.EngineClass, c Command) time.Duration {
-	m := class.Models[c.Load]
-	return [...]time.Duration{m.MemoryTime, m.DiskTime, m.LoadTime}[c.Source]
-}
-
 func names(list []string) map[string]bool {
 	m := make(map[string]bool, len(list))
 	for _, n := range list {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -46,6 +46,11 @@
 
 func (s Source) String() string { return [...]string{"memory", "disk", "store"}[s] }
 
+// loadTime is how long a model takes from the source.
+func (s Source) loadTime(m catalog.Model) time.Duration {
+	return [...]time.Duration{m.MemoryTime, m.DiskTime, m.LoadTime}[s]
+}
+
 // Engine is an engine as its agent told last.
 type Engine struct {
 	ID string
@@ -350,14 +355,7 @@
 }
 
 func (p *plan) loadTime(model string, source Source) time.Duration {
-	m := p.Class.Models[model]
-	switch source {
-	case FromMemory:
-		return m.MemoryTime
-	case FromDisk:
-		return m.DiskTime
-	}
-	return m.LoadTime
+	return source.loadTime(p.Class.Models[model])
 }
 
 // adapterRoom is the memory that is left to adapters when models are placed.
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"balsamsail/internal/clock"
 )
 
 var (
@@ -63,7 +65,7 @@
 	for ctx.Err() == nil {
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			f.failed(err)
-			pause(ctx, f.nextBackoff())
+			clock.Pause(ctx, f.nextBackoff())
 		}
 	}
 }
@@ -93,7 +95,7 @@
 		f.logger.Info("history of the store is gone, table is read whole", "event", "watch_restart", "table", f.options.Table, "revision", f.revision)
 		f.listed = false
 		// A store whose history is always too short would otherwise be asked without a pause.
-		pause(ctx, f.options.Gather)
+		clock.Pause(ctx, f.options.Gather)
 		return nil
 	}
 	if err != nil {
@@ -103,7 +105,7 @@
 	f.revision = max(f.revision, revision)
 	if len(rows) > 0 {
 		f.sink.Apply(rows)
-		pause(ctx, f.options.Gather)
+		clock.Pause(ctx, f.options.Gather)
 	}
 	return nil
 }
@@ -150,12 +152,3 @@
 	f.backoff = min(2*f.backoff, f.options.MaxBackoff)
 	return d/2 + rand.N(d/2+1)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"balsamsail/internal/clock"
 )
 
 // scriptedStore is a store in memory. It forgets what lies before its horizon and knows nothing behind its revision.
@@ -69,7 +71,7 @@
 		case len(rows) > 0 || !time.Now().Before(deadline) || ctx.Err() != nil:
 			return rows, revision, nil
 		}
-		pause(ctx, 10*time.Millisecond)
+		clock.Pause(ctx, 10*time.Millisecond)
 	}
 }
 
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
 
+	"balsamsail/internal/clock"
 	"balsamsail/internal/wire/wirepb"
 )
 
@@ -38,7 +39,7 @@
 			return ignoreClosed(err)
 		default:
 			s.logger.Warn("connection not accepted", "error", err)
-			pause(ctx, acceptRetry)
+			clock.Pause(ctx, acceptRetry)
 		}
 	}
 }
@@ -57,16 +58,6 @@
 	return false
 }
 
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // serveConn runs one session. When ctx ends the session is closed and with it every stream.
 func (s *server) serveConn(ctx context.Context, conn net.Conn) {
 	defer s.running.Done()
