entry: a waiting request stays with its endpoint while nobody else can take it

Whether another endpoint is there was looked at when the request was offered; with agents restarted in turn that other one had left when the patience of 1 s ended. The request was withdrawn with nowhere to go, and a word on the withdrawal that took over 100 ms made its outcome unknown. Ruled out: a longer wait for that word (a frozen agent would cost it each time).

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"balsamsail/internal/atmostonce"
 	"balsamsail/internal/routing"
 	"balsamsail/internal/timeline"
@@ -32,8 +34,9 @@
 	bodyBegun bool
 	answered  int
 	fate      chan fate
-	// last is set when there is no other endpoint to move on to.
-	last bool
+	// last is set when there is no other endpoint to move on to; hasOther looks for one again.
+	last     bool
+	hasOther func() bool
 
 	writing sync.Mutex
 }
@@ -163,6 +166,9 @@
 		t.setPatience(ctx)
 		frame := &wirepb.FromAgent{}
 		err := t.stream.Read(frame)
+		if t.staysForWantOfOther(ctx, err) {
+			continue
+		}
 		event := t.eventOf(ctx, frame, err)
 		for _, action := range t.exchange.Step(event) {
 			if t.act(action) {
@@ -172,6 +178,19 @@
 	}
 }
 
+// staysForWantOfOther reports whether the patience with a waiting request has ended while no other endpoint can take it.
+//
+// The other endpoint that was there when the request was offered may have left since, as in a restart of all agents in
+// turn. A request withdrawn then has nowhere to go, and where the agent's word on the withdrawal is late, its caller is
+// told that the outcome is unknown although there was time to be served. So the request stays until its deadline.
+func (t *attempt) staysForWantOfOther(ctx context.Context, err error) bool {
+	if !errors.Is(err, wire.ErrTimeout) || ctx.Err() != nil || t.running || t.last || t.hasOther() {
+		return false
+	}
+	t.last = true
+	return true
+}
+
 // setPatience bounds the wait for the next frame.
 func (t *attempt) setPatience(ctx context.Context) {
 	now := t.entry.clock.Now()
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -51,7 +51,8 @@
 		}
 		tried = append(tried, candidate.Endpoint)
 		t := newAttempt(e, rq, candidate, out)
-		t.last = !e.untried(rq, tried)
+		t.hasOther = func() bool { return e.untried(rq, tried) }
+		t.last = !t.hasOther()
 		ended := t.run(ctx)
 		verdict := e.decide(rq, state, ended, tried)
 		if ended.callerGone {
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -127,6 +127,30 @@
 	}
 }
 
+// All agents are restarted in turn. A request waits at one of them, and the other, which was ready when the request was
+// offered, leaves meanwhile. The request's patience with the first one ends, nobody else can take it, and the first one
+// answers a moment later. Withdrawn, the request ended as "outcome unknown" with most of its time left.
+func TestWaitingRequestStaysWhenTheOtherEndpointLeft(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, siteOptions{agents: 2})
+	for i, a := range s.agents {
+		a.answers(func(x *exchangeStream) {
+			x.accepted()
+			s.agents[1-i].leave()
+			if x.silentFor(patienceOfAccepted + 200*time.Millisecond) {
+				x.whole("first")
+			}
+		})
+	}
+	if got := s.send(t.Context(), call{method: get}); got.text() != "200 first" {
+		t.Errorf("got %s, want the answer of the endpoint that stayed", got.text())
+	}
+}
+
+// patienceOfAccepted is how long an accepted request waits while another endpoint could take it: the floor of
+// routing.PatienceFor, since the agents here tell no wait.
+const patienceOfAccepted = time.Second
+
 // checkReply verifies what every answer must carry: the request's identifier, and with an error its outcome and, where it
 // may be tried again, when.
 func checkReply(t *testing.T, r reply) {
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/goleak"
 
@@ -253,6 +254,8 @@
 	t             *testing.T
 	name, address string
 	kind          string
+	// leave ends the agent: its connections break and it takes no new ones.
+	leave context.CancelFunc
 
 	mu     sync.Mutex
 	script func(x *exchangeStream)
@@ -272,6 +275,7 @@
 	}
 	a := &exchangeAgent{t: t, name: name, kind: kind, address: listener.Addr().String(), revisions: map[string]uint64{}}
 	ctx, cancel := context.WithCancel(context.Background())
+	a.leave = cancel
 	var serving sync.WaitGroup
 	serving.Go(func() { _ = wire.Serve(ctx, listener, wire.DefaultOptions(), slog.New(slog.DiscardHandler), a.serve) })
 	t.Cleanup(func() {
@@ -452,6 +456,12 @@
 	return body.String(), true
 }
 
+// silentFor says nothing for d and reports whether the entry waited for it.
+func (x *exchangeStream) silentFor(d time.Duration) bool {
+	_ = x.stream.SetReadDeadline(time.Now().Add(d))
+	return errors.Is(x.stream.Read(&wirepb.ToAgent{}), wire.ErrTimeout)
+}
+
 // silent says nothing until the entry gives the stream up.
 func (x *exchangeStream) silent() {
 	for x.next() != nil {
