faultlink: the fault-injecting proxy of the integration tests becomes a package

The soak of the platform's roles needs the same proxy; a second copy would drift. Moved with its tests, renamed to exported names, no change of behaviour.

--- a/test/proxy_test.go
+++ b/internal/faultlink/link.go
@@ -1,4 +1,6 @@
-package test
+// Package faultlink is a TCP path between two processes that a test can delay, cut, reset, or silence in one direction or
+// both. It stands between processes on loopback, where the network itself never fails.
+package faultlink
 
 import (
 	"context"
@@ -7,46 +9,47 @@
 	"time"
 )
 
-// direction is a direction of bytes through a link.
-type direction int
+// Direction is a direction of bytes through a link.
+type Direction int
 
+// The directions.
 const (
-	toServer direction = iota
-	toClient
+	ToServer Direction = iota
+	ToClient
 	directions
 )
 
-// flow says what a link does with the bytes of one direction.
-type flow int
+// Flow says what a link does with the bytes of one direction.
+type Flow int
 
 const (
-	// flowPass passes bytes on.
-	flowPass flow = iota
-	// flowHold keeps bytes back until the flow passes again, as TCP does over a network that comes back.
-	flowHold
-	// flowVanish loses bytes. A connection that has lost some is cut when the link is healed.
-	flowVanish
+	// Pass passes bytes on.
+	Pass Flow = iota
+	// Hold keeps bytes back until the flow passes again, as TCP does over a network that comes back.
+	Hold
+	// Vanish loses bytes. A connection that has lost some is cut when the link is healed.
+	Vanish
 )
 
-// slowness is how a link slows each piece of data; its zero value is full speed.
-type slowness struct {
-	delay          time.Duration
-	bytesPerSecond int
+// Slowness is how a link slows each piece of data; its zero value is full speed.
+type Slowness struct {
+	Delay          time.Duration
+	BytesPerSecond int
 }
 
 // noCut says that no byte count cuts a connection.
 const noCut = -1
 
-// link is one TCP path through the fault proxy: whoever connects to its address reaches the target, as well as the
+// Link is one TCP path through the fault proxy: whoever connects to its address reaches the target, as well as the
 // link's faults let it.
-type link struct {
-	name, address, target string
+type Link struct {
+	address, target string
 
 	mu       sync.Mutex
 	listener net.Listener
 	pipes    map[*pipe]struct{}
-	flows    [directions]flow
-	slow     slowness
+	flows    [directions]Flow
+	slow     Slowness
 	// mute accepts connections and leaves them alone.
 	mute bool
 	// left is how many bytes of a direction may pass before the connection is cut, or noCut.
@@ -57,10 +60,9 @@
 	pumps   sync.WaitGroup
 }
 
-// newLink listens on the address, which may end in ":0".
-func newLink(name, address, target string) (*link, error) {
-	l := &link{
-		name:    name,
+// New returns a link that listens on the address, which may end in ":0".
+func New(address, target string) (*Link, error) {
+	l := &Link{
 		address: address,
 		target:  target,
 		pipes:   map[*pipe]struct{}{},
@@ -73,7 +75,7 @@
 }
 
 // listen opens the listener. The caller holds mu.
-func (l *link) listen() error {
+func (l *Link) listen() error {
 	listener, err := net.Listen("tcp", l.address)
 	if err != nil {
 		return err
@@ -84,7 +86,7 @@
 	return nil
 }
 
-func (l *link) accept(listener net.Listener) {
+func (l *Link) accept(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -95,7 +97,7 @@
 }
 
 // start takes a client's connection up.
-func (l *link) start(client *net.TCPConn) {
+func (l *Link) start(client *net.TCPConn) {
 	p := &pipe{link: l, client: client, done: make(chan struct{})}
 	l.mu.Lock()
 	if l.closed {
@@ -109,7 +111,7 @@
 }
 
 // update changes the link's faults and wakes what waits for them.
-func (l *link) update(change func()) {
+func (l *Link) update(change func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	change()
@@ -117,36 +119,43 @@
 	l.changed = make(chan struct{})
 }
 
-// block sets what happens to the bytes of one direction.
-func (l *link) block(d direction, f flow) { l.update(func() { l.flows[d] = f }) }
+// Address is where the link listens.
+func (l *Link) Address() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.address
+}
+
+// Block sets what happens to the bytes of one direction.
+func (l *Link) Block(d Direction, f Flow) { l.update(func() { l.flows[d] = f }) }
 
-// freeze silences the link both ways without closing anything: new connections are accepted and never answered.
-func (l *link) freeze(f flow) {
+// Freeze silences the link both ways without closing anything: new connections are accepted and never answered.
+func (l *Link) Freeze(f Flow) {
 	l.update(func() {
-		l.flows = [directions]flow{f, f}
+		l.flows = [directions]Flow{f, f}
 		l.mute = true
 	})
 }
 
-// setSlow slows both directions.
-func (l *link) setSlow(s slowness) { l.update(func() { l.slow = s }) }
+// SetSlow slows both directions.
+func (l *Link) SetSlow(s Slowness) { l.update(func() { l.slow = s }) }
 
-// cutAfter lets n more bytes of a direction pass, over all connections, and cuts the connection that reaches them.
-func (l *link) cutAfter(d direction, n int64) { l.update(func() { l.left[d] = n }) }
+// CutAfter lets n more bytes of a direction pass, over all connections, and cuts the connection that reaches them.
+func (l *Link) CutAfter(d Direction, n int64) { l.update(func() { l.left[d] = n }) }
 
-// cut resets all connections and refuses new ones.
-func (l *link) cut() {
+// Cut resets all connections and refuses new ones.
+func (l *Link) Cut() {
 	l.mu.Lock()
 	if l.listener != nil {
 		_ = l.listener.Close()
 		l.listener = nil
 	}
 	l.mu.Unlock()
-	l.reset()
+	l.Reset()
 }
 
-// reset resets the present connections.
-func (l *link) reset() {
+// Reset resets the present connections.
+func (l *Link) Reset() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for p := range l.pipes {
@@ -154,11 +163,11 @@
 	}
 }
 
-// heal ends all faults. Connections that have lost bytes, or were never connected to the target, are reset.
-func (l *link) heal() error {
+// Heal ends all faults. Connections that have lost bytes, or were never connected to the target, are reset.
+func (l *Link) Heal() error {
 	l.update(func() {
-		l.flows = [directions]flow{flowPass, flowPass}
-		l.slow = slowness{}
+		l.flows = [directions]Flow{Pass, Pass}
+		l.slow = Slowness{}
 		l.mute = false
 		l.left = [directions]int64{noCut, noCut}
 	})
@@ -175,12 +184,12 @@
 	return l.listen()
 }
 
-// close ends the link.
-func (l *link) close() {
+// Close ends the link.
+func (l *Link) Close() {
 	l.mu.Lock()
 	l.closed = true
 	l.mu.Unlock()
-	l.cut()
+	l.Cut()
 	l.pumps.Wait()
 }
 
@@ -189,19 +198,19 @@
 	// pass bytes go on; drop loses the rest; cut ends the connection after them.
 	pass      int
 	drop, cut bool
-	slow      slowness
+	slow      Slowness
 	// wait, if not nil, is closed when the question should be asked again; nothing passes before.
 	wait <-chan struct{}
 }
 
 // judge decides on n bytes of a direction of a pipe.
-func (l *link) judge(p *pipe, d direction, n int) verdict {
+func (l *Link) judge(p *pipe, d Direction, n int) verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch l.flows[d] {
-	case flowHold:
+	case Hold:
 		return verdict{wait: l.changed}
-	case flowVanish:
+	case Vanish:
 		p.lost = true
 		return verdict{drop: true}
 	}
@@ -219,7 +228,7 @@
 }
 
 // dial connects to the target unless the link is mute; then it waits until it no longer is, and gives up.
-func (l *link) dial(p *pipe) (*net.TCPConn, bool) {
+func (l *Link) dial(p *pipe) (*net.TCPConn, bool) {
 	l.mu.Lock()
 	mute := l.mute
 	p.lost = mute
--- a/test/proxy_self_test.go
+++ b/internal/faultlink/link_test.go
@@ -1,4 +1,4 @@
-package test
+package faultlink
 
 import (
 	"errors"
@@ -39,17 +39,17 @@
 	return listener.Addr().String()
 }
 
-func startLink(t *testing.T) *link {
+func startLink(t *testing.T) *Link {
 	t.Helper()
-	l, err := newLink("self", "127.0.0.1:0", startEcho(t))
+	l, err := New("127.0.0.1:0", startEcho(t))
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(l.close)
+	t.Cleanup(l.Close)
 	return l
 }
 
-func dialLink(t *testing.T, l *link) *net.TCPConn {
+func dialLink(t *testing.T, l *Link) *net.TCPConn {
 	t.Helper()
 	conn, err := net.DialTimeout("tcp", l.address, selfPatience)
 	if err != nil {
@@ -92,9 +92,9 @@
 	}
 }
 
-func heal(t *testing.T, l *link) {
+func heal(t *testing.T, l *Link) {
 	t.Helper()
-	if err := l.heal(); err != nil {
+	if err := l.Heal(); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -102,9 +102,9 @@
 func TestLinkFaults(t *testing.T) {
 	cases := []struct {
 		name string
-		run  func(t *testing.T, l *link)
+		run  func(t *testing.T, l *Link)
 	}{
-		{"pass and end", func(t *testing.T, l *link) {
+		{"pass and end", func(t *testing.T, l *Link) {
 			c := dialLink(t, l)
 			send(t, c, "hello")
 			wantText(t, c, "hello")
@@ -113,11 +113,11 @@
 				t.Fatalf("read %q, %v; want a clean end", rest, err)
 			}
 		}},
-		{"cut resets and refuses until healed", func(t *testing.T, l *link) {
+		{"cut resets and refuses until healed", func(t *testing.T, l *Link) {
 			c := dialLink(t, l)
 			send(t, c, "hello")
 			wantText(t, c, "hello")
-			l.cut()
+			l.Cut()
 			wantReset(t, c)
 			if _, err := net.Dial("tcp", l.address); !errors.Is(err, syscall.ECONNREFUSED) {
 				t.Fatalf("dial: %v; want a refusal", err)
@@ -127,33 +127,33 @@
 			send(t, c, "again")
 			wantText(t, c, "again")
 		}},
-		{"hold delivers late", func(t *testing.T, l *link) {
+		{"hold delivers late", func(t *testing.T, l *Link) {
 			c := dialLink(t, l)
-			l.block(toClient, flowHold)
+			l.Block(ToClient, Hold)
 			send(t, c, "late")
 			wantSilence(t, c)
 			heal(t, l)
 			wantText(t, c, "late")
 		}},
-		{"vanish loses one direction and resets when healed", func(t *testing.T, l *link) {
+		{"vanish loses one direction and resets when healed", func(t *testing.T, l *Link) {
 			c := dialLink(t, l)
-			l.block(toServer, flowVanish)
+			l.Block(ToServer, Vanish)
 			send(t, c, "lost")
 			wantSilence(t, c)
 			heal(t, l)
 			wantReset(t, c)
 		}},
-		{"vanish swallows the end too", func(t *testing.T, l *link) {
+		{"vanish swallows the end too", func(t *testing.T, l *Link) {
 			c := dialLink(t, l)
-			l.block(toServer, flowVanish)
+			l.Block(ToServer, Vanish)
 			_ = c.CloseWrite()
 			wantSilence(t, c)
 		}},
-		{"freeze accepts and says nothing", func(t *testing.T, l *link) {
+		{"freeze accepts and says nothing", func(t *testing.T, l *Link) {
 			old := dialLink(t, l)
 			send(t, old, "a")
 			wantText(t, old, "a")
-			l.freeze(flowHold)
+			l.Freeze(Hold)
 			fresh := dialLink(t, l)
 			send(t, fresh, "x")
 			send(t, old, "b")
@@ -163,8 +163,8 @@
 			wantText(t, old, "b")
 			wantReset(t, fresh)
 		}},
-		{"slow takes its time", func(t *testing.T, l *link) {
-			l.setSlow(slowness{delay: 20 * time.Millisecond, bytesPerSecond: 1000})
+		{"slow takes its time", func(t *testing.T, l *Link) {
+			l.SetSlow(Slowness{Delay: 20 * time.Millisecond, BytesPerSecond: 1000})
 			c := dialLink(t, l)
 			began := time.Now()
 			send(t, c, "0123456789")
@@ -174,9 +174,9 @@
 				t.Fatalf("took %v; want at least 60ms", took)
 			}
 		}},
-		{"cut after a number of bytes, once", func(t *testing.T, l *link) {
+		{"cut after a number of bytes, once", func(t *testing.T, l *Link) {
 			c := dialLink(t, l)
-			l.cutAfter(toClient, 4)
+			l.CutAfter(ToClient, 4)
 			send(t, c, "abcdef")
 			_ = c.SetReadDeadline(time.Now().Add(selfPatience))
 			got, err := io.ReadAll(c)
--- a/test/pipe_test.go
+++ b/internal/faultlink/pipe.go
@@ -1,4 +1,4 @@
-package test
+package faultlink
 
 import (
 	"errors"
@@ -10,7 +10,7 @@
 
 // pipe is one connection through a link.
 type pipe struct {
-	link   *link
+	link   *Link
 	client *net.TCPConn
 	done   chan struct{}
 	once   sync.Once
@@ -36,8 +36,8 @@
 		}
 	}()
 	var pumps sync.WaitGroup
-	pumps.Go(func() { p.pump(toServer, p.client, server) })
-	pumps.Go(func() { p.pump(toClient, server, p.client) })
+	pumps.Go(func() { p.pump(ToServer, p.client, server) })
+	pumps.Go(func() { p.pump(ToClient, server, p.client) })
 	pumps.Wait()
 	close(stop)
 }
@@ -49,7 +49,7 @@
 	delete(p.link.pipes, p)
 }
 
-// reset ends the connection on both sides with a reset.
+// Reset ends the connection on both sides with a reset.
 func (p *pipe) reset() {
 	p.once.Do(func() {
 		close(p.done)
@@ -67,7 +67,7 @@
 const pumpBytes = 16 << 10
 
 // pump passes one direction on until it ends. The end is passed on like data; a failure resets the connection.
-func (p *pipe) pump(d direction, from, to *net.TCPConn) {
+func (p *pipe) pump(d Direction, from, to *net.TCPConn) {
 	buffer := make([]byte, pumpBytes)
 	for {
 		n, err := from.Read(buffer)
@@ -88,7 +88,7 @@
 
 // pass brings a piece of data to the other side as the link's faults let it. It reports whether the connection goes on.
 // Empty data stands for the end.
-func (p *pipe) pass(d direction, to *net.TCPConn, data []byte) bool {
+func (p *pipe) pass(d Direction, to *net.TCPConn, data []byte) bool {
 	for {
 		v := p.link.judge(p, d, len(data))
 		if v.wait != nil {
@@ -121,10 +121,10 @@
 }
 
 // sleep takes the time that a slow link needs for n bytes.
-func (p *pipe) sleep(s slowness, n int) bool {
-	d := s.delay
-	if s.bytesPerSecond > 0 {
-		d += time.Duration(n) * time.Second / time.Duration(s.bytesPerSecond)
+func (p *pipe) sleep(s Slowness, n int) bool {
+	d := s.Delay
+	if s.BytesPerSecond > 0 {
+		d += time.Duration(n) * time.Second / time.Duration(s.BytesPerSecond)
 	}
 	if d <= 0 {
 		return true
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"balsamsail/internal/backing"
+	"balsamsail/internal/faultlink"
 	"balsamsail/internal/operator"
 	"balsamsail/internal/settings"
 )
@@ -75,7 +76,7 @@
 	platform  *platformHost
 	entries   []*entryHost
 	endpoints []*endpointHost
-	links     map[linkID]*link
+	links     map[linkID]*faultlink.Link
 	linkIP    string
 	operators *operator.Client
 	// declared is the first revision, and begun when the cluster began to start.
@@ -106,7 +107,7 @@
 	c := &cluster{
 		t:        t,
 		dir:      t.TempDir(),
-		links:    map[linkID]*link{},
+		links:    map[linkID]*faultlink.Link{},
 		linkIP:   takeAddress(t),
 		platform: startPlatform(t),
 		begun:    time.Now(),
@@ -170,11 +171,11 @@
 		Kind:        e.kind,
 		Labels:      "pool=models",
 		Endpoint:    at(e.ip, portEndpoint),
-		EndpointURL: "http://" + c.link(agent, e.name).address,
+		EndpointURL: "http://" + c.link(agent, e.name).Address(),
 		Agent:       at(e.ip, portAgent),
 		AgentHTTP:   at(e.ip, portAgentHTTP),
-		PlatformURL: "http://" + c.link(agent, platformEnd).address,
-		WeightsURL:  "http://" + c.link(e.name, weightsEnd).address,
+		PlatformURL: "http://" + c.link(agent, platformEnd).Address(),
+		WeightsURL:  "http://" + c.link(e.name, weightsEnd).Address(),
 		Fences:      e.fences,
 		IdleMin:     100 * time.Millisecond,
 		IdleMax:     300 * time.Millisecond,
@@ -215,28 +216,28 @@
 	c.addLink(e.name, platformEnd, c.platform.front(e.name))
 	for _, endpoint := range c.endpoints {
 		c.addLink(e.name, endpoint.name, at(endpoint.ip, portAgent))
-		c.platform.route(e.name, endpoint.host().ID, c.link(e.name, endpoint.name).address)
+		c.platform.route(e.name, endpoint.host().ID, c.link(e.name, endpoint.name).Address())
 	}
 	for _, other := range c.entries {
 		if other == e {
 			continue
 		}
 		c.addLink(e.name, other.name, at(other.ip, portOperators))
-		c.platform.route(e.name, other.name, c.link(e.name, other.name).address)
+		c.platform.route(e.name, other.name, c.link(e.name, other.name).Address())
 	}
 	file := writeSettings(c.t, c.dir, "entry", e.name, entrySettings{
 		Name:        e.name,
 		Domain:      e.domain,
 		Callers:     at(e.ip, portCallers),
 		Operators:   at(e.ip, portOperators),
-		PlatformURL: "http://" + c.link(e.name, platformEnd).address,
+		PlatformURL: "http://" + c.link(e.name, platformEnd).Address(),
 	})
 	e.process = newProcess(c.t, c.dir, e.name, e.operatorsURL()+"/readyz", "entry", "-config", file)
 }
 
 func (c *cluster) addLink(from, to, target string) {
 	c.t.Helper()
-	l, err := newLink(from+">"+to, at(c.linkIP, 0), target)
+	l, err := faultlink.New(at(c.linkIP, 0), target)
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -244,7 +245,7 @@
 }
 
 // link returns the link over which one process reaches another.
-func (c *cluster) link(from, to string) *link {
+func (c *cluster) link(from, to string) *faultlink.Link {
 	c.t.Helper()
 	l, ok := c.links[linkID{from, to}]
 	if !ok {
@@ -255,7 +256,7 @@
 
 func (c *cluster) closeLinks() {
 	for _, l := range c.links {
-		l.close()
+		l.Close()
 	}
 }
 
--- a/test/failure_table_test.go
+++ b/test/failure_table_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"balsamsail/internal/faultlink"
 	standin "balsamsail/internal/standin/platform"
 )
 
@@ -76,36 +77,40 @@
 
 // linkFailures are faults of the paths between processes.
 func linkFailures() []failure {
-	half := func(d direction) func(*link) { return func(l *link) { l.block(d, flowVanish) } }
-	silent := func(l *link) { l.freeze(flowHold) }
-	slow := func(l *link) { l.setSlow(slowness{delay: 150 * time.Millisecond, bytesPerSecond: 64 << 10}) }
+	half := func(d faultlink.Direction) func(*faultlink.Link) {
+		return func(l *faultlink.Link) { l.Block(d, faultlink.Vanish) }
+	}
+	silent := func(l *faultlink.Link) { l.Freeze(faultlink.Hold) }
+	slow := func(l *faultlink.Link) {
+		l.SetSlow(faultlink.Slowness{Delay: 150 * time.Millisecond, BytesPerSecond: 64 << 10})
+	}
 	list := []failure{
-		linkFailure("cut", "All connections are reset and new ones refused.", "entry-1", "engine-1", (*link).cut),
-		linkFailure("deaf", "What the entry sends is lost, the agent's reports still come.", "entry-1", "engine-2", half(toServer)),
-		linkFailure("mute", "The agent hears the entry, its answers are lost.", "entry-2", "engine-1", half(toClient)),
+		linkFailure("cut", "All connections are reset and new ones refused.", "entry-1", "engine-1", (*faultlink.Link).Cut),
+		linkFailure("deaf", "What the entry sends is lost, the agent's reports still come.", "entry-1", "engine-2", half(faultlink.ToServer)),
+		linkFailure("mute", "The agent hears the entry, its answers are lost.", "entry-2", "engine-1", half(faultlink.ToClient)),
 		linkFailure("silent", "Nothing comes through either way and nothing is closed; later all of it comes.", "entry-3", "engine-3", silent),
 		linkFailure("slow", "Each piece of data takes 150 ms and more.", "entry-1", "engine-4", slow),
-		linkFailure("cut", "Committed calls lose their connection.", "entry-1", "ledger-1", (*link).cut),
-		linkFailure("mute", "The agent gets the commit, its answer is lost.", "entry-2", "ledger-1", half(toClient)),
-		linkFailure("cut", "Orders and answers lose their connection.", agentName("engine-1"), "engine-1", (*link).cut),
-		linkFailure("deaf", "Orders and requests of the agent are lost on their way.", agentName("engine-3"), "engine-3", half(toServer)),
-		linkFailure("mute", "The engine carries orders out, its answers are lost.", agentName("engine-3"), "engine-3", half(toClient)),
+		linkFailure("cut", "Committed calls lose their connection.", "entry-1", "ledger-1", (*faultlink.Link).Cut),
+		linkFailure("mute", "The agent gets the commit, its answer is lost.", "entry-2", "ledger-1", half(faultlink.ToClient)),
+		linkFailure("cut", "Orders and answers lose their connection.", agentName("engine-1"), "engine-1", (*faultlink.Link).Cut),
+		linkFailure("deaf", "Orders and requests of the agent are lost on their way.", agentName("engine-3"), "engine-3", half(faultlink.ToServer)),
+		linkFailure("mute", "The engine carries orders out, its answers are lost.", agentName("engine-3"), "engine-3", half(faultlink.ToClient)),
 		linkFailure("silent", "Orders are held up and come late.", agentName("engine-4"), "engine-4", silent),
-		linkFailure("mute", "The service runs calls, its answers are lost.", agentName("ledger-1"), "ledger-1", half(toClient)),
-		linkFailure("cut", "One agent does not reach the table.", agentName("engine-1"), platformEnd, (*link).cut),
-		linkFailure("mute", "The entry's writes take effect, their answers are lost.", "entry-1", platformEnd, half(toClient)),
+		linkFailure("mute", "The service runs calls, its answers are lost.", agentName("ledger-1"), "ledger-1", half(faultlink.ToClient)),
+		linkFailure("cut", "One agent does not reach the table.", agentName("engine-1"), platformEnd, (*faultlink.Link).Cut),
+		linkFailure("mute", "The entry's writes take effect, their answers are lost.", "entry-1", platformEnd, half(faultlink.ToClient)),
 	}
 	return append(list, cutWithinAnswer())
 }
 
-func linkFailure(name, story, from, to string, spoil func(*link)) failure {
+func linkFailure(name, story, from, to string, spoil func(*faultlink.Link)) failure {
 	inject, heal := withLinks(oneLink(from, to), spoil)
 	return made(from+">"+to+" "+name, story, silenceLasts, inject, heal)
 }
 
 // cutWithinAnswer cuts the connection of an engine within an answer, again and again.
 func cutWithinAnswer() failure {
-	inject, heal := withLinks(oneLink(agentName("engine-2"), "engine-2"), func(l *link) { l.cutAfter(toClient, 1500) })
+	inject, heal := withLinks(oneLink(agentName("engine-2"), "engine-2"), func(l *faultlink.Link) { l.CutAfter(faultlink.ToClient, 1500) })
 	return made("connection cut within an answer", `The connection to an engine is reset after some bytes of an answer. The
 caller must not take what came for the whole.`, blip, inject, heal)
 }
--- a/test/failures_test.go
+++ b/test/failures_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"balsamsail/internal/backing"
+	"balsamsail/internal/faultlink"
 	"balsamsail/internal/standin/control"
 	standin "balsamsail/internal/standin/platform"
 )
@@ -101,7 +102,7 @@
 }
 
 // withLinks builds a failure of links.
-func withLinks(choose func(c *cluster) []*link, spoil func(*link)) (inject, heal func(c *cluster)) {
+func withLinks(choose func(c *cluster) []*faultlink.Link, spoil func(*faultlink.Link)) (inject, heal func(c *cluster)) {
 	inject = func(c *cluster) {
 		for _, l := range choose(c) {
 			spoil(l)
@@ -110,8 +111,8 @@
 	heal = func(c *cluster) {
 		c.t.Helper()
 		for _, l := range choose(c) {
-			if err := l.heal(); err != nil {
-				c.t.Fatalf("%s: %v", l.name, err)
+			if err := l.Heal(); err != nil {
+				c.t.Fatalf("link at %s: %v", l.Address(), err)
 			}
 		}
 	}
@@ -119,8 +120,8 @@
 }
 
 // oneLink chooses one link.
-func oneLink(from, to string) func(c *cluster) []*link {
-	return func(c *cluster) []*link { return []*link{c.link(from, to)} }
+func oneLink(from, to string) func(c *cluster) []*faultlink.Link {
+	return func(c *cluster) []*faultlink.Link { return []*faultlink.Link{c.link(from, to)} }
 }
 
 // loseHost takes an endpoint's host away, as the platform does when it reclaims one.
--- a/test/outages_test.go
+++ b/test/outages_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"balsamsail/internal/faultlink"
 	standin "balsamsail/internal/standin/platform"
 )
 
@@ -25,8 +26,8 @@
 		c.editAt("entry-1")
 		tableDown(c)
 	}
-	cut, healed := withLinks(oneLink("entry-1", platformEnd), (*link).cut)
-	silent, heard := withLinks(oneLink("entry-2", platformEnd), func(l *link) { l.freeze(flowHold) })
+	cut, healed := withLinks(oneLink("entry-1", platformEnd), (*faultlink.Link).Cut)
+	silent, heard := withLinks(oneLink("entry-2", platformEnd), func(l *faultlink.Link) { l.Freeze(faultlink.Hold) })
 	return []failure{
 		made("table down for long", `The table goes down right after an edit was accepted by one entry. The others cannot
 read it, and the operator was told that it is in force everywhere within seconds.`, outageLasts, acceptedThenDown, tableUp),
