--- a/test/evidence_test.go
+++ b/test/evidence_test.go
@@ -175,7 +175,7 @@
 func checkLogs(e *evidence) *violations {
 	v := &violations{property: "no process is wrong in itself"}
 	for _, p := range e.cluster.processes() {
-		data, err := os.ReadFile(p.log)
+		data, err := os.ReadFile(p.child.Log)
 		if err != nil {
 			v.add("%s: %v", p.name, err)
 		}
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -5,14 +5,14 @@
 	"io"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
-	"runtime"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
+
+	"balsamsail/internal/childprocess"
 )
 
 // The bounds of waits for a process.
@@ -26,17 +26,10 @@
 type process struct {
 	t *testing.T
 	// name is unique in the cluster.
-	name string
-	args []string
+	name  string
+	child *childprocess.Process
 	// probe is a URL that answers with 200 once the process is ready.
-	probe string
-	log   string
-
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	exited  chan struct{}
-	exit    error
-	frozen  bool
+	probe   string
 	absence absences
 }
 
@@ -80,66 +73,29 @@
 
 // newProcess describes a process; start starts it. When the test ends it is killed, whatever its state.
 func newProcess(t *testing.T, dir, name, probe string, args ...string) *process {
-	p := &process{t: t, name: name, args: args, probe: probe, log: filepath.Join(dir, name+".log")}
+	child := &childprocess.Process{Name: name, Args: args, Log: filepath.Join(dir, name+".log")}
+	p := &process{t: t, name: name, child: child, probe: probe}
 	t.Cleanup(p.kill)
 	return p
 }
 
-// starter starts all processes from one thread that lives as long as the tests, because the kernel kills a child that
-// was started with Pdeathsig when the thread that started it ends.
-var starter = sync.OnceValue(func() chan<- func() {
-	work := make(chan func())
-	go func() {
-		runtime.LockOSThread()
-		for f := range work {
-			f()
-		}
-	}()
-	return work
-})
-
 // start starts the process, unless it runs, without waiting for it to be ready.
 func (p *process) start() {
 	p.t.Helper()
-	if p.signal(0) {
-		return
-	}
-	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		p.t.Fatal(err)
-	}
 	binary, err := buildBinary()
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	cmd := exec.Command(binary, p.args...)
-	cmd.Stdout, cmd.Stderr = log, log
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	started := make(chan error)
-	starter() <- func() { started <- cmd.Start() }
-	if err := <-started; err != nil {
-		p.t.Fatalf("%s: %v", p.name, err)
+	p.child.Path = binary
+	if err := p.child.Start(); err != nil {
+		p.t.Fatal(err)
 	}
-	exited := make(chan struct{})
-	p.mu.Lock()
-	p.cmd, p.exited, p.frozen = cmd, exited, false
-	p.mu.Unlock()
-	go func() {
-		err := cmd.Wait()
-		_ = log.Close()
-		p.mu.Lock()
-		p.exit = err
-		p.mu.Unlock()
-		close(exited)
-	}()
 }
 
 // awaitReady waits until the process is ready.
 func (p *process) awaitReady() {
 	p.t.Helper()
-	p.mu.Lock()
-	exited := p.exited
-	p.mu.Unlock()
+	exited := p.child.Exited()
 	deadline := time.Now().Add(readyPatience)
 	last := "no answer"
 	for time.Now().Before(deadline) {
@@ -153,7 +109,7 @@
 		}
 		select {
 		case <-exited:
-			p.t.Fatalf("%s ended before it was ready: %v", p.name, p.exit)
+			p.t.Fatalf("%s ended before it was ready: %v", p.name, p.child.ExitError())
 		case <-time.After(pollInterval):
 		}
 	}
@@ -174,26 +130,12 @@
 }
 
 // signal sends a signal to the process if it runs.
-func (p *process) signal(s syscall.Signal) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cmd == nil {
-		return false
-	}
-	select {
-	case <-p.exited:
-		return false
-	default:
-		return p.cmd.Process.Signal(s) == nil
-	}
-}
+func (p *process) signal(s syscall.Signal) bool { return p.child.Signal(s) }
 
 // kill ends the process at once and waits until it is gone.
 func (p *process) kill() {
 	p.absence.begin()
-	if p.signal(syscall.SIGKILL) {
-		<-p.exited
-	}
+	p.child.Kill()
 }
 
 // stop asks the process to stop, waits for it and returns its error, nil for a clean exit.
@@ -202,9 +144,7 @@
 	if !p.signal(syscall.SIGTERM) {
 		p.t.Fatalf("%s does not run", p.name)
 	}
-	p.mu.Lock()
-	exited := p.exited
-	p.mu.Unlock()
+	exited := p.child.Exited()
 	select {
 	case <-exited:
 	case <-time.After(stopPatience):
@@ -212,9 +152,7 @@
 		p.kill()
 	}
 	p.absence.begin()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.exit
+	return p.child.ExitError()
 }
 
 // freeze suspends the process until thaw.
@@ -244,7 +182,7 @@
 
 // logTail returns the last lines of the process's log.
 func (p *process) logTail(lines int) string {
-	data, err := os.ReadFile(p.log)
+	data, err := os.ReadFile(p.child.Log)
 	if err != nil {
 		return err.Error()
 	}
