gateway: a stream is not given up while no other engine can go on with it

In the same way a stream whose only engine reset one connection was cut, although it can go on there. Ruled out: a configuration change as the cause (the route was the same). Before: TestStalledStreamStaysWhereNobodyElseServes and TestBrokenStreamGoesOnAtItsOnlyEngine end with an unexpected EOF; after: pass.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -84,6 +84,16 @@
 	return Choice{ID: e.ID, Address: e.Address, sent: &sending{prompts: w.PromptTokens}}, prospect, true
 }
 
+// HasOther reports whether an endpoint that has not had a request could take it now.
+func (f *Fleet) HasOther(now time.Time, w *Want) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	candidates, _ := f.candidates(now, w)
+	return slices.ContainsFunc(candidates, func(c routing.Candidate) bool {
+		return c.HasAdapter && !slices.Contains(w.Tried, c.Endpoint)
+	})
+}
+
 // candidates lists the endpoints that may take a request now. Where no engine holds the adapter, the list has just the one
 // engine that should fetch it.
 func (f *Fleet) candidates(now time.Time, w *Want) ([]routing.Candidate, Prospect) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -46,7 +46,7 @@
 	}()
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
-	watchdog := time.AfterFunc(g.patience(q), func() { cancel(errSilent) })
+	watchdog := g.watchSilence(q, cancel)
 	defer watchdog.Stop()
 	result, err := g.client.Do(g.codec.NewRequest(ctx, q.inbound, q.body, Attempt{
 		Address:     choice.Address,
@@ -80,6 +80,29 @@
 	return g.passWhole(parent, out, q, choice, result, began)
 }
 
+// stillSilent is the time between two looks for another endpoint while the one that has the request is silent.
+const stillSilent = 200 * time.Millisecond
+
+// watchSilence ends an attempt whose endpoint says nothing for too long, once another one can take the request.
+//
+// Without another one the silence is waited out: an engine that puts a stream back for more urgent ones is silent for seconds
+// and then goes on with it, and a client that was cut off in the meantime had nothing.
+func (g *Gateway) watchSilence(q *request, cancel context.CancelCauseFunc) *time.Timer {
+	want := q.want
+	started := make(chan *time.Timer, 1)
+	watchdog := time.AfterFunc(g.patience(q), func() {
+		timer := <-started
+		started <- timer
+		if time.Now().Before(q.until) && !g.fleet.HasOther(time.Now(), &want) {
+			timer.Reset(stillSilent)
+			return
+		}
+		cancel(errSilent)
+	})
+	started <- watchdog
+	return watchdog
+}
+
 // patience is how long the endpoint may stay silent before its first byte.
 func (g *Gateway) patience(q *request) time.Duration {
 	left := time.Until(q.until)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -108,6 +109,43 @@
 	}
 }
 
+// Story: an engine puts a stream back for a second and a half, because more urgent requests need its memory, and goes on. No
+// other engine holds the model. The gateway took the pause for a failure, cancelled the stream, found nobody to go on with it,
+// and cut the client off in the middle of an answer that was being made.
+func TestStalledStreamStaysWhereNobodyElseServes(t *testing.T) {
+	t.Parallel()
+	pauses := func(w http.ResponseWriter, r *http.Request) {
+		events(1, 2, false)(w, r)
+		time.Sleep(minStall + 400*time.Millisecond)
+		for i := 3; i <= 4; i++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", i, i)
+		}
+	}
+	r := newRig(t, map[string]endpointScript{"engine-1": pauses})
+	if got := r.send("a", "/case/x", "m"); got.err != nil || numbers(got.body) != "1,2,3,4" || r.ran("a") != 1 {
+		t.Errorf("events %s, error %v, %d runs, want 1 to 4 of one run", numbers(got.body), got.err, r.ran("a"))
+	}
+}
+
+// Story: the only engine that holds a model resets a connection in the middle of a stream, as a faulty one does, and serves on.
+// The client was cut off, although the stream can go on at the same engine.
+func TestBrokenStreamGoesOnAtItsOnlyEngine(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, map[string]endpointScript{"engine-1": func(w http.ResponseWriter, request *http.Request) {
+		if request.Header.Get("After") == "" {
+			events(1, 3, true)(w, request)
+			return
+		}
+		events(1, 6, false)(w, request)
+	}})
+	if got := r.send("a", "/case/x", "m"); got.err != nil || numbers(got.body) != "1,2,3,4,5,6" {
+		t.Errorf("events %s, error %v, want 1 to 6 once each", numbers(got.body), got.err)
+	}
+	if got := r.send("b", "/chat/x", "m"); got.err == nil {
+		t.Error("a stream that may run only once was sent again")
+	}
+}
+
 // Story: a gateway is told to stop while a request waits for a model that no engine holds, and another is at an endpoint that
 // does not answer. Both connections used to be closed without an answer when the time to stop was over; the clients could not
 // know whether their requests had run. The first must be refused with a time to come back, the second be told that its
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -113,10 +113,11 @@
 	case fleet.NoEndpoints:
 		return false
 	case fleet.AllTried:
-		if q.want.Model == "" || q.mayHaveRun {
+		if q.want.Model == "" || q.mayHaveRun && !q.repeatable() {
 			return false
 		}
-		// Every engine that holds the model has refused the request as not run; they are asked again after a pause.
+		// Every engine that holds the model has refused the request as not run, or broke off its answer: most models have one
+		// engine, and one that reset a connection serves on. They are asked again after a pause.
 		q.want.Tried = nil
 		return true
 	}
