--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -32,7 +32,8 @@
 	// budgetUse is the part of the retry budget of all gateways that they use. The rest covers what each counts otherwise
 	// than the judge of the budget does: requests that gateways which were restarted have forgotten.
 	budgetUse = 0.6
-	// assumedGateways divides the shared part of the retry budget before the gateways know each other.
+	// assumedGateways is the least number of gateways by which the shared part of the retry budget is divided: a gateway that
+	// starts, or loses its links to agents, knows none but itself.
 	assumedGateways = 6
 )
 
@@ -87,14 +88,15 @@
 	return control.Options{Self: string(c.Listen), Interval: c.Interval, Heartbeat: c.Heartbeat, SilenceLimit: c.SilenceLimit}
 }
 
-func newGateway(s *settings.Gateway, f *fleet.Fleet, l *slog.Logger, m *gateway.Metrics) *gateway.Gateway {
+func newGateway(s *settings.Gateway, f *fleet.Fleet, p *control.Peers, l *slog.Logger, m *gateway.Metrics) *gateway.Gateway {
 	options := gateway.Options{
 		Seed: rand.Uint64(),
 		Budget: routing.BudgetOptions{
 			Share:          s.Retries.Share * budgetUse,
-			Burst:          max(1, s.Retries.Extra*budgetUse/assumedGateways),
+			Burst:          s.Retries.Extra * budgetUse,
 			FloorPerSecond: 0.05,
 		},
+		SharedBy: func() int { return max(p.Known(), assumedGateways) },
 	}
 	transport := &http.Transport{
 		DialContext:         netconn.DialAbortive(),
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"balsamsail/internal/control/controlpb"
@@ -38,6 +39,8 @@
 	since time.Time
 	// kick wakes the link to the coordinator; nil while this gateway is it.
 	kick chan struct{}
+	// known is how many gateways there are, as far as agents name them.
+	known atomic.Int64
 	// waiting is signalled when a request of any gateway begins to wait.
 	waiting chan struct{}
 }
@@ -77,6 +80,9 @@
 	}()
 }
 
+// Known is how many gateways there are, this one included, as far as agents have lately named them.
+func (p *Peers) Known() int { return max(1, int(p.known.Load())) }
+
 // Waiting is signalled when a request of any gateway begins to wait for a model.
 func (p *Peers) Waiting() <-chan struct{} { return p.waiting }
 
@@ -87,7 +93,9 @@
 	ticker := time.NewTicker(p.options.Interval)
 	defer ticker.Stop()
 	for {
-		if next := slices.Min(p.agents.Peers(time.Now())); next != current {
+		peers := p.agents.Peers(time.Now())
+		p.known.Store(int64(len(peers)))
+		if next := slices.Min(peers); next != current {
 			p.logger.Info("coordinator chosen", "event", "coordinator", "before", current, "now", next)
 			stop()
 			current = next
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,8 +36,10 @@
 
 // Options are the settings of a Gateway.
 type Options struct {
-	// Budget bounds the repeated sendings to each service.
+	// Budget bounds the repeated sendings to each service. Its Burst is that of all gateways together.
 	Budget routing.BudgetOptions
+	// SharedBy is how many gateways share the budget's Burst.
+	SharedBy func() int
 	// Seed seeds the choice of a split route's service.
 	Seed uint64
 }
@@ -235,13 +237,16 @@
 	return q.arrived.Add(time.Duration(pacingShare * float64(target)))
 }
 
-// budget returns the retry budget of a service.
+// budget returns the retry budget of a service. Its part of what may be saved up follows the number of gateways: divided by a
+// fixed number, a site with four times as many repeated four times as much as its endpoints were to get in the first seconds of
+// a fault.
 func (g *Gateway) budget(service string) *routing.RetryBudget {
 	b := g.budgets[service]
 	if b == nil {
 		b = routing.NewRetryBudget(g.options.Budget)
 		g.budgets[service] = b
 	}
+	b.Resize(max(1, g.options.Budget.Burst/float64(g.options.SharedBy())))
 	return b
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -146,6 +146,22 @@
 	}
 }
 
+// Story: two thirds of a large site's endpoints begin to hang up. Each of its gateways repeated as much as a sixth of the site's
+// budget allows, although there were many more of them, and the endpoints that were left got several times what they were to
+// bear. With a hundred gateways each has one repetition saved up.
+func TestRetryBudgetIsDividedByTheGateways(t *testing.T) {
+	r := newRig(t, map[string]endpointScript{"plain-1": hangsUp, "plain-2": hangsUp})
+	r.gateways = 100
+	sent := 0
+	for _, id := range []string{"a", "b", "c", "d"} {
+		r.send(id, "/read/x", "")
+		sent += r.ran(id)
+	}
+	if sent != 5 {
+		t.Errorf("4 requests were sent %d times, want one repetition", sent)
+	}
+}
+
 // Story: a gateway is told to stop while a request waits for a model that no engine holds, and another is at an endpoint that
 // does not answer. Both connections used to be closed without an answer when the time to stop was over; the clients could not
 // know whether their requests had run. The first must be refused with a time to come back, the second be told that its
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -70,6 +70,8 @@
 	server  *httptest.Server
 	// endpoints are those that are listed at first.
 	endpoints map[string]catalog.Endpoint
+	// gateways is how many share the budget of repeated sendings.
+	gateways int
 
 	mu   sync.Mutex
 	runs map[string]int
@@ -94,7 +96,9 @@
 	}
 	r.fleet.SetConfig(testConfig())
 	r.fleet.SetEndpoints(list)
-	r.gateway = New(Options{Budget: routing.BudgetOptions{Burst: 100}}, testCodec{}, r.fleet, &http.Transport{}, slog.New(slog.DiscardHandler), metrics)
+	r.gateways = 1
+	options := Options{Budget: routing.BudgetOptions{Burst: 100}, SharedBy: func() int { return r.gateways }}
+	r.gateway = New(options, testCodec{}, r.fleet, &http.Transport{}, slog.New(slog.DiscardHandler), metrics)
 	r.server = httptest.NewServer(r.gateway)
 	t.Cleanup(r.server.Close)
 	return r
--- a/internal/routing/budget.go
+++ b/internal/routing/budget.go
@@ -38,6 +38,12 @@
 	return &RetryBudget{options: options, tokens: options.Burst}
 }
 
+// Resize changes how many retries can be saved up, for a budget that several processes share by their number.
+func (b *RetryBudget) Resize(burst float64) {
+	b.options.Burst = burst
+	b.tokens = min(b.tokens, burst)
+}
+
 // Success notes a request that was served.
 func (b *RetryBudget) Success() {
 	b.tokens = min(b.options.Burst, b.tokens+b.options.Share)
