--- a/cmd/balsamsail/timeline.go
+++ b/cmd/balsamsail/timeline.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
 
 	"balsamsail/internal/operator"
 	"balsamsail/internal/timeline"
@@ -28,7 +29,9 @@
 	endpoints := flags.String("endpoint", "", "only events of these `endpoints`")
 	kinds := flags.String("kind", "", "only events of these `kinds`")
 	follow := flags.Bool("follow", false, "go on with what is new")
-	return f.command("timeline", "[-request ID] [-model M] [-follow]", "merge the events of all processes into one order", readCodes, flags,
+	logs := flags.String("logs", "", "read these log `files` of gateways and engine agents instead, separated by commas; - is standard input")
+	causes := flags.Duration("causes", 0, "with -logs and -request: also what befell the request's model, engines and gateway from this `time` before it on")
+	return f.command("timeline", "[-request ID] [-model M] [-follow] [-logs FILES [-causes 10s]]", "merge the events of all processes into one order", readCodes, flags,
 		func(ctx context.Context, args []string) error {
 			if err := noArguments(args); err != nil {
 				return err
@@ -37,9 +40,12 @@
 			for _, k := range list(*kinds) {
 				filter.Kinds = append(filter.Kinds, timeline.Kind(k))
 			}
+			printer := timeline.NewPrinter(os.Stdout, timeline.Format(f.format))
+			if *logs != "" {
+				return printLogs(list(*logs), filter, *causes, printer)
+			}
 			client := f.client()
 			collector := timeline.NewCollector(&http.Client{Timeout: collectPatience}, filter)
-			printer := timeline.NewPrinter(os.Stdout, timeline.Format(f.format))
 			urls := func(ctx context.Context) ([]string, error) { return processURLs(ctx, client) }
 			if *follow {
 				return collector.Follow(ctx, followInterval, urls, printer.Print)
@@ -52,6 +58,45 @@
 		})
 }
 
+// printLogs prints what logs tell of a filter's events, or of the causes of how requests ended.
+func printLogs(files []string, filter timeline.Filter, causes time.Duration, printer *timeline.Printer) error {
+	if causes > 0 && len(filter.Requests) == 0 {
+		return errors.Wrap(errUsage, "-causes needs -request")
+	}
+	var lines timeline.LogLines
+	for _, name := range files {
+		if err := readLog(&lines, name); err != nil {
+			return err
+		}
+	}
+	if causes == 0 {
+		return printer.Print(lines.Collection(lines.Matching(filter)))
+	}
+	for _, request := range filter.Requests {
+		events := lines.Causes(request, causes)
+		if events == nil {
+			return errors.Errorf("no line on request %s: was its line left out, or is a log missing?", request)
+		}
+		if err := printer.Print(lines.Collection(events)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// readLog reads a log file, or standard input.
+func readLog(lines *timeline.LogLines, name string) error {
+	if name == "-" {
+		return lines.Read(os.Stdin)
+	}
+	file, err := os.Open(name)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	defer func() { _ = file.Close() }()
+	return errors.Wrap(lines.Read(file), name)
+}
+
 func processURLs(ctx context.Context, client *operator.Client) ([]string, error) {
 	processes, err := client.Processes(ctx)
 	if err != nil {
--- a/examples/rolling-restart.sh
+++ b/examples/rolling-restart.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Restarts every process of a site that run.sh has started, as docs/OPERATING.md says, while callers of all entries go on,
+# Restarts every process of a site that run.sh has started, as docs/OPERATIONS.md says, while callers of all entries go on,
 # and prints what became of their requests.
 #
 #   examples/rolling-restart.sh amman|ulaanbaatar WORK [RATE]
--- a/internal/timeline/merge.go
+++ b/internal/timeline/merge.go
@@ -28,6 +28,10 @@
 	NoteLost NoteKind = "lost"
 	// NoteBack: the process answers again; its events since may stand out of order.
 	NoteBack NoteKind = "back"
+	// NoteStrangeLines: lines of logs are no events.
+	NoteStrangeLines NoteKind = "strange_lines"
+	// NoteLeftOut: processes say that they left lines out of their logs.
+	NoteLeftOut NoteKind = "left_out"
 )
 
 // Note tells what is wrong with what is known of one process.
--- a/internal/timeline/print.go
+++ b/internal/timeline/print.go
@@ -143,6 +143,10 @@
 		return fmt.Sprintf("%s (%s) does not answer: its events are missing: %s", name, n.URL, printable(n.Detail))
 	case NoteBack:
 		return name + ": answers again; its events since may be marked late"
+	case NoteStrangeLines:
+		return fmt.Sprintf("%s: %d lines are no events", name, n.Dropped)
+	case NoteLeftOut:
+		return fmt.Sprintf("%s: %d lines were left out by their processes", name, n.Dropped)
 	default:
 		return fmt.Sprintf("%s: %s", name, n.Kind)
 	}
