--- a/cmd/balsamsail/main.go
+++ b/cmd/balsamsail/main.go
@@ -62,7 +62,7 @@
 		checkCommand(),
 	}
 	subcommands = append(subcommands, operatorCommands()...)
-	subcommands = append(subcommands, timelineCommand(), loadCommand())
+	subcommands = append(subcommands, timelineCommand(), loadCommand(), experimentCommand())
 	root := groupCommand(program, "<command> [flags] [arguments]", "serves language models that are idle most of the day", subcommands)
 	prefixUsage(root, "")
 	return root
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -59,7 +59,7 @@
 		placement.NewMetrics,
 		watch.NewMetrics,
 		func(f *fleet.Fleet, p *control.Peers, a *control.Agents, l *slog.Logger, m *placement.Metrics) *placement.Manager {
-			return placement.NewManager(f, p, a, l, m)
+			return placement.NewManager(f, p, a, l, m, placement.Decide)
 		},
 		newSite,
 	)
--- a/internal/placement/manager.go
+++ b/internal/placement/manager.go
@@ -37,6 +37,9 @@
 	Command(c *controlpb.Command)
 }
 
+// Policy decides which commands to give now, at most one an engine.
+type Policy func(Input) []Command
+
 // Manager decides on placement while its gateway is the coordinator.
 type Manager struct {
 	site      Site
@@ -44,6 +47,7 @@
 	commander Commander
 	logger    *slog.Logger
 	metrics   *Metrics
+	policy    Policy
 
 	services map[string]*serviceState
 	nextID   uint64
@@ -68,13 +72,14 @@
 }
 
 // NewManager returns a manager.
-func NewManager(site Site, gateways Gateways, commander Commander, logger *slog.Logger, metrics *Metrics) *Manager {
+func NewManager(site Site, gateways Gateways, commander Commander, logger *slog.Logger, metrics *Metrics, policy Policy) *Manager {
 	return &Manager{
 		site:      site,
 		gateways:  gateways,
 		commander: commander,
 		logger:    logger,
 		metrics:   metrics,
+		policy:    policy,
 		services:  make(map[string]*serviceState),
 		nextID:    uint64(time.Now().UnixNano()),
 	}
@@ -89,15 +94,15 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			m.step(time.Now())
+			m.Step(time.Now())
 		case <-m.gateways.Waiting():
-			m.step(time.Now())
+			m.Step(time.Now())
 		}
 	}
 }
 
-// step decides once for each service with engines.
-func (m *Manager) step(now time.Time) {
+// Step decides once for each service with engines.
+func (m *Manager) Step(now time.Time) {
 	config := m.site.Config()
 	if config == nil || !m.gateways.Coordinates(now) {
 		clear(m.services)
@@ -128,7 +133,7 @@
 	for _, e := range known {
 		in.Engines = append(in.Engines, s.engine(now, e, class))
 	}
-	for _, c := range Decide(in) {
+	for _, c := range m.policy(in) {
 		m.give(now, s, class, c, in.Demand[c.Load])
 	}
 }
--- a/soak/main.go
+++ b/soak/main.go
@@ -47,7 +47,7 @@
 	flag.IntVar(&o.size.gateways, "gateways", 3, "gateways")
 	flag.IntVar(&o.size.engines, "engines", 4, "engines, each with its agent")
 	flag.IntVar(&o.size.services, "services", 4, "endpoints of plain services")
-	flag.IntVar(&o.size.models, "models", 8, "models")
+	flag.IntVar(&o.size.models, "models", 12, "models, which are more than the engines hold at once")
 	flag.IntVar(&o.clients, "clients", 8, "clients of each gateway")
 	flag.StringVar(&o.binary, "binary", "", "the program; built if left out")
 	flag.StringVar(&o.keep, "keep", "", "directory for logs")
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -48,7 +48,7 @@
 	for _, s := range seeds {
 		var out bytes.Buffer
 		violations, err := run(options{
-			seed: s.seed, length: 15 * time.Second, size: size{gateways: 3, engines: 4, services: 4, models: 8}, clients: 8,
+			seed: s.seed, length: 15 * time.Second, size: size{gateways: 3, engines: 4, services: 4, models: 12}, clients: 8,
 			root: "..", binary: binary, keep: t.TempDir(), out: &out,
 		})
 		if err != nil || violations > 0 {
