placement: the weight store's limit doubles with the first loads that are on time

Cause: found with the experiment: 218 of 960 requests for rare models came while no host had a copy, since the limit grew by one a round of loads. Test: TestPipeIsFullAfterOneRoundOfLoads (3 before, 4 after).

--- a/internal/placement/pipe.go
+++ b/internal/placement/pipe.go
@@ -5,6 +5,10 @@
 const (
 	// firstLimit is how many loads from the weight store run at once before anything is known of it.
 	firstLimit = 2
+	// doublesBelow is the limit below which it doubles with the loads that were on time; from there on it grows by one. A store
+	// that runs four at once, with loads of 6 s, is used fully from the seventh second on and not from the thirteenth: worth
+	// 0.756 and 0.693 against 0.745 and 0.681 on the two sites of examples/experiment, 16 days each.
+	doublesBelow = 3
 	// maxLimit bounds them in any case.
 	maxLimit = 32
 	// onTime and overTime are the shares of a load's nominal time up to which it ran at full speed, and from which the store
@@ -90,6 +94,10 @@
 		p.limit = max(1, min(p.limit, int(float64(l.most)/ratio+0.5)))
 		p.ceiling, p.heldTill = p.limit, now.Add(ceilingHold)
 	case ratio <= onTime && l.most >= p.limit:
-		p.limit = min(p.limit+1, p.ceiling)
+		grown := p.limit + 1
+		if p.limit < doublesBelow {
+			grown = 2 * p.limit
+		}
+		p.limit = min(grown, p.ceiling)
 	}
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -156,6 +156,24 @@
 
 // Story: the store runs one load at once at full speed, and four are begun. Each takes four times as long, and whoever waits
 // for one waits four times as long. The limit must fall to what the store does, and rise again where loads are on time.
+// The pattern: a site wakes up with half of its models in no host's copies, and the weight store runs four loads at once. The
+// store must be used fully from the second round of loads on: each further round costs models that requests wait for in vain.
+func TestPipeIsFullAfterOneRoundOfLoads(t *testing.T) {
+	const nominal, atOnce = 6 * time.Second, 4
+	p := newPipe()
+	now := time.Unix(0, 0)
+	for _, e := range []string{"a", "b"} {
+		p.begin(now, e, "m", nominal)
+	}
+	now = now.Add(nominal)
+	for _, e := range []string{"a", "b"} {
+		p.end(now, e, true)
+	}
+	if room := p.room(now, 100); room != atOnce {
+		t.Errorf("%d loads begin in the second round, want %d", room, atOnce)
+	}
+}
+
 func TestPipeLearnsItsLimit(t *testing.T) {
 	const nominal = 6 * time.Second
 	for _, atOnce := range []int{1, 4, 8} {
