--- a/soak/faults.go
+++ b/soak/faults.go
@@ -109,6 +109,7 @@
 	{"endpoint slow", 3, second, 5 * second, endpointFault(func(f *standin.EndpointFaults) { f.Slow = 8 })},
 	{"endpoint truncates answers", 2, second, 4 * second, endpointFault(func(f *standin.EndpointFaults) { f.Truncates = 0.5 })},
 	{"endpoint repeats answers", 2, second, 4 * second, endpointFault(func(f *standin.EndpointFaults) { f.Repeats = 0.5 })},
+	{"endpoint sheds", 3, second, 5 * second, endpointFault(func(f *standin.EndpointFaults) { f.Sheds = 0.9 })},
 	{"orders late", 3, second, 5 * second, endpointFault(func(f *standin.EndpointFaults) { f.LateOrders = 0.5 })},
 
 	{"configuration changed", 5, 0, 0, func(s *site, pick uint64, _ time.Duration) func() { s.reconfigure(pick); return nil }},
--- a/soak/site.go
+++ b/soak/site.go
@@ -46,7 +46,7 @@
 	plainWork      = 20 * time.Millisecond
 	eventPause     = 25 * time.Millisecond
 	retryShare     = 0.2
-	retryExtra     = 40
+	retryExtra     = 10
 	retryWindow    = 10 * time.Second
 )
 
