placement: most engines stay free when room is filled, and a busy model waits for the engine that has a copy

Found with the experiment too, which gained a loss of power (run.loss_at). Tests: TestEmptySiteKeepsEnginesFree (0 of 8 free before), TestBusyModelWaitsForTheEngineThatHasACopy.

--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -28,7 +28,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	worth := func(policy string) float64 { return mean(c.Outcomes[policy], func(o Outcome) float64 { return o.Worth }) }
+	worth := func(policy string) float64 {
+		return mean(c.Outcomes[policy], func(o Outcome) float64 { return o.Worth })
+	}
 	const margin = 0.03
 	for _, pair := range [][2]string{{"foresight", "current"}, {"current", "pipe"}, {"current", "demand"}, {"current", "none"}} {
 		if worth(pair[0]) < worth(pair[1])+margin {
--- a/internal/experiment/site.go
+++ b/internal/experiment/site.go
@@ -60,6 +60,8 @@
 	loads   map[placement.Source]int
 	current *controlpb.Demand
 	manager *placement.Manager
+	// newManager makes the manager of a coordinator that knows nothing.
+	newManager func() *placement.Manager
 }
 
 // newSite returns a site at the begin of a day: busy models are spread, every other has one engine while there are places.
@@ -84,7 +86,10 @@
 	if err != nil {
 		return nil, err
 	}
-	s.manager = placement.NewManager(s, s, s, slog.New(slog.DiscardHandler), metrics, policy(s))
+	s.newManager = func() *placement.Manager {
+		return placement.NewManager(s, s, s, slog.New(slog.DiscardHandler), metrics, policy(s))
+	}
+	s.manager = s.newManager()
 	return s, nil
 }
 
@@ -140,6 +145,9 @@
 	end := s.x.Run.Lead + s.x.Run.Length + 10*time.Second
 	for s.now = 0; s.now < end; s.now += tick {
 		s.arrive()
+		if s.x.Run.LossAt > 0 && s.now == s.x.Run.Lead+s.x.Run.LossAt.Truncate(tick) {
+			s.losePower()
+		}
 		for _, e := range s.engines {
 			s.load(e)
 			s.run(e)
@@ -157,6 +165,24 @@
 	}
 }
 
+// losePower lets all engines and the coordinator start anew: only the copies on the engines' disks are left.
+func (s *site) losePower() {
+	for _, e := range s.engines {
+		for _, r := range slices.Concat(e.running, e.queued) {
+			r.left = true
+		}
+		e.holds, e.memory, e.running, e.queued = make(map[string]bool), nil, nil, nil
+		e.command, e.loading, e.fromStore = nil, false, false
+		e.seen = s.look(e)
+	}
+	clear(s.arrived)
+	clear(s.targets)
+	for _, r := range s.waiting {
+		s.count(r)
+	}
+	s.manager = s.newManager()
+}
+
 func (s *site) time() time.Time { return s.origin.Add(s.now) }
 
 // arrive takes in the requests that come now.
@@ -164,15 +190,21 @@
 	for ; s.next < len(s.day) && s.day[s.next].at <= s.now; s.next++ {
 		r := s.day[s.next]
 		name := modelName(r.model)
-		s.arrived[name]++
-		if s.targets[name] == 0 || r.kind.Aim < s.targets[name] {
-			s.targets[name] = r.kind.Aim
-		}
+		s.count(r)
 		r.cold = !slices.ContainsFunc(s.engines, func(e *engine) bool { return s.serves(e, name) })
 		s.waiting = append(s.waiting, r)
 	}
 }
 
+// count notes a request as gateways do.
+func (s *site) count(r *request) {
+	name := modelName(r.model)
+	s.arrived[name]++
+	if s.targets[name] == 0 || r.kind.Aim < s.targets[name] {
+		s.targets[name] = r.kind.Aim
+	}
+}
+
 // serves reports whether an engine takes requests for a model.
 func (s *site) serves(e *engine, model string) bool {
 	return e.holds[model] && (e.command == nil || !slices.Contains(e.command.Unload, model))
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -28,6 +28,8 @@
 	maxGrowth = 1.5
 	// decisionTime is what passes between a request's arrival and the begin of a load for it.
 	decisionTime = 200 * time.Millisecond
+	// keptFree is the part of the engines that is left without an order when room is filled.
+	keptFree = 0.5
 	// keptForUrgent is how many of the store's loads at once are left to models that requests need now, and keptFrom the
 	// limit from which.
 	keptForUrgent = 1
@@ -206,10 +208,18 @@
 	}
 }
 
-// fillRoom uses memory that nothing takes: a copy beside the engine is loaded in about a second.
+// fillRoom uses memory that nothing takes: a copy beside the engine is loaded in about a second. Most engines stay free for
+// models that requests wait for: after a loss of power all engines were given models that nobody had asked for yet, and the
+// requests of the next second waited for these loads.
 func (p *plan) fillRoom() {
-	for _, m := range p.models(func(m string) bool { return p.replicas[m] == 0 }, p.likelier) {
+	order := func(a, b string) int {
+		return cmp.Or(cmp.Compare(p.interactive(b), p.interactive(a)), p.likelier(a, b))
+	}
+	for _, m := range p.models(func(m string) bool { return p.replicas[m] == 0 }, order) {
 		for _, e := range p.freeEngines() {
+			if float64(len(p.free)) <= keptFree*float64(len(p.Engines)) {
+				return
+			}
 			if p.room(e) >= p.Class.Models[m].SizeMB && sourceOf(e, m) != FromStore {
 				p.give(e, m, nil, "room")
 				break
@@ -293,7 +303,7 @@
 			best, bestUnload, bestCost = e, unload, cost
 		}
 	}
-	if best == nil || urgent && sourceOf(best, model) == FromStore && p.soonElsewhere(model) {
+	if best == nil || sourceOf(best, model) == FromStore && p.soonElsewhere(model) {
 		return false
 	}
 	p.give(best, model, bestUnload, reason)
@@ -306,7 +316,7 @@
 	for i := range p.Engines {
 		e := &p.Engines[i]
 		source := sourceOf(e, model)
-		if !e.Free && source != FromStore && e.Remaining+p.loadTime(model, source) < p.loadTime(model, FromStore) {
+		if !e.Free && !e.Holds[model] && e.Loading != model && source != FromStore && e.Remaining+p.loadTime(model, source) < p.loadTime(model, FromStore) {
 			return true
 		}
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -121,6 +121,38 @@
 	}
 }
 
+// Pattern: all engines lose power and come back empty, with copies of all models on their disks. One request waits, the
+// others are yet to reach a gateway. Most engines must stay free for them: each order blocks its engine for over a second.
+func TestEmptySiteKeepsEnginesFree(t *testing.T) {
+	var engines []Engine
+	for i := range 8 {
+		engines = append(engines, testEngine(fmt.Sprint(i), "", allOnDisk))
+	}
+	commands := Decide(Input{Class: testClass(), Engines: engines, Demand: map[string]Demand{"m": {Waiting: 1, OldestWait: time.Second}}})
+	if free := len(engines) - len(commands); free < 4 {
+		t.Errorf("%d of 8 engines are left free: %v", free, commandsText(commands))
+	}
+	if len(commands) == 0 || commands[0].Load != "m" {
+		t.Errorf("the model that a request waits for is not loaded first: %v", commandsText(commands))
+	}
+}
+
+// Pattern: a model becomes busy while the engines with copies of it carry out short orders. A load from the weight store takes
+// an engine from all others for 6 s, and the copies are free in one.
+func TestBusyModelWaitsForTheEngineThatHasACopy(t *testing.T) {
+	soon := testEngine("1", "abc", "m")
+	soon.Free, soon.Loading, soon.Remaining = false, "d", time.Second
+	in := Input{
+		Class: testClass(), Engines: []Engine{soon, testEngine("2", "efg", ""), testEngine("3", "mhi", "")}, StoreLoads: 2, StoreLimit: 2,
+		Demand: map[string]Demand{"m": {Running: 60, Peak: 60, Rate: 20, LongRate: 10}},
+	}
+	for _, c := range Decide(in) {
+		if c.Load == "m" {
+			t.Errorf("%v", commandsText([]Command{c}))
+		}
+	}
+}
+
 // Pattern: rare models are asked for about evenly, a few times a day each, and most are on no host when processes start. The
 // store's loads must go on as long as a model is nowhere, without taking a busy model's place.
 func TestFetchAheadFillsTheStore(t *testing.T) {
@@ -156,7 +188,7 @@
 
 // Story: the store runs one load at once at full speed, and four are begun. Each takes four times as long, and whoever waits
 // for one waits four times as long. The limit must fall to what the store does, and rise again where loads are on time.
-// The pattern: a site wakes up with half of its models in no host's copies, and the weight store runs four loads at once. The
+// Pattern: a site wakes up with half of its models in no host's copies, and the weight store runs four loads at once. The
 // store must be used fully from the second round of loads on: each further round costs models that requests wait for in vain.
 func TestPipeIsFullAfterOneRoundOfLoads(t *testing.T) {
 	const nominal, atOnce = 6 * time.Second, 4
--- a/internal/settings/experiment.go
+++ b/internal/settings/experiment.go
@@ -20,6 +20,7 @@
 	Seeds    int           `ini:"seeds" default:"5" min:"1" max:"1000" doc:"Days that each policy plays."`
 	First    int           `ini:"first_seed" default:"1" min:"0" max:"1000000000" doc:"Seed of the first day."`
 	Lead     time.Duration `ini:"lead" default:"12s" min:"0s" max:"1h" doc:"Time before the first request."`
+	LossAt   time.Duration `ini:"loss_at" default:"0s" min:"0s" max:"24h" doc:"When, from the first request on, all engines lose what they hold in memory and run; 0s: never."`
 	Length   time.Duration `ini:"length" default:"40s" min:"1s" max:"24h" doc:"Time with requests."`
 }
 
