--- a/internal/control/agents.go
+++ b/internal/control/agents.go
@@ -13,6 +13,7 @@
 	"balsamsail/internal/catalog"
 	"balsamsail/internal/control/controlpb"
 	"balsamsail/internal/fleet"
+	"balsamsail/internal/nameset"
 	"balsamsail/internal/wire"
 )
 
@@ -272,22 +273,14 @@
 		Models:     make(map[string]map[string]bool, len(s.Replicas)),
 		Busy:       s.Busy,
 		Loading:    s.Loading,
-		Unloading:  set(s.Unloading),
-		InMemory:   set(s.InMemory),
-		OnDisk:     set(s.OnDisk),
+		Unloading:  nameset.Of(s.Unloading),
+		InMemory:   nameset.Of(s.InMemory),
+		OnDisk:     nameset.Of(s.OnDisk),
 		Command:    s.Command,
 		CommandAge: time.Duration(s.CommandAgeMs) * time.Millisecond,
 	}
 	for _, r := range s.Replicas {
-		state.Models[r.Model] = set(r.Adapters)
+		state.Models[r.Model] = nameset.Of(r.Adapters)
 	}
 	return state
 }
-
-func set(names []string) map[string]bool {
-	m := make(map[string]bool, len(names))
-	for _, n := range names {
-		m[n] = true
-	}
-	return m
-}
--- a/internal/engineagent/core.go
+++ b/internal/engineagent/core.go
@@ -5,6 +5,8 @@
 
 import (
 	"time"
+
+	"balsamsail/internal/nameset"
 )
 
 const (
@@ -236,22 +238,13 @@
 		return
 	}
 	_, loaded := c.report.Models[c.command.Load]
-	gone := !c.holdsAny(c.command.Unload)
+	gone := !nameset.HoldsAny(c.report.Models, c.command.Unload)
 	failed := c.loading && !c.report.Busy && !loaded
 	if (loaded || c.command.Load == "") && gone || failed || now.Sub(c.commandAt) > commandLife {
 		c.command = nil
 	}
 }
 
-func (c *Core) holdsAny(models []string) bool {
-	for _, m := range models {
-		if _, ok := c.report.Models[m]; ok {
-			return true
-		}
-	}
-	return false
-}
-
 // Answered takes in the engine's answer to an order.
 func (c *Core) Answered(now time.Time, o Order, result Result) {
 	c.calling, c.stale = false, true
@@ -420,7 +413,7 @@
 	if _, loaded := c.report.Models[c.command.Load]; loaded {
 		return 0
 	}
-	if c.holdsAny(c.command.Unload) {
+	if nameset.HoldsAny(c.report.Models, c.command.Unload) {
 		return 0
 	}
 	return c.class.Models[c.command.Load].SizeMB
--- a/internal/experiment/site.go
+++ b/internal/experiment/site.go
@@ -10,6 +10,7 @@
 	"balsamsail/internal/catalog"
 	"balsamsail/internal/control/controlpb"
 	"balsamsail/internal/fleet"
+	"balsamsail/internal/nameset"
 	"balsamsail/internal/placement"
 	"balsamsail/internal/settings"
 )
@@ -349,26 +350,18 @@
 // look describes an engine as its agent would.
 func (s *site) look(e *engine) fleet.Engine {
 	state := fleet.EngineState{
-		EndpointID: e.id, Models: make(map[string]map[string]bool), Unloading: make(map[string]bool), InMemory: set(e.memory), OnDisk: set(e.disk),
+		EndpointID: e.id, Models: make(map[string]map[string]bool), Unloading: make(map[string]bool), InMemory: nameset.Of(e.memory), OnDisk: nameset.Of(e.disk),
 		Running: len(e.running), Queued: len(e.queued), Command: e.seen.Command,
 	}
 	for m := range e.holds {
 		state.Models[m] = nil
 	}
 	if e.command != nil {
-		state.Busy, state.Loading, state.Unloading, state.Command = true, e.command.Load, set(e.command.Unload), e.command.Id
+		state.Busy, state.Loading, state.Unloading, state.Command = true, e.command.Load, nameset.Of(e.command.Unload), e.command.Id
 	}
 	return fleet.Engine{ID: e.id, Reported: true, EngineState: state}
 }
 
-func set(names []string) map[string]bool {
-	m := make(map[string]bool, len(names))
-	for _, n := range names {
-		m[n] = true
-	}
-	return m
-}
-
 // demandNow describes what requests ask for as the gateways would.
 func (s *site) demandNow() *controlpb.Demand {
 	models := make(map[string]*controlpb.ModelDemand)
--- a/internal/placement/manager.go
+++ b/internal/placement/manager.go
@@ -8,6 +8,7 @@
 	"balsamsail/internal/catalog"
 	"balsamsail/internal/control/controlpb"
 	"balsamsail/internal/fleet"
+	"balsamsail/internal/nameset"
 )
 
 const (
@@ -162,7 +163,7 @@
 			continue
 		}
 		g.taken = g.taken || e.Command == g.id
-		if g.taken && e.Busy && !holdsAny(e, g.Unload) && !g.loading {
+		if g.taken && e.Busy && !nameset.HoldsAny(e.Models, g.Unload) && !g.loading {
 			g.loading = true
 			s.pipe.started(now, e.ID)
 		}
@@ -181,15 +182,6 @@
 	}
 }
 
-func holdsAny(e fleet.Engine, models []string) bool {
-	for _, m := range models {
-		if _, ok := e.Models[m]; ok {
-			return true
-		}
-	}
-	return false
-}
-
 func (s *serviceState) end(now time.Time, engine string, succeeded bool) {
 	s.metrics.ended(s.given[engine].Command, now.Sub(s.given[engine].at), succeeded)
 	delete(s.given, engine)
@@ -212,20 +204,12 @@
 		engine.Holds[m] = true
 	}
 	if g := s.given[e.ID]; g != nil {
-		engine.Loading, engine.Unloading = g.Load, names(g.Unload)
+		engine.Loading, engine.Unloading = g.Load, nameset.Of(g.Unload)
 		engine.Remaining = max(0, g.Source.loadTime(class.Models[g.Load])-now.Sub(g.at))
 	}
 	return engine
 }
 
-func names(list []string) map[string]bool {
-	m := make(map[string]bool, len(list))
-	for _, n := range list {
-		m[n] = true
-	}
-	return m
-}
-
 // demand sums up what the gateways tell of a service's models.
 func (s *serviceState) demand(now time.Time, service string, all map[string]*controlpb.Demand) map[string]Demand {
 	sums := make(map[string]Demand)
