--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -19,6 +19,9 @@
 	// storeShare is that part where only the weight store has another copy: a load from there keeps an engine from all other
 	// orders for as long as some four loads from disk take.
 	storeShare = 0.5
+	// fullShare is the part of its replicas' batches from which a model counts as overloaded: new requests are held back there,
+	// and their first events come late.
+	fullShare = 0.75
 	// spareRate is the rate of requests, in 1/s, from which a model has a second replica: if its only engine crashes, that
 	// many wait for a load.
 	spareRate = 1.5
@@ -141,6 +144,7 @@
 			p.replicas[e.Loading]++
 		}
 	}
+	p.relieve()
 	p.serveWaiting()
 	p.addReplicas()
 	p.fillRoom()
@@ -181,6 +185,20 @@
 	return d.OldestWait.Seconds() / max(d.Target.Seconds(), 0.1)
 }
 
+// relieve gives each model whose requests fill the batches of its replicas one more, before models that requests wait for: a load
+// for a rare model serves one or two requests, a replica of an overloaded one all that come for it.
+func (p *plan) relieve() {
+	excess := func(m string) float64 {
+		d := p.Demand[m]
+		return float64(d.Running+d.Waiting) - fullShare*float64(p.Class.Batch*p.replicas[m])
+	}
+	for _, m := range p.models(func(m string) bool { return p.replicas[m] > 0 && excess(m) > 0 }, func(a, b string) int {
+		return cmp.Compare(excess(b), excess(a))
+	}) {
+		p.load(m, "overloaded", FromStore, false)
+	}
+}
+
 // serveWaiting loads models that requests wait for, those first that are latest by their target.
 func (p *plan) serveWaiting() {
 	for _, m := range p.models(func(m string) bool { return p.Demand[m].Waiting > 0 && p.replicas[m] == 0 }, func(a, b string) int {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -137,6 +137,28 @@
 	}
 }
 
+// Pattern: a burst for rare models comes while one engine carries all requests of a busy model, more than its batch holds. Each
+// engine that became free was given to a rare model with a request or two, for eight seconds, and some 220 requests of the busy
+// model were late.
+func TestOverloadedModelGetsAnEngineBeforeRareOnes(t *testing.T) {
+	overloaded := testEngine("1", "mab", allOnDisk)
+	overloaded.Running = 80
+	in := Input{
+		Class: testClass(), Engines: []Engine{overloaded, testEngine("2", "cde", allOnDisk), testEngine("3", "fgh", allOnDisk)},
+		Demand: map[string]Demand{
+			"m": {Running: 80, Peak: 80, Rate: 20, LongRate: 18, Target: 500 * time.Millisecond},
+			"r": {Waiting: 1, OldestWait: 2 * time.Second}, "s": {Waiting: 2, OldestWait: time.Second}, "t": {Waiting: 1, OldestWait: time.Second},
+		},
+	}
+	loads := make(map[string]int)
+	for _, c := range Decide(in) {
+		loads[c.Load]++
+	}
+	if loads["m"] != 1 || len(loads) < 2 {
+		t.Errorf("loads %v, want one of the overloaded model and others for the waiting ones", loads)
+	}
+}
+
 // Pattern: a model becomes busy while the engines with copies of it carry out short orders. A load from the weight store takes
 // an engine from all others for 6 s, and the copies are free in one.
 func TestBusyModelWaitsForTheEngineThatHasACopy(t *testing.T) {
