--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -24,6 +24,8 @@
 	// have prompts to read.
 	PromptTokens int
 	Paced        time.Time
+	// Repeatable requests may be sent again, so that one may find out whether a silent endpoint speaks again.
+	Repeatable bool
 	// Tried lists the endpoints that must not get the request again.
 	Tried []string
 }
@@ -67,6 +69,7 @@
 			return Choice{}, PromptsAhead, false
 		}
 	}
+	candidates = f.speaking(now, candidates, w)
 	i, ok := f.router.Pick(now, candidates, w.Tried, wirepb.Class_INTERACTIVE)
 	if !ok {
 		return Choice{}, prospect, false
@@ -77,6 +80,7 @@
 		return Choice{}, AdapterMissing, false
 	}
 	e.sent++
+	e.silence.sent(now)
 	e.prompts += w.PromptTokens
 	if w.Adapter != "" {
 		e.adapters[w.adapter()]++
@@ -195,6 +199,7 @@
 		return
 	}
 	e.sent--
+	e.silence.done()
 	e.read(c)
 	if w.Adapter != "" {
 		release(e.adapters, w.adapter())
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -69,6 +69,8 @@
 	replaced bool
 	// silent is set while the endpoint's host does not answer, told by the link to the agent there.
 	silent bool
+	// silence follows the endpoint's own words.
+	silence silence
 }
 
 // Adapter names an adapter of a model; Name is empty for the model itself.
@@ -83,6 +85,8 @@
 	endpoints map[string]*endpoint
 	router    *routing.Router
 	demand    map[Target]*demand
+	// usual is how long answers of a service usually take.
+	usual     map[string]time.Duration
 	wanted    map[string]map[Adapter]bool
 	onWanted  func(endpointID string)
 	onWaiting func()
@@ -104,6 +108,7 @@
 		endpoints: make(map[string]*endpoint),
 		router:    routing.NewRouter(routing.Options{Seed: seed, FailureDomain: domain}),
 		demand:    make(map[Target]*demand),
+		usual:     make(map[string]time.Duration),
 		wanted:    make(map[string]map[Adapter]bool),
 		changed:   make(chan struct{}),
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -60,6 +60,7 @@
 	}
 	defer result.Response.Body.Close()
 	a := g.codec.ReadAnswer(result.Response)
+	g.fleet.Heard(time.Now(), choice.ID, time.Since(began))
 	g.note(q, choice, a)
 	if a.NotRun {
 		return g.refusedBy(q, choice, result, a)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -216,7 +216,7 @@
 		call:    call,
 		route:   route,
 		version: config.Version,
-		want:    fleet.Want{Target: target, Adapter: call.Adapter, PromptTokens: call.PromptTokens},
+		want:    fleet.Want{Target: target, Adapter: call.Adapter, PromptTokens: call.PromptTokens, Repeatable: route.Repeat == catalog.Idempotent},
 		inbound: r,
 		body:    body,
 		arrived: arrived,
