--- a/soak/judge.go
+++ b/soak/judge.go
@@ -80,6 +80,7 @@
 	cutOff     int
 	violations []string
 	counts     map[string]int
+	used       []resources
 }
 
 // span is a time from begin to end; a zero end is still to come.
--- a/soak/main.go
+++ b/soak/main.go
@@ -132,6 +132,7 @@
 	watching.Go(func() { s.watchProcesses(watched) })
 	s.inject(plan(o.seed, o.length, chosen(o.only)), o.length, log)
 	s.checkRecovery()
+	s.checkResources()
 	stop()
 	clients.Wait()
 	stopWatching()
--- a/soak/report.go
+++ b/soak/report.go
@@ -13,6 +13,13 @@
 	j.counts["fault: "+name]++
 }
 
+// uses notes what processes of a role use.
+func (j *judge) uses(r resources) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.used = append(j.used, r)
+}
+
 // snapshot returns the counts so far.
 func (j *judge) snapshot() map[string]int {
 	j.mu.Lock()
@@ -28,6 +35,9 @@
 	for _, name := range slices.Sorted(maps.Keys(j.counts)) {
 		fmt.Fprintf(o.out, "  %6d %s\n", j.counts[name], name)
 	}
+	for _, u := range j.used {
+		fmt.Fprintf(o.out, "  the most that a process uses, %s: %.1f %% of a core, %.0f MB, %.0f descriptors\n", u.role, 100*u.processor, u.memory, u.descriptors)
+	}
 	broken := 0
 	for name, n := range j.counts {
 		if len(name) > len("broken: ") && name[:len("broken: ")] == "broken: " {
