--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -143,27 +143,46 @@
 	defer context.AfterFunc(ctx, stopServing)()
 	var stopping atomic.Bool
 
+	r.follow(work, group, listeners)
+	group.Go(func() error {
+		defer stopWork()
+		return r.serveClients(serving, listeners, &stopping)
+	})
+	r.serveState(work, group, listeners, &stopping)
+	r.Logger.Info("listening", "event", "started", "clients", listeners.clients.Addr().String(), "domain", r.Settings.Gateway.FailureDomain)
+	err = group.Wait()
+	r.Logger.Info("stopped", "event", "stopped", "error", err)
+	return err
+}
+
+// follow keeps what the gateway believes up to date, and decides on placement where it coordinates, until ctx ends.
+func (r gatewayRole) follow(ctx context.Context, group *errgroup.Group, listeners gatewayListeners) {
 	store := platform.NewStore(string(r.Settings.Store.Address))
-	r.watch(work, group, store, platform.OperatorTable, configSink{r.Site})
-	r.watch(work, group, store, platform.EndpointTable, endpointSink{r.Site})
+	r.watch(ctx, group, store, platform.OperatorTable, configSink{r.Site})
+	r.watch(ctx, group, store, platform.EndpointTable, endpointSink{r.Site})
 	for _, run := range []func(context.Context){r.Site.run, r.Agents.Run, r.Peers.Run, r.Placement.Run} {
-		group.Go(func() error { run(work); return nil })
+		group.Go(func() error { run(ctx); return nil })
 	}
-	group.Go(func() error { return r.Peers.Serve(work, listeners.control) })
-	group.Go(func() error {
-		defer stopWork()
-		drain := r.Settings.Drain
-		return process.Serve(serving, listeners.clients, r.Gateway, process.ServeOptions{
-			LameDuck:     drain.LameDuck,
-			DrainTimeout: drain.Grace - drain.LameDuck - drain.Reserve,
-			OnStop: func() {
-				stopping.Store(true)
-				r.Gateway.StopBy(time.Now().Add(drain.Grace - drain.Reserve))
-				r.Logger.Info("stop begins", "event", "stopping", "active", r.Gateway.Active())
-			},
-			Logger: r.Logger,
-		})
+	group.Go(func() error { return r.Peers.Serve(ctx, listeners.control) })
+}
+
+// serveClients takes clients' requests until ctx ends, and answers those that it has.
+func (r gatewayRole) serveClients(ctx context.Context, listeners gatewayListeners, stopping *atomic.Bool) error {
+	drain := r.Settings.Drain
+	return process.Serve(ctx, listeners.clients, r.Gateway, process.ServeOptions{
+		LameDuck:     drain.LameDuck,
+		DrainTimeout: drain.Grace - drain.LameDuck - drain.Reserve,
+		OnStop: func() {
+			stopping.Store(true)
+			r.Gateway.StopBy(time.Now().Add(drain.Grace - drain.Reserve))
+			r.Logger.Info("stop begins", "event", "stopping", "active", r.Gateway.Active())
+		},
+		Logger: r.Logger,
 	})
+}
+
+// serveState answers the balancer's question whether to send connections, and serves metrics, until ctx ends.
+func (r gatewayRole) serveState(ctx context.Context, group *errgroup.Group, listeners gatewayListeners, stopping *atomic.Bool) {
 	ready := func() []string {
 		switch {
 		case stopping.Load():
@@ -181,12 +200,8 @@
 		}
 		w.WriteHeader(status)
 	})
-	serveHTTP(work, group, listeners.readiness, server, process.ServeOptions{Logger: r.Logger})
-	serveHTTP(work, group, listeners.metrics, server, process.ServeOptions{Logger: r.Logger})
-	r.Logger.Info("listening", "event", "started", "clients", listeners.clients.Addr().String(), "domain", r.Settings.Gateway.FailureDomain)
-	err = group.Wait()
-	r.Logger.Info("stopped", "event", "stopped", "error", err)
-	return err
+	serveHTTP(ctx, group, listeners.readiness, server, process.ServeOptions{Logger: r.Logger})
+	serveHTTP(ctx, group, listeners.metrics, server, process.ServeOptions{Logger: r.Logger})
 }
 
 func (r gatewayRole) watch(ctx context.Context, group *errgroup.Group, source watch.Source, table string, sink watch.Sink) {
