app: settings are read again at a hang-up signal

The budget of repeated sendings changes at once, all else is named and counts at the next start; a broken file is told and changes nothing.

--- a/internal/app/engineagent.go
+++ b/internal/app/engineagent.go
@@ -21,7 +21,8 @@
 
 // RunEngineAgent runs the agent beside an engine until ctx ends.
 func RunEngineAgent(ctx context.Context, s *settings.EngineAgent, logs Output) error {
-	ignoreHangup()
+	hangups := notifyHangups()
+	defer hangups.stop()
 	out, flush := neverBlocking(logs)
 	defer flush()
 	container := dig.New()
@@ -36,7 +37,10 @@
 	if err != nil {
 		return err
 	}
-	return invoke(container, func(role engineAgentRole) error { return role.run(ctx) })
+	return invoke(container, func(role engineAgentRole) error {
+		go hangups.follow(ctx, role.reload)
+		return role.run(ctx)
+	})
 }
 
 func newEngineAgent(s *settings.EngineAgent, l *slog.Logger, m *engineagent.Metrics) *engineagent.Agent {
@@ -59,6 +63,16 @@
 	Logger   *slog.Logger
 }
 
+// reload reads the settings again and says what has changed; all of it takes effect at the next start.
+func (r engineAgentRole) reload() {
+	next, err := r.Settings.Again()
+	if err != nil {
+		r.Logger.Error("settings not understood, those before stay in force", "event", "reload_failed", "error", err)
+		return
+	}
+	r.Logger.Info("settings read again", "event", "reloaded", "changed", settings.ChangedSections(r.Settings, next))
+}
+
 func (r engineAgentRole) run(ctx context.Context) error {
 	links, err := listenBetweenHosts(r.Settings.Control.Listen)
 	if err != nil {
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -6,9 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os/signal"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -39,7 +37,8 @@
 
 // RunGateway runs a gateway until ctx ends and it has drained.
 func RunGateway(ctx context.Context, s *settings.Gateway, logs Output) error {
-	ignoreHangup()
+	hangups := notifyHangups()
+	defer hangups.stop()
 	out, flush := neverBlocking(logs)
 	defer flush()
 	container := dig.New()
@@ -70,6 +69,7 @@
 		if err := control.Register(role.Registry, role.Agents, role.Peers); err != nil {
 			return err
 		}
+		go hangups.follow(ctx, role.reload)
 		return role.run(ctx)
 	})
 }
@@ -87,22 +87,22 @@
 	}
 }
 
-// ignoreHangup keeps a process running when it is told that its settings file has changed: its settings are read at its
-// start.
-func ignoreHangup() { signal.Ignore(syscall.SIGHUP) }
-
 func linkOptions(c settings.ControlLinks) control.Options {
 	return control.Options{Self: string(c.Listen), Interval: c.Interval, Heartbeat: c.Heartbeat, SilenceLimit: c.SilenceLimit}
 }
 
+// retryFloor is how many repeated sendings a second each gateway may make whatever else came, so that one with little traffic
+// can repeat at all.
+const retryFloor = 0.05
+
+func retryBudget(r settings.SharedRetries) routing.BudgetOptions {
+	return routing.BudgetOptions{Share: r.Share * budgetUse, Burst: r.Extra * budgetUse, FloorPerSecond: retryFloor}
+}
+
 func newGateway(s *settings.Gateway, f *fleet.Fleet, p *control.Peers, l *slog.Logger, m *gateway.Metrics) *gateway.Gateway {
 	options := gateway.Options{
-		Seed: rand.Uint64(),
-		Budget: routing.BudgetOptions{
-			Share:          s.Retries.Share * budgetUse,
-			Burst:          s.Retries.Extra * budgetUse,
-			FloorPerSecond: 0.05,
-		},
+		Seed:     rand.Uint64(),
+		Budget:   retryBudget(s.Retries),
 		SharedBy: func() int { return max(p.Known(), assumedGateways) },
 	}
 	transport := &http.Transport{
@@ -130,6 +130,18 @@
 	Logger    *slog.Logger
 }
 
+// reload takes in settings that have changed. The budget of repeated sendings changes at once, all else at the next start.
+func (r gatewayRole) reload() {
+	next, err := r.Settings.Again()
+	if err != nil {
+		r.Logger.Error("settings not understood, those before stay in force", "event", "reload_failed", "error", err)
+		return
+	}
+	r.Gateway.SetBudget(retryBudget(next.Retries))
+	r.Logger.Info("settings read again", "event", "reloaded", "changed", settings.ChangedSections(r.Settings, next),
+		"at_once", []string{"retries"})
+}
+
 // run serves until ctx ends. The watches and links go on until the clients' requests have ended.
 func (r gatewayRole) run(ctx context.Context) error {
 	listeners, err := r.listen()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -241,6 +241,16 @@
 	return q.arrived.Add(time.Duration(pacingShare * float64(target)))
 }
 
+// SetBudget changes the budget of repeated sendings. What is saved up stays, as far as it fits.
+func (g *Gateway) SetBudget(budget routing.BudgetOptions) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.options.Budget = budget
+	for _, b := range g.budgets {
+		b.SetShare(budget.Share)
+	}
+}
+
 // budget returns the retry budget of a service. Its part of what may be saved up follows the number of gateways: divided by a
 // fixed number, a site with four times as many repeated four times as much as its endpoints were to get in the first seconds of
 // a fault.
--- a/internal/routing/budget.go
+++ b/internal/routing/budget.go
@@ -38,6 +38,9 @@
 	return &RetryBudget{options: options, tokens: options.Burst}
 }
 
+// SetShare changes how many retries each success allows from now on.
+func (b *RetryBudget) SetShare(share float64) { b.options.Share = cmp.Or(share, defaultBudgetShare) }
+
 // Resize changes how many retries can be saved up, for a budget that several processes share by their number.
 func (b *RetryBudget) Resize(burst float64) {
 	b.options.Burst = burst
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -14,8 +14,13 @@
 	Retries SharedRetries  `section:"retries" doc:"Budget of repeated attempts."`
 	Drain   GatewayDrain   `section:"drain" doc:"The planned stop."`
 	Log     Log            `section:"log" doc:"Logs."`
+
+	again func() (*Gateway, error)
 }
 
+// Again reads the settings anew from where they came from.
+func (g *Gateway) Again() (*Gateway, error) { return g.again() }
+
 // GatewayProcess names a gateway and its addresses.
 type GatewayProcess struct {
 	Host            string          `ini:"host" doc:"Name of the host."`
@@ -89,8 +94,13 @@
 	Control ControlLinks       `section:"control" doc:"Links between gateways and the agents beside engines."`
 	Orders  EngineOrders       `section:"orders" doc:"Reports and orders of the engine."`
 	Log     Log                `section:"log" doc:"Logs."`
+
+	again func() (*EngineAgent, error)
 }
 
+// Again reads the settings anew from where they came from.
+func (a *EngineAgent) Again() (*EngineAgent, error) { return a.again() }
+
 // EngineAgentProcess names an agent and its engine.
 type EngineAgentProcess struct {
 	Host          string          `ini:"host" doc:"Name of the host; the engine knows the agent by it."`
@@ -106,9 +116,21 @@
 }
 
 // LoadGateway reads a gateway's settings from a file.
-func LoadGateway(path string, sets ...string) (*Gateway, error) { return load[Gateway](path, sets) }
+func LoadGateway(path string, sets ...string) (*Gateway, error) {
+	g, err := load[Gateway](path, sets)
+	if err != nil {
+		return nil, err
+	}
+	g.again = func() (*Gateway, error) { return LoadGateway(path, sets...) }
+	return g, nil
+}
 
 // LoadEngineAgent reads the settings of an agent beside an engine from a file.
 func LoadEngineAgent(path string, sets ...string) (*EngineAgent, error) {
-	return load[EngineAgent](path, sets)
+	a, err := load[EngineAgent](path, sets)
+	if err != nil {
+		return nil, err
+	}
+	a.again = func() (*EngineAgent, error) { return LoadEngineAgent(path, sets...) }
+	return a, nil
 }
--- a/internal/settings/template_test.go
+++ b/internal/settings/template_test.go
@@ -88,6 +88,35 @@
 	}
 }
 
+// An operator changes a file of settings and tells the process, which must see what is new in it and nothing else.
+func TestSettingsAreReadAgain(t *testing.T) {
+	path := write(t, filled(t, "gateway.ini"))
+	before, err := LoadGateway(path, "drain.reserve=1s")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if same, err := before.Again(); err != nil || len(ChangedSections(before, same)) > 0 {
+		t.Errorf("an unchanged file reads as changed: %v, %v", ChangedSections(before, same), err)
+	}
+	text := strings.NewReplacer("extra = 54", "extra = 60", "level = info", "level = debug").Replace(filled(t, "gateway.ini"))
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	after, err := before.Again()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if changed := ChangedSections(before, after); strings.Join(changed, ",") != "retries,log" || after.Retries.Extra != 60 {
+		t.Errorf("changed: %v, extra %v, want retries and log, 60", changed, after.Retries.Extra)
+	}
+	if err := os.WriteFile(path, []byte("[gateway]\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := before.Again(); err == nil {
+		t.Error("a broken file is taken as valid")
+	}
+}
+
 // write writes a settings file.
 func write(t *testing.T, text string) string {
 	t.Helper()
