--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -72,7 +72,7 @@
 }
 
 func playDay(x *settings.Experiment, seed uint64, policy func(*site) placement.Policy) (Outcome, error) {
-	s, err := newSite(x, drawDay(x, seed), policy)
+	s, err := newSite(x, seed, drawDay(x, seed), policy)
 	if err != nil {
 		return Outcome{}, err
 	}
--- a/internal/experiment/site.go
+++ b/internal/experiment/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -48,6 +49,7 @@
 // site is a model of a site on one day. It implements what placement.Manager asks for.
 type site struct {
 	x       *settings.Experiment
+	seed    uint64
 	config  *catalog.Config
 	engines []*engine
 	waiting []*request
@@ -66,8 +68,8 @@
 }
 
 // newSite returns a site at the begin of a day: busy models are spread, every other has one engine while there are places.
-func newSite(x *settings.Experiment, day []*request, policy func(*site) placement.Policy) (*site, error) {
-	s := &site{x: x, day: day, origin: time.Unix(0, 0), arrived: make(map[string]int64), targets: make(map[string]time.Duration), loads: make(map[placement.Source]int)}
+func newSite(x *settings.Experiment, seed uint64, day []*request, policy func(*site) placement.Policy) (*site, error) {
+	s := &site{x: x, seed: seed, day: day, origin: time.Unix(0, 0), arrived: make(map[string]int64), targets: make(map[string]time.Duration), loads: make(map[placement.Source]int)}
 	class := &catalog.EngineClass{
 		Batch: x.Engines.Batch, MemoryMB: float64(x.Engines.Places), LoadsPerSecond: x.Weights.PerSecond,
 		Models: make(map[string]catalog.Model),
@@ -125,7 +127,14 @@
 			break
 		}
 	}
+	random := rand.New(rand.NewPCG(s.seed, 12))
 	for _, e := range s.engines {
+		for _, m := range random.Perm(s.x.Engines.Models)[:min(s.x.Weights.FirstCopies, s.x.Engines.Models)] {
+			if !e.holds[modelName(m)] {
+				e.disk = append([]string{modelName(m)}, e.disk...)
+			}
+		}
+		e.disk = e.disk[max(0, len(e.disk)-s.x.Weights.DiskCopies):]
 		e.seen = s.look(e)
 	}
 }
--- a/internal/settings/experiment.go
+++ b/internal/settings/experiment.go
@@ -45,6 +45,7 @@
 	MemoryTime   time.Duration `ini:"memory_time" min:"1ms" max:"1h" doc:"Load from the host's memory."`
 	FullSpeed    int           `ini:"full_speed" min:"1" max:"10000" doc:"Loads from the store that run at full speed at once; beyond it each takes longer in proportion."`
 	PerSecond    float64       `ini:"per_second" min:"0.001" max:"10000" doc:"Loads that the store begins in a second."`
+	FirstCopies  int           `ini:"first_copies" default:"0" min:"0" max:"100000" doc:"Models whose weights each engine's disk keeps at the start beside those that it holds, drawn by the seed."`
 	DiskCopies   int           `ini:"disk_copies" min:"0" max:"100000" doc:"Models whose weights an engine's disk keeps."`
 	MemoryCopies int           `ini:"memory_copies" min:"0" max:"100000" doc:"Models whose weights the host's memory keeps."`
 }
