--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -172,6 +172,7 @@
 	switch {
 	case a.Absent && a.Incarnation != "" && a.Incarnation != choice.ID:
 		g.fleet.Replaced(choice.ID)
+		q.strangers++
 	case a.Absent:
 		g.fleet.Absent(time.Now(), choice.ID, &q.want)
 	}
@@ -193,7 +194,7 @@
 // mayGoOn reports whether the request may be sent once more. A sending that reached an endpoint costs the budget one.
 func (g *Gateway) mayGoOn(ctx context.Context, q *request, reached bool) bool {
 	now := time.Now()
-	if ctx.Err() != nil || q.until.Sub(now) < leastTimeLeft || q.attempts >= maxSendings {
+	if ctx.Err() != nil || q.until.Sub(now) < leastTimeLeft || q.attempts-q.strangers >= maxSendings {
 		return false
 	}
 	if q.mayHaveRun && q.attempts >= q.route.MaxAttempts {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -185,6 +185,8 @@
 	until time.Time
 
 	attempts int
+	// strangers counts the attempts that met another incarnation than the listed one.
+	strangers int
 	// mayHaveRun is set once an endpoint may have begun to work on the request.
 	mayHaveRun bool
 	waited     time.Duration
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -146,6 +146,25 @@
 	}
 }
 
+// Story: all hosts have lost power, and a gateway reads a list that still names the engines' incarnations from before, eight of
+// which held a busy model. The first request for it was refused after six of them had said that they are others, although the ninth
+// engine held the model. Each stale entry shows once and is not asked again.
+func TestStaleEntriesDoNotUseUpARequest(t *testing.T) {
+	scripts := map[string]endpointScript{"engine-good": events(1, 2, false)}
+	for i := range 8 {
+		scripts[fmt.Sprintf("engine-%d", i)] = isAnother
+	}
+	r := newRig(t, scripts)
+	for _, id := range []string{"a", "b", "c"} {
+		if got := r.send(id, "/case/x", "m"); got.status != 200 || got.err != nil {
+			t.Errorf("request %s: status %d, error %v after %d sendings", id, got.status, got.err, r.ran(id))
+		}
+	}
+	if total := r.ran("a") + r.ran("b") + r.ran("c"); total > 11 {
+		t.Errorf("three requests were sent %d times, want each stale entry asked once at most", total)
+	}
+}
+
 // Story: two thirds of a large site's endpoints begin to hang up. Each of its gateways repeated as much as a sixth of the site's
 // budget allows, although there were many more of them, and the endpoints that were left got several times what they were to
 // bear. With a hundred gateways each has one repetition saved up.
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -48,6 +48,7 @@
 		Signed:         resp.Header.Get("Signed") != "",
 		NotRun:         resp.Header.Get("Not-Run") != "",
 		Absent:         resp.StatusCode == http.StatusMisdirectedRequest,
+		Incarnation:    resp.Header.Get("Incarnation"),
 		PromisesNotRun: resp.StatusCode == http.StatusServiceUnavailable,
 		Encoded:        resp.Header.Get("Content-Encoding") != "",
 	}
@@ -179,6 +180,13 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// isAnother says that another incarnation than the listed one answers at the address.
+func isAnother(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Run", "yes")
+	w.Header().Set("Incarnation", "another")
+	w.WriteHeader(http.StatusMisdirectedRequest)
+}
+
 // hangsUp closes the connection without an answer.
 func hangsUp(w http.ResponseWriter, _ *http.Request) {
 	conn, _, err := http.NewResponseController(w).Hijack()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -17,7 +17,8 @@
 	// leastTimeLeft is the time below which a request is not sent any more: a first answer byte takes some 30 ms at an idle
 	// endpoint.
 	leastTimeLeft = 60 * time.Millisecond
-	// maxSendings bounds the sendings of one request, those included that endpoints refused.
+	// maxSendings bounds the sendings of one request, those included that endpoints refused. Those that met another incarnation
+	// than the listed one come on top: each stale entry of the list shows once.
 	maxSendings = 6
 	// comeBackLater is the time to come back after a refusal for want of room.
 	comeBackLater = 400 * time.Millisecond
@@ -66,7 +67,7 @@
 
 // choose waits until an endpoint can take the request. It returns false when none will in time.
 func (g *Gateway) choose(ctx context.Context, q *request) (fleet.Choice, bool) {
-	if q.attempts >= maxSendings {
+	if q.attempts-q.strangers >= maxSendings {
 		return fleet.Choice{}, false
 	}
 	var waiter *fleet.Waiter
