placement: what a leaving engine holds does not count as there

A leaving one gets no requests, but its models counted as held and its copies as kept until its registration went seconds later, so that nothing was loaded elsewhere. Ruled out: the new engines (free and reported within 0.3 s), the weight store's limit (4 reached). Test: TestModelsOfALeavingEngineAreLoadedElsewhere (m not loaded before).

--- a/internal/placement/manager.go
+++ b/internal/placement/manager.go
@@ -132,7 +132,10 @@
 		StoreLimit: s.pipe.limit,
 	}
 	for _, e := range known {
-		in.Engines = append(in.Engines, s.engine(now, e, class))
+		// What a leaving engine holds serves nobody any more: gateways send it nothing, and its copies go with it.
+		if !e.Leaving {
+			in.Engines = append(in.Engines, s.engine(now, e, class))
+		}
 	}
 	for _, c := range m.policy(in) {
 		m.give(now, s, class, c, in.Demand[c.Load])
@@ -192,7 +195,7 @@
 func (s *serviceState) engine(now time.Time, e fleet.Engine, class *catalog.EngineClass) Engine {
 	engine := Engine{
 		ID:        e.ID,
-		Free:      e.Reported && !e.Leaving && !e.Busy && e.Loading == "" && s.given[e.ID] == nil,
+		Free:      e.Reported && !e.Busy && e.Loading == "" && s.given[e.ID] == nil,
 		Holds:     make(map[string]bool, len(e.Models)),
 		Running:   e.Running + e.Queued,
 		Loading:   e.Loading,
