--- a/internal/load/hold.go
+++ b/internal/load/hold.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"balsamsail/internal/clock"
 	"balsamsail/internal/texttable"
 )
 
@@ -66,7 +67,7 @@
 		options.AllOpen()
 	}
 	begin := time.Now()
-	sleep(ctx, options.For)
+	clock.Pause(ctx, options.For)
 	report.Lost = report.Open - w.count()
 	report.HeldFor = time.Since(begin).Seconds()
 	cancel()
@@ -133,13 +134,3 @@
 	defer s.mu.Unlock()
 	return len(s.open)
 }
-
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"balsamsail/internal/clock"
 	"balsamsail/internal/sendonce"
 	"balsamsail/platform/standin"
 )
@@ -73,16 +74,9 @@
 	defer c.close()
 	for ctx.Err() == nil {
 		if !c.one(c.draw()) {
-			sleep(ctx, awayPause)
+			clock.Pause(ctx, awayPause)
 		}
-		sleep(ctx, time.Duration(c.random.ExpFloat64()*float64(thinkTime)))
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+		clock.Pause(ctx, time.Duration(c.random.ExpFloat64()*float64(thinkTime)))
 	}
 }
 
@@ -204,6 +198,6 @@
 			s.judge.sent(r)
 			s.judge.probed(r, c.exchange(timeout, r.call), s.startsOf(c.gateway))
 		})
-		sleep(ctx, interval)
+		clock.Pause(ctx, interval)
 	}
 }
--- a/soak/hosts.go
+++ b/soak/hosts.go
@@ -5,6 +5,8 @@
 	"context"
 	"os"
 	"time"
+
+	"balsamsail/internal/clock"
 )
 
 // life is what a run knows of a host's process beside its present state.
@@ -77,7 +79,7 @@
 			s.judge.Violate("ended by itself", "%s: %v", h.name, h.process.ExitError())
 			s.kill(h)
 		}
-		sleep(ctx, interval)
+		clock.Pause(ctx, interval)
 	}
 	for _, h := range s.hosts() {
 		log, err := os.ReadFile(h.process.Log)
