--- a/internal/capacity/process_test.go
+++ b/internal/capacity/process_test.go
@@ -23,6 +23,7 @@
 	"golang.org/x/sys/unix"
 
 	"balsamsail/internal/backing"
+	"balsamsail/internal/childprocess"
 	"balsamsail/internal/clock"
 	"balsamsail/internal/declarations"
 	pb "balsamsail/internal/declarations/declarationspb"
@@ -57,11 +58,7 @@
 	}
 	buildDir = dir
 	path := filepath.Join(dir, "balsamsail")
-	out, err := exec.Command("go", "build", "-o", path, "balsamsail/cmd/balsamsail").CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("%w: %s", err, out)
-	}
-	return path, nil
+	return path, childprocess.BuildProgram(path)
 })
 
 // TestMain removes the binary that was built.
--- a/internal/childprocess/childprocess.go
+++ b/internal/childprocess/childprocess.go
@@ -12,6 +12,13 @@
 	"github.com/pkg/errors"
 )
 
+// BuildProgram builds the product's program to a path, with further flags of the go command.
+func BuildProgram(path string, flags ...string) error {
+	args := append([]string{"build", "-o", path}, flags...)
+	output, err := exec.Command("go", append(args, "balsamsail/cmd/balsamsail")...).CombinedOutput()
+	return errors.Wrapf(err, "the program does not build:\n%s", output)
+}
+
 // Process is one program, over all its starts.
 type Process struct {
 	// Name is unique among the processes of a test, Path the program's file and Args its arguments.
--- a/soak/main.go
+++ b/soak/main.go
@@ -11,7 +11,6 @@
 	"io"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -21,6 +20,7 @@
 
 	"github.com/pkg/errors"
 
+	"balsamsail/internal/childprocess"
 	"balsamsail/platform"
 	"balsamsail/platform/standin"
 )
@@ -71,8 +71,8 @@
 	}
 	if o.binary == "" {
 		o.binary = filepath.Join(dir, "balsamsail")
-		if output, err := exec.Command("go", "build", "-o", o.binary, "balsamsail/cmd/balsamsail").CombinedOutput(); err != nil {
-			return 0, errors.Wrapf(err, "the program does not build:\n%s", output)
+		if err := childprocess.BuildProgram(o.binary); err != nil {
+			return 0, err
 		}
 	}
 	j := newJudge()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,11 +2,12 @@
 
 import (
 	"bytes"
-	"os/exec"
 	"path/filepath"
 	"reflect"
 	"testing"
 	"time"
+
+	"balsamsail/internal/childprocess"
 )
 
 // A seed always draws the same faults, all of them while the run lasts.
@@ -42,8 +43,8 @@
 // promise may be broken, and the site must be well again soon after the last fault.
 func TestSoak(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "balsamsail")
-	if output, err := exec.Command("go", "build", "-o", binary, "balsamsail/cmd/balsamsail").CombinedOutput(); err != nil {
-		t.Fatalf("the program does not build: %v\n%s", err, output)
+	if err := childprocess.BuildProgram(binary); err != nil {
+		t.Fatal(err)
 	}
 	for _, s := range seeds {
 		var out bytes.Buffer
--- a/test/main_test.go
+++ b/test/main_test.go
@@ -4,10 +4,11 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
 	"testing"
+
+	"balsamsail/internal/childprocess"
 )
 
 var (
@@ -39,13 +40,8 @@
 // buildBinary builds the binary once for all tests and returns its path.
 var buildBinary = sync.OnceValues(func() (string, error) {
 	path := filepath.Join(binaryDir, "balsamsail")
-	args := []string{"build", "-o", path}
 	if *raceBinary {
-		args = append(args, "-race")
-	}
-	output, err := exec.Command("go", append(args, "balsamsail/cmd/balsamsail")...).CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("the binary does not build: %w\n%s", err, output)
+		return path, childprocess.BuildProgram(path, "-race")
 	}
-	return path, nil
+	return path, childprocess.BuildProgram(path)
 })
