--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -4,6 +4,8 @@
 	"log/slog"
 	"sync"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -23,8 +25,8 @@
 	metrics *Metrics
 
 	mu       sync.Mutex
-	ordinary lineBudget
-	troubled lineBudget
+	ordinary *rate.Limiter
+	troubled *rate.Limiter
 	leftOut  int
 	saidAt   time.Time
 }
@@ -32,18 +34,18 @@
 func newRequestLog(logger *slog.Logger, metrics *Metrics) *requestLog {
 	return &requestLog{
 		logger: logger, metrics: metrics,
-		ordinary: lineBudget{perSecond: ordinaryLines}, troubled: lineBudget{perSecond: troubledLines},
+		ordinary: rate.NewLimiter(ordinaryLines, lineBurst*ordinaryLines), troubled: rate.NewLimiter(troubledLines, lineBurst*troubledLines),
 	}
 }
 
 // line writes one line. Those on requests in trouble have a budget of their own: they are what is looked for later.
 func (l *requestLog) line(now time.Time, trouble bool, message string, fields ...any) {
 	l.mu.Lock()
-	budget := &l.ordinary
+	budget := l.ordinary
 	if trouble {
-		budget = &l.troubled
+		budget = l.troubled
 	}
-	allowed := budget.take(now)
+	allowed := budget.AllowN(now, 1)
 	said := 0
 	if !allowed {
 		l.leftOut++
@@ -60,22 +62,3 @@
 		l.logger.Warn("lines on requests left out", "event", "log_reduced", "lines", said)
 	}
 }
-
-// lineBudget allows a number of lines a second.
-type lineBudget struct {
-	perSecond float64
-	spent     float64
-	at        time.Time
-}
-
-func (b *lineBudget) take(now time.Time) bool {
-	if passed := now.Sub(b.at); passed > 0 {
-		b.spent = max(0, b.spent-passed.Seconds()*b.perSecond)
-		b.at = now
-	}
-	if b.spent+1 > lineBurst*b.perSecond {
-		return false
-	}
-	b.spent++
-	return true
-}
