--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -199,7 +199,7 @@
 		return
 	}
 	e.sent--
-	e.silence.done()
+	e.silence.done(e.sent)
 	e.read(c)
 	if w.Adapter != "" {
 		release(e.adapters, w.adapter())
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -54,7 +55,8 @@
 	stateAt time.Time
 	// structureAt is when the agent last told more than the load.
 	structureAt time.Time
-	sent        int
+	// sent counts the requests of this gateway that are at the endpoint.
+	sent int
 	// prompts are the tokens of prompts that were sent and whose first event has not come.
 	prompts   int
 	adapters  map[Adapter]int
@@ -250,12 +252,7 @@
 		_, ok := e.state.Models[model]
 		return ok && !e.state.Unloading[model]
 	}
-	for _, m := range e.Models {
-		if m == model {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(e.Models, model)
 }
 
 func (e *endpoint) holdsAdapter(now time.Time, a Adapter) bool {
--- a/internal/fleet/silence.go
+++ b/internal/fleet/silence.go
@@ -29,32 +29,29 @@
 type silence struct {
 	// since is when the first request was sent after the endpoint's last word; zero while none is at it without a word.
 	since time.Time
-	// open counts the requests at the endpoint.
-	open int
 	// lastSent is when the last one was sent, lastHeard when the endpoint spoke last.
 	lastSent, lastHeard time.Time
 }
 
 func (s *silence) sent(now time.Time) {
-	s.open++
 	s.lastSent = now
 	if s.since.IsZero() {
 		s.since = now
 	}
 }
 
-// heard notes the answer to a request that is still open: the others are waited for anew.
-func (s *silence) heard(now time.Time) {
+// heard notes the answer to one of the open requests: the others are waited for anew.
+func (s *silence) heard(now time.Time, open int) {
 	s.lastHeard, s.since = now, now
-	if s.open <= 1 {
+	if open <= 1 {
 		s.since = time.Time{}
 	}
 }
 
-// done ends a request. The last one whose client left without a word of the endpoint leaves it as silent as it was.
-func (s *silence) done() {
-	s.open--
-	if s.open == 0 && !s.lastHeard.Before(s.lastSent) {
+// done ends a request, with so many still open. The last one whose client left without a word of the endpoint leaves it as
+// silent as it was.
+func (s *silence) done(open int) {
+	if open == 0 && !s.lastHeard.Before(s.lastSent) {
 		s.since = time.Time{}
 	}
 }
@@ -72,7 +69,7 @@
 	if e == nil {
 		return
 	}
-	e.silence.heard(now)
+	e.silence.heard(now, e.sent)
 	usual, known := f.usual[e.Service]
 	if !known {
 		usual = took
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -194,7 +194,7 @@
 // mayGoOn reports whether the request may be sent once more. A sending that reached an endpoint costs the budget one.
 func (g *Gateway) mayGoOn(ctx context.Context, q *request, reached bool) bool {
 	now := time.Now()
-	if ctx.Err() != nil || q.until.Sub(now) < leastTimeLeft || q.attempts-q.strangers >= maxSendings {
+	if ctx.Err() != nil || q.until.Sub(now) < leastTimeLeft || q.usedUp() {
 		return false
 	}
 	if q.mayHaveRun && q.attempts >= q.route.MaxAttempts {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -231,6 +231,9 @@
 	return q.route.Repeat == catalog.Idempotent || q.route.Streaming && q.route.Resumable
 }
 
+// usedUp reports whether the request has had all its sendings.
+func (q *request) usedUp() bool { return q.attempts-q.strangers >= maxSendings }
+
 // pacedUntil is until when the request is held back from engines that have prompts to read, as of now.
 //
 // One that waited for its model is late when the model is there, and with it all others that waited. Sent at once they would
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -67,7 +67,7 @@
 
 // choose waits until an endpoint can take the request. It returns false when none will in time.
 func (g *Gateway) choose(ctx context.Context, q *request) (fleet.Choice, bool) {
-	if q.attempts-q.strangers >= maxSendings {
+	if q.usedUp() {
 		return fleet.Choice{}, false
 	}
 	var waiter *fleet.Waiter
