experiment: models are named once a request, sources and load times are placement's own

Names were formatted for each waiting request, engine and tick; policies and the model had copies of sourceOf and loadTime; left and sent were set and never read.

--- a/internal/experiment/demand.go
+++ b/internal/experiment/demand.go
@@ -17,19 +17,19 @@
 // request is one request of a day.
 type request struct {
 	kind  *settings.ExperimentRequests
-	model int
+	model string
 	// at is when it arrives, from the day's start on.
 	at             time.Duration
 	prompt, events int
 
 	// cold is set when no engine held its model when it came.
 	cold bool
-	// sent is when an engine got it, first when its first event came and last the latest one; worst is the longest pause.
-	sent, first, last time.Duration
-	worst             time.Duration
-	promptLeft        float64
-	tokensLeft        float64
-	done, left        bool
+	// first is when its first event came and last the latest one; worst is the longest pause.
+	first, last time.Duration
+	worst       time.Duration
+	promptLeft  float64
+	tokensLeft  float64
+	done        bool
 }
 
 // moveTime is how long demand takes to move from one model to the next.
@@ -48,7 +48,7 @@
 				break
 			}
 			day = append(day, &request{
-				kind: kind, at: x.Run.Lead + at, model: kind.First + drawModel(kind, moves, at, random),
+				kind: kind, at: x.Run.Lead + at, model: modelName(kind.First + drawModel(kind, moves, at, random)),
 				prompt: around(kind.Prompt, random), events: around(kind.Events, random),
 			})
 		}
--- a/internal/experiment/policies.go
+++ b/internal/experiment/policies.go
@@ -56,19 +56,9 @@
 	return c
 }
 
-func sourceOf(e *placement.Engine, model string) placement.Source {
-	switch {
-	case e.InMemory[model]:
-		return placement.FromMemory
-	case e.OnDisk[model]:
-		return placement.FromDisk
-	}
-	return placement.FromStore
-}
-
 // give commands an engine to load a model, and the model that is passed to make way if there is no place.
 func (c *choice) give(e *placement.Engine, model, victim, reason string) {
-	command := placement.Command{Engine: e.ID, Load: model, Source: sourceOf(e, model), Reason: reason}
+	command := placement.Command{Engine: e.ID, Load: model, Source: e.SourceOf(model), Reason: reason}
 	if victim != "" {
 		command.Unload = []string{victim}
 		c.replicas[victim]--
@@ -94,11 +84,11 @@
 func (c *choice) load(model, reason string) bool {
 	var best *placement.Engine
 	for _, e := range c.free {
-		source := sourceOf(e, model)
+		source := e.SourceOf(model)
 		if e.Holds[model] || source == placement.FromStore && c.StoreLoads <= 0 {
 			continue
 		}
-		if best == nil || source < sourceOf(best, model) || source == sourceOf(best, model) && c.lastUse(e).Before(c.lastUse(best)) {
+		if best == nil || source < best.SourceOf(model) || source == best.SourceOf(model) && c.lastUse(e).Before(c.lastUse(best)) {
 			best = e
 		}
 	}
@@ -186,7 +176,7 @@
 				victim, loss = s.cheapest(c, e, worth)
 			}
 			for m, f := range worth {
-				source := sourceOf(e, m)
+				source := e.SourceOf(m)
 				if e.Holds[m] || source == placement.FromStore && c.StoreLoads <= 0 {
 					continue
 				}
@@ -222,12 +212,11 @@
 		if at >= seconds {
 			return
 		}
-		name := modelName(r.model)
-		if future[name] == nil {
-			future[name] = &arrivals{length: (time.Duration(r.events*s.x.Engines.EventTokens) * s.x.Engines.Step).Seconds()}
+		if future[r.model] == nil {
+			future[r.model] = &arrivals{length: (time.Duration(r.events*s.x.Engines.EventTokens) * s.x.Engines.Step).Seconds()}
 		}
-		future[name].worth[at] += r.kind.Worth
-		future[name].count[at]++
+		future[r.model].worth[at] += r.kind.Worth
+		future[r.model].count[at]++
 	}
 	for _, r := range s.waiting {
 		add(r)
@@ -246,9 +235,7 @@
 	if replicas == 0 {
 		return 0
 	}
-	load := map[placement.Source]time.Duration{
-		placement.FromMemory: s.x.Weights.MemoryTime, placement.FromDisk: s.x.Weights.DiskTime, placement.FromStore: s.x.Weights.StoreTime,
-	}[source]
+	load := s.loadTime(source)
 	// A client waits for a moment; what comes that long before the end of the load is served as well.
 	from := max(0, int((load - leastPatience).Seconds()))
 	sum := 0.0
--- a/internal/experiment/site.go
+++ b/internal/experiment/site.go
@@ -178,9 +178,6 @@
 // losePower lets all engines and the coordinator start anew: only the copies on the engines' disks are left.
 func (s *site) losePower() {
 	for _, e := range s.engines {
-		for _, r := range slices.Concat(e.running, e.queued) {
-			r.left = true
-		}
 		e.holds, e.memory, e.running, e.queued = make(map[string]bool), nil, nil, nil
 		e.command, e.loading, e.fromStore = nil, false, false
 		e.seen = s.look(e)
@@ -199,19 +196,17 @@
 func (s *site) arrive() {
 	for ; s.next < len(s.day) && s.day[s.next].at <= s.now; s.next++ {
 		r := s.day[s.next]
-		name := modelName(r.model)
 		s.count(r)
-		r.cold = !slices.ContainsFunc(s.engines, func(e *engine) bool { return s.serves(e, name) })
+		r.cold = !slices.ContainsFunc(s.engines, func(e *engine) bool { return s.serves(e, r.model) })
 		s.waiting = append(s.waiting, r)
 	}
 }
 
 // count notes a request as gateways do.
 func (s *site) count(r *request) {
-	name := modelName(r.model)
-	s.arrived[name]++
-	if s.targets[name] == 0 || r.kind.Aim < s.targets[name] {
-		s.targets[name] = r.kind.Aim
+	s.arrived[r.model]++
+	if s.targets[r.model] == 0 || r.kind.Aim < s.targets[r.model] {
+		s.targets[r.model] = r.kind.Aim
 	}
 }
 
@@ -225,19 +220,17 @@
 func (s *site) dispatch() {
 	s.waiting = slices.DeleteFunc(s.waiting, func(r *request) bool {
 		if s.gone(r) {
-			r.left = true
 			return true
 		}
 		var best *engine
 		for _, e := range s.engines {
-			if s.serves(e, modelName(r.model)) && (best == nil || len(e.running)+len(e.queued) < len(best.running)+len(best.queued)) {
+			if s.serves(e, r.model) && (best == nil || len(e.running)+len(e.queued) < len(best.running)+len(best.queued)) {
 				best = e
 			}
 		}
 		if best == nil {
 			return false
 		}
-		r.sent = s.now
 		r.promptLeft, r.tokensLeft = float64(r.prompt), float64(r.events*s.x.Engines.EventTokens)
 		best.queued = append(best.queued, r)
 		return true
@@ -252,10 +245,7 @@
 
 // run lets an engine work for one tick: it reads prompts between the steps of its streams.
 func (s *site) run(e *engine) {
-	leave := func(r *request) bool {
-		r.left = s.gone(r)
-		return r.left || r.done
-	}
+	leave := func(r *request) bool { return s.gone(r) || r.done }
 	e.running = slices.DeleteFunc(e.running, leave)
 	e.queued = slices.DeleteFunc(e.queued, leave)
 	for len(e.queued) > 0 && len(e.running) < s.x.Engines.Batch {
@@ -330,18 +320,24 @@
 }
 
 func (s *site) inUse(e *engine, models []string) bool {
-	uses := func(r *request) bool { return slices.Contains(models, modelName(r.model)) }
+	uses := func(r *request) bool { return slices.Contains(models, r.model) }
 	return slices.ContainsFunc(e.running, uses) || slices.ContainsFunc(e.queued, uses)
 }
 
+// loadTime is how long a load from a source takes at full speed; all models are alike.
+func (s *site) loadTime(source placement.Source) time.Duration {
+	return source.LoadTime(s.config.EngineClass(service).Models[modelName(0)])
+}
+
 func (s *site) beginLoad(e *engine) {
-	source, duration := placement.FromStore, s.x.Weights.StoreTime
+	source := placement.FromStore
 	switch {
 	case slices.Contains(e.memory, e.command.Load):
-		source, duration = placement.FromMemory, s.x.Weights.MemoryTime
+		source = placement.FromMemory
 	case slices.Contains(e.disk, e.command.Load):
-		source, duration = placement.FromDisk, s.x.Weights.DiskTime
+		source = placement.FromDisk
 	}
+	duration := s.loadTime(source)
 	s.loads[source]++
 	e.loading, e.fromStore = true, source == placement.FromStore
 	if e.fromStore {
@@ -377,7 +373,7 @@
 	for name, count := range s.arrived {
 		models[name] = &controlpb.ModelDemand{Service: service, Model: name, Arrived: count, TargetMs: s.targets[name].Milliseconds()}
 	}
-	of := func(r *request) *controlpb.ModelDemand { return models[modelName(r.model)] }
+	of := func(r *request) *controlpb.ModelDemand { return models[r.model] }
 	for _, r := range s.waiting {
 		d := of(r)
 		d.Waiting++
--- a/internal/placement/manager.go
+++ b/internal/placement/manager.go
@@ -208,7 +208,7 @@
 	}
 	if g := s.given[e.ID]; g != nil {
 		engine.Loading, engine.Unloading = g.Load, nameset.Of(g.Unload)
-		engine.Remaining = max(0, g.Source.loadTime(class.Models[g.Load])-now.Sub(g.at))
+		engine.Remaining = max(0, g.Source.LoadTime(class.Models[g.Load])-now.Sub(g.at))
 	}
 	return engine
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -51,8 +51,8 @@
 
 func (s Source) String() string { return [...]string{"memory", "disk", "store"}[s] }
 
-// loadTime is how long a model takes from the source.
-func (s Source) loadTime(m catalog.Model) time.Duration {
+// LoadTime is how long a model takes from the source.
+func (s Source) LoadTime(m catalog.Model) time.Duration {
 	return [...]time.Duration{m.MemoryTime, m.DiskTime, m.LoadTime}[s]
 }
 
@@ -238,7 +238,7 @@
 			if float64(len(p.free)) <= keptFree*float64(len(p.Engines)) {
 				return
 			}
-			if p.room(e) >= p.Class.Models[m].SizeMB && sourceOf(e, m) != FromStore {
+			if p.room(e) >= p.Class.Models[m].SizeMB && e.SourceOf(m) != FromStore {
 				p.give(e, m, nil, "room")
 				break
 			}
@@ -309,7 +309,7 @@
 	var bestUnload []string
 	bestCost := math.Inf(1)
 	for _, e := range p.freeEngines() {
-		source := sourceOf(e, model)
+		source := e.SourceOf(model)
 		if e.Holds[model] || source > slowest || source == FromStore && p.StoreLoads <= 0 {
 			continue
 		}
@@ -321,7 +321,7 @@
 			best, bestUnload, bestCost = e, unload, cost
 		}
 	}
-	if best == nil || sourceOf(best, model) == FromStore && p.soonElsewhere(model) {
+	if best == nil || best.SourceOf(model) == FromStore && p.soonElsewhere(model) {
 		return false
 	}
 	p.give(best, model, bestUnload, reason)
@@ -333,7 +333,7 @@
 func (p *plan) soonElsewhere(model string) bool {
 	for i := range p.Engines {
 		e := &p.Engines[i]
-		source := sourceOf(e, model)
+		source := e.SourceOf(model)
 		if !e.Free && !e.Holds[model] && e.Loading != model && source != FromStore && e.Remaining+p.loadTime(model, source) < p.loadTime(model, FromStore) {
 			return true
 		}
@@ -359,7 +359,7 @@
 }
 
 func (p *plan) give(e *Engine, model string, unload []string, reason string) {
-	source := sourceOf(e, model)
+	source := e.SourceOf(model)
 	if source == FromStore {
 		p.StoreLoads--
 	}
@@ -372,7 +372,8 @@
 	delete(p.free, e.ID)
 }
 
-func sourceOf(e *Engine, model string) Source {
+// SourceOf is where the engine would load a model from.
+func (e *Engine) SourceOf(model string) Source {
 	switch {
 	case e.InMemory[model]:
 		return FromMemory
@@ -383,5 +384,5 @@
 }
 
 func (p *plan) loadTime(model string, source Source) time.Duration {
-	return source.loadTime(p.Class.Models[model])
+	return source.LoadTime(p.Class.Models[model])
 }
