--- a/internal/app/engineagent.go
+++ b/internal/app/engineagent.go
@@ -64,14 +64,7 @@
 }
 
 // reload reads the settings again and says what has changed; all of it takes effect at the next start.
-func (r engineAgentRole) reload() {
-	next, err := r.Settings.Again()
-	if err != nil {
-		r.Logger.Error("settings not understood, those before stay in force", "event", "reload_failed", "error", err)
-		return
-	}
-	r.Logger.Info("settings read again", "event", "reloaded", "changed", settings.ChangedSections(r.Settings, next))
-}
+func (r engineAgentRole) reload() { readAgain(r.Settings, r.Settings.Again, r.Logger) }
 
 func (r engineAgentRole) run(ctx context.Context) error {
 	links, err := listenBetweenHosts(r.Settings.Control.Listen)
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -132,14 +132,9 @@
 
 // reload takes in settings that have changed. The budget of repeated sendings changes at once, all else at the next start.
 func (r gatewayRole) reload() {
-	next, err := r.Settings.Again()
-	if err != nil {
-		r.Logger.Error("settings not understood, those before stay in force", "event", "reload_failed", "error", err)
-		return
+	if next := readAgain(r.Settings, r.Settings.Again, r.Logger, "retries"); next != nil {
+		r.Gateway.SetBudget(retryBudget(next.Retries))
 	}
-	r.Gateway.SetBudget(retryBudget(next.Retries))
-	r.Logger.Info("settings read again", "event", "reloaded", "changed", settings.ChangedSections(r.Settings, next),
-		"at_once", []string{"retries"})
 }
 
 // run serves until ctx ends. The watches and links go on until the clients' requests have ended.
--- a/internal/app/hangup.go
+++ b/internal/app/hangup.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
+
+	"balsamsail/internal/settings"
 )
 
 // hangups are the signals with which the platform tells a process that its settings file has changed. Without a handler the
@@ -32,3 +35,15 @@
 		}
 	}
 }
+
+// readAgain reads a role's settings anew and says which sections have changed, and which of them the role puts into force at
+// once. It returns nil where the new ones are not understood; those before stay in force then.
+func readAgain[S any](before *S, again func() (*S, error), logger *slog.Logger, atOnce ...string) *S {
+	next, err := again()
+	if err != nil {
+		logger.Error("settings not understood, those before stay in force", "event", "reload_failed", "error", err)
+		return nil
+	}
+	logger.Info("settings read again", "event", "reloaded", "changed", settings.ChangedSections(before, next), "at_once", atOnce)
+	return next
+}
