--- a/soak/faults.go
+++ b/soak/faults.go
@@ -92,9 +92,9 @@
 		return s.agentLink(pick, func(l *faultlink.Link) { l.Block(faultlink.ToClient, faultlink.Vanish) })
 	}},
 
-	{"endpoint crashed", 4, 200 * ms, 3 * second, func(s *site, pick uint64, _ time.Duration) func() { return s.crash(s.place(pick), false) }},
+	{"endpoint crashed", 4, 200 * ms, 3 * second, func(s *site, pick uint64, _ time.Duration) func() { return s.crash(s.place(pick)) }},
 	{"endpoint gone, still listed", 1, 3 * second, 5 * second, func(s *site, pick uint64, _ time.Duration) func() {
-		return s.crash(s.place(pick), false)
+		return s.crash(s.place(pick))
 	}},
 	{"endpoint drained", 4, leaveBound + second, leaveBound + 3*second, func(s *site, pick uint64, _ time.Duration) func() {
 		return s.drain(s.place(pick), true)
@@ -233,9 +233,9 @@
 }
 
 // crash ends an endpoint without a word; the function that it returns starts its next incarnation.
-func (s *site) crash(p *place, unregister bool) func() {
+func (s *site) crash(p *place) func() {
 	end := s.judge.disturb(p.name)
-	p.crash(unregister)
+	p.crash(false)
 	return func() {
 		defer end()
 		s.startIfGone(p, p.service)
--- a/soak/site.go
+++ b/soak/site.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -83,6 +85,8 @@
 	// service is what runs there at first.
 	service string
 	agent   *host
+	// number counts the places from 0.
+	number int
 
 	mu       sync.Mutex
 	endpoint *standin.Endpoint
@@ -187,7 +191,7 @@
 }
 
 func (s *site) addPlace(i int, sz size, root, binary string) error {
-	p := &place{listen: at(s.ip(ipEndpoint, i), portEndpoint), listed: at(s.ip(ipEndpointListed, i), portEndpoint), disk: map[string]bool{}}
+	p := &place{number: i, listen: at(s.ip(ipEndpoint, i), portEndpoint), listed: at(s.ip(ipEndpointListed, i), portEndpoint), disk: map[string]bool{}}
 	link, err := faultlink.New(p.listed, p.listen)
 	if err != nil {
 		return errors.WithStack(err)
@@ -221,7 +225,7 @@
 	o := standin.EndpointOptions{
 		Listen: p.listen, Listed: p.listed, Service: service, FailureDomain: domain(len(p.name)), Heartbeat: heartbeat,
 		Work: plainWork, Pause: eventPause, Slots: serviceSlots, Store: s.store, Observer: s.judge,
-		Seed: s.seed<<20 + s.index(p)<<10 + p.starts,
+		Seed: s.seed<<20 + uint64(p.number)<<10 + p.starts,
 	}
 	if service == engines {
 		o.Slots = engineSlots
@@ -236,15 +240,6 @@
 	return nil
 }
 
-func (s *site) index(p *place) uint64 {
-	for i, x := range s.places {
-		if x == p {
-			return uint64(i)
-		}
-	}
-	return 0
-}
-
 // engineOptions are those of the next incarnation of an engine. The first one holds a model, a later one starts empty with
 // the copies on its disk.
 func (s *site) engineOptions(p *place) *standin.EngineOptions {
@@ -253,11 +248,9 @@
 		StoreTime: storeLoad, DiskTime: diskLoad, MemoryTime: memoryLoad, AdapterTime: adapterLoad, Weights: s.weights,
 	}
 	if p.starts == 1 {
-		o.Holds = []string{s.models[int(s.index(p))%len(s.models)]}
-	}
-	for m := range p.disk {
-		o.Disk = append(o.Disk, m)
+		o.Holds = []string{s.models[p.number%len(s.models)]}
 	}
+	o.Disk = slices.Sorted(maps.Keys(p.disk))
 	return o
 }
 
@@ -268,9 +261,7 @@
 	if p.endpoint == nil {
 		return
 	}
-	for m := range p.endpoint.Copies() {
-		p.disk[m] = true
-	}
+	maps.Copy(p.disk, p.endpoint.Copies())
 	p.endpoint.Stop(unregister)
 	p.endpoint = nil
 }
