routing: a request that may be repeated goes back to an endpoint that it has tried

Ruled out: the agent's word on the withdrawal (it came, and said that it had run). Test: TestDecide, four rows (two fail before); the joined run passes as before.

--- a/internal/routing/retry.go
+++ b/internal/routing/retry.go
@@ -83,7 +83,12 @@
 	wait := time.Duration(0)
 	if !s.Untried {
 		wait = a.RetryAfter
-		if !a.passes() || wait <= 0 || wait > s.Deadline.Sub(now)/2 {
+		if s.mayGoBack(a) {
+			wait = max(wait, minRetryAfter)
+		} else if !a.passes() {
+			return 0, false
+		}
+		if wait <= 0 || wait > s.Deadline.Sub(now)/2 {
 			return 0, false
 		}
 	}
@@ -93,6 +98,16 @@
 	return wait, s.Budget != nil && s.Budget.Spend(now)
 }
 
+// mayGoBack reports whether a request that may run more than once, and was refused after an earlier attempt broke, may be sent
+// to an endpoint that it has tried.
+//
+// A waiting request is withdrawn in the moment in which its endpoint begins it: the load that it waited for is done. No other
+// endpoint has room for its model, and without this its caller was told that the outcome is unknown, with the time left and the
+// model loaded.
+func (s *RequestState) mayGoBack(a Attempt) bool {
+	return s.Idempotent && s.MayHaveRun && a.Outcome == OutcomeRefused
+}
+
 // passes reports whether the reason of a refusal is one that passes within the time to come back, on the same endpoint or
 // on the one that takes its place: waiting for it serves the request, where an overload would only be kept up by it.
 func (a Attempt) passes() bool {
--- a/internal/routing/retry_test.go
+++ b/internal/routing/retry_test.go
@@ -17,6 +17,7 @@
 	broken := Attempt{Outcome: OutcomeBroken}
 	committed := Attempt{Outcome: OutcomeBroken, Committed: true}
 	full := Attempt{Outcome: OutcomeRefused, Reason: wirepb.RefusalReason_QUEUE_FULL, RetryAfter: time.Second}
+	noMemory := Attempt{Outcome: OutcomeRefused, Reason: wirepb.RefusalReason_NO_MEMORY}
 	leaving := Attempt{Outcome: OutcomeRefused, Reason: wirepb.RefusalReason_LEAVING, RetryAfter: time.Second}
 	request := func(change func(*RequestState)) RequestState {
 		s := RequestState{Deadline: start.Add(10 * time.Second), Untried: true, MaxAttempts: 3, Budget: NewRetryBudget(BudgetOptions{})}
@@ -42,6 +43,12 @@
 		{"idempotent broken, last attempt", request(func(s *RequestState) { s.Idempotent, s.Attempts = true, 2 }), broken, VerdictUnknown, 0},
 		{"idempotent broken, no budget", request(func(s *RequestState) { s.Idempotent, s.Budget = true, nil }), broken, VerdictUnknown, 0},
 		{"refused after an attempt that broke", request(func(s *RequestState) { s.Idempotent, s.MayHaveRun, s.Attempts = true, true, 2 }), full, VerdictUnknown, 0},
+		{"refused after an attempt that broke, attempts left", request(func(s *RequestState) { s.Idempotent, s.MayHaveRun, s.Attempts, s.Untried = true, true, 1, false }), full, VerdictRetry, time.Second},
+		{"refused without a time after an attempt that broke", request(func(s *RequestState) { s.Idempotent, s.MayHaveRun, s.Attempts, s.Untried = true, true, 1, false }), noMemory, VerdictRetry, minRetryAfter},
+		{"refused after an attempt that broke, no budget", request(func(s *RequestState) {
+			s.Idempotent, s.MayHaveRun, s.Attempts, s.Untried, s.Budget = true, true, 1, false, nil
+		}), full, VerdictUnknown, 0},
+		{"two steps refused after one that may have run", request(func(s *RequestState) { s.MayHaveRun, s.Attempts, s.Untried = true, 1, false }), full, VerdictUnknown, 0},
 		{"two steps broken before the commit", request(nil), broken, VerdictRetry, 0},
 		{"two steps broken before the commit, none left", request(func(s *RequestState) { s.Untried = false }), broken, VerdictRefuse, 0},
 		{"two steps broken after the commit", request(nil), committed, VerdictUnknown, 0},
