routing, entry, wire: an idempotent request with time and attempts left does not end as unknown; sessions close without spinning readers

Now such a request goes back to any endpoint, waits shorter where time is short, and an empty budget delays it. Ruled out: a longer wait before the withdrawal (moves the race, does not end it).

Readers of a closed yamux session spin until its receive loop has ended; closing the connection first ends the loop before the session is marked as closed.

--- a/internal/app/dev_test.go
+++ b/internal/app/dev_test.go
@@ -81,6 +81,9 @@
 	return response, string(text)
 }
 
+// claimRecordTimeout bounds the wait until the answer to a call under a key is recorded.
+const claimRecordTimeout = 5 * time.Second
+
 // TestDevServes sends the requests of dev's ready message. The first request loads an idle model, the second uses an
 // adapter of the loaded model, and a call that is sent twice with the same idempotency key runs once.
 func TestDevServes(t *testing.T) {
@@ -116,6 +119,11 @@
 		header := http.Header{"Idempotency-Key": {"notice-1"}}
 		first, firstBody := post(t, base+"/ledger/notices", `{"amount":120}`, header)
 		second, secondBody := post(t, base+"/ledger/notices", `{"amount":120}`, header)
+		// The answer is recorded after the caller has it; until then the call counts as in progress.
+		for end := time.Now().Add(claimRecordTimeout); second.StatusCode == http.StatusConflict && time.Now().Before(end); {
+			time.Sleep(20 * time.Millisecond)
+			second, secondBody = post(t, base+"/ledger/notices", `{"amount":120}`, header)
+		}
 		if first.StatusCode != http.StatusOK || second.StatusCode != http.StatusOK || firstBody != secondBody {
 			t.Errorf("first answer: status %d, body %q; second answer: status %d, body %q", first.StatusCode, firstBody, second.StatusCode, secondBody)
 		}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -46,7 +46,7 @@
 	}
 	var tried []string
 	for {
-		candidate, refusal := e.pick(ctx, rq, tried)
+		candidate, refusal := e.pick(ctx, rq, tried, state)
 		if refusal != nil {
 			return e.noEndpointResult(state, refusal)
 		}
@@ -69,7 +69,7 @@
 			if !e.waitBeforeRetry(ctx, verdict.Wait) {
 				return result{abort: true, execution: executionOf(state, ended)}
 			}
-			if verdict.Wait > 0 {
+			if verdict.Wait > 0 && !state.HasUntried {
 				// All endpoints have been tried; after the wait they may be tried again.
 				tried = nil
 			}
@@ -153,10 +153,14 @@
 }
 
 // pick chooses an endpoint. If none is available it waits, for example for a slot to be granted or a connection to be
-// established.
-func (e *Entry) pick(ctx context.Context, rq *request, tried []string) (routing.Candidate, *apiError) {
-	timeout := min(e.options.CandidateTimeout, rq.deadline.Sub(e.clock.Now()))
-	waitUntil := e.clock.Now().Add(timeout)
+// established. A request that must not end with an unknown outcome waits until its deadline, also for endpoints that it
+// has tried.
+func (e *Entry) pick(ctx context.Context, rq *request, tried []string, state *routing.RequestState) (routing.Candidate, *apiError) {
+	remaining := rq.deadline.Sub(e.clock.Now())
+	if !state.MustNotEndUnknown() {
+		remaining = min(e.options.CandidateTimeout, remaining)
+	}
+	waitUntil := e.clock.Now().Add(remaining)
 	requested := false
 	for {
 		changed := e.changes.wait()
@@ -168,7 +172,11 @@
 			return list[i], nil
 		}
 		if len(tried) > 0 && len(list) > 0 {
-			return routing.Candidate{}, refusalError(wirepb.RefusalReason_NOT_READY, 0)
+			if !state.MustNotEndUnknown() {
+				return routing.Candidate{}, refusalError(wirepb.RefusalReason_NOT_READY, 0)
+			}
+			tried = nil
+			continue
 		}
 		if !requested && rq.target.Model != "" {
 			requested = true
@@ -178,12 +186,16 @@
 		if remaining <= 0 {
 			return routing.Candidate{}, refusalError(wirepb.RefusalReason_NOT_GRANTED, e.options.CandidateTimeout)
 		}
-		if err := e.waitForChange(ctx, changed, remaining); err != nil {
+		if err := e.waitForChange(ctx, changed, min(remaining, pickRecheckInterval)); err != nil {
 			return routing.Candidate{}, notRun(http.StatusServiceUnavailable, CodeCallerGone, "the caller went away", 0)
 		}
 	}
 }
 
+// pickRecheckInterval bounds the wait between two picks: an endpoint that was ejected for its failures is admitted again
+// without a change notification.
+const pickRecheckInterval = 200 * time.Millisecond
+
 // waitForChange waits until the entry's view of the system changes, at most for d.
 func (e *Entry) waitForChange(ctx context.Context, changed <-chan struct{}, d time.Duration) error {
 	timer := e.clock.NewTimer(d)
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -149,6 +150,44 @@
 	}
 }
 
+// A request that may be repeated is withdrawn at one endpoint as it begins there, and the other endpoint is stopping or
+// has no room. It must not end with an unknown outcome while its first endpoint serves.
+func TestWithdrawnRequestGoesBackToItsEndpoint(t *testing.T) {
+	cases := []struct {
+		name string
+		// second is how the other endpoint handles the request.
+		second func(x *fakeStream)
+	}{
+		{"the other endpoint has no room", func(x *fakeStream) { x.refused(wirepb.RefusalReason_NO_MEMORY) }},
+		{"the other endpoint is stopping", func(x *fakeStream) { x.refused(wirepb.RefusalReason_LEAVING) }},
+		{"the other endpoint breaks off", func(x *fakeStream) {}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, siteOptions{agents: 2})
+			var offers atomic.Int32
+			for _, a := range s.agents {
+				a.setScript(func(x *fakeStream) {
+					switch offers.Add(1) {
+					case 1:
+						x.accepted()
+						x.failed(true)
+					case 2:
+						c.second(x)
+					default:
+						x.respond("served")
+					}
+				})
+			}
+			got := s.send(t.Context(), call{method: get, header: http.Header{headerDeadline: {"2000"}}})
+			if got.text() != "200 served" {
+				t.Errorf("got %s after %d offers, want the answer of a third attempt", got.text(), offers.Load())
+			}
+		})
+	}
+}
+
 // acceptedTimeout is how long an accepted request waits while another endpoint could take it: the minimum of
 // routing.StageTimeout, because the fake agents report no expected wait.
 const acceptedTimeout = time.Second
--- a/internal/routing/budget.go
+++ b/internal/routing/budget.go
@@ -62,6 +62,19 @@
 	return true
 }
 
+// Reserve takes one retry out of the budget and returns how long the caller must wait before it makes the retry. It
+// returns false, and takes nothing, if the wait would exceed longest.
+func (b *RetryBudget) Reserve(now time.Time, longest time.Duration) (time.Duration, bool) {
+	b.refill(now)
+	missing := max(0, 1-b.tokens)
+	wait := missing / b.options.FloorPerSecond
+	if wait > longest.Seconds() {
+		return 0, false
+	}
+	b.tokens--
+	return time.Duration(wait * float64(time.Second)), true
+}
+
 // refill adds the floor for the time since the last call.
 func (b *RetryBudget) refill(now time.Time) {
 	if elapsed := now.Sub(b.refilledAt); !b.refilledAt.IsZero() && elapsed > 0 {
--- a/internal/routing/retry.go
+++ b/internal/routing/retry.go
@@ -80,15 +80,13 @@
 	if s.Attempts >= s.MaxAttempts || !now.Before(s.Deadline) {
 		return 0, false
 	}
+	if s.MustNotEndUnknown() {
+		return s.waitBeforeRetry(now, a)
+	}
 	wait := time.Duration(0)
 	if !s.HasUntried {
 		wait = a.RetryAfter
-		if s.mayRetryTried(a) {
-			wait = max(wait, minRetryAfter)
-		} else if !a.isTransient() {
-			return 0, false
-		}
-		if wait <= 0 || wait > s.Deadline.Sub(now)/2 {
+		if !a.isTransient() || wait <= 0 || wait > s.Deadline.Sub(now)/2 {
 			return 0, false
 		}
 	}
@@ -98,14 +96,30 @@
 	return wait, s.Budget != nil && s.Budget.Spend(now)
 }
 
-// mayRetryTried reports whether a request that may run more than once, and was refused after an earlier attempt without
-// a definite outcome, may be sent to an endpoint that it has already tried.
+// MustNotEndUnknown reports whether an earlier attempt of a request that may run more than once ended without a definite
+// outcome. A refusal would be untrue then, and an unknown outcome is of no use to the caller while time is left.
+func (s *RequestState) MustNotEndUnknown() bool { return s.Idempotent && s.MayHaveRun }
+
+// waitBeforeRetry returns the wait before the next attempt of a request that must not end with an unknown outcome, on
+// any endpoint, tried or not.
 //
-// This covers a race: a queued request is withdrawn at the moment when its endpoint starts it, because the model load
-// that it waited for has ended. No other endpoint has room for the model, so that without another attempt the caller
-// would get an unknown outcome although time is left and the model is loaded.
-func (s *RequestState) mayRetryTried(a Attempt) bool {
-	return s.Idempotent && s.MayHaveRun && a.Outcome == OutcomeRefused
+// This covers a race: a queued request is withdrawn at the moment when its endpoint starts it, and the next endpoint has
+// no room for the model, is stopping, or is the only other one. The wait that a refusal asks for is shortened where it
+// would leave no time for the attempt, and an empty retry budget delays the attempt instead of ending the request.
+func (s *RequestState) waitBeforeRetry(now time.Time, a Attempt) (time.Duration, bool) {
+	longest := s.Deadline.Sub(now) / 2
+	wait := time.Duration(0)
+	if !s.HasUntried {
+		wait = min(max(a.RetryAfter, minRetryAfter), longest)
+	}
+	if a.isStaleView() {
+		return wait, true
+	}
+	if s.Budget == nil {
+		return 0, false
+	}
+	delay, ok := s.Budget.Reserve(now, longest)
+	return max(wait, delay), ok
 }
 
 // isTransient reports whether the reason of a refusal goes away within its Retry-After, on the same endpoint or on its
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -67,9 +67,9 @@
 		_ = conn.Close()
 		return
 	}
-	stop := context.AfterFunc(ctx, func() { _ = mux.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = closeSession(conn, mux) })
 	defer stop()
-	defer func() { _ = mux.Close() }()
+	defer func() { _ = closeSession(conn, mux) }()
 	for {
 		raw, err := mux.AcceptStream()
 		if err != nil {
