identity of an endpoint's process: its ID with its start; rows of another writer name no endpoint

An engine may start again under its ID. A restart was guessed from a falling count of orders, so one at the same or a higher count was not seen, and a late report of the earlier process looked like one. The start (whole Unix milliseconds, from reports and registrations) now goes with the ID through reports, registrations, commands, the gateway's view and the coordinator's pending commands. On a restart the agent drops what was queued; the gateway drops models, refusals and health, closes kept connections, and ends its requests there (run-once calls as unknown, the others go elsewhere); the coordinator ends its command. An earlier process's report or registration never replaces a later one's.

A late order for the earlier process passes both the ID and, at the same count, the sequence of the new one.

Rows with a field missing, of another type, an unknown state, or unreadable bytes name no endpoint; each key is logged once.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -111,6 +111,8 @@
 		IdleConnTimeout:     20 * time.Second,
 		DisableCompression:  true,
 	}
+	// Kept connections to an endpoint that has restarted lead to its earlier process.
+	f.OnRestart(func() { go transport.CloseIdleConnections() })
 	return gateway.New(options, platform.Codec{}, f, transport, l, m)
 }
 
--- a/internal/app/site.go
+++ b/internal/app/site.go
@@ -24,10 +24,12 @@
 
 	updates   chan func()
 	endpoints *catalog.Endpoints
+	// invalidRows holds the keys of the rows that are not registrations.
+	invalidRows map[string]bool
 }
 
 func newSiteSync(f *fleet.Fleet, a *control.Agents, l *slog.Logger) *siteSync {
-	return &siteSync{fleet: f, agents: a, logger: l, updates: make(chan func()), endpoints: catalog.NewEndpoints()}
+	return &siteSync{fleet: f, agents: a, logger: l, updates: make(chan func()), endpoints: catalog.NewEndpoints(), invalidRows: make(map[string]bool)}
 }
 
 // run applies updates from the watches one at a time until ctx ends.
@@ -94,9 +96,13 @@
 		for _, row := range rows {
 			if e, ok := s.decode(row); ok {
 				list = append(list, e)
+			} else {
+				s.endpoints.Invalidate(row.Key, time.Now())
 			}
 		}
-		s.endpoints.Replace(list, time.Now())
+		for _, e := range s.endpoints.Replace(list, time.Now()) {
+			s.logEarlierProcess(e)
+		}
 		s.publish()
 	}
 }
@@ -104,11 +110,7 @@
 func (s endpointSink) Apply(rows []watch.Row) {
 	s.updates <- func() {
 		for _, row := range rows {
-			if row.Deleted {
-				s.endpoints.Remove(row.Key, time.Now())
-			} else if e, ok := s.decode(row); ok {
-				s.endpoints.Put(e)
-			}
+			s.applyRow(row)
 		}
 		s.publish()
 	}
@@ -117,10 +119,40 @@
 func (s endpointSink) Unavailable(error) { s.updates <- s.endpoints.StoreLost }
 func (s endpointSink) Available()        { s.updates <- func() { s.endpoints.StoreBack(time.Now()) } }
 
+// applyRow applies one changed row. A row that is not a registration names no endpoint, whatever its key named before;
+// the other rows are not affected.
+func (s endpointSink) applyRow(row watch.Row) {
+	if row.Deleted {
+		delete(s.invalidRows, row.Key)
+		s.endpoints.Remove(row.Key, time.Now())
+		return
+	}
+	e, ok := s.decode(row)
+	if !ok {
+		s.endpoints.Invalidate(row.Key, time.Now())
+		return
+	}
+	if !s.endpoints.Put(e) {
+		s.logEarlierProcess(e)
+	}
+}
+
+// maxInvalidRows bounds the keys of invalid rows that are remembered so that each is logged once.
+const maxInvalidRows = 1000
+
 func (s endpointSink) decode(row watch.Row) (catalog.Endpoint, bool) {
 	e, err := platform.DecodeEndpoint(row.Key, row.Value, row.Revision)
-	if err != nil {
-		s.logger.Error("cannot decode an endpoint registration", "event", "bad_endpoint", "endpoint", row.Key, "error", err)
+	if err == nil {
+		delete(s.invalidRows, row.Key)
+		return e, true
+	}
+	if !s.invalidRows[row.Key] && len(s.invalidRows) < maxInvalidRows {
+		s.invalidRows[row.Key] = true
+		s.logger.Error("row is not an endpoint registration; it names no endpoint", "event", "bad_endpoint", "endpoint", row.Key, "revision", row.Revision, "error", err)
 	}
-	return e, err == nil
+	return catalog.Endpoint{}, false
+}
+
+func (s endpointSink) logEarlierProcess(e catalog.Endpoint) {
+	s.logger.Warn("registration of an earlier process ignored", "event", "old_registration", "endpoint", e.ID, "started", e.Started, "revision", e.Revision)
 }
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -76,3 +76,47 @@
 		t.Errorf("%v, want the endpoint still leaving", live)
 	}
 }
+
+// An endpoint restarts under its ID, and a write of the earlier process reaches the store after that of the later one, or
+// after the later one has left. The registration of the earlier process must not come into use.
+func TestRegistrationOfAnEarlierProcessIsRefused(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e := NewEndpoints()
+	e.Put(Endpoint{ID: "a", Started: 100, Revision: 1})
+	e.Put(Endpoint{ID: "a", Started: 200, Revision: 2, Models: []string{"m"}})
+	for _, late := range []Endpoint{{ID: "a", Started: 100, Revision: 3}, {ID: "a", Revision: 3}} {
+		if e.Put(late) {
+			t.Errorf("registration %+v was accepted", late)
+		}
+	}
+	if live := e.Live(now); len(live) != 1 || live[0].Started != 200 || len(live[0].Models) != 1 {
+		t.Errorf("in use %+v, want the later process", live)
+	}
+	e.Remove("a", now)
+	if e.Put(Endpoint{ID: "a", Started: 100, Revision: 5}) || len(e.Live(now)) != 0 {
+		t.Errorf("in use %+v after the removal, want none", e.Live(now))
+	}
+	if !e.Put(Endpoint{ID: "a", Started: 300, Revision: 6}) {
+		t.Error("a third process was refused")
+	}
+}
+
+// Another writer overwrites an endpoint's row or adds rows of its own. Such rows name no endpoint, also within the grace
+// period after an outage of the store; the others stay.
+func TestRowsOfAnotherWriterNameNoEndpoint(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e := NewEndpoints()
+	e.Replace([]Endpoint{{ID: "a", Started: 1, Revision: 1}, {ID: "b", Started: 2, Revision: 2}, {ID: "c", Started: 3, Revision: 3}}, now)
+	e.StoreLost()
+	e.StoreBack(now)
+	e.Invalidate("a", now)
+	e.Put(Endpoint{ID: "without a start", Revision: 9})
+	if got := ids(e.Live(now)); !slices.Equal(got, []string{"b", "c"}) {
+		t.Errorf("%v in use, want b and c", got)
+	}
+	old := NewEndpoints()
+	old.Replace([]Endpoint{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}, {ID: "upgraded", Started: 3, Revision: 3}}, now)
+	if got := ids(old.Live(now)); len(got) != 3 {
+		t.Errorf("%v in use where most endpoints state no start, want all", got)
+	}
+}
--- a/internal/catalog/endpoints.go
+++ b/internal/catalog/endpoints.go
@@ -10,10 +10,12 @@
 // seconds; one that has not done so by then is gone.
 const reregisterGrace = 2 * time.Second
 
-// Endpoint is one incarnation of an endpoint, as it registered itself.
+// Endpoint is one process of an endpoint, as it registered itself.
 type Endpoint struct {
-	// ID identifies the incarnation; a restarted endpoint has a new ID.
-	ID            string
+	// ID identifies the endpoint. A restarted endpoint has a new ID, or the same one with a later Started.
+	ID string
+	// Started is the Unix time in milliseconds at which the endpoint's process started; 0 if it is not stated.
+	Started       int64
 	Service       string
 	Address       string
 	FailureDomain string
@@ -36,6 +38,8 @@
 	lapsed map[string]lapsedEndpoint
 	// storeDown is set while the store is unavailable.
 	storeDown bool
+	// ended holds the process starts of the endpoints that were removed lately.
+	ended map[string]endedProcess
 	// graceEnds is the end of the grace period after an outage during which endpoints may register again.
 	graceEnds time.Time
 }
@@ -45,9 +49,19 @@
 	until    time.Time
 }
 
+// endedProcess is the last process of an endpoint that was removed.
+type endedProcess struct {
+	started int64
+	at      time.Time
+}
+
+// endedTTL is how long the process start of a removed endpoint is remembered: a write of an earlier process may reach the
+// store some ten seconds late.
+const endedTTL = time.Minute
+
 // NewEndpoints returns an empty list.
 func NewEndpoints() *Endpoints {
-	return &Endpoints{listed: make(map[string]Endpoint), lapsed: make(map[string]lapsedEndpoint)}
+	return &Endpoints{listed: make(map[string]Endpoint), lapsed: make(map[string]lapsedEndpoint), ended: make(map[string]endedProcess)}
 }
 
 // StoreLost records that the store has become unavailable.
@@ -61,13 +75,35 @@
 	}
 }
 
-// Put stores a registration, unless a newer one is already stored.
-func (e *Endpoints) Put(endpoint Endpoint) {
-	if endpoint.Revision < e.listed[endpoint.ID].Revision {
-		return
+// Put stores a registration, unless a newer one is already stored. It returns false for a registration of an earlier
+// process than one already known under the ID, which may reach the store late: the later process stays listed.
+func (e *Endpoints) Put(endpoint Endpoint) bool {
+	known := e.listed[endpoint.ID]
+	if endpoint.Revision < known.Revision {
+		return true
+	}
+	if endpoint.Started < max(known.Started, e.ended[endpoint.ID].started) {
+		return false
 	}
 	e.listed[endpoint.ID] = endpoint
 	delete(e.lapsed, endpoint.ID)
+	delete(e.ended, endpoint.ID)
+	return true
+}
+
+// Invalidate removes an endpoint whose row in the store was overwritten with something that is not a registration.
+func (e *Endpoints) Invalidate(id string, now time.Time) {
+	e.forget(id, now)
+	delete(e.lapsed, id)
+}
+
+// forget removes an endpoint from the list and remembers its process for endedTTL.
+func (e *Endpoints) forget(id string, now time.Time) {
+	if started := e.listed[id].Started; started != 0 {
+		e.ended[id] = endedProcess{started: started, at: now}
+	}
+	delete(e.listed, id)
+	maps.DeleteFunc(e.ended, func(_ string, p endedProcess) bool { return now.Sub(p.at) > endedTTL })
 }
 
 // Remove removes an endpoint whose registration was deleted from the store.
@@ -80,31 +116,46 @@
 	if !ok {
 		return
 	}
-	delete(e.listed, id)
+	e.forget(id, now)
 	if now.Before(e.graceEnds) && !endpoint.Leaving {
 		e.lapsed[id] = lapsedEndpoint{endpoint: endpoint, until: e.graceEnds}
 	}
 }
 
-// Replace replaces the list by a complete one read from the store. Endpoints missing from it are treated as removed.
-func (e *Endpoints) Replace(list []Endpoint, now time.Time) {
+// Replace replaces the list by a complete one read from the store. Endpoints missing from it are treated as removed. It
+// returns the registrations that Put refused.
+func (e *Endpoints) Replace(list []Endpoint, now time.Time) (refused []Endpoint) {
 	present := make(map[string]bool, len(list))
 	for _, endpoint := range list {
 		present[endpoint.ID] = true
-		e.Put(endpoint)
+		if !e.Put(endpoint) {
+			refused = append(refused, endpoint)
+		}
 	}
 	for id := range maps.Clone(e.listed) {
 		if !present[id] {
 			e.Remove(id, now)
 		}
 	}
+	return refused
 }
 
 // Live returns the endpoints that are in use at a time.
+//
+// Where most registrations state the start of their process, one that does not was not written by an endpoint, and is
+// left out.
 func (e *Endpoints) Live(now time.Time) []Endpoint {
 	all := make([]Endpoint, 0, len(e.listed)+len(e.lapsed))
+	stated := 0
 	for _, endpoint := range e.listed {
-		all = append(all, endpoint)
+		if endpoint.Started != 0 {
+			stated++
+		}
+	}
+	for _, endpoint := range e.listed {
+		if endpoint.Started != 0 || 2*stated <= len(e.listed) {
+			all = append(all, endpoint)
+		}
 	}
 	for id, l := range e.lapsed {
 		if !now.Before(l.until) {
--- a/internal/control/agents.go
+++ b/internal/control/agents.go
@@ -221,7 +221,9 @@
 	}
 	id := l.endpoint.ID
 	a.mu.Unlock()
-	a.fleet.SetState(id, decodeState(message.State), int(message.Running), int(message.Queued), now)
+	if !a.fleet.SetState(id, decodeState(message.State), int(message.Running), int(message.Queued), now) {
+		a.logger.Warn("report of an earlier engine process ignored", "event", "old_report", "endpoint", id, "started", message.State.GetStartedMs())
+	}
 	return nil
 }
 
@@ -279,6 +281,7 @@
 		OnDisk:     nameset.Of(s.OnDisk),
 		Command:    s.Command,
 		CommandAge: time.Duration(s.CommandAgeMs) * time.Millisecond,
+		Started:    s.StartedMs,
 	}
 	for _, r := range s.Replicas {
 		state.Models[r.Model] = nameset.Of(r.Adapters)
--- a/internal/engineagent/adapters.go
+++ b/internal/engineagent/adapters.go
@@ -6,9 +6,10 @@
 	"balsamsail/internal/nameset"
 )
 
-// adapterCount returns the number of the engine's adapters, including those being fetched.
+// adapterCount returns the number of the engine's adapters, including those being fetched and those that late orders may
+// load.
 func (c *Core) adapterCount() int {
-	count := 0
+	count := c.lateAdapters()
 	for _, adapters := range c.report.Models {
 		count += len(adapters)
 	}
--- a/internal/engineagent/agent.go
+++ b/internal/engineagent/agent.go
@@ -116,7 +116,12 @@
 		a.engineLost = false
 		a.logger.Info("engine report available again", "event", "engine_back", "sequence", report.Sequence)
 	}
-	a.core.HandleReport(now, report)
+	started := a.core.started
+	if !a.core.HandleReport(now, report) {
+		a.logger.Warn("report of an earlier engine process ignored", "event", "old_report", "started", report.Started, "known", started)
+	} else if started != 0 && report.Started != started {
+		a.logger.Info("engine has restarted", "event", "engine_restarted", "started", report.Started, "before", started, "sequence", report.Sequence)
+	}
 	a.publish(now)
 }
 
--- a/internal/engineagent/core.go
+++ b/internal/engineagent/core.go
@@ -41,6 +41,8 @@
 
 // Report is the state that the engine reports.
 type Report struct {
+	// Started is the Unix time in milliseconds at which the engine's process started; 0 if the engine does not state it.
+	Started int64
 	// Models holds the loaded models, each with its loaded adapters.
 	Models map[string]map[string]bool
 	// Fetching holds the adapters that are being fetched.
@@ -104,8 +106,10 @@
 type Command struct {
 	ID         uint64
 	EndpointID string
-	Unload     []string
-	Load       string
+	// EngineStarted is the start of the engine process that the command is meant for; 0 if unknown.
+	EngineStarted int64
+	Unload        []string
+	Load          string
 }
 
 // GatewayMessage is a message from a gateway.
@@ -136,6 +140,11 @@
 
 	report   *Report
 	reportAt time.Time
+	// started is the start of the engine's process, from its reports; 0 if they do not state it.
+	started int64
+	// lateOrders are the orders to earlier processes of the engine that may still be carried out by the current one, and
+	// unansweredOrders those to the current process whose outcome is unknown.
+	lateOrders, unansweredOrders []unansweredOrder
 	// stale is set when an order has been sent since the report was read; no further order may be based on that report.
 	stale bool
 	// down is set while the engine does not respond.
@@ -176,6 +185,8 @@
 	}
 	if m.EndpointID != "" && m.EndpointRevision >= c.endpointRevision && m.EndpointID != c.endpointID {
 		c.endpointID, c.command = m.EndpointID, nil
+		// Late orders name the earlier ID, so the engine refuses them.
+		c.lateOrders, c.unansweredOrders = nil, nil
 	}
 	c.endpointRevision = max(c.endpointRevision, m.EndpointRevision)
 	if m.Class != nil && (c.class == nil || m.Class.Version > c.class.Version) {
@@ -187,10 +198,15 @@
 	c.acceptCommand(now, m.Command)
 }
 
-// acceptCommand makes a command the current one. It ignores a command for another incarnation, and any command while one is
-// being carried out.
+// isForAnother reports whether a command is meant for another process of the engine than the one that started at a time.
+func (c *Command) isForAnother(started int64) bool {
+	return c.EngineStarted != 0 && started != 0 && c.EngineStarted != started
+}
+
+// acceptCommand makes a command the current one. It ignores a command for another process of the engine, and any command
+// while one is being carried out.
 func (c *Core) acceptCommand(now time.Time, command *Command) {
-	if command == nil || c.command != nil || command.EndpointID != c.endpointID {
+	if command == nil || c.command != nil || command.EndpointID != c.endpointID || command.isForAnother(c.started) {
 		return
 	}
 	c.command, c.commandStartedAt, c.loading, c.lastCommandID = command, now, false, command.ID
@@ -210,14 +226,31 @@
 	return names
 }
 
-// HandleReport handles a report of the engine.
-func (c *Core) HandleReport(now time.Time, r *Report) {
-	if c.report != nil && r.Sequence < c.report.Sequence {
-		// The engine has restarted, and its order count started over.
-		c.command = nil
+// HandleReport handles a report of the engine. It returns false for a report of an earlier process than the last one,
+// or of no stated process after one that stated it: such a report is not used, and counts as a failed read.
+func (c *Core) HandleReport(now time.Time, r *Report) bool {
+	if r.Started < c.started {
+		c.HandleReportFailure(now)
+		return false
+	}
+	if c.report != nil && (r.Started > c.started || r.Sequence < c.report.Sequence) {
+		c.handleRestart(now)
 	}
+	c.started = r.Started
 	c.report, c.reportAt, c.stale, c.callInFlight, c.down = r, now, false, false, false
 	c.clearFinishedCommand(now)
+	return true
+}
+
+// handleRestart drops what was meant for the engine's earlier process. Orders that it has not answered may still reach
+// the new process, which has the same ID and counts its orders from 0 again.
+func (c *Core) handleRestart(now time.Time) {
+	c.command = nil
+	clear(c.wanted)
+	clear(c.lastUsed)
+	c.lateOrders = append(c.lateOrders, c.unansweredOrders...)
+	c.unansweredOrders = nil
+	c.forgetLateOrders(now)
 }
 
 // HandleReportFailure marks the engine as down after a failed read of its report.
@@ -267,6 +300,10 @@
 	default:
 		c.notBefore = now.Add(orderRetryDelay)
 	}
+	if result == Unknown {
+		c.unansweredOrders = append(c.unansweredOrders, unansweredOrder{Order: o, until: now.Add(lateOrderTTL)})
+	}
+	c.forgetLateOrders(now)
 }
 
 // Action is what the Agent has to do next.
@@ -306,6 +343,7 @@
 	if c.endpointID == "" || c.class == nil || c.down || now.Before(c.notBefore) {
 		return nil
 	}
+	c.forgetLateOrders(now)
 	if order := c.adapterOrder(now); order != nil {
 		return c.stamp(order)
 	}
@@ -341,9 +379,10 @@
 	return &Order{Kind: Load, Model: load}
 }
 
-// memoryFree returns the memory not taken by models and adapters, including adapters being fetched.
+// memoryFree returns the memory not taken by models and adapters, including adapters being fetched and what late orders
+// may load.
 func (c *Core) memoryFree() float64 {
-	free := c.class.MemoryMB
+	free := c.class.MemoryMB - c.lateOrderMemory()
 	for name, adapters := range c.report.Models {
 		m := c.class.Models[name]
 		free -= m.SizeMB + float64(len(adapters))*m.AdapterMB
--- a/internal/engineagent/core_test.go
+++ b/internal/engineagent/core_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -29,6 +31,7 @@
 type fakeEngine struct {
 	t        *testing.T
 	id       string
+	started  int64
 	class    *EngineClass
 	models   map[string]map[string]bool
 	sequence int64
@@ -79,6 +82,9 @@
 	if o.Sequence != e.sequence || e.busy != nil {
 		return Conflict
 	}
+	if _, loaded := e.models[o.Model]; o.Adapter != "" && !loaded {
+		return Rejected
+	}
 	e.sequence++
 	switch {
 	case o.Adapter != "" && o.Kind == Load:
@@ -107,7 +113,7 @@
 }
 
 func (e *fakeEngine) report() *Report {
-	r := &Report{Models: make(map[string]map[string]bool), Busy: e.busy != nil, Sequence: e.sequence}
+	r := &Report{Started: e.started, Models: make(map[string]map[string]bool), Busy: e.busy != nil, Sequence: e.sequence}
 	for m, list := range e.models {
 		r.Models[m] = make(map[string]bool)
 		for a := range list {
@@ -260,3 +266,105 @@
 		t.Error("the new incarnation did not load the model")
 	}
 }
+
+// restart replaces the engine's process by an empty one under the same ID. Delayed orders stay on their way.
+func (e *fakeEngine) restart() {
+	e.started, e.sequence, e.busy = e.started+1000, 0, nil
+	clear(e.models)
+}
+
+// An engine restarts under its ID at any moment, among orders that are lost or carried out seconds late, and has the same
+// count of orders as before or a higher one when its agent reads it next. A late order for the earlier process must not
+// overcommit the new one, and a command for the earlier one must not be carried out by the new one.
+func TestRestartUnderTheIDAtAnyStep(t *testing.T) {
+	for seed := range uint64(3000) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		c, e := NewCore(100*time.Millisecond), newEngine(t, "a", "b", "c")
+		e.started = 1000
+		now := start
+		for i := range 12 {
+			started := e.started
+			if random.IntN(3) == 0 {
+				e.restart()
+			}
+			load := []string{"a", "b", "c", "d", "e"}[random.IntN(5)]
+			command := &Command{ID: uint64(i + 1), EndpointID: "i1", EngineStarted: started, Load: load}
+			if len(e.models) == 3 {
+				command.Unload = []string{slices.Sorted(maps.Keys(e.models))[random.IntN(3)]}
+			}
+			sendGatewayMessage(c, now, GatewayMessage{Command: command, Wanted: []Adapter{{"a", fmt.Sprint(random.IntN(8))}, {"b", fmt.Sprint(random.IntN(8))}}})
+			length := time.Duration(random.IntN(4000)) * time.Millisecond
+			now = drive(c, e, now, length, func(now time.Time, o Order) Result {
+				if random.IntN(20) == 0 {
+					e.restart()
+				}
+				switch random.IntN(4) {
+				case 0:
+					e.delayed = append(e.delayed, delayedOrder{at: now.Add(2*time.Second + time.Duration(random.IntN(10_000))*time.Millisecond), order: o})
+					return Unknown
+				case 1:
+					e.handleOrder(now, o)
+					return Unknown
+				}
+				return e.handleOrder(now, o)
+			})
+		}
+	}
+}
+
+// A report of an earlier process, or one that does not state its process after others did, is not used.
+func TestReportOfAnEarlierProcessIsNotUsed(t *testing.T) {
+	c := NewCore(100 * time.Millisecond)
+	report := func(started int64, models ...string) *Report {
+		r := &Report{Started: started, Models: make(map[string]map[string]bool)}
+		for _, m := range models {
+			r.Models[m] = map[string]bool{}
+		}
+		return r
+	}
+	sendGatewayMessage(c, start, GatewayMessage{})
+	if !c.HandleReport(start, report(100, "a")) || !c.HandleReport(start, report(200, "b")) {
+		t.Fatal("the report of a later process was refused")
+	}
+	for _, started := range []int64{0, 100, 199} {
+		if c.HandleReport(start, report(started, "a")) || !c.down {
+			t.Errorf("a report of the process started at %d was used after one of 200", started)
+		}
+	}
+	if !c.HandleReport(start, report(200, "b")) || c.down {
+		t.Error("the engine did not return with a good report")
+	}
+}
+
+// A command for an earlier process of the engine arrives after the restart. What it unloads and loads follows from what
+// that process held.
+func TestCommandForAnEarlierProcessIsIgnored(t *testing.T) {
+	c, e := NewCore(100*time.Millisecond), newEngine(t, "a")
+	e.started = 200
+	sendGatewayMessage(c, start, GatewayMessage{})
+	now := drive(c, e, start, 200*time.Millisecond, e.handleOrder)
+	sendGatewayMessage(c, now, GatewayMessage{Command: &Command{ID: 1, EndpointID: "i1", EngineStarted: 100, Unload: []string{"a"}, Load: "b"}})
+	drive(c, e, now, time.Second, e.handleOrder)
+	if e.sequence != 0 || c.command != nil {
+		t.Errorf("%d orders of a command for the earlier process", e.sequence)
+	}
+}
+
+// The engine restarts under its ID with the same count of orders or a higher one, which does not show the restart. What
+// was queued for the earlier process must not be ordered of the new one.
+func TestQueuedCommandEndsWithTheEngineProcess(t *testing.T) {
+	for _, sequence := range []int64{0, 5} {
+		c, e := NewCore(100*time.Millisecond), newEngine(t, "a", "b", "c")
+		e.started = 1000
+		sendGatewayMessage(c, start, GatewayMessage{})
+		now := drive(c, e, start, 200*time.Millisecond, e.handleOrder)
+		sendGatewayMessage(c, now, GatewayMessage{Command: &Command{ID: 1, EndpointID: "i1", EngineStarted: 1000, Unload: []string{"a"}, Load: "d"}, Wanted: []Adapter{{"b", "1"}}})
+		e.restart()
+		e.sequence = sequence
+		c.HandleReport(now, e.report())
+		drive(c, e, now, 2*time.Second, e.handleOrder)
+		if e.sequence != sequence || len(e.models) != 0 {
+			t.Errorf("count of orders %d, then %d, models %v; want no order", sequence, e.sequence, e.models)
+		}
+	}
+}
--- a/internal/engineagent/messages.go
+++ b/internal/engineagent/messages.go
@@ -16,7 +16,7 @@
 		Used:             decodeAdapters(m.Used),
 	}
 	if c := m.Command; c != nil {
-		message.Command = &Command{ID: c.Id, EndpointID: c.EndpointId, Unload: c.Unload, Load: c.Load}
+		message.Command = &Command{ID: c.Id, EndpointID: c.EndpointId, EngineStarted: c.EngineStartedMs, Unload: c.Unload, Load: c.Load}
 	}
 	if c := m.EngineClass; c != nil {
 		message.Class = &EngineClass{
@@ -54,6 +54,7 @@
 		InMemory:   sorted(c.report.InMemory),
 		OnDisk:     sorted(c.report.OnDisk),
 		Command:    c.lastCommandID,
+		StartedMs:  c.started,
 	}
 	for _, model := range slices.Sorted(maps.Keys(c.report.Models)) {
 		s.Replicas = append(s.Replicas, &controlpb.Replica{Model: model, Adapters: sorted(c.report.Models[model])})
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -57,7 +57,12 @@
 }
 
 // reservation is the load that one request adds to an endpoint's counters.
-type reservation struct{ promptTokens int }
+type reservation struct {
+	promptTokens int
+	// started is the start of the endpoint's process, and onRestart is called if the endpoint restarts.
+	started   int64
+	onRestart func()
+}
 
 // Choose returns the endpoint for a request's next attempt and counts the request as in flight there, until Done is
 // called.
@@ -86,7 +91,20 @@
 	if req.Adapter != "" {
 		e.adapters[req.adapter()]++
 	}
-	return Choice{ID: e.ID, Address: e.Address, reservation: &reservation{promptTokens: req.PromptTokens}}, reason, true
+	r := &reservation{promptTokens: req.PromptTokens, started: e.started}
+	e.reservations[r] = struct{}{}
+	return Choice{ID: e.ID, Address: e.Address, reservation: r}, reason, true
+}
+
+// NotifyRestart calls lost, with locks held, if the chosen endpoint restarts under its ID before Done. The request is then
+// lost there, which its connection may not show: it stays open if the host was unreachable when the process ended.
+func (f *Fleet) NotifyRestart(c Choice, lost func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c.reservation.onRestart = lost
+	if e := f.endpoints[c.ID]; e != nil && c.reservation.started != 0 && c.reservation.started != e.started {
+		lost()
+	}
 }
 
 // HasOther reports whether an endpoint that is not in Tried could take the request now.
@@ -201,6 +219,7 @@
 		return
 	}
 	e.inFlight--
+	delete(e.reservations, c.reservation)
 	e.responses.done(e.inFlight)
 	e.releasePrompt(c)
 	if req.Adapter != "" {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -43,6 +43,8 @@
 	// Command is the ID of the last accepted command, and CommandAge the time since its execution started.
 	Command    uint64
 	CommandAge time.Duration
+	// Started is the Unix time in milliseconds at which the engine's process started; 0 if it is not stated.
+	Started int64
 	// Running and Queued are the numbers of the engine's requests, from all gateways.
 	Running, Queued int
 }
@@ -50,12 +52,15 @@
 // endpoint is the gateway's state of one endpoint.
 type endpoint struct {
 	catalog.Endpoint
+	// started is the start of the latest process known from a registration or a report; 0 before the first that states it.
+	started    int64
 	state      *EngineState
 	reportedAt time.Time
 	// fullReportAt is the time of the last report that had more than the load.
 	fullReportAt time.Time
-	// inFlight is the number of this gateway's requests at the endpoint.
-	inFlight int
+	// inFlight is the number of this gateway's requests at the endpoint, and reservations holds one entry for each.
+	inFlight     int
+	reservations map[*reservation]struct{}
 	// pendingPromptTokens is the number of prompt tokens sent to the endpoint in requests whose first event has not
 	// arrived.
 	pendingPromptTokens int
@@ -95,6 +100,7 @@
 	wantedAdapters  map[string]map[Adapter]bool
 	onAdapterWanted func(endpointID string)
 	onWaiting       func()
+	onRestart       func()
 	changed         chan struct{}
 }
 
@@ -106,6 +112,10 @@
 // load. It must not block. Call OnAdapterWanted before the first request.
 func (f *Fleet) OnAdapterWanted(call func(endpointID string)) { f.onAdapterWanted = call }
 
+// OnRestart sets a function that is called, with locks held, when an endpoint has restarted under its ID. It must not
+// block. Call OnRestart before the first request.
+func (f *Fleet) OnRestart(call func()) { f.onRestart = call }
+
 // New returns an empty view for a gateway in a failure domain; seed seeds its random choices.
 func New(domain string, seed uint64) *Fleet {
 	return &Fleet{
@@ -162,11 +172,13 @@
 		present[e.ID] = true
 		known := f.endpoints[e.ID]
 		if known == nil {
-			known = &endpoint{adapters: make(map[Adapter]int), absent: make(map[Adapter]time.Time)}
+			known = &endpoint{
+				adapters: make(map[Adapter]int), absent: make(map[Adapter]time.Time), reservations: make(map[*reservation]struct{}),
+			}
 			f.endpoints[e.ID] = known
 			added = append(added, e)
 		}
-		known.Endpoint = e
+		f.setRegistration(known, e)
 	}
 	for id, e := range f.endpoints {
 		if !present[id] {
@@ -179,6 +191,42 @@
 	return added, removed
 }
 
+// setRegistration applies an endpoint's registration. What one of an earlier process says of models is out of date.
+func (f *Fleet) setRegistration(known *endpoint, e catalog.Endpoint) {
+	f.setStarted(known, e.Started)
+	if e.Started != 0 && e.Started < known.started {
+		e.Models = nil
+	}
+	known.Endpoint = e
+}
+
+// setStarted records the start of an endpoint's process. If it is later than the known one, the endpoint has restarted
+// under its ID: nothing that was known of the earlier process applies any more, and its requests are lost.
+func (f *Fleet) setStarted(e *endpoint, started int64) {
+	if started <= e.started {
+		return
+	}
+	restarted := e.started != 0
+	e.started = started
+	if !restarted {
+		return
+	}
+	e.state, e.Models = nil, nil
+	e.headerLoad, e.headerLoadAt = 0, time.Time{}
+	e.refusedUntil, e.replaced = time.Time{}, false
+	e.responses = responseTracker{}
+	clear(e.absent)
+	f.router.Forget(e.ID)
+	for r := range e.reservations {
+		if r.onRestart != nil {
+			r.onRestart()
+		}
+	}
+	if f.onRestart != nil {
+		f.onRestart()
+	}
+}
+
 // Ready reports whether the gateway has a configuration and a list of endpoints.
 func (f *Fleet) Ready() bool {
 	f.mu.Lock()
@@ -186,13 +234,20 @@
 	return f.config != nil && f.endpointsKnown
 }
 
-// SetState applies an agent's report on its engine. If state is nil, only the load changes.
-func (f *Fleet) SetState(id string, state *EngineState, running, queued int, now time.Time) {
+// SetState applies an agent's report on its engine. If state is nil, only the load changes. It returns false for a report
+// on an earlier process of the engine, which is ignored.
+func (f *Fleet) SetState(id string, state *EngineState, running, queued int, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.endpoints[id]
 	if e == nil {
-		return
+		return true
+	}
+	if state != nil && state.Started != 0 {
+		if state.Started < e.started {
+			return false
+		}
+		f.setStarted(e, state.Started)
 	}
 	if state != nil || !e.connected || e.hostDown {
 		f.notify()
@@ -206,6 +261,7 @@
 		e.reportedAt = now
 		e.state.Running, e.state.Queued = running, queued
 	}
+	return true
 }
 
 // SetDisconnected records that the connection to an endpoint's agent is closed, and whether the host has stopped
@@ -266,7 +322,7 @@
 
 // reportFresh reports whether the agent's last report is for this endpoint and has not expired.
 func (e *endpoint) reportFresh(now time.Time) bool {
-	return e.state != nil && e.state.EndpointID == e.ID && now.Sub(e.reportedAt) < reportTTL
+	return e.state != nil && e.state.EndpointID == e.ID && (e.state.Started == 0 || e.state.Started == e.started) && now.Sub(e.reportedAt) < reportTTL
 }
 
 // recentlyAbsent reports whether the endpoint has recently rejected a request because the model or adapter is not
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -155,3 +155,62 @@
 		t.Errorf("version %d is current, want version 7 accepted once", f.Config().Version)
 	}
 }
+
+// An engine restarts under its ID. A gateway must not go on with what it knew of the earlier process: its models, its
+// refusals, and its requests, which may hang on a connection that nothing closes. A late report of it changes nothing.
+func TestRestartUnderAnID(t *testing.T) {
+	registered := func(started int64, models ...string) []catalog.Endpoint {
+		return []catalog.Endpoint{{ID: "e1", Service: "s", Address: "a1", Revision: started, Started: started, Models: models}}
+	}
+	report := func(started int64, models ...string) *EngineState {
+		s := &EngineState{EndpointID: "e1", Started: started, Models: make(map[string]map[string]bool)}
+		for _, m := range models {
+			s.Models[m] = map[string]bool{}
+		}
+		return s
+	}
+	request := &Request{Target: Target{Service: "s", Model: "m"}}
+	cases := []struct {
+		name    string
+		restart func(f *Fleet)
+	}{
+		{"by its registration", func(f *Fleet) { f.SetEndpoints(registered(200)) }},
+		{"by its agent's report", func(f *Fleet) { f.SetState("e1", report(200), 0, 0, start) }},
+		{"by its report, and a late registration", func(f *Fleet) {
+			f.SetState("e1", report(200), 0, 0, start)
+			f.SetEndpoints(registered(100, "m"))
+		}},
+		{"by its registration, and a late report", func(f *Fleet) {
+			f.SetEndpoints(registered(200))
+			if f.SetState("e1", report(100, "m"), 0, 0, start) {
+				t.Error("the report of the earlier process was accepted")
+			}
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := New("here", 1)
+			restarts, lost := 0, 0
+			f.OnRestart(func() { restarts++ })
+			f.SetEndpoints(registered(100, "m"))
+			f.SetState("e1", report(100, "m"), 0, 0, start)
+			choice, _, ok := f.Choose(start, request)
+			if !ok {
+				t.Fatal("no engine before the restart")
+			}
+			f.NotifyRestart(choice, func() { lost++ })
+			c.restart(f)
+			if restarts != 1 || lost != 1 {
+				t.Errorf("%d restarts seen and %d requests lost, want 1 and 1", restarts, lost)
+			}
+			if _, reason, ok := f.Choose(start, request); ok || reason != ModelNotLoaded {
+				t.Errorf("chosen %v, reason %v; want the model not loaded", ok, reason)
+			}
+			f.Done(choice, request)
+			f.SetState("e1", report(200, "m"), 0, 0, start)
+			if _, _, ok := f.Choose(start, request); !ok {
+				t.Error("no engine after the new process has loaded the model")
+			}
+		})
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -18,6 +18,8 @@
 	// errStalled ends an attempt whose endpoint sent no data within the timeout while another endpoint could serve the
 	// request.
 	errStalled = errors.New("gateway: the endpoint sent no data within the timeout")
+	// errRestarted ends an attempt whose endpoint has restarted.
+	errRestarted = errors.New("gateway: the endpoint has restarted")
 	// errInvalidResponse is wrapped by errors about a response that is incomplete or doesn't belong to the request.
 	errInvalidResponse = errors.New("gateway: invalid or incomplete response")
 )
@@ -47,6 +49,7 @@
 	}()
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
+	g.fleet.NotifyRestart(choice, func() { cancel(errRestarted) })
 	watchdog := g.startWatchdog(q, cancel)
 	defer watchdog.Stop()
 	result, err := g.client.Do(g.codec.NewRequest(ctx, q.inbound, q.body, Attempt{
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -282,3 +283,54 @@
 		t.Errorf("%d requests count as waiting for the model, want 1, the refused request", waiting)
 	}
 }
+
+// An endpoint restarts under its ID while its host is unreachable, so that nothing closes the connection of a request that
+// it was running. Once the gateway knows of the new process, the request is lost: one that may be repeated goes to another
+// endpoint at once, and one that must run at most once ends as unknown and is not sent again.
+func TestRequestsOfARestartedEndpoint(t *testing.T) {
+	cases := []struct {
+		name, path string
+		status     int
+		runs       int
+	}{
+		{"idempotent", "/read/x", http.StatusOK, 2},
+		{"run once", "/plain/x", http.StatusBadGateway, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			reached := make(chan string, 1)
+			var arrivals atomic.Int32
+			hangsFirst := func(id string) endpointScript {
+				return func(w http.ResponseWriter, r *http.Request) {
+					if arrivals.Add(1) > 1 {
+						good(w, r)
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					reached <- id
+					<-r.Context().Done()
+				}
+			}
+			r := newRig(t, map[string]endpointScript{"plain-1": hangsFirst("plain-1"), "plain-2": hangsFirst("plain-2")})
+			list := func(restarted string) []catalog.Endpoint {
+				var all []catalog.Endpoint
+				for id, e := range r.endpoints {
+					if e.Started = 100; id == restarted {
+						e.Started = 200
+					}
+					all = append(all, e)
+				}
+				return all
+			}
+			r.fleet.SetEndpoints(list(""))
+			go func() { r.fleet.SetEndpoints(list(<-reached)) }()
+			got := r.send("a", c.path, "")
+			if got.status != c.status || got.err != nil || got.took > 2*time.Second {
+				t.Errorf("status %d after %v, error %v; want %d at once", got.status, got.took, got.err, c.status)
+			}
+			if n := r.attempts("a"); n != c.runs {
+				t.Errorf("%d runs, want %d", n, c.runs)
+			}
+		})
+	}
+}
--- a/internal/placement/manager.go
+++ b/internal/placement/manager.go
@@ -66,9 +66,11 @@
 
 type pendingCommand struct {
 	Command
-	id       uint64
-	sentAt   time.Time
-	accepted bool
+	id uint64
+	// engineStarted is the start of the engine process that the command is meant for; 0 if unknown.
+	engineStarted int64
+	sentAt        time.Time
+	accepted      bool
 	// loading is set once the engine has started the load.
 	loading bool
 }
@@ -139,14 +141,15 @@
 		}
 	}
 	for _, c := range m.policy(in) {
-		m.send(now, s, class, c, in.Demand[c.Load])
+		m.send(now, s, class, c, in)
 	}
 }
 
 // send sends a command and records it as pending.
-func (m *Manager) send(now time.Time, s *serviceState, class *catalog.EngineClass, c Command, d Demand) {
+func (m *Manager) send(now time.Time, s *serviceState, class *catalog.EngineClass, c Command, in Input) {
 	m.nextID++
-	s.pending[c.Engine] = &pendingCommand{Command: c, id: m.nextID, sentAt: now}
+	d, started := in.Demand[c.Load], in.processStart(c.Engine)
+	s.pending[c.Engine] = &pendingCommand{Command: c, id: m.nextID, engineStarted: started, sentAt: now}
 	if c.Source == FromStore {
 		s.storeLimiter.acquire(now, c.Engine, c.Load, class.Models[c.Load].StoreLoadTime)
 	}
@@ -154,7 +157,7 @@
 	m.logger.Info("placement", "event", "placement", "engine", c.Engine, "load", c.Load, "unload", c.Unload, "source", c.Source.String(),
 		"reason", c.Reason, "waiting", d.Waiting, "oldest_wait", d.OldestWait, "rate", d.Rate, "running", d.Running,
 		"store_loads", len(s.storeLimiter.running), "store_limit", s.storeLimiter.limit)
-	m.commander.SendCommand(&controlpb.Command{Id: m.nextID, EndpointId: c.Engine, Unload: c.Unload, Load: c.Load})
+	m.commander.SendCommand(&controlpb.Command{Id: m.nextID, EndpointId: c.Engine, EngineStartedMs: started, Unload: c.Unload, Load: c.Load})
 }
 
 // updatePending removes the commands that agents have completed or have not accepted in time.
@@ -166,6 +169,11 @@
 		if c == nil {
 			continue
 		}
+		if c.engineStarted != 0 && e.Started != 0 && e.Started != c.engineStarted {
+			// The engine has restarted under its ID; its agent has dropped the command.
+			s.finish(now, e.ID, false)
+			continue
+		}
 		c.accepted = c.accepted || e.Command == c.id
 		if c.accepted && e.Busy && !nameset.HoldsAny(e.Models, c.Unload) && !c.loading {
 			c.loading = true
@@ -196,6 +204,7 @@
 func (s *serviceState) engineInput(now time.Time, e fleet.Engine, class *catalog.EngineClass) Engine {
 	engine := Engine{
 		ID:        e.ID,
+		Started:   e.Started,
 		Free:      e.Reported && !e.Busy && e.Loading == "" && s.pending[e.ID] == nil,
 		Loaded:    make(map[string]bool, len(e.Models)),
 		Running:   e.Running + e.Queued,
--- a/internal/placement/manager_test.go
+++ b/internal/placement/manager_test.go
@@ -64,3 +64,29 @@
 		t.Errorf("commands %v load a model twice", site.commands)
 	}
 }
+
+// Guards against waiting for a command that died with an engine process: the engine restarts under its ID while it loads.
+// Its agent has dropped the command, and the replica was counted as loading until the command's timeout.
+func TestCommandEndsWithTheEngineProcess(t *testing.T) {
+	metrics, err := NewMetrics(prometheus.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	engine := reportedEngine("e", "", false)
+	engine.Started = 100
+	site := &fakeSite{
+		engines: []fleet.Engine{engine},
+		demand:  &controlpb.Demand{Models: []*controlpb.ModelDemand{{Service: "s", Model: "m", Waiting: 2, OldestWaitMs: 500, Arrived: 2}}},
+	}
+	m := NewManager(site, site, site, slog.New(slog.DiscardHandler), metrics, Decide)
+	now := time.Unix(1000, 0)
+	m.Step(now)
+	if len(site.commands) != 1 || site.commands[0].EngineStartedMs != 100 {
+		t.Fatalf("commands %v, want one for the process that started at 100", site.commands)
+	}
+	site.engines[0].Started = 200
+	m.Step(now.Add(100 * time.Millisecond))
+	if len(site.commands) != 2 || site.commands[1].EngineStartedMs != 200 {
+		t.Errorf("commands %v, want a second one for the process that started at 200", site.commands)
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -60,6 +60,8 @@
 // Engine is the state of an engine as last reported by its agent.
 type Engine struct {
 	ID string
+	// Started is the start of the engine's process in Unix milliseconds; 0 if it is not known.
+	Started int64
 	// Free is set if the engine accepts a command now.
 	Free   bool
 	Loaded map[string]bool
@@ -103,6 +105,16 @@
 	StoreLimit int
 }
 
+// processStart returns the start of an engine's process; 0 if it is not known.
+func (in Input) processStart(engine string) int64 {
+	for i := range in.Engines {
+		if in.Engines[i].ID == engine {
+			return in.Engines[i].Started
+		}
+	}
+	return 0
+}
+
 // Command changes the models of one engine.
 type Command struct {
 	Engine string
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -94,6 +94,12 @@
 	}},
 
 	{"endpoint crashed", 4, 200 * ms, 3 * second, func(s *site, pick uint64, _ time.Duration) func() { return s.crash(s.endpoint(pick)) }},
+	{"endpoint restarted under its ID", 4, 100 * ms, 3 * second, func(s *site, pick uint64, _ time.Duration) func() {
+		return s.restartUnderID(s.endpoint(pick))
+	}},
+	{"rows of another writer", 2, second, 4 * second, func(s *site, pick uint64, _ time.Duration) func() {
+		return s.writeForeignRows(s.endpoint(pick), pick/7)
+	}},
 	{"endpoint gone, still listed", 1, 3 * second, 5 * second, func(s *site, pick uint64, _ time.Duration) func() {
 		return s.crash(s.endpoint(pick))
 	}},
@@ -240,18 +246,54 @@
 	p.stopEndpoint(false)
 	return func() {
 		defer end()
-		s.startIfStopped(p, p.service)
+		s.startIfStopped(p, p.service, "")
+	}
+}
+
+// restartUnderID stops an endpoint without notice; the returned function starts it again under the same ID.
+func (s *site) restartUnderID(p *endpointHost) func() {
+	id := ""
+	p.withEndpoint(func(e *standin.Endpoint) { id = e.ID })
+	end := s.checker.beginFault(p.name)
+	p.stopEndpoint(false)
+	return func() {
+		defer end()
+		s.startIfStopped(p, p.service, id)
+	}
+}
+
+// writeForeignRows writes rows that no endpoint writes: under keys of their own, and over the registration of an endpoint,
+// which writes it again at its next heartbeat.
+func (s *site) writeForeignRows(p *endpointHost, pick uint64) func() {
+	rows := []any{
+		"text", 7, nil, []int{1}, map[string]any{},
+		map[string]any{"service": p.service, "address": p.listed, "zone": "domain-1", "slots": 8, "state": "unheard"},
+		map[string]any{"service": p.service, "address": p.listed, "zone": "domain-1", "slots": "8", "state": "ready", "born": 1},
+		map[string]any{"service": p.service, "address": p.listed, "zone": "domain-1", "slots": 8, "state": "ready", "born": 1.5},
+		map[string]any{"service": p.service, "zone": "domain-1", "slots": 8, "state": "ready", "born": 1},
+		map[string]any{"service": p.service, "address": p.listed, "zone": "domain-1", "slots": 8, "state": "ready"},
+	}
+	end := s.checker.beginFault(p.name)
+	p.withEndpoint(func(e *standin.Endpoint) { s.store.Put(standin.EndpointTable, e.ID, rows[pick%uint64(len(rows))]) })
+	for i, row := range rows {
+		s.store.Put(standin.EndpointTable, fmt.Sprintf("foreign-%d", i), row)
+	}
+	return func() {
+		defer end()
+		for i := range rows {
+			s.store.Remove(standin.EndpointTable, fmt.Sprintf("foreign-%d", i))
+		}
 	}
 }
 
 // startIfStopped starts an endpoint on a host unless one is running there.
-func (s *site) startIfStopped(p *endpointHost, service string) {
+func (s *site) startIfStopped(p *endpointHost, service, id string) {
 	stopped := true
 	p.withEndpoint(func(*standin.Endpoint) { stopped = false })
 	if !stopped {
 		return
 	}
-	if err := s.startEndpoint(p, service); err != nil {
+	if err := s.startEndpoint(p, service, id); err != nil {
 		s.checker.addViolation("soak itself", "start %s: %v", p.name, err)
 	}
 }
@@ -272,7 +314,7 @@
 		end := s.checker.beginFault(p.name)
 		defer end()
 		p.stopEndpoint(true)
-		s.startIfStopped(p, p.service)
+		s.startIfStopped(p, p.service, "")
 	}
 }
 
@@ -286,13 +328,13 @@
 		other = padsService
 	}
 	if duration > addressReuseDelay {
-		time.AfterFunc(addressReuseDelay, func() { s.startIfStopped(p, other) })
+		time.AfterFunc(addressReuseDelay, func() { s.startIfStopped(p, other, "") })
 	}
 	return func() {
 		defer end()
 		p.stopEndpoint(true)
 		time.Sleep(addressReuseDelay)
-		s.startIfStopped(p, p.service)
+		s.startIfStopped(p, p.service, "")
 	}
 }
 
--- a/soak/main.go
+++ b/soak/main.go
@@ -189,7 +189,7 @@
 		if err := p.link.Heal(); err != nil {
 			s.checker.addViolation("soak itself", "%s: heal a link: %v", p.name, err)
 		}
-		s.startIfStopped(p, p.service)
+		s.startIfStopped(p, p.service, "")
 	}
 }
 
--- a/soak/site.go
+++ b/soak/site.go
@@ -218,13 +218,14 @@
 	})
 }
 
-// startEndpoint starts the next incarnation on a host as an endpoint of the given service.
-func (s *site) startEndpoint(p *endpointHost, service string) error {
+// startEndpoint starts the next incarnation on a host as an endpoint of the given service. The ID is the one of an earlier
+// process, or empty for a new one.
+func (s *site) startEndpoint(p *endpointHost, service, id string) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.starts++
 	o := standin.EndpointOptions{
-		Listen: p.listen, Listed: p.listed, Service: service, FailureDomain: failureDomain(len(p.name)), Heartbeat: heartbeat,
+		ID: id, Listen: p.listen, Listed: p.listed, Service: service, FailureDomain: failureDomain(len(p.name)), Heartbeat: heartbeat,
 		Work: serviceTime, Pause: eventInterval, Slots: serviceSlots, Store: s.store, Observer: s.checker,
 		Seed: s.seed<<20 + uint64(p.index)<<10 + p.starts,
 	}
@@ -279,7 +280,7 @@
 // start starts the endpoints, writes the initial configuration and starts the processes under test.
 func (s *site) start() error {
 	for _, p := range s.endpoints {
-		if err := s.startEndpoint(p, p.service); err != nil {
+		if err := s.startEndpoint(p, p.service, ""); err != nil {
 			return err
 		}
 	}
