--- a/internal/control/agents.go
+++ b/internal/control/agents.go
@@ -46,6 +46,10 @@
 	command       *controlpb.Command
 	peers         []string
 	lastMessageAt time.Time
+	// state is the last state that the agent has sent, at stateAt, and stateOf the endpoint to which it was applied.
+	state   *controlpb.EngineState
+	stateAt time.Time
+	stateOf string
 
 	// sentClassVersion is the configuration version of the engine class last sent to the agent, and sender the connection it
 	// was sent on. Used by the link's writer only.
@@ -220,13 +224,31 @@
 		l.peers = message.Gateways.Addresses
 	}
 	id := l.endpoint.ID
+	state := l.stateToApply(now, message.State)
 	a.mu.Unlock()
-	if !a.fleet.SetState(id, decodeState(message.State), int(message.Running), int(message.Queued), now) {
-		a.logger.Warn("report of an earlier engine process ignored", "event", "old_report", "endpoint", id, "started", message.State.GetStartedMs())
+	if !a.fleet.SetState(id, state, int(message.Running), int(message.Queued), now) {
+		a.logger.Warn("report of an earlier engine process ignored", "event", "old_report", "endpoint", id, "started", state.Started)
 	}
 	return nil
 }
 
+// stateToApply returns the state to apply to the link's endpoint, or nil if only the load has changed.
+//
+// An agent sends its state only when that changes. It may learn from another gateway that its engine has a new ID, and
+// send the new state, before this gateway has read the registration. The state is then applied again once the endpoint is
+// known: otherwise the engine would seem to have no agent until its state changes, and get no work. The caller holds mu.
+func (l *agentLink) stateToApply(now time.Time, sent *controlpb.EngineState) *fleet.EngineState {
+	if sent != nil {
+		l.state, l.stateAt = sent, now
+	} else if l.state == nil || l.stateOf == l.endpoint.ID {
+		return nil
+	}
+	l.stateOf = l.endpoint.ID
+	state := decodeState(l.state)
+	state.CommandAge += now.Sub(l.stateAt)
+	return state
+}
+
 // handleDisconnect records whether a link failed by timeout. When an agent is killed, its connections are reset and its
 // engine still works; a timeout means that the host is frozen or unreachable, and with it the engine.
 func (a *Agents) handleDisconnect(l *agentLink, err error) {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -19,10 +19,12 @@
 const (
 	// maxMessageBytes bounds a message; an engine class with 2,700 models takes about 100 kB.
 	maxMessageBytes = 1 << 20
-	// redialMin and redialMax bound the jittered delay before a reconnect. A restarted agent is reachable again within half
-	// a second.
-	redialMin = 100 * time.Millisecond
+	// redialMin and redialMax bound the jittered delay before a reconnect, which doubles with each failed attempt.
+	redialMin = 50 * time.Millisecond
 	redialMax = 600 * time.Millisecond
+	// dialTimeout bounds a connection attempt within a site, where a round trip takes a few milliseconds. A host that is
+	// just starting drops the first packet, and the kernel sends it again only after a second.
+	dialTimeout = 200 * time.Millisecond
 )
 
 // Options are the settings of links.
@@ -71,8 +73,13 @@
 // run keeps the link connected until ctx is done.
 func (l *link) run(ctx context.Context) {
 	connected := false
+	delay := redialMin
 	for ctx.Err() == nil {
 		err := l.runConnection(ctx, &connected)
+		delay = min(2*delay, redialMax)
+		if connected {
+			delay = redialMin
+		}
 		if l.onDisconnect != nil && ctx.Err() == nil {
 			l.onDisconnect(err)
 		}
@@ -80,7 +87,7 @@
 			l.logger.Info("connection to peer lost", "event", "link_lost", "peer", l.address, "error", err)
 			connected = false
 		}
-		clock.Pause(ctx, redialMin+rand.N(redialMax-redialMin))
+		clock.Pause(ctx, delay/2+rand.N(delay))
 	}
 }
 
@@ -149,5 +156,6 @@
 	w := wire.DefaultOptions()
 	w.KeepAlive = 10 * silenceLimit
 	w.WriteTimeout = silenceLimit
+	w.DialTimeout = dialTimeout
 	return w
 }
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -231,3 +231,39 @@
 	freeze(false)
 	eventually(t, "the engine is listed again", func() bool { return engines() == 1 })
 }
+
+// After a power loss, an agent learns its engine's new ID from one gateway and sends its state before another gateway has
+// read the registration. Nothing changes at the engine afterwards, so the state is not sent again. The other gateway must
+// use it as soon as the registration arrives: it used to leave the engine without work.
+func TestStateThatComesBeforeTheRegistration(t *testing.T) {
+	f := fleet.New("here", 1)
+	f.SetEndpoints([]catalog.Endpoint{{ID: "old", Service: "s", Revision: 1}})
+	agents := NewAgents(testOptions("self"), 1, f, discardLogger)
+	l := &agentLink{endpoint: catalog.Endpoint{ID: "old"}}
+	now := time.Now()
+	receive := func(state *controlpb.EngineState) {
+		agents.mu.Lock()
+		apply := l.stateToApply(now, state)
+		agents.mu.Unlock()
+		f.SetState(l.endpoint.ID, apply, 0, 0, now)
+	}
+	receive(&controlpb.EngineState{EndpointId: "new", OnDisk: []string{"m"}})
+	f.SetEndpoints([]catalog.Endpoint{{ID: "new", Service: "s", Revision: 2}})
+	l.endpoint.ID = "new"
+	receive(nil)
+	engines := f.Engines("s", now)
+	if len(engines) != 1 || !engines[0].Reported || !engines[0].OnDisk["m"] {
+		t.Errorf("engines %+v, want the new one with its state", engines)
+	}
+	if l.stateToApply(now, nil) != nil {
+		t.Error("the state is applied again without a change")
+	}
+}
+
+// A host that is starting drops the first packet of a connection, and the kernel sends it again only after a second. After
+// a power loss, engines were not used until then.
+func TestLinkDialsAgainSoon(t *testing.T) {
+	if o := WireOptions(time.Second); o.DialTimeout > 250*time.Millisecond {
+		t.Errorf("a connection attempt may take %v, want a quarter of the kernel's second at most", o.DialTimeout)
+	}
+}
