placement: models whose requests cannot wait for a load get copies on up to five hosts while the weight store is idle

The busiest model of waves.toml had one copy: each further replica took 8 s or more from the store among other loads.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -38,6 +38,10 @@
 	// requests. It applies from a StoreLimit of reserveMinLimit.
 	reservedStoreLoads = 1
 	reserveMinLimit    = 3
+	// copiesOfLive is the number of hosts that are to have a copy of a model that has had requests which cannot wait for a
+	// load, and copiesOfLikely that of a model that is likely to get some.
+	copiesOfLive   = 5
+	copiesOfLikely = 3
 )
 
 // Source is the place from which a model's weights are loaded.
@@ -162,6 +166,7 @@
 	p.scaleOutBusy()
 	p.fillFreeMemory()
 	p.prefetch()
+	p.spreadCopies()
 	return p.commands
 }
 
@@ -262,12 +267,17 @@
 	}
 }
 
-// prefetch loads models that no host has a copy of, so that a later request can be served from a local copy in time.
-func (p *plan) prefetch() {
-	reserved := 0
+// reservedStoreLoads returns the number of concurrent store loads that are left for models with waiting requests.
+func (p *plan) reservedStoreLoads() int {
 	if p.StoreLimit >= reserveMinLimit && p.total > 0 {
-		reserved = reservedStoreLoads
+		return reservedStoreLoads
 	}
+	return 0
+}
+
+// prefetch loads models that no host has a copy of, so that a later request can be served from a local copy in time.
+func (p *plan) prefetch() {
+	reserved := p.reservedStoreLoads()
 	if p.StoreLoads <= reserved {
 		return
 	}
@@ -290,6 +300,50 @@
 	}
 }
 
+// spreadCopies loads models whose requests cannot wait for a load on engines whose hosts have no copy, until enough
+// hosts have one. When the demand moves to such a model, its replicas are loaded from these copies: a load from the weight
+// store takes several times as long, and one engine carries all requests until it ends.
+func (p *plan) spreadCopies() {
+	reserved := p.reservedStoreLoads()
+	copies := make(map[string]int)
+	for i := range p.Engines {
+		for m := range p.Class.Models {
+			if p.Engines[i].SourceOf(m) != FromStore {
+				copies[m]++
+			}
+		}
+	}
+	for _, e := range p.Engines {
+		if e.Loading != "" && e.SourceOf(e.Loading) == FromStore {
+			copies[e.Loading]++
+		}
+	}
+	for _, c := range p.commands {
+		if c.Source == FromStore {
+			copies[c.Load]++
+		}
+	}
+	order := func(a, b string) int {
+		return cmp.Or(cmp.Compare(copies[a], copies[b]), cmp.Compare(p.latencyRank(b), p.latencyRank(a)), p.compareLikelihood(a, b))
+	}
+	for _, m := range p.models(func(m string) bool { return copies[m] < p.wantedCopies(m) }, order) {
+		if p.StoreLoads <= reserved || !p.load(m, "copy", FromStore, false) {
+			return
+		}
+	}
+}
+
+// wantedCopies returns the number of hosts that are to have a copy of a model.
+func (p *plan) wantedCopies(model string) int {
+	switch p.latencyRank(model) {
+	case 2:
+		return copiesOfLive
+	case 1:
+		return copiesOfLikely
+	}
+	return 0
+}
+
 // compareLikelihood orders models by how soon requests for them are expected, soonest first.
 func (p *plan) compareLikelihood(a, b string) int {
 	da, db := p.Demand[a], p.Demand[b]
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -271,3 +271,37 @@
 		}
 	}
 }
+
+// Load pattern: the demand moves to a model of which one host has a copy. While the weight store is idle, models whose
+// requests cannot wait for a load get copies on further hosts, so that their replicas are loaded from there.
+func TestCopiesOfLiveModelsAreSpread(t *testing.T) {
+	live := Demand{Target: 500 * time.Millisecond, LastArrival: time.Unix(1000, 0)}
+	engines := func() []Engine {
+		return []Engine{testEngine("1", "abc", allOnDisk), testEngine("2", "de", ""), testEngine("3", "fg", ""), testEngine("4", "hi", "")}
+	}
+	in := Input{Class: testClass(), Engines: engines(), Demand: map[string]Demand{"a": live}, StoreLoads: 4, StoreLimit: 4}
+	copies := make(map[string]int)
+	for range 5 {
+		for _, c := range Decide(in) {
+			if c.Source != FromStore {
+				continue
+			}
+			copies[c.Load]++
+			for i := range in.Engines {
+				if in.Engines[i].ID == c.Engine {
+					in.Engines[i].Free, in.Engines[i].Loading = false, c.Load
+				}
+			}
+		}
+	}
+	if copies["a"] != 3 || len(copies) != 1 {
+		t.Errorf("loads from the store %v, want the live model on the three other hosts", copies)
+	}
+	in.Engines, in.Demand = engines(), map[string]Demand{"a": live, "z": {Waiting: 1, Peak: 1, OldestWait: time.Second}}
+	in.Engines[0].OnDisk = map[string]bool{"a": true}
+	in.StoreLoads = 1
+	commands := Decide(in)
+	if len(commands) != 1 || commands[0].Load != "z" {
+		t.Errorf("commands %v, want the only store load for the model that a request waits for", formatCommands(commands))
+	}
+}
