placement: copies of live models only while most engines are free and the store is half idle

Hypothesis: on a site with few engines the copies of the commit before block engines that requests for rare models need.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -42,6 +42,8 @@
 	// load, and copiesOfLikely that of a model that is likely to get some.
 	copiesOfLive   = 5
 	copiesOfLikely = 3
+	// copyEngineShare is the fraction of the engines that must be free for a copy to be loaded.
+	copyEngineShare = 0.75
 )
 
 // Source is the place from which a model's weights are loaded.
@@ -303,8 +305,14 @@
 // spreadCopies loads models whose requests cannot wait for a load on engines whose hosts have no copy, until enough
 // hosts have one. When the demand moves to such a model, its replicas are loaded from these copies: a load from the weight
 // store takes several times as long, and one engine carries all requests until it ends.
+//
+// Such a load blocks its engine for long. Where many engines are busy with loads that requests wait for, it would delay
+// these, so it starts only while most engines are free and half of the store's loads are unused.
 func (p *plan) spreadCopies() {
-	reserved := p.reservedStoreLoads()
+	reserved := max(p.reservedStoreLoads(), p.StoreLimit/2)
+	if float64(len(p.free)) < copyEngineShare*float64(len(p.Engines)) {
+		return
+	}
 	copies := make(map[string]int)
 	for i := range p.Engines {
 		for m := range p.Class.Models {
