--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -38,12 +38,6 @@
 	// requests. It applies from a StoreLimit of reserveMinLimit.
 	reservedStoreLoads = 1
 	reserveMinLimit    = 3
-	// copiesOfLive is the number of hosts that are to have a copy of a model that has had requests which cannot wait for a
-	// load, and copiesOfLikely that of a model that is likely to get some.
-	copiesOfLive   = 5
-	copiesOfLikely = 3
-	// copyEngineShare is the fraction of the engines that must be free for a copy to be loaded.
-	copyEngineShare = 0.75
 )
 
 // Source is the place from which a model's weights are loaded.
@@ -168,7 +162,6 @@
 	p.scaleOutBusy()
 	p.fillFreeMemory()
 	p.prefetch()
-	p.spreadCopies()
 	return p.commands
 }
 
@@ -269,17 +262,12 @@
 	}
 }
 
-// reservedStoreLoads returns the number of concurrent store loads that are left for models with waiting requests.
-func (p *plan) reservedStoreLoads() int {
-	if p.StoreLimit >= reserveMinLimit && p.total > 0 {
-		return reservedStoreLoads
-	}
-	return 0
-}
-
 // prefetch loads models that no host has a copy of, so that a later request can be served from a local copy in time.
 func (p *plan) prefetch() {
-	reserved := p.reservedStoreLoads()
+	reserved := 0
+	if p.StoreLimit >= reserveMinLimit && p.total > 0 {
+		reserved = reservedStoreLoads
+	}
 	if p.StoreLoads <= reserved {
 		return
 	}
@@ -302,56 +290,6 @@
 	}
 }
 
-// spreadCopies loads models whose requests cannot wait for a load on engines whose hosts have no copy, until enough
-// hosts have one. When the demand moves to such a model, its replicas are loaded from these copies: a load from the weight
-// store takes several times as long, and one engine carries all requests until it ends.
-//
-// Such a load blocks its engine for long. Where many engines are busy with loads that requests wait for, it would delay
-// these, so it starts only while most engines are free and half of the store's loads are unused.
-func (p *plan) spreadCopies() {
-	reserved := max(p.reservedStoreLoads(), p.StoreLimit/2)
-	if float64(len(p.free)) < copyEngineShare*float64(len(p.Engines)) {
-		return
-	}
-	copies := make(map[string]int)
-	for i := range p.Engines {
-		for m := range p.Class.Models {
-			if p.Engines[i].SourceOf(m) != FromStore {
-				copies[m]++
-			}
-		}
-	}
-	for _, e := range p.Engines {
-		if e.Loading != "" && e.SourceOf(e.Loading) == FromStore {
-			copies[e.Loading]++
-		}
-	}
-	for _, c := range p.commands {
-		if c.Source == FromStore {
-			copies[c.Load]++
-		}
-	}
-	order := func(a, b string) int {
-		return cmp.Or(cmp.Compare(copies[a], copies[b]), cmp.Compare(p.latencyRank(b), p.latencyRank(a)), p.compareLikelihood(a, b))
-	}
-	for _, m := range p.models(func(m string) bool { return copies[m] < p.wantedCopies(m) }, order) {
-		if p.StoreLoads <= reserved || !p.load(m, "copy", FromStore, false) {
-			return
-		}
-	}
-}
-
-// wantedCopies returns the number of hosts that are to have a copy of a model.
-func (p *plan) wantedCopies(model string) int {
-	switch p.latencyRank(model) {
-	case 2:
-		return copiesOfLive
-	case 1:
-		return copiesOfLikely
-	}
-	return 0
-}
-
 // compareLikelihood orders models by how soon requests for them are expected, soonest first.
 func (p *plan) compareLikelihood(a, b string) int {
 	da, db := p.Demand[a], p.Demand[b]
--- a/internal/waiting/load.go
+++ b/internal/waiting/load.go
@@ -43,6 +43,9 @@
 		}
 	}
 	slices.Sort(storeLoads)
+	if store.FullSpeed > 0 {
+		store.Slowdown = max(store.Slowdown, float64(len(storeLoads))/float64(store.FullSpeed))
+	}
 	best := never
 	for _, e := range engines {
 		best = min(best, e.readyIn(store, storeLoads))
