gateway: an idempotent request that broke off waits for the retry budget instead of ending as unknown

The rule of the planned stops, on the direct path: with an empty budget the request ended as 502 with time and attempts left. It waits now where the budget grows in time, and each retry still comes out of it. An answer with 5xx is delivered as before rather than held. A stream that is resumed counts its client's patience from its last event, not from its arrival.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -167,7 +167,9 @@
 	}
 	g.observe(q, choice, routing.OutcomeUnknown, 0)
 	q.mayHaveRun = true
-	return retryOrFail(q.repeatable() && g.canRetry(parent, q, true))
+	// There is no answer to deliver, so the request waits until the retry budget allows another attempt.
+	q.needsBudget = true
+	return retryOrFail(q.repeatable() && g.canRetry(parent, q, false))
 }
 
 // handleRefusal decides what follows a response by which the endpoint confirms that it did not run the request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -186,6 +186,8 @@
 	arrived      time.Time
 	// deadline is when the response must be complete.
 	deadline time.Time
+	// silentSince is when the client last got an event of its stream, or the arrival.
+	silentSince time.Time
 
 	attempts int
 	// mismatches counts the attempts that reached another incarnation than the listed one.
@@ -195,8 +197,8 @@
 	waited     time.Duration
 	// cold is set if no engine had the request's model loaded when the request arrived.
 	cold bool
-	// servableIn is the time after which the request could be served, and refusedFor why that is too late; they are set
-	// only if the request is refused for it.
+	// refusedFor is why the request can't be served in time; it is set only if the request is refused for it. servableIn is
+	// the time after which the request could be served.
 	servableIn time.Duration
 	refusedFor refusalReason
 	// needsBudget is set while the next attempt still has to be taken out of the retry budget.
@@ -227,10 +229,11 @@
 			Target: target, Adapter: call.Adapter, PromptTokens: call.PromptTokens, Repeatable: route.Repeat == catalog.Idempotent,
 			OnTime: arrived.Add(time.Duration(startShare * float64(route.Target))),
 		},
-		inbound:  r,
-		body:     body,
-		arrived:  arrived,
-		deadline: deadline,
+		inbound:     r,
+		body:        body,
+		arrived:     arrived,
+		deadline:    deadline,
+		silentSince: arrived,
 	}
 }
 
@@ -243,7 +246,7 @@
 func (q *request) latestStart() time.Time {
 	latest := q.deadline
 	if q.route.Streaming {
-		latest = minTime(latest, q.arrived.Add(streamTimeout(q.route)))
+		latest = minTime(latest, q.silentSince.Add(streamTimeout(q.route)))
 	}
 	return latest.Add(-minTimeLeft)
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -56,7 +56,9 @@
 			return
 		}
 		verdict := g.attempt(ctx, out, q, choice)
-		q.fleetRequest.Resuming = out.started
+		if out.started {
+			q.fleetRequest.Resuming, q.silentSince = true, time.Now()
+		}
 		switch verdict {
 		case done:
 			return
@@ -165,7 +167,7 @@
 		f.status, f.reason = http.StatusGatewayTimeout, reasonUnknownTimeout
 	case q.mayHaveRun:
 		f.status, f.reason = http.StatusBadGateway, reasonUnknownOutcome
-	case q.servableIn > 0:
+	case q.refusedFor != "":
 		f.status, f.reason, f.retryAfter = http.StatusServiceUnavailable, q.refusedFor, q.servableIn+rand.N(returnSpread)
 	case late:
 		f.status, f.reason = http.StatusServiceUnavailable, reasonDeadline
--- a/internal/waiting/waiting.go
+++ b/internal/waiting/waiting.go
@@ -42,7 +42,7 @@
 // load, all requests that waited for the model ask for a place, and nearly all get one in time.
 func ForPlace(now time.Time, r Request, q Queue) Decision {
 	if q.FullFor < minEvidence {
-		return Decision{Refuse: now.After(r.Latest), Expected: 0}
+		return Decision{Refuse: now.After(r.Latest)}
 	}
 	expected := q.expectedWait(now, r)
 	if !now.Add(expected).After(r.Latest) {
