--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -33,7 +33,7 @@
 	// Resuming is set once the client has a part of the stream; the rest does not wait for a place.
 	Resuming bool
 	// place is set while the request waits for a place.
-	place *PlaceWaiter
+	place *placeWaiter
 }
 
 func (r *Request) adapter() Adapter { return Adapter{Model: r.Model, Name: r.Adapter} }
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -12,7 +12,7 @@
 	running int
 	waiting map[*Waiter]struct{}
 	// places are the requests that wait for a place in an engine's batch.
-	places map[*PlaceWaiter]struct{}
+	places map[*placeWaiter]struct{}
 	// arrivals is the rate at which requests have arrived.
 	arrivals rateMeter
 	// fullSince is since when the replicas have been full, zero if they are not, and servedWhileFull the number of requests
@@ -30,7 +30,7 @@
 func (f *Fleet) demandOf(t Target) *demand {
 	d := f.demand[t]
 	if d == nil {
-		d = &demand{waiting: make(map[*Waiter]struct{}), places: make(map[*PlaceWaiter]struct{})}
+		d = &demand{waiting: make(map[*Waiter]struct{}), places: make(map[*placeWaiter]struct{})}
 		f.demand[t] = d
 	}
 	return d
--- a/internal/fleet/queue.go
+++ b/internal/fleet/queue.go
@@ -43,8 +43,8 @@
 	return math.Exp(-max(0, elapsed).Seconds() / rateWindow.Seconds())
 }
 
-// PlaceWaiter is a request that waits for a place in an engine's batch.
-type PlaceWaiter struct {
+// placeWaiter is a request that waits for a place in an engine's batch.
+type placeWaiter struct {
 	adapter string
 	since   time.Time
 	onTime  time.Time
@@ -52,7 +52,7 @@
 
 // goesBefore reports whether a request gets a place before another: those that can still be on time first, the one that
 // has to begin soonest before the others, and then the late ones in the order of their arrival.
-func (w *PlaceWaiter) goesBefore(other *PlaceWaiter, now time.Time) bool {
+func (w *placeWaiter) goesBefore(other *placeWaiter, now time.Time) bool {
 	onTime, otherOnTime := now.Before(w.onTime), now.Before(other.onTime)
 	switch {
 	case onTime != otherOnTime:
@@ -67,7 +67,7 @@
 func (f *Fleet) WaitForPlace(req *Request, arrived time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	req.place = &PlaceWaiter{adapter: req.Adapter, since: arrived, onTime: req.OnTime}
+	req.place = &placeWaiter{adapter: req.Adapter, since: arrived, onTime: req.OnTime}
 	f.demandOf(req.Target).places[req.place] = struct{}{}
 }
 
@@ -110,11 +110,11 @@
 }
 
 // asWaiter returns the request as one that waits for a place, also if it has not begun to wait.
-func (req *Request) asWaiter(now time.Time) *PlaceWaiter {
+func (req *Request) asWaiter(now time.Time) *placeWaiter {
 	if req.place != nil {
 		return req.place
 	}
-	return &PlaceWaiter{adapter: req.Adapter, since: now, onTime: req.OnTime}
+	return &placeWaiter{adapter: req.Adapter, since: now, onTime: req.OnTime}
 }
 
 // queueDivisor gives the part of an engine's batch that may queue there, so that a place that gets free is taken before
