--- a/cmd/balsamsail/timeline.go
+++ b/cmd/balsamsail/timeline.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -12,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"balsamsail/internal/operator"
+	"balsamsail/internal/texttable"
 	"balsamsail/internal/timeline"
 )
 
@@ -31,7 +33,8 @@
 	follow := flags.Bool("follow", false, "go on with what is new")
 	logs := flags.String("logs", "", "read these log `files` of gateways and engine agents instead, separated by commas; - is standard input")
 	causes := flags.Duration("causes", 0, "with -logs and -request: also what befell the request's model, engines and gateway from this `time` before it on")
-	return f.command("timeline", "[-request ID] [-model M] [-follow] [-logs FILES [-causes 10s]]", "merge the events of all processes into one order", readCodes, flags,
+	losses := flags.Bool("losses", false, "with -logs: how many requests got no answer in time, by cause, with an example of each")
+	return f.command("timeline", "[-request ID] [-model M] [-follow] [-logs FILES [-causes 10s | -losses]]", "merge the events of all processes into one order", readCodes, flags,
 		func(ctx context.Context, args []string) error {
 			if err := noArguments(args); err != nil {
 				return err
@@ -41,6 +44,12 @@
 				filter.Kinds = append(filter.Kinds, timeline.Kind(k))
 			}
 			printer := timeline.NewPrinter(os.Stdout, timeline.Format(f.format))
+			if *logs != "" && *losses {
+				return printLosses(splitList(*logs), os.Stdout)
+			}
+			if *losses {
+				return errors.Wrap(errUsage, "-losses needs -logs")
+			}
 			if *logs != "" {
 				return printLogs(splitList(*logs), filter, *causes, printer)
 			}
@@ -64,11 +73,9 @@
 	if causes > 0 && len(filter.Requests) == 0 {
 		return errors.Wrap(errUsage, "-causes needs -request")
 	}
-	var lines timeline.LogReader
-	for _, name := range files {
-		if err := readLog(&lines, name); err != nil {
-			return err
-		}
+	lines, err := readLogs(files)
+	if err != nil {
+		return err
 	}
 	if causes == 0 {
 		return printer.Print(lines.Collection(lines.Matching(filter)))
@@ -85,6 +92,33 @@
 	return nil
 }
 
+// printLosses prints the requests in the log files that got no answer in time, by cause.
+func printLosses(files []string, w io.Writer) error {
+	lines, err := readLogs(files)
+	if err != nil {
+		return err
+	}
+	table := texttable.New(w)
+	table.Row("REQUESTS\tENDING\tCAUSE\tEXAMPLE")
+	for _, loss := range lines.Losses() {
+		table.Row("%d\t%s\t%s\t%s", loss.Requests, loss.Ending, loss.Cause, loss.Example)
+	}
+	if lines.Dropped > 0 {
+		table.Row("%d lines were dropped by the rate limit and are not counted", lines.Dropped)
+	}
+	return table.Flush()
+}
+
+func readLogs(files []string) (*timeline.LogReader, error) {
+	lines := &timeline.LogReader{}
+	for _, name := range files {
+		if err := readLog(lines, name); err != nil {
+			return nil, err
+		}
+	}
+	return lines, nil
+}
+
 // readLog reads a log file, or standard input if the name is "-".
 func readLog(lines *timeline.LogReader, name string) error {
 	if name == "-" {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -195,6 +195,8 @@
 	// mayHaveRun is set once an endpoint may have started the request.
 	mayHaveRun bool
 	waited     time.Duration
+	// waitedFor is what the request waited for last; empty if it has not waited.
+	waitedFor string
 	// cold is set if no engine had the request's model loaded when the request arrived.
 	cold bool
 	// refusedFor is why the request can't be served in time; it is set only if the request is refused for it. servableIn is
@@ -251,6 +253,21 @@
 	return latest.Add(-minTimeLeft)
 }
 
+// late returns what made the answer late: its first event, or a pause within the stream; empty if it is on time.
+func (q *request) late() string {
+	first := q.firstEvent
+	if !q.route.Streaming {
+		first = time.Since(q.arrived)
+	}
+	switch {
+	case q.route.Target > 0 && first > q.route.Target:
+		return "first_event"
+	case q.route.GapTarget > 0 && q.longestGap > q.route.GapTarget:
+		return "pause"
+	}
+	return ""
+}
+
 // exhausted reports whether the request has used all its attempts.
 func (q *request) exhausted() bool { return q.attempts-q.mismatches >= maxTotalAttempts }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -185,5 +185,5 @@
 	problem := outcome != "answered" || status >= http.StatusBadRequest || q.attempts > 1
 	g.requestLog.write(time.Now(), problem, "request ended", "event", "ended", "request", q.call.ID, "route", q.route.Name, "service", q.fleetRequest.Service,
 		"model", q.fleetRequest.Model, "adapter", q.fleetRequest.Adapter, "outcome", outcome, "status", status, "endpoint", q.endpoint,
-		"sendings", q.attempts, "first_event", q.firstEvent, "longest_gap", q.longestGap, "waited", q.waited, "took", time.Since(q.arrived), "config", q.version)
+		"sendings", q.attempts, "late", q.late(), "waited_for", q.waitedFor, "first_event", q.firstEvent, "longest_gap", q.longestGap, "waited", q.waited, "took", time.Since(q.arrived), "config", q.version)
 }
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -14,6 +15,13 @@
 	fleet.EnginesFull:    reasonPlaceTooLate,
 }
 
+// waitNames name in the log what requests wait for.
+var waitNames = map[refusalReason]string{
+	reasonModelTooLate: "model",
+	reasonPlaceTooLate: "place",
+	reasonRetryBudget:  "budget",
+}
+
 // wait is the wait of a request for an endpoint.
 type wait struct {
 	gateway *Gateway
@@ -45,6 +53,7 @@
 func (w *wait) refused(now time.Time, reason refusalReason) bool {
 	g, q := w.gateway, w.request
 	request := waiting.Request{OnTime: q.fleetRequest.OnTime, Latest: q.latestStart()}
+	q.waitedFor = cmp.Or(waitNames[reason], "endpoint")
 	var d waiting.Decision
 	switch reason {
 	case reasonModelTooLate:
