--- a/internal/fleet/queue.go
+++ b/internal/fleet/queue.go
@@ -121,8 +121,8 @@
 // the gateways hear of it.
 const queueDivisor = 8
 
-// withRoom returns the candidates that have room in their batches and for the prompt, and reports whether the request may take a place now:
-// there are more places than waiting requests that go before it.
+// withRoom returns the candidates that have room in their batches and for the prompt, and reports whether the request may
+// take a place now: there are more places than waiting requests that go before it.
 //
 // An engine with a full batch queues further requests. Under more load than its replicas can serve, the queue of a model
 // grew until each request waited there for as long as its client did: nearly none was served, and none was refused.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,13 +25,13 @@
 	// retryAfterSpread is the width of the random part of Retry-After when no endpoint takes the request: a replacement
 	// endpoint registers within about one heartbeat of 1.2 s.
 	retryAfterSpread = time.Second
-	// pacingShare is the share of the target for the first event during which a request may be held back so that its
-	// prefill doesn't pile up on an engine that is processing other prompts. latePacingFactor is that limit in targets
-	// for a request that has already missed its target: clients abandon a stream that has not begun after four targets.
-	pacingShare = 0.4
-	// startShare is the share of the target for the first event by which a request has to begin to run to be on time.
-	startShare       = 0.75
+	// pacingShare is the share of the target for the first event during which a request may be held back from crowded
+	// engines. latePacingFactor is that limit in targets for a request that has already missed its target: clients abandon
+	// a stream that has not begun after four targets.
+	pacingShare      = 0.4
 	latePacingFactor = 3
+	// startShare is the share of the target for the first event by which a request has to begin to run to be on time.
+	startShare = 0.75
 	// bodyTimeout bounds the reading of a request body if the client gave no timeout.
 	bodyTimeout = 10 * time.Second
 )
@@ -271,11 +271,8 @@
 // exhausted reports whether the request has used all its attempts.
 func (q *request) exhausted() bool { return q.attempts-q.mismatches >= maxTotalAttempts }
 
-// pacedUntil returns the time until which the request is held back from engines that have prompts to process.
-//
-// A request that waited for a model to load is late when the load ends, and so are all others that waited for it.
-// Sending them all at once would also delay the requests that already run on the engine; sending them one after another
-// doesn't.
+// pacedUntil returns the time until which the request is held back from crowded engines and, if its prompt is long, from
+// those that have prompts to process.
 func (q *request) pacedUntil(now time.Time) time.Time {
 	target := q.route.Target
 	if now.After(q.arrived.Add(target)) {
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -61,7 +61,7 @@
 	case reasonPlaceTooLate:
 		d = waiting.ForPlace(now, request, g.fleet.Queue(now, &q.fleetRequest))
 	case reasonRetryBudget:
-		d = waiting.ForBudget(now, request, 0, g.retryRate(q.fleetRequest.Service, now))
+		d = waiting.ForBudget(now, request, g.retryRate(q.fleetRequest.Service, now))
 	default:
 		return false
 	}
--- a/internal/waiting/waiting.go
+++ b/internal/waiting/waiting.go
@@ -82,12 +82,11 @@
 	return Decision{Refuse: now.Add(ready).After(r.Latest.Add(slack)), Expected: ready}
 }
 
-// ForBudget decides about a request that waits for the retry budget, which grows by rate retries per second, with ahead
-// requests that go first.
-func ForBudget(now time.Time, r Request, ahead int, rate float64) Decision {
+// ForBudget decides about a request that waits for the retry budget, which grows by rate retries per second.
+func ForBudget(now time.Time, r Request, rate float64) Decision {
 	expected := never
 	if rate > 0 {
-		expected = min(seconds(float64(ahead+1)/rate), never)
+		expected = min(seconds(1/rate), never)
 	}
 	return Decision{Refuse: now.Add(expected).After(r.Latest), Expected: min(expected, maxRetryAfter)}
 }
--- a/internal/waiting/waiting_test.go
+++ b/internal/waiting/waiting_test.go
@@ -218,7 +218,7 @@
 func TestForBudget(t *testing.T) {
 	r := Request{Latest: start.Add(3 * time.Second)}
 	for rate, want := range map[float64]bool{0: true, 0.1: true, 1: false, 10: false} {
-		if got := ForBudget(start, r, 0, rate); got.Refuse != want {
+		if got := ForBudget(start, r, rate); got.Refuse != want {
 			t.Errorf("a budget that grows by %v per second: %+v, want refused %v", rate, got, want)
 		}
 	}
