--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -67,9 +67,9 @@
 		_ = conn.Close()
 		return
 	}
-	stop := context.AfterFunc(ctx, func() { _ = closeSession(conn, mux) })
+	stop := context.AfterFunc(ctx, func() { _ = mux.Close() })
 	defer stop()
-	defer func() { _ = closeSession(conn, mux) }()
+	defer func() { _ = mux.Close() }()
 	for {
 		raw, err := mux.AcceptStream()
 		if err != nil {
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -60,8 +60,7 @@
 
 // Session is one connection between an entry and an agent.
 type Session struct {
-	conn net.Conn
-	mux  *yamux.Session
+	mux *yamux.Session
 }
 
 // Dial connects to an agent.
@@ -76,7 +75,7 @@
 		_ = conn.Close()
 		return nil, errors.Wrap(ErrBroken, err.Error())
 	}
-	return &Session{conn: conn, mux: mux}, nil
+	return &Session{mux: mux}, nil
 }
 
 // dialError distinguishes a connection attempt that timed out from one that failed.
@@ -106,18 +105,7 @@
 func (s *Session) Closed() <-chan struct{} { return s.mux.CloseChan() }
 
 // Close ends the session and all its streams.
-func (s *Session) Close() error { return closeSession(s.conn, s.mux) }
-
-// closeSession closes the connection before the session.
-//
-// In a session that is closed while its receive loop runs, readers of open streams spin until that loop has ended. With
-// hundreds of readers on a busy machine they kept it from running for more than 20 s. A closed connection ends the loop
-// first, and the loop then closes the session.
-func closeSession(conn net.Conn, mux *yamux.Session) error {
-	_ = conn.Close()
-	<-mux.CloseChan()
-	return mux.Close()
-}
+func (s *Session) Close() error { return s.mux.Close() }
 
 // Stream is one ordered exchange of messages within a session. One goroutine may read while another writes.
 type Stream struct {
