--- a/internal/fleet/queue.go
+++ b/internal/fleet/queue.go
@@ -248,10 +248,17 @@
 		return nil, false
 	}
 	for _, e := range f.endpoints {
-		if e.Service != t.Service || e.Leaving || !e.responsive(now) || !e.reportFresh(now) || e.hasModel(now, t.Model) {
+		if e.Service != t.Service || e.Leaving || !e.responsive(now) || !e.reportFresh(now) {
 			continue
 		}
 		s := e.state
+		if e.hasModel(now, t.Model) {
+			if until, ok := e.absent[Adapter{Model: t.Model}]; ok && now.Before(until) {
+				// Its next report, or the end of absentTTL, tells whether the model is still loaded.
+				engines = append(engines, waiting.Engine{LoadTime: until.Sub(now)})
+			}
+			continue
+		}
 		engine := waiting.Engine{Busy: s.Busy || s.Loading != "", Loading: s.Loading == t.Model, StoreLoad: e.loadsFromStore()}
 		engine.LoadTime, engine.FromStore = s.loadTime(class.Models[t.Model])
 		if s.Loading != "" {
--- a/internal/fleet/queue_test.go
+++ b/internal/fleet/queue_test.go
@@ -115,3 +115,17 @@
 		t.Errorf("rate %.1f ten seconds later, want less than 1", got)
 	}
 }
+
+// The only engine that has a model loaded has just rejected a request for it, by a report that is out of date either way.
+// The next request must wait for the next report, and not be told the time of a load from the weight store.
+func TestReadyInOfARejectedModel(t *testing.T) {
+	f := oneEngine()
+	target := Target{Service: "s", Model: "m"}
+	f.Absent(start, "e1", requestDue(time.Second))
+	if _, reason, ok := f.Choose(start, requestDue(time.Second)); ok || reason != ModelNotLoaded {
+		t.Fatalf("chosen %v, reason %v; want ModelNotLoaded", ok, reason)
+	}
+	if got := f.ReadyIn(start, target); got > time.Second {
+		t.Errorf("ready in %v, want less than a second", got)
+	}
+}
