wire: readers of a closed session return instead of spinning

yamux closes the streams of a closed session one by one, with the locks that their spinning readers use: on a busy machine hundreds of readers kept that from ending for more than 20 s. The read deadlines of all streams now expire when the session closes, which takes no lock, and such a read reports a broken stream.

--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -67,7 +67,11 @@
 		_ = conn.Close()
 		return
 	}
-	stop := context.AfterFunc(ctx, func() { _ = mux.Close() })
+	streams := newStreamSet(mux)
+	stop := context.AfterFunc(ctx, func() {
+		streams.expire()
+		_ = mux.Close()
+	})
 	defer stop()
 	defer func() { _ = mux.Close() }()
 	for {
@@ -77,14 +81,13 @@
 			return
 		}
 		s.active.Add(1)
-		go s.serveStream(ctx, raw)
+		go s.serveStream(ctx, newStream(raw, MaxFrameBytes, streams))
 	}
 }
 
 // serveStream reads the header and passes the stream to the handler.
-func (s *server) serveStream(ctx context.Context, raw *yamux.Stream) {
+func (s *server) serveStream(ctx context.Context, stream *Stream) {
 	defer s.active.Done()
-	stream := newStream(raw, MaxFrameBytes)
 	defer func() { _ = stream.Close() }()
 	header := &wirepb.StreamHeader{}
 	// A peer that opens streams without sending a header must not hold them indefinitely.
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -60,7 +60,8 @@
 
 // Session is one connection between an entry and an agent.
 type Session struct {
-	mux *yamux.Session
+	mux     *yamux.Session
+	streams *streamSet
 }
 
 // Dial connects to an agent.
@@ -75,7 +76,7 @@
 		_ = conn.Close()
 		return nil, errors.Wrap(ErrBroken, err.Error())
 	}
-	return &Session{mux: mux}, nil
+	return &Session{mux: mux, streams: newStreamSet(mux)}, nil
 }
 
 // dialError distinguishes a connection attempt that timed out from one that failed.
@@ -93,9 +94,9 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrBroken, err.Error())
 	}
-	stream := newStream(raw, limit)
+	stream := newStream(raw, limit, s.streams)
 	if err := stream.Write(header); err != nil {
-		_ = raw.Close()
+		_ = stream.Close()
 		return nil, err
 	}
 	return stream, nil
@@ -105,12 +106,18 @@
 func (s *Session) Closed() <-chan struct{} { return s.mux.CloseChan() }
 
 // Close ends the session and all its streams.
-func (s *Session) Close() error { return s.mux.Close() }
+func (s *Session) Close() error {
+	s.streams.expire()
+	return s.mux.Close()
+}
 
 // Stream is one ordered exchange of messages within a session. One goroutine may read while another writes.
 type Stream struct {
 	conn   *yamux.Stream
 	reader *FrameReader
+	// open is the set of the session's open streams, and expired is set once the session closes.
+	open    *streamSet
+	expired atomic.Bool
 	// limit bounds written messages, in bytes.
 	limit atomic.Int64
 	// writeErr is the error of the first failed write.
@@ -120,12 +127,19 @@
 // pastDeadline is a deadline in the past; setting it unblocks pending reads or writes.
 var pastDeadline = time.Unix(1, 0)
 
-func newStream(raw *yamux.Stream, limit int64) *Stream {
-	s := &Stream{conn: raw, reader: NewFrameReader(raw, limit)}
+func newStream(raw *yamux.Stream, limit int64, open *streamSet) *Stream {
+	s := &Stream{conn: raw, reader: NewFrameReader(raw, limit), open: open}
 	s.limit.Store(limit)
+	open.add(s)
 	return s
 }
 
+// expire makes pending and later reads fail because the session closes.
+func (s *Stream) expire() {
+	s.expired.Store(true)
+	_ = s.conn.SetReadDeadline(pastDeadline)
+}
+
 // Read reads the next message into m.
 //
 // A peer that closes its stream stops both reading and writing. Writes to it would then fill the window and block for up
@@ -136,6 +150,9 @@
 	if errors.Is(err, ErrClosed) {
 		s.AbortWrites()
 	}
+	if errors.Is(err, ErrTimeout) && s.expired.Load() {
+		return errors.Wrap(ErrBroken, "the session is closed")
+	}
 	return err
 }
 
@@ -166,10 +183,19 @@
 }
 
 // SetReadDeadline sets the deadline of pending and later reads; the zero time removes it.
-func (s *Stream) SetReadDeadline(t time.Time) error { return s.conn.SetReadDeadline(t) }
+func (s *Stream) SetReadDeadline(t time.Time) error {
+	if err := s.conn.SetReadDeadline(t); err != nil {
+		return err
+	}
+	if s.expired.Load() {
+		return s.conn.SetReadDeadline(pastDeadline)
+	}
+	return nil
+}
 
 // Close ends the stream. A pending or later Read or Write fails.
 func (s *Stream) Close() error {
+	s.open.remove(s)
 	err := s.conn.Close()
 	// The peer may never close its half of the stream; an expired deadline unblocks a local reader immediately.
 	_ = s.conn.SetReadDeadline(pastDeadline)
--- a/internal/wire/session_test.go
+++ b/internal/wire/session_test.go
@@ -57,7 +57,7 @@
 				t.Fatal(err)
 			}
 			_, _ = raw.Write(o.send)
-			stream := newStream(raw, MaxFrameBytes)
+			stream := newStream(raw, MaxFrameBytes, session.streams)
 			if err := receive(t, readOnce(stream), "a stream without a header was not closed"); !errors.Is(err, ErrClosed) {
 				t.Fatalf("got %v, want ErrClosed", err)
 			}
