--- a/internal/app/site.go
+++ b/internal/app/site.go
@@ -26,10 +26,12 @@
 	endpoints *catalog.Endpoints
 	// invalidRows holds the keys of the rows that are not registrations.
 	invalidRows map[string]bool
+	// ignoredStarts holds the process starts of ignored registrations of earlier processes, by ID.
+	ignoredStarts map[string]int64
 }
 
 func newSiteSync(f *fleet.Fleet, a *control.Agents, l *slog.Logger) *siteSync {
-	return &siteSync{fleet: f, agents: a, logger: l, updates: make(chan func()), endpoints: catalog.NewEndpoints(), invalidRows: make(map[string]bool)}
+	return &siteSync{fleet: f, agents: a, logger: l, updates: make(chan func()), endpoints: catalog.NewEndpoints(), invalidRows: make(map[string]bool), ignoredStarts: make(map[string]int64)}
 }
 
 // run applies updates from the watches one at a time until ctx ends.
@@ -100,6 +102,7 @@
 				s.endpoints.Invalidate(row.Key, time.Now())
 			}
 		}
+		clear(s.ignoredStarts)
 		for _, e := range s.endpoints.Replace(list, time.Now()) {
 			s.logEarlierProcess(e)
 		}
@@ -124,6 +127,7 @@
 func (s endpointSink) applyRow(row watch.Row) {
 	if row.Deleted {
 		delete(s.invalidRows, row.Key)
+		delete(s.ignoredStarts, row.Key)
 		s.endpoints.Remove(row.Key, time.Now())
 		return
 	}
@@ -153,6 +157,11 @@
 	return catalog.Endpoint{}, false
 }
 
+// logEarlierProcess logs an ignored registration, once for each process.
 func (s endpointSink) logEarlierProcess(e catalog.Endpoint) {
+	if known, ok := s.ignoredStarts[e.ID]; ok && known == e.Started || len(s.ignoredStarts) >= maxInvalidRows {
+		return
+	}
+	s.ignoredStarts[e.ID] = e.Started
 	s.logger.Warn("registration of an earlier process ignored", "event", "old_registration", "endpoint", e.ID, "started", e.Started, "revision", e.Revision)
 }
--- a/internal/engineagent/agent.go
+++ b/internal/engineagent/agent.go
@@ -103,12 +103,17 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.metrics.observeReport(now, report, len(a.gateways))
+	started := a.core.started
+	if err != nil {
+		a.core.HandleReportFailure(now)
+	} else {
+		err = a.core.HandleReport(now, report)
+	}
 	if err != nil {
 		if !a.engineLost {
 			a.engineLost = true
 			a.logger.Warn("failed to read engine report", "event", "engine_lost", "error", err)
 		}
-		a.core.HandleReportFailure(now)
 		a.publish(now)
 		return
 	}
@@ -116,10 +121,7 @@
 		a.engineLost = false
 		a.logger.Info("engine report available again", "event", "engine_back", "sequence", report.Sequence)
 	}
-	started := a.core.started
-	if !a.core.HandleReport(now, report) {
-		a.logger.Warn("report of an earlier engine process ignored", "event", "old_report", "started", report.Started, "known", started)
-	} else if started != 0 && report.Started != started {
+	if started != 0 && report.Started != started {
 		a.logger.Info("engine has restarted", "event", "engine_restarted", "started", report.Started, "before", started, "sequence", report.Sequence)
 	}
 	a.publish(now)
--- a/internal/engineagent/core.go
+++ b/internal/engineagent/core.go
@@ -6,6 +6,8 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"balsamsail/internal/nameset"
 )
 
@@ -185,8 +187,8 @@
 	}
 	if m.EndpointID != "" && m.EndpointRevision >= c.endpointRevision && m.EndpointID != c.endpointID {
 		c.endpointID, c.command = m.EndpointID, nil
-		// Late orders name the earlier ID, so the engine refuses them.
-		c.lateOrders, c.unansweredOrders = nil, nil
+		// Late orders name the earlier ID, so the engine refuses them; the start of its process is not compared across IDs.
+		c.lateOrders, c.unansweredOrders, c.started = nil, nil, 0
 	}
 	c.endpointRevision = max(c.endpointRevision, m.EndpointRevision)
 	if m.Class != nil && (c.class == nil || m.Class.Version > c.class.Version) {
@@ -226,20 +228,24 @@
 	return names
 }
 
-// HandleReport handles a report of the engine. It returns false for a report of an earlier process than the last one,
-// or of no stated process after one that stated it: such a report is not used, and counts as a failed read.
-func (c *Core) HandleReport(now time.Time, r *Report) bool {
+// ErrEarlierProcess means that a report is of an earlier process of the engine than the last one, or states none after one
+// that did.
+var ErrEarlierProcess = errors.New("engineagent: report of an earlier engine process")
+
+// HandleReport handles a report of the engine. It returns ErrEarlierProcess for one that is not used; it counts as a failed
+// read.
+func (c *Core) HandleReport(now time.Time, r *Report) error {
 	if r.Started < c.started {
 		c.HandleReportFailure(now)
-		return false
+		return errors.Wrapf(ErrEarlierProcess, "started %d, known %d", r.Started, c.started)
 	}
-	if c.report != nil && (r.Started > c.started || r.Sequence < c.report.Sequence) {
+	if c.report != nil && (c.started != 0 && r.Started > c.started || r.Sequence < c.report.Sequence) {
 		c.handleRestart(now)
 	}
 	c.started = r.Started
 	c.report, c.reportAt, c.stale, c.callInFlight, c.down = r, now, false, false, false
 	c.clearFinishedCommand(now)
-	return true
+	return nil
 }
 
 // handleRestart drops what was meant for the engine's earlier process. Orders that it has not answered may still reach
--- a/internal/engineagent/core_test.go
+++ b/internal/engineagent/core_test.go
@@ -7,6 +7,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 var start = time.Unix(1000, 0)
@@ -323,17 +325,21 @@
 		return r
 	}
 	sendGatewayMessage(c, start, GatewayMessage{})
-	if !c.HandleReport(start, report(100, "a")) || !c.HandleReport(start, report(200, "b")) {
+	if c.HandleReport(start, report(100, "a")) != nil || c.HandleReport(start, report(200, "b")) != nil {
 		t.Fatal("the report of a later process was refused")
 	}
 	for _, started := range []int64{0, 100, 199} {
-		if c.HandleReport(start, report(started, "a")) || !c.down {
+		if err := c.HandleReport(start, report(started, "a")); !errors.Is(err, ErrEarlierProcess) || !c.down {
 			t.Errorf("a report of the process started at %d was used after one of 200", started)
 		}
 	}
-	if !c.HandleReport(start, report(200, "b")) || c.down {
+	if c.HandleReport(start, report(200, "b")) != nil || c.down {
 		t.Error("the engine did not return with a good report")
 	}
+	c.HandleGatewayMessage(start, "gateway", GatewayMessage{EndpointID: "i2", EndpointRevision: 2})
+	if c.HandleReport(start, report(150, "b")) != nil {
+		t.Error("the start of a process under another ID was compared")
+	}
 }
 
 // A command for an earlier process of the engine arrives after the restart. What it unloads and loads follows from what
