--- a/internal/engineagent/core_test.go
+++ b/internal/engineagent/core_test.go
@@ -100,6 +100,19 @@
 	return Accepted
 }
 
+// handleOrderUnreliably handles an order whose response may be lost, and which may then reach the engine seconds later.
+func (e *fakeEngine) handleOrderUnreliably(random *rand.Rand, now time.Time, o Order) Result {
+	switch random.IntN(4) {
+	case 0:
+		e.delayed = append(e.delayed, delayedOrder{at: now.Add(2*time.Second + time.Duration(random.IntN(10_000))*time.Millisecond), order: o})
+		return Unknown
+	case 1:
+		e.handleOrder(now, o)
+		return Unknown
+	}
+	return e.handleOrder(now, o)
+}
+
 func (e *fakeEngine) checkCapacity(o Order) {
 	used, adapters := 0.0, 0
 	for m, list := range e.models {
@@ -188,15 +201,7 @@
 			}
 			sendGatewayMessage(c, now, GatewayMessage{Command: command, Wanted: []Adapter{{"a", fmt.Sprint(random.IntN(8))}, {"b", fmt.Sprint(random.IntN(8))}}})
 			now = drive(c, e, now, time.Duration(random.IntN(4000))*time.Millisecond, func(now time.Time, o Order) Result {
-				switch random.IntN(4) {
-				case 0:
-					e.delayed = append(e.delayed, delayedOrder{at: now.Add(2*time.Second + time.Duration(random.IntN(10_000))*time.Millisecond), order: o})
-					return Unknown
-				case 1:
-					e.handleOrder(now, o)
-					return Unknown
-				}
-				return e.handleOrder(now, o)
+				return e.handleOrderUnreliably(random, now, o)
 			})
 		}
 	}
@@ -300,15 +305,7 @@
 				if random.IntN(20) == 0 {
 					e.restart()
 				}
-				switch random.IntN(4) {
-				case 0:
-					e.delayed = append(e.delayed, delayedOrder{at: now.Add(2*time.Second + time.Duration(random.IntN(10_000))*time.Millisecond), order: o})
-					return Unknown
-				case 1:
-					e.handleOrder(now, o)
-					return Unknown
-				}
-				return e.handleOrder(now, o)
+				return e.handleOrderUnreliably(random, now, o)
 			})
 		}
 	}
