--- a/internal/placement/eviction.go
+++ b/internal/placement/eviction.go
@@ -5,45 +5,25 @@
 	"slices"
 )
 
-// adapterMemory returns the memory, in MB, that is reserved for adapters.
-func (p *plan) adapterMemory() float64 {
-	largest := 0.0
-	for _, m := range p.Class.Models {
-		largest = max(largest, m.AdapterMB)
-	}
-	return largest * float64(p.Class.MaxAdapters)
-}
-
-// freeMemory returns the memory of an engine, in MB, that no model or adapter reservation uses.
-func (p *plan) freeMemory(e *Engine) float64 {
-	free := p.Class.MemoryMB - p.adapterMemory()
-	for m := range e.Loaded {
-		free -= p.Class.Models[m].SizeMB
-	}
-	return free
+// eviction is a loaded model and the cost of evicting its replica.
+type eviction struct {
+	model string
+	cost  float64
 }
 
 // chooseEvictions returns the models to unload to make room for another one, cheapest first, and their total cost.
 // Without urgent, it doesn't evict replicas that cost avoidEvictCost or more.
-func (p *plan) chooseEvictions(e *Engine, model string, urgent bool) (unload []string, cost float64, ok bool) {
-	free := p.freeMemory(e)
+func (p *plan) chooseEvictions(c *candidate, model string, urgent bool) (unload []string, cost float64, ok bool) {
+	free := c.freeMemory
 	need := p.Class.Models[model].SizeMB
 	if free >= need {
 		return nil, 0, true
 	}
-	loaded := make([]string, 0, len(e.Loaded))
-	for m := range e.Loaded {
-		loaded = append(loaded, m)
-	}
-	slices.SortFunc(loaded, func(a, b string) int {
-		return cmp.Or(cmp.Compare(p.evictionCost(e, a), p.evictionCost(e, b)), cmp.Compare(p.latencyRank(a), p.latencyRank(b)), p.Demand[a].LastArrival.Compare(p.Demand[b].LastArrival), cmp.Compare(a, b))
-	})
-	for _, m := range loaded {
-		c := p.evictionCost(e, m)
-		if c >= neverEvictCost || !urgent && c >= avoidEvictCost {
+	for _, e := range p.evictions(c) {
+		if e.cost >= neverEvictCost || !urgent && e.cost >= avoidEvictCost {
 			return nil, 0, false
 		}
-		unload, cost, free = append(unload, m), cost+c, free+p.Class.Models[m].SizeMB
+		unload, cost, free = append(unload, e.model), cost+e.cost, free+p.Class.Models[e.model].SizeMB
 		if free >= need {
 			return unload, cost, true
 		}
@@ -51,6 +31,25 @@
 	return nil, 0, false
 }
 
+// evictions returns an engine's models, cheapest to evict first.
+func (p *plan) evictions(c *candidate) []eviction {
+	if c.evictions != nil {
+		return c.evictions
+	}
+	c.evictions = make([]eviction, 0, len(c.Loaded))
+	for m := range c.Loaded {
+		c.evictions = append(c.evictions, eviction{model: m, cost: p.evictionCost(c.Engine, m)})
+	}
+	slices.SortFunc(c.evictions, func(a, b eviction) int {
+		return cmp.Or(
+			cmp.Compare(a.cost, b.cost),
+			cmp.Compare(p.latencyRank(a.model), p.latencyRank(b.model)),
+			p.Demand[a.model].LastArrival.Compare(p.Demand[b.model].LastArrival),
+			cmp.Compare(a.model, b.model))
+	})
+	return c.evictions
+}
+
 const (
 	// neverEvictCost marks a replica that current requests need. avoidEvictCost marks one that is evicted only for a
 	// model that requests wait for.
--- a/internal/placement/manager.go
+++ b/internal/placement/manager.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"balsamsail/internal/catalog"
+	"balsamsail/internal/clock"
 	"balsamsail/internal/control/controlpb"
 	"balsamsail/internal/fleet"
 	"balsamsail/internal/nameset"
@@ -17,6 +18,12 @@
 	// commandAckTimeout is the time within which an agent must report that it has accepted a command. After that the
 	// engine counts as free again.
 	commandAckTimeout = time.Second
+	// maxDutyCycle bounds the share of the time that decisions take. Each request that starts to wait triggers one; on a
+	// large site, on a slow host, the gateway would otherwise do nothing else.
+	maxDutyCycle = 0.1
+	// maxDecidePause bounds the pause after a decision: a decision that took long because its process was not scheduled
+	// must not delay the next one much further.
+	maxDecidePause = 2 * decideInterval
 )
 
 // Site provides the configuration and the state of the engines. Implemented by fleet.Fleet.
@@ -98,13 +105,19 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			m.Step(time.Now())
 		case <-m.gateways.Waiting():
-			m.Step(time.Now())
 		}
+		started := time.Now()
+		m.Step(started)
+		clock.Pause(ctx, pauseAfter(time.Since(started)))
 	}
 }
 
+// pauseAfter returns the pause after a decision that keeps decisions within maxDutyCycle.
+func pauseAfter(took time.Duration) time.Duration {
+	return min(time.Duration(float64(took)*(1/maxDutyCycle-1)), maxDecidePause)
+}
+
 // Step makes one decision for each service with engines.
 func (m *Manager) Step(now time.Time) {
 	config := m.site.Config()
--- a/internal/placement/manager_test.go
+++ b/internal/placement/manager_test.go
@@ -90,3 +90,19 @@
 		t.Errorf("commands %v, want a second one for the process that started at 200", site.commands)
 	}
 }
+
+// Guards against a coordinator on a slow host that does nothing but decide: on a large site, requests start to wait many
+// times a second, and each triggers a decision.
+func TestDecisionsLeaveTimeForRequests(t *testing.T) {
+	cases := []struct{ took, want time.Duration }{
+		{0, 0},
+		{2 * time.Millisecond, 18 * time.Millisecond},
+		{20 * time.Millisecond, 180 * time.Millisecond},
+		{time.Second, maxDecidePause},
+	}
+	for _, c := range cases {
+		if got := pauseAfter(c.took).Round(time.Millisecond); got != c.want {
+			t.Errorf("pause after a decision of %v: %v, want %v", c.took, got, c.want)
+		}
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -128,41 +128,103 @@
 // plan is a decision in progress.
 type plan struct {
 	Input
-	free map[string]*Engine
+	candidates []*candidate
+	// freeCount is the number of free candidates.
+	freeCount int
 	// replicas counts the replicas per model, including those being loaded; ready counts only those that serve now.
 	replicas, ready map[string]int
+	// holders lists the candidates that have a model loaded, and copies those whose host has a copy of a model with demand.
+	holders, copies map[string][]*candidate
+	// adapterMemory is the memory, in MB, that is reserved on each engine for adapters.
+	adapterMemory float64
 	// total is the number of running and waiting requests over all models.
 	total    int
 	commands []Command
 }
 
+// candidate is an engine in a decision, with what the decision has derived about it.
+type candidate struct {
+	*Engine
+	// free is set while the engine can still get a command in this decision.
+	free bool
+	// freeMemory is the memory, in MB, that no model or adapter reservation uses.
+	freeMemory float64
+	// evictions are the loaded models, cheapest to evict first; nil until they are needed, and after a change of their costs.
+	evictions []eviction
+}
+
 // Decide returns the commands to send now, at most one per engine.
+//
+// Its time grows with the number of engines plus, for each model that needs a load, the number of engines with a copy of
+// it; a load from the weight store considers all free engines, but few of those start at a time.
 func Decide(in Input) []Command {
-	p := &plan{Input: in, free: make(map[string]*Engine), replicas: make(map[string]int), ready: make(map[string]int)}
+	p := newPlan(in)
+	p.scaleOutOverloaded()
+	p.loadForWaiting()
+	p.scaleOutBusy()
+	p.fillFreeMemory()
+	p.prefetch()
+	return p.commands
+}
+
+func newPlan(in Input) *plan {
+	p := &plan{
+		Input:      in,
+		candidates: make([]*candidate, len(in.Engines)),
+		replicas:   make(map[string]int),
+		ready:      make(map[string]int),
+		holders:    make(map[string][]*candidate),
+		copies:     make(map[string][]*candidate),
+	}
+	for _, m := range in.Class.Models {
+		p.adapterMemory = max(p.adapterMemory, m.AdapterMB*float64(in.Class.MaxAdapters))
+	}
 	for _, d := range in.Demand {
 		p.total += d.Running + d.Waiting
 	}
 	for i := range in.Engines {
-		e := &in.Engines[i]
-		if e.Free {
-			p.free[e.ID] = e
-		}
-		for m := range e.Loaded {
-			if !e.Unloading[m] {
-				p.replicas[m]++
-				p.ready[m]++
-			}
+		p.candidates[i] = p.newCandidate(&in.Engines[i])
+	}
+	return p
+}
+
+func (p *plan) newCandidate(e *Engine) *candidate {
+	c := &candidate{Engine: e, free: e.Free, freeMemory: p.Class.MemoryMB - p.adapterMemory}
+	if c.free {
+		p.freeCount++
+	}
+	for m := range e.Loaded {
+		c.freeMemory -= p.Class.Models[m].SizeMB
+		p.holders[m] = append(p.holders[m], c)
+		if !e.Unloading[m] {
+			p.replicas[m]++
+			p.ready[m]++
 		}
-		if e.Loading != "" && !e.Loaded[e.Loading] {
-			p.replicas[e.Loading]++
+	}
+	if e.Loading != "" && !e.Loaded[e.Loading] {
+		p.replicas[e.Loading]++
+	}
+	for m := range e.InMemory {
+		p.addCopy(c, m)
+	}
+	for m := range e.OnDisk {
+		if !e.InMemory[m] {
+			p.addCopy(c, m)
 		}
 	}
-	p.scaleOutOverloaded()
-	p.loadForWaiting()
-	p.scaleOutBusy()
-	p.fillFreeMemory()
-	p.prefetch()
-	return p.commands
+	return c
+}
+
+// addCopy records a host's copy of a model if there is demand for the model.
+func (p *plan) addCopy(c *candidate, model string) {
+	if p.Demand[model].active() {
+		p.copies[model] = append(p.copies[model], c)
+	}
+}
+
+// active reports whether there are requests for the model now, or were within the last seconds.
+func (d Demand) active() bool {
+	return d.Waiting > 0 || d.Running > 0 || d.Peak > 0 || d.Rate >= redundancyRate
 }
 
 // targetReplicas returns the number of replicas that a model needs for its demand, if each one is to fill the given
@@ -246,22 +308,47 @@
 // idleEngineShare of the engines free for models that requests wait for: after a power failure, loading models without
 // demand on all engines delayed the requests of the next second.
 func (p *plan) fillFreeMemory() {
-	order := func(a, b string) int {
-		return cmp.Or(cmp.Compare(p.latencyRank(b), p.latencyRank(a)), p.compareLikelihood(a, b))
+	spare := p.withSpareMemory()
+	if len(spare) == 0 {
+		return
 	}
-	for _, m := range p.models(func(m string) bool { return p.replicas[m] == 0 }, order) {
-		for _, e := range p.freeEngines() {
-			if float64(len(p.free)) <= idleEngineShare*float64(len(p.Engines)) {
+	copied := make(map[string]bool)
+	for _, c := range spare {
+		c.addCopiesTo(copied)
+	}
+	for _, m := range p.models(func(m string) bool { return p.replicas[m] == 0 && copied[m] }, p.compareValue) {
+		for _, c := range spare {
+			if float64(p.freeCount) <= idleEngineShare*float64(len(p.Engines)) {
 				return
 			}
-			if p.freeMemory(e) >= p.Class.Models[m].SizeMB && e.SourceOf(m) != FromStore {
-				p.issue(e, m, nil, "room")
+			if c.free && c.freeMemory >= p.Class.Models[m].SizeMB && c.SourceOf(m) != FromStore {
+				p.issue(c, m, nil, "room")
 				break
 			}
 		}
 	}
 }
 
+// withSpareMemory returns the free engines that have memory for at least the smallest model.
+func (p *plan) withSpareMemory() []*candidate {
+	smallest := math.Inf(1)
+	for _, m := range p.Class.Models {
+		smallest = min(smallest, m.SizeMB)
+	}
+	var list []*candidate
+	for _, c := range p.candidates {
+		if c.free && c.freeMemory >= smallest {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+// compareValue orders models by how much it is worth to have a replica or a copy of them before requests arrive.
+func (p *plan) compareValue(a, b string) int {
+	return cmp.Or(cmp.Compare(p.latencyRank(b), p.latencyRank(a)), p.compareLikelihood(a, b))
+}
+
 // prefetch loads models that no host has a copy of, so that a later request can be served from a local copy in time.
 func (p *plan) prefetch() {
 	reserved := 0
@@ -273,17 +360,9 @@
 	}
 	copied := make(map[string]bool)
 	for i := range p.Engines {
-		for m := range p.Engines[i].InMemory {
-			copied[m] = true
-		}
-		for m := range p.Engines[i].OnDisk {
-			copied[m] = true
-		}
-	}
-	order := func(a, b string) int {
-		return cmp.Or(cmp.Compare(p.latencyRank(b), p.latencyRank(a)), p.compareLikelihood(a, b))
+		p.Engines[i].addCopiesTo(copied)
 	}
-	for _, m := range p.models(func(m string) bool { return p.replicas[m] == 0 && !copied[m] }, order) {
+	for _, m := range p.models(func(m string) bool { return p.replicas[m] == 0 && !copied[m] }, p.compareValue) {
 		if p.StoreLoads <= reserved || !p.load(m, "fetch ahead", FromStore, false) {
 			return
 		}
@@ -308,40 +387,45 @@
 	return list
 }
 
-func (p *plan) freeEngines() []*Engine {
-	var list []*Engine
-	for i := range p.Engines {
-		if e := &p.Engines[i]; p.free[e.ID] != nil {
-			list = append(list, e)
-		}
-	}
-	return list
-}
-
 // load adds a command that loads a model on the best free engine, from a source no slower than the given one. Only an
 // urgent load evicts replicas that cost avoidEvictCost or more. It reports whether an engine was found.
 func (p *plan) load(model, reason string, slowest Source, urgent bool) bool {
-	var best *Engine
-	var bestUnload []string
-	bestCost := math.Inf(1)
-	for _, e := range p.freeEngines() {
-		source := e.SourceOf(model)
-		if e.Loaded[model] || source > slowest || source == FromStore && p.StoreLoads <= 0 {
+	best := p.bestEngine(p.copies[model], model, slowest, urgent)
+	if slowest == FromStore && p.StoreLoads > 0 && (best.engine == nil || best.cost > p.loadTime(model, FromStore).Seconds()) {
+		// Hosts without a copy are considered only here: they are most of the engines.
+		best = p.bestEngine(p.candidates, model, slowest, urgent)
+	}
+	if best.engine == nil || best.engine.SourceOf(model) == FromStore && p.copyAvailableSooner(model) {
+		return false
+	}
+	p.issue(best.engine, model, best.unload, reason)
+	return true
+}
+
+// choice is the engine for a load, the models to unload there first, and the cost in seconds.
+type choice struct {
+	engine *candidate
+	unload []string
+	cost   float64
+}
+
+// bestEngine returns the cheapest free engine of a list for a load; its engine is nil if there is none.
+func (p *plan) bestEngine(list []*candidate, model string, slowest Source, urgent bool) choice {
+	best := choice{cost: math.Inf(1)}
+	for _, c := range list {
+		source := c.SourceOf(model)
+		if !c.free || c.Loaded[model] || source > slowest || source == FromStore && p.StoreLoads <= 0 {
 			continue
 		}
-		unload, evictCost, ok := p.chooseEvictions(e, model, urgent)
+		unload, evictCost, ok := p.chooseEvictions(c, model, urgent)
 		if !ok {
 			continue
 		}
-		if cost := p.loadTime(model, source).Seconds() + evictCost + p.blockingCost(e, source); cost < bestCost {
-			best, bestUnload, bestCost = e, unload, cost
+		if cost := p.loadTime(model, source).Seconds() + evictCost + p.blockingCost(c.Engine, source); cost < best.cost {
+			best = choice{engine: c, unload: unload, cost: cost}
 		}
 	}
-	if best == nil || best.SourceOf(model) == FromStore && p.copyAvailableSooner(model) {
-		return false
-	}
-	p.issue(best, model, bestUnload, reason)
-	return true
+	return best
 }
 
 // copyAvailableSooner reports whether an engine that is busy now has a copy of the model and can load it before a load
@@ -375,18 +459,32 @@
 }
 
 // issue adds a command to the plan. Its engine is not free for another one.
-func (p *plan) issue(e *Engine, model string, unload []string, reason string) {
-	source := e.SourceOf(model)
+func (p *plan) issue(c *candidate, model string, unload []string, reason string) {
+	source := c.SourceOf(model)
 	if source == FromStore {
 		p.StoreLoads--
 	}
-	p.commands = append(p.commands, Command{Engine: e.ID, Unload: unload, Load: model, Source: source, Reason: reason})
+	p.commands = append(p.commands, Command{Engine: c.ID, Unload: unload, Load: model, Source: source, Reason: reason})
 	p.replicas[model]++
 	for _, m := range unload {
 		p.replicas[m]--
 		p.ready[m]--
+		for _, holder := range p.holders[m] {
+			holder.evictions = nil
+		}
+	}
+	c.free = false
+	p.freeCount--
+}
+
+// addCopiesTo adds the models whose weights the engine's host caches to a set.
+func (e *Engine) addCopiesTo(set map[string]bool) {
+	for m := range e.InMemory {
+		set[m] = true
+	}
+	for m := range e.OnDisk {
+		set[m] = true
 	}
-	delete(p.free, e.ID)
 }
 
 // SourceOf returns the source from which the engine would load a model.
