--- /dev/null
+++ b/internal/app/directory.go
@@ -0,0 +1,125 @@
+package app
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"balsamsail/internal/clock"
+	"balsamsail/internal/hubs"
+	"balsamsail/internal/watch"
+	"balsamsail/platform"
+)
+
+const (
+	// settleDelay is the time that a gateway which registers for the first time leaves the others to do the same: the hosts
+	// of a site start within 0.3 s of each other. A gateway that restarts finds its registration and does not wait.
+	settleDelay = 500 * time.Millisecond
+	// registerBackoff is the longest pause between two attempts to register.
+	registerBackoff = time.Second
+)
+
+// directory is the list of gateways in the store, and this gateway's entry in it.
+type directory struct {
+	self    hubs.Gateway
+	replica *watch.Replica
+	sink    *directorySink
+	logger  *slog.Logger
+}
+
+func newDirectory(self hubs.Gateway, logger *slog.Logger) *directory {
+	sink := &directorySink{rows: make(map[string]hubs.Gateway), logger: logger}
+	return &directory{self: self, replica: watch.NewReplica(platform.GatewayTable, sink), sink: sink, logger: logger}
+}
+
+// register registers this gateway and reads the list of gateways. It tries until it succeeds or ctx ends.
+func (d *directory) register(ctx context.Context, store *platform.Store) {
+	backoff := registerBackoff / 8
+	for ctx.Err() == nil {
+		err := d.tryRegister(ctx, store)
+		if err == nil {
+			return
+		}
+		d.logger.Warn("cannot register this gateway; trying again", "event", "register_failed", "error", err)
+		clock.Pause(ctx, backoff)
+		backoff = min(2*backoff, registerBackoff)
+	}
+}
+
+func (d *directory) tryRegister(ctx context.Context, store *platform.Store) error {
+	registered, err := d.read(ctx, store, true)
+	if err != nil || registered {
+		return err
+	}
+	value, err := hubs.EncodeRow(d.self)
+	if err != nil {
+		return err
+	}
+	if err := store.Put(ctx, platform.GatewayTable, d.self.Address, value); err != nil {
+		return err
+	}
+	d.logger.Info("gateway registered", "event", "registered", "address", d.self.Address, "processor", d.self.Processor)
+	clock.Pause(ctx, settleDelay)
+	_, err = d.read(ctx, store, false)
+	return err
+}
+
+// read reads the list of gateways and reports whether this one is registered as it is now. It passes the list on, unless
+// only a complete one is wanted and this gateway is not in it.
+func (d *directory) read(ctx context.Context, store *platform.Store, onlyIfRegistered bool) (registered bool, err error) {
+	started := time.Now()
+	rows, revision, err := store.List(ctx, platform.GatewayTable)
+	if err != nil {
+		return false, err
+	}
+	for _, row := range rows {
+		if g, err := hubs.DecodeRow(row.Key, row.Value); err == nil && g == d.self {
+			registered = true
+		}
+	}
+	if registered || !onlyIfRegistered {
+		d.replica.Apply(watch.Change{Replace: true, Rows: rows, Revision: revision, ConfirmedAt: started})
+	}
+	return registered, nil
+}
+
+// directorySink receives the rows of the list of gateways.
+type directorySink struct {
+	rows map[string]hubs.Gateway
+	// onChange is called with each new list.
+	onChange func([]hubs.Gateway)
+	logger   *slog.Logger
+}
+
+// Replace implements watch.Sink.
+func (s *directorySink) Replace(rows []watch.Row) {
+	clear(s.rows)
+	s.Apply(rows)
+}
+
+// Apply implements watch.Sink.
+func (s *directorySink) Apply(rows []watch.Row) {
+	for _, row := range rows {
+		delete(s.rows, row.Key)
+		if row.Deleted {
+			continue
+		}
+		g, err := hubs.DecodeRow(row.Key, row.Value)
+		if err != nil {
+			s.logger.Warn("row names no gateway", "event", "bad_gateway", "revision", row.Revision, "error", err)
+			continue
+		}
+		s.rows[row.Key] = g
+	}
+	list := make([]hubs.Gateway, 0, len(s.rows))
+	for _, g := range s.rows {
+		list = append(list, g)
+	}
+	s.onChange(list)
+}
+
+// Unavailable implements watch.Sink.
+func (s *directorySink) Unavailable(error) {}
+
+// Available implements watch.Sink.
+func (s *directorySink) Available() {}
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -16,6 +16,7 @@
 	"balsamsail/internal/control"
 	"balsamsail/internal/fleet"
 	"balsamsail/internal/gateway"
+	"balsamsail/internal/hubs"
 	"balsamsail/internal/netconn"
 	"balsamsail/internal/placement"
 	"balsamsail/internal/process"
@@ -54,6 +55,15 @@
 		func(o control.Options, f *fleet.Fleet, l *slog.Logger) *control.Agents {
 			return control.NewAgents(o, s.Control.AgentPort, f, l)
 		},
+		func() hubs.Gateway { return selfGateway(s) },
+		newDirectory,
+		newSiteTables,
+		func(o control.Options, f *fleet.Fleet, t siteTables, l *slog.Logger) *control.Hub {
+			return control.NewHub(o, f, t.all(), l)
+		},
+		func(o control.Options, self hubs.Gateway, a *control.Agents, h *control.Hub, f *fleet.Fleet, t siteTables, l *slog.Logger) *control.Upstream {
+			return control.NewUpstream(o, self, a, h, f, t.all(), l)
+		},
 		control.NewPeers,
 		placement.NewMetrics,
 		watch.NewMetrics,
@@ -66,7 +76,8 @@
 		return err
 	}
 	return invoke(container, func(role gatewayRole) error {
-		if err := control.RegisterMetrics(role.Registry, role.Agents, role.Peers); err != nil {
+		role.Directory.sink.onChange = role.Upstream.SetGateways
+		if err := control.RegisterMetrics(role.Registry, role.Agents, role.Hub, role.Upstream, role.Peers); err != nil {
 			return err
 		}
 		go reloads.handle(ctx, role.reload)
@@ -87,6 +98,30 @@
 	}
 }
 
+// selfGateway returns this gateway as it registers itself.
+func selfGateway(s *settings.Gateway) hubs.Gateway {
+	return hubs.Gateway{
+		Address:       string(s.Control.Listen),
+		FailureDomain: s.Gateway.FailureDomain,
+		Processor:     s.Gateway.ProcessorShare * s.Gateway.ProcessorSpeed,
+	}
+}
+
+// siteTables are a gateway's copies of the tables of the store that describe the site.
+type siteTables struct{ config, endpoints, gateways *watch.Replica }
+
+func newSiteTables(s *siteSync, d *directory) siteTables {
+	return siteTables{
+		config:    watch.NewReplica(platform.OperatorTable, configSink{s}),
+		endpoints: watch.NewReplica(platform.EndpointTable, endpointSink{s}),
+		gateways:  d.replica,
+	}
+}
+
+func (t siteTables) all() []*watch.Replica {
+	return []*watch.Replica{t.config, t.endpoints, t.gateways}
+}
+
 func linkOptions(c settings.ControlLinks) control.Options {
 	return control.Options{Self: string(c.Listen), Interval: c.Interval, Heartbeat: c.Heartbeat, SilenceLimit: c.SilenceLimit}
 }
@@ -124,7 +159,11 @@
 	Gateway      *gateway.Gateway
 	Fleet        *fleet.Fleet
 	Sync         *siteSync
+	Tables       siteTables
+	Directory    *directory
 	Agents       *control.Agents
+	Hub          *control.Hub
+	Upstream     *control.Upstream
 	Peers        *control.Peers
 	Placement    *placement.Manager
 	WatchMetrics *watch.Metrics
@@ -169,9 +208,11 @@
 // the coordinator. They run until ctx ends.
 func (r gatewayRole) startBackground(ctx context.Context, group *errgroup.Group, listeners gatewayListeners) {
 	store := platform.NewStore(string(r.Settings.Store.Address))
-	r.startWatch(ctx, group, store, platform.OperatorTable, configSink{r.Sync})
-	r.startWatch(ctx, group, store, platform.EndpointTable, endpointSink{r.Sync})
-	for _, run := range []func(context.Context){r.Sync.run, r.Agents.Run, r.Peers.Run, r.Placement.Run} {
+	group.Go(func() error { r.Directory.register(ctx, store); return nil })
+	for _, replica := range r.Tables.all() {
+		r.startFeed(ctx, group, store, replica)
+	}
+	for _, run := range []func(context.Context){r.Sync.run, r.Agents.Run, r.Hub.Run, r.Upstream.Run, r.Peers.Run, r.Placement.Run} {
 		group.Go(func() error { run(ctx); return nil })
 	}
 	group.Go(func() error { return r.Peers.Serve(ctx, listeners.control) })
@@ -185,6 +226,7 @@
 		DrainTimeout: drain.Grace - drain.LameDuck - drain.Reserve,
 		OnStop: func() {
 			stopping.Store(true)
+			r.Hub.Drain()
 			r.Gateway.ShutdownAt(time.Now().Add(drain.Grace - drain.Reserve))
 			r.Logger.Info("shutting down", "event", "stopping", "active", r.Gateway.Active())
 		},
@@ -215,10 +257,29 @@
 	serveHTTP(ctx, group, listeners.metrics, server, process.ServeOptions{Logger: r.Logger})
 }
 
-func (r gatewayRole) startWatch(ctx context.Context, group *errgroup.Group, source watch.Source, table string, sink watch.Sink) {
+// directoryWait is the long-poll timeout of a watch of the list of gateways, which changes when hosts are added.
+const directoryWait = 30 * time.Second
+
+func (r gatewayRole) startFeed(ctx context.Context, group *errgroup.Group, source watch.Source, replica *watch.Replica) {
 	s := r.Settings.Store
-	options := watch.Options{Table: table, Wait: s.Wait, CoalesceDelay: s.Gather, MinBackoff: s.MinBackoff, MaxBackoff: s.MaxBackoff, Metrics: r.WatchMetrics}
-	group.Go(func() error { watch.Run(ctx, source, sink, options, r.Logger); return nil })
+	wait := func() time.Duration {
+		switch {
+		case replica == r.Tables.gateways:
+			return directoryWait
+		case r.Upstream.IsMesh():
+			return s.Wait
+		}
+		return s.HubWait
+	}
+	f := &feed{
+		replica:  replica,
+		source:   source,
+		options:  watch.Options{Wait: wait, CoalesceDelay: s.Gather, MinBackoff: s.MinBackoff, MaxBackoff: s.MaxBackoff, Metrics: r.WatchMetrics},
+		upstream: r.Upstream,
+		logger:   r.Logger,
+		started:  time.Now(),
+	}
+	group.Go(func() error { f.run(ctx); return nil })
 }
 
 // gatewayListeners holds a gateway's listeners.
--- a/internal/app/site.go
+++ b/internal/app/site.go
@@ -22,7 +22,9 @@
 	agents *control.Agents
 	logger *slog.Logger
 
-	updates   chan func()
+	updates chan func()
+	// stopped is closed when run has returned; updates are dropped from then on.
+	stopped   chan struct{}
 	endpoints *catalog.Endpoints
 	// invalidRows holds the keys of the rows that are not registrations.
 	invalidRows map[string]bool
@@ -31,11 +33,12 @@
 }
 
 func newSiteSync(f *fleet.Fleet, a *control.Agents, l *slog.Logger) *siteSync {
-	return &siteSync{fleet: f, agents: a, logger: l, updates: make(chan func()), endpoints: catalog.NewEndpoints(), invalidRows: make(map[string]bool), ignoredStarts: make(map[string]int64)}
+	return &siteSync{fleet: f, agents: a, logger: l, updates: make(chan func()), stopped: make(chan struct{}), endpoints: catalog.NewEndpoints(), invalidRows: make(map[string]bool), ignoredStarts: make(map[string]int64)}
 }
 
 // run applies updates from the watches one at a time until ctx ends.
 func (s *siteSync) run(ctx context.Context) {
+	defer close(s.stopped)
 	ticker := time.NewTicker(expiryCheckInterval)
 	defer ticker.Stop()
 	for {
@@ -52,6 +55,14 @@
 	}
 }
 
+// post passes an update to run.
+func (s *siteSync) post(update func()) {
+	select {
+	case s.updates <- update:
+	case <-s.stopped:
+	}
+}
+
 // publish passes the live endpoints to the fleet and to the connections to agents.
 func (s *siteSync) publish() {
 	live := s.endpoints.Live(time.Now())
@@ -84,7 +95,7 @@
 		}
 		if s.fleet.SetConfig(config) {
 			s.logger.Info("configuration applied", "event", "config", "version", config.Version, "routes", config.Routes(), "revision", row.Revision)
-			s.updates <- s.publish
+			s.post(s.publish)
 		}
 	}
 }
@@ -93,7 +104,7 @@
 type endpointSink struct{ *siteSync }
 
 func (s endpointSink) Replace(rows []watch.Row) {
-	s.updates <- func() {
+	s.post(func() {
 		var list []catalog.Endpoint
 		for _, row := range rows {
 			if e, ok := s.decode(row); ok {
@@ -107,20 +118,20 @@
 			s.logEarlierProcess(e)
 		}
 		s.publish()
-	}
+	})
 }
 
 func (s endpointSink) Apply(rows []watch.Row) {
-	s.updates <- func() {
+	s.post(func() {
 		for _, row := range rows {
 			s.applyRow(row)
 		}
 		s.publish()
-	}
+	})
 }
 
-func (s endpointSink) Unavailable(error) { s.updates <- s.endpoints.StoreLost }
-func (s endpointSink) Available()        { s.updates <- func() { s.endpoints.StoreBack(time.Now()) } }
+func (s endpointSink) Unavailable(error) { s.post(s.endpoints.StoreLost) }
+func (s endpointSink) Available()        { s.post(func() { s.endpoints.StoreBack(time.Now()) }) }
 
 // applyRow applies one changed row. A row that is not a registration names no endpoint, whatever its key named before;
 // the other rows are not affected.
--- a/internal/control/agents.go
+++ b/internal/control/agents.go
@@ -13,8 +13,8 @@
 	"balsamsail/internal/catalog"
 	"balsamsail/internal/control/controlpb"
 	"balsamsail/internal/fleet"
-	"balsamsail/internal/nameset"
 	"balsamsail/internal/wire"
+	"balsamsail/internal/wire/wirepb"
 )
 
 // peerTTL is how long an agent's list of connected gateways, and the demand that a gateway has sent, stay valid.
@@ -27,10 +27,14 @@
 	fleet   *fleet.Fleet
 	logger  *slog.Logger
 
-	mu    sync.Mutex
-	ctx   context.Context
-	links map[string]*agentLink
-	byID  map[string]*agentLink
+	mu  sync.Mutex
+	ctx context.Context
+	// active is set while this gateway has links to the agents; list and configVersion are what SetEndpoints was called with.
+	active        bool
+	list          []catalog.Endpoint
+	configVersion int64
+	links         map[string]*agentLink
+	byID          map[string]*agentLink
 	// firstMessageAt is when the first message of any agent arrived; zero before that.
 	firstMessageAt time.Time
 	running        sync.WaitGroup
@@ -59,7 +63,7 @@
 
 // NewAgents returns the agent links of a gateway. Agents listen on the given port of their engine's host.
 func NewAgents(options Options, port int, f *fleet.Fleet, logger *slog.Logger) *Agents {
-	a := &Agents{
+	return &Agents{
 		options: options,
 		port:    port,
 		fleet:   f,
@@ -67,14 +71,24 @@
 		links:   make(map[string]*agentLink),
 		byID:    make(map[string]*agentLink),
 	}
-	f.OnAdapterWanted(a.wakeLink)
-	return a
+}
+
+// SetActive starts the links to the agents, or ends them because a hub says of the engines.
+func (a *Agents) SetActive(active bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.active == active {
+		return
+	}
+	a.active, a.firstMessageAt = active, time.Time{}
+	a.updateLinks()
 }
 
 // Run maintains the links until ctx is done.
 func (a *Agents) Run(ctx context.Context) {
 	a.mu.Lock()
 	a.ctx = ctx
+	a.updateLinks()
 	a.mu.Unlock()
 	<-ctx.Done()
 	a.running.Wait()
@@ -85,24 +99,36 @@
 func (a *Agents) SetEndpoints(list []catalog.Endpoint) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.list = list
+	a.updateLinks()
+}
+
+// updateLinks starts and ends links by the list of endpoints. The caller holds mu.
+func (a *Agents) updateLinks() {
 	if a.ctx == nil || a.ctx.Err() != nil {
 		return
 	}
 	config := a.fleet.Config()
 	newest := make(map[string]catalog.Endpoint)
-	for _, e := range list {
-		if config.EngineClass(e.Service) == nil {
+	for _, e := range a.list {
+		if !a.active || config.EngineClass(e.Service) == nil {
 			continue
 		}
 		if address, ok := a.agentAddress(e.Address); ok && e.Revision >= newest[address].Revision {
 			newest[address] = e
 		}
 	}
+	newVersion := config != nil && config.Version != a.configVersion
+	if newVersion {
+		a.configVersion = config.Version
+	}
 	clear(a.byID)
 	for address, e := range newest {
 		l := a.links[address]
 		if l == nil {
 			l = a.startLink(address)
+		} else if newVersion || l.endpoint.ID != e.ID {
+			wake(l.link.wakeup)
 		}
 		l.endpoint = e
 		a.byID[e.ID] = l
@@ -128,9 +154,13 @@
 func (a *Agents) startLink(address string) *agentLink {
 	ctx, cancel := context.WithCancel(a.ctx)
 	l := &agentLink{cancel: cancel}
+	// What is urgent wakes the link. Checks at the shorter interval would take most of a hub's time on a large site.
+	options := a.options
+	options.Interval = options.Heartbeat
 	l.link = &link{
 		address:      address,
-		options:      a.options,
+		kind:         wirepb.StreamKind_CONTROL,
+		options:      options,
 		logger:       a.logger,
 		wakeup:       make(chan struct{}, 1),
 		sendUpdate:   func(now time.Time, s *sender) error { return a.sendUpdate(l, now, s) },
@@ -144,14 +174,11 @@
 
 // wakeLink makes the link to an endpoint's agent send an update without waiting for the interval.
 func (a *Agents) wakeLink(endpointID string) {
-	// The fleet calls this with its lock held, and SetEndpoints takes the two locks in the other order.
-	go func() {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		if l := a.byID[endpointID]; l != nil {
-			wake(l.link.wakeup)
-		}
-	}()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if l := a.byID[endpointID]; l != nil {
+		wake(l.link.wakeup)
+	}
 }
 
 // SendCommand sends a command to the agent of an engine. It replaces one that has not been sent yet.
@@ -287,26 +314,3 @@
 	}
 	return peers
 }
-
-func decodeState(s *controlpb.EngineState) *fleet.EngineState {
-	if s == nil {
-		return nil
-	}
-	state := &fleet.EngineState{
-		EndpointID: s.EndpointId,
-		Down:       s.Down,
-		Models:     make(map[string]map[string]bool, len(s.Replicas)),
-		Busy:       s.Busy,
-		Loading:    s.Loading,
-		Unloading:  nameset.Of(s.Unloading),
-		InMemory:   nameset.Of(s.InMemory),
-		OnDisk:     nameset.Of(s.OnDisk),
-		Command:    s.Command,
-		CommandAge: time.Duration(s.CommandAgeMs) * time.Millisecond,
-		Started:    s.StartedMs,
-	}
-	for _, r := range s.Replicas {
-		state.Models[r.Model] = nameset.Of(r.Adapters)
-	}
-	return state
-}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -1,6 +1,6 @@
-// Package control maintains the long-lived control connections (links) of a site: each gateway has one to every engine
-// agent and one to the gateway that is the coordinator. They carry soft state only; losing a link makes that state stale
-// but never fails a request.
+// Package control maintains the long-lived control connections (links) of a site. Hubs are gateways with a link to every
+// engine agent; each other gateway has one to its hub, and each hub one to the hub that is the coordinator. Links carry
+// soft state only; losing one makes that state stale but never fails a request.
 package control
 
 import (
@@ -58,6 +58,7 @@
 // link is a connection to another process that is reconnected whenever it fails.
 type link struct {
 	address string
+	kind    wirepb.StreamKind
 	options Options
 	logger  *slog.Logger
 	// wakeup makes the writer send an update before the interval has passed.
@@ -100,7 +101,7 @@
 		return err
 	}
 	defer session.Close()
-	stream, err := session.Open(&wirepb.StreamHeader{Kind: wirepb.StreamKind_CONTROL, Entry: l.options.Self}, maxMessageBytes)
+	stream, err := session.Open(&wirepb.StreamHeader{Kind: l.kind, Entry: l.options.Self}, maxMessageBytes)
 	if err != nil {
 		return err
 	}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -13,6 +13,7 @@
 	"balsamsail/internal/clock"
 	"balsamsail/internal/control/controlpb"
 	"balsamsail/internal/fleet"
+	"balsamsail/internal/hubs"
 	"balsamsail/internal/wire"
 	"balsamsail/internal/wire/wirepb"
 )
@@ -96,31 +97,43 @@
 	fleet   *fleet.Fleet
 	agents  *Agents
 	peers   *Peers
+	hub     *Hub
+	up      *Upstream
 }
 
 func startGateway(t *testing.T, listener net.Listener, a *fakeAgent) *testGateway {
+	t.Helper()
+	// Without a registered gateway, each is its own hub.
+	return startRegisteredGateway(t, listener, a, hubs.Gateway{Address: listener.Addr().String()}, nil)
+}
+
+// startRegisteredGateway starts a gateway that knows the given gateways from the list in the store.
+func startRegisteredGateway(t *testing.T, listener net.Listener, a *fakeAgent, self hubs.Gateway, list []hubs.Gateway) *testGateway {
 	t.Helper()
 	_, portText, _ := net.SplitHostPort(a.listener.Addr().String())
 	port, _ := strconv.Atoi(portText)
 	g := &testGateway{address: listener.Addr().String(), fleet: fleet.New("here", 1)}
 	g.agents = NewAgents(testOptions(g.address), port, g.fleet, discardLogger)
-	g.peers = NewPeers(testOptions(g.address), g.agents, g.fleet, discardLogger)
+	g.hub = NewHub(testOptions(g.address), g.fleet, nil, discardLogger)
+	g.up = NewUpstream(testOptions(g.address), self, g.agents, g.hub, g.fleet, nil, discardLogger)
+	g.peers = NewPeers(testOptions(g.address), g.agents, g.hub, g.up, g.fleet, discardLogger)
+	g.up.SetGateways(list)
 	engine := &catalog.EngineClass{Models: map[string]catalog.Model{"m": {Name: "m", SizeMB: 10}}}
 	g.fleet.SetConfig(catalog.NewConfig(1, catalog.ClientLimits{}, map[string]*catalog.Service{"s": {Name: "s", Engine: engine}}, nil))
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
 	running.Go(func() { g.agents.Run(ctx) })
+	running.Go(func() { g.hub.Run(ctx) })
+	running.Go(func() { g.up.Run(ctx) })
 	running.Go(func() { g.peers.Run(ctx) })
 	running.Go(func() { _ = g.peers.Serve(ctx, listener) })
 	t.Cleanup(func() { cancel(); running.Wait() })
-	eventually(t, "the agent link is started", func() bool {
-		list := []catalog.Endpoint{{ID: "e1", Service: "s", Address: "127.0.0.1:9", Revision: 1}}
-		g.fleet.SetEndpoints(list)
-		g.agents.SetEndpoints(list)
-		g.agents.mu.Lock()
-		defer g.agents.mu.Unlock()
-		return len(g.agents.links) == 1
-	})
+	endpoints := []catalog.Endpoint{{ID: "e1", Service: "s", Address: "127.0.0.1:9", Revision: 1}}
+	g.fleet.SetEndpoints(endpoints)
+	g.agents.SetEndpoints(endpoints)
+	if list == nil {
+		eventually(t, "the agent link is started", func() bool { return g.linkCount() == 1 })
+	}
 	return g
 }
 
@@ -157,8 +170,8 @@
 	eventually(t, "only the gateway with the lower address is the coordinator", func() bool { return a.peers.IsCoordinator(now()) && !b.peers.IsCoordinator(now()) })
 	b.fleet.Wait(fleet.Target{Service: "s", Model: "m"}, now())
 	eventually(t, "the coordinator receives the other gateway's demand", func() bool {
-		d := a.peers.Demand(now())[b.address]
-		return d != nil && len(d.Models) == 1 && d.Models[0].Waiting == 1
+		d := a.peers.Demand(now())
+		return len(d) == 1 && d[0].Waiting == 1
 	})
 	agent.mu.Lock()
 	agent.gateways = []string{b.address}
--- /dev/null
+++ b/internal/control/hub.go
@@ -0,0 +1,286 @@
+package control
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"balsamsail/internal/clock"
+	"balsamsail/internal/control/controlpb"
+	"balsamsail/internal/fleet"
+	"balsamsail/internal/watch"
+	"balsamsail/internal/wire"
+	"balsamsail/internal/wire/wirepb"
+)
+
+const (
+	// minRelayInterval is the time between two messages of a hub while the states of engines change; those of a
+	// site with rare models change a hundred times a second.
+	minRelayInterval = 25 * time.Millisecond
+	// subscriberBacklog is the number of messages that a gateway may be behind its hub. One that is slower is disconnected, and
+	// gets everything anew when it returns.
+	subscriberBacklog = 64
+)
+
+// Hub passes what this gateway knows of the site on to the gateways that have chosen it as their hub.
+type Hub struct {
+	options  Options
+	fleet    *fleet.Fleet
+	replicas []*watch.Replica
+	logger   *slog.Logger
+	// onUpdate receives the messages of the gateways; onLeave is called when one is gone.
+	onUpdate func(gateway string, message *controlpb.GatewayUpdate, first bool)
+	onLeave  func(gateway string)
+
+	mu          sync.Mutex
+	subscribers map[*subscriber]struct{}
+	// sent is what the subscribers have been told of each engine.
+	sent     map[string]sentEngine
+	draining bool
+	// arrived is signaled when the first subscriber arrives.
+	arrived chan struct{}
+}
+
+type sentEngine struct {
+	state            *fleet.EngineState
+	running, queued  int
+	reported, hostUp bool
+}
+
+// subscriber is a gateway that gets the state of the site from this one.
+type subscriber struct {
+	queue chan *controlpb.SiteUpdate
+	// stop ends the subscriber's stream.
+	stop context.CancelFunc
+}
+
+// NewHub returns a hub without subscribers that passes on the given tables.
+func NewHub(options Options, f *fleet.Fleet, replicas []*watch.Replica, logger *slog.Logger) *Hub {
+	h := &Hub{
+		options:     options,
+		fleet:       f,
+		replicas:    replicas,
+		logger:      logger,
+		onUpdate:    func(string, *controlpb.GatewayUpdate, bool) {},
+		onLeave:     func(string) {},
+		subscribers: make(map[*subscriber]struct{}),
+		sent:        make(map[string]sentEngine),
+		arrived:     make(chan struct{}, 1),
+	}
+	for _, r := range replicas {
+		r.OnChange(h.relayTable)
+	}
+	return h
+}
+
+// Subscribers returns the number of gateways that get the state of the site from this one.
+func (h *Hub) Subscribers() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.subscribers)
+}
+
+// Drain makes all gateways choose another hub, before this one stops.
+func (h *Hub) Drain() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.draining = true
+	for s := range h.subscribers {
+		s.stop()
+	}
+}
+
+// Run passes on changes of engines until ctx ends.
+func (h *Hub) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if h.Subscribers() == 0 {
+			h.await(ctx, h.arrived)
+			continue
+		}
+		changed := h.fleet.Changed()
+		h.relayEngines(time.Now())
+		clock.Pause(ctx, minRelayInterval)
+		h.await(ctx, changed)
+	}
+}
+
+// await waits for a signal, for at most one interval.
+func (h *Hub) await(ctx context.Context, signal <-chan struct{}) {
+	timer := time.NewTimer(h.options.Interval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-signal:
+	case <-timer.C:
+	}
+}
+
+// relayEngines sends what has changed of engines to all subscribers.
+func (h *Hub) relayEngines(now time.Time) {
+	view := h.fleet.RelayView(now)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	update := &controlpb.SiteUpdate{}
+	present := make(map[string]bool, len(view))
+	for _, e := range view {
+		present[e.ID] = true
+		next := sentEngine{state: e.State, running: e.Running, queued: e.Queued, reported: e.Reported, hostUp: !e.HostDown}
+		last, known := h.sent[e.ID]
+		if known && next == last {
+			continue
+		}
+		h.sent[e.ID] = next
+		if known && next.state == last.state {
+			e.State = nil
+		} else if known {
+			e.CopiesUnchanged = sameCopies(next.state, last.state)
+		}
+		update.Engines = append(update.Engines, encodeEngine(e))
+	}
+	maps.DeleteFunc(h.sent, func(id string, _ sentEngine) bool { return !present[id] })
+	if len(update.Engines) > 0 {
+		h.broadcast(update)
+	}
+}
+
+func sameCopies(a, b *fleet.EngineState) bool {
+	return maps.Equal(a.InMemory, b.InMemory) && maps.Equal(a.OnDisk, b.OnDisk)
+}
+
+// relayTable sends a change of a table to all subscribers.
+func (h *Hub) relayTable(c watch.Change) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.subscribers) > 0 {
+		h.broadcast(&controlpb.SiteUpdate{Tables: []*controlpb.TableChange{encodeTable(time.Now(), c)}})
+	}
+}
+
+// broadcast queues a message for all subscribers. The caller holds mu.
+func (h *Hub) broadcast(update *controlpb.SiteUpdate) {
+	for s := range h.subscribers {
+		select {
+		case s.queue <- update:
+		default:
+			s.stop()
+		}
+	}
+}
+
+// serveStream serves the stream of a gateway until it ends.
+func (h *Hub) serveStream(ctx context.Context, header *wirepb.StreamHeader, stream *wire.Stream) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := &subscriber{queue: make(chan *controlpb.SiteUpdate, subscriberBacklog), stop: cancel}
+	if !h.add(s) {
+		return
+	}
+	defer h.remove(s, header.Entry)
+	h.logger.Info("gateway uses this one as its hub", "event", "subscriber", "peer", header.Entry)
+	var reader sync.WaitGroup
+	reader.Go(func() {
+		defer cancel()
+		err := h.read(header.Entry, stream)
+		h.logger.Info("gateway has left this hub", "event", "subscriber_lost", "peer", header.Entry, "error", err)
+	})
+	if err := h.write(ctx, s, stream); err != nil {
+		h.logger.Info("cannot send to gateway", "event", "subscriber_failed", "peer", header.Entry, "error", err)
+	}
+	_ = stream.Close()
+	reader.Wait()
+}
+
+func (h *Hub) add(s *subscriber) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.draining {
+		return false
+	}
+	h.subscribers[s] = struct{}{}
+	wake(h.arrived)
+	return true
+}
+
+func (h *Hub) remove(s *subscriber, gateway string) {
+	h.mu.Lock()
+	delete(h.subscribers, s)
+	h.mu.Unlock()
+	h.onLeave(gateway)
+}
+
+// snapshot returns everything that this gateway knows. The subscriber is already registered: changes that it gets before
+// or after the snapshot are ones that the snapshot may contain, and are dropped as older, or applied twice.
+func (h *Hub) snapshot() *controlpb.SiteUpdate {
+	now := time.Now()
+	update := &controlpb.SiteUpdate{}
+	for _, r := range h.replicas {
+		if c, known := r.Snapshot(); known {
+			update.Tables = append(update.Tables, encodeTable(now, c))
+		}
+	}
+	for _, e := range h.fleet.RelayView(now) {
+		update.Engines = append(update.Engines, encodeEngine(e))
+	}
+	return update
+}
+
+// status returns a message without changes, which says how recent the hub's copies of the tables are.
+func (h *Hub) status(now time.Time) *controlpb.SiteUpdate {
+	update := &controlpb.SiteUpdate{}
+	for _, r := range h.replicas {
+		if c, known := r.Status(); known {
+			update.Tables = append(update.Tables, encodeTable(now, c))
+		}
+	}
+	return update
+}
+
+func (h *Hub) write(ctx context.Context, s *subscriber, stream *wire.Stream) error {
+	if err := stream.Write(h.snapshot()); err != nil {
+		return err
+	}
+	heartbeat := time.NewTicker(h.options.Heartbeat)
+	defer heartbeat.Stop()
+	for {
+		var update *controlpb.SiteUpdate
+		select {
+		case <-ctx.Done():
+			return nil
+		case update = <-s.queue:
+		case now := <-heartbeat.C:
+			update = h.status(now)
+		}
+		if err := stream.Write(update); err != nil {
+			return err
+		}
+	}
+}
+
+func (h *Hub) read(gateway string, stream *wire.Stream) error {
+	for first := true; ; first = false {
+		if err := stream.SetReadDeadline(time.Now().Add(h.options.SilenceLimit)); err != nil {
+			return err
+		}
+		message := &controlpb.GatewayUpdate{}
+		if err := stream.Read(message); err != nil {
+			return err
+		}
+		for _, wanted := range message.Wanted {
+			h.fleet.WantAdapters(wanted.EndpointId, decodeAdapters([]*controlpb.EngineAdapters{wanted})[wanted.EndpointId])
+		}
+		h.fleet.SetRelayedUse(gateway, decodeAdapters(message.Used))
+		h.onUpdate(gateway, message, first)
+	}
+}
+
+// byTable returns the replicas by the names of their tables.
+func byTable(replicas []*watch.Replica) map[string]*watch.Replica {
+	index := make(map[string]*watch.Replica, len(replicas))
+	for r := range slices.Values(replicas) {
+		index[r.Table()] = r
+	}
+	return index
+}
--- /dev/null
+++ b/internal/control/hub_test.go
@@ -0,0 +1,162 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"balsamsail/internal/catalog"
+	"balsamsail/internal/control/controlpb"
+	"balsamsail/internal/fleet"
+	"balsamsail/internal/hubs"
+	"balsamsail/internal/wire"
+	"balsamsail/internal/wire/wirepb"
+)
+
+// startSite starts gateways of one failure domain that are too many for a full mesh, the last on the largest host, and an
+// agent that reports the given gateways.
+func startSite(t *testing.T, n int) (gateways []*testGateway, agent *fakeAgent) {
+	t.Helper()
+	var listeners []net.Listener
+	var list []hubs.Gateway
+	for i := range n {
+		l := listenLoopback(t)
+		listeners = append(listeners, l)
+		list = append(list, hubs.Gateway{Address: l.Addr().String(), FailureDomain: "here", Processor: 1 + float64(i)})
+	}
+	agent = startAgent(t, listeners[n-1].Addr().String())
+	for i, l := range listeners {
+		gateways = append(gateways, startRegisteredGateway(t, l, agent, list[i], list))
+	}
+	return gateways, agent
+}
+
+func (g *testGateway) engineReported() bool {
+	list := g.fleet.Engines("s", time.Now())
+	return len(list) == 1 && list[0].Reported && list[0].Models["m"] != nil
+}
+
+// linkCount returns the number of links that a gateway has to agents.
+func (g *testGateway) linkCount() int {
+	g.agents.mu.Lock()
+	defer g.agents.mu.Unlock()
+	return len(g.agents.links)
+}
+
+// The links of a site: with ten gateways only the one on the largest host has a link to the agent. All know the engine's
+// state, a request that waits anywhere reaches the coordinator, and a wanted adapter reaches the agent.
+func TestOnlyTheHubHasLinksToAgents(t *testing.T) {
+	gateways, agent := startSite(t, 10)
+	hub := gateways[9]
+	for i, g := range gateways {
+		eventually(t, fmt.Sprintf("gateway %d knows the engine's state", i), g.engineReported)
+	}
+	eventually(t, "the other gateways have no links to agents", func() bool {
+		links := 0
+		for _, g := range gateways[:9] {
+			links += g.linkCount()
+		}
+		return links == 0 && hub.hub.Subscribers() == 9
+	})
+	eventually(t, "the hub is the coordinator", func() bool { return hub.peers.IsCoordinator(time.Now()) })
+	if gateways[0].peers.IsCoordinator(time.Now()) {
+		t.Error("a gateway without links to agents is a coordinator")
+	}
+	gateways[3].fleet.Wait(fleet.Target{Service: "s", Model: "rare"}, time.Now())
+	gateways[4].fleet.Wait(fleet.Target{Service: "s", Model: "rare"}, time.Now())
+	eventually(t, "the coordinator knows of both waiting requests", func() bool {
+		for _, m := range hub.peers.Demand(time.Now()) {
+			if m.Model == "rare" {
+				return m.Waiting == 2
+			}
+		}
+		return false
+	})
+	gateways[5].fleet.WantAdapters("e1", []fleet.Adapter{{Model: "m", Name: "a7"}})
+	eventually(t, "the agent is asked for the adapter", func() bool {
+		return agent.hasReceived(func(m *controlpb.ToAgent) bool { return len(m.Wanted) == 1 && m.Wanted[0].Adapter == "a7" })
+	})
+}
+
+// A hub is lost: its gateways keep what they know and use the next one, and they return once it is back.
+func TestGatewaysLeaveALostHub(t *testing.T) {
+	gateways, _ := startSite(t, 10)
+	hub, next := gateways[9], gateways[8]
+	eventually(t, "all gateways use the hub", func() bool { return hub.hub.Subscribers() == 9 })
+	hub.hub.Drain()
+	eventually(t, "the others use the next one", func() bool { return next.hub.Subscribers() == 8 })
+	for i, g := range gateways[:9] {
+		if !g.engineReported() {
+			t.Errorf("gateway %d has lost the engine's state while it changed its hub", i)
+		}
+	}
+	hub.hub.mu.Lock()
+	hub.hub.draining = false
+	hub.hub.mu.Unlock()
+	eventually(t, "all gateways use the hub again", func() bool { return hub.hub.Subscribers() == 9 && next.hub.Subscribers() == 0 })
+}
+
+// A frozen hub's host accepts connections and sends nothing. Its gateways must notice and not return to it meanwhile.
+func TestFrozenHubIsLeft(t *testing.T) {
+	silent := listenLoopback(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() {
+		_ = wire.Serve(ctx, silent, WireOptions(time.Second), discardLogger, func(ctx context.Context, _ *wirepb.StreamHeader, _ *wire.Stream) { <-ctx.Done() })
+	}()
+	list := []hubs.Gateway{{Address: silent.Addr().String(), FailureDomain: "here", Processor: 9}}
+	var listeners []net.Listener
+	for range 9 {
+		l := listenLoopback(t)
+		listeners = append(listeners, l)
+		list = append(list, hubs.Gateway{Address: l.Addr().String(), FailureDomain: "here", Processor: 1})
+	}
+	agent := startAgent(t)
+	var gateways []*testGateway
+	for i, l := range listeners {
+		gateways = append(gateways, startRegisteredGateway(t, l, agent, list[i+1], list))
+	}
+	eventually(t, "one of the others is the hub", func() bool {
+		most := 0
+		for _, g := range gateways {
+			most = max(most, g.hub.Subscribers())
+		}
+		return most == 8
+	})
+	for i, g := range gateways {
+		eventually(t, fmt.Sprintf("gateway %d knows the engine's state", i), g.engineReported)
+	}
+}
+
+// The hub's states of an engine come before the gateway has read its registration. They are not sent again, so they must be
+// kept until then.
+func TestRelayedStateThatComesBeforeTheRegistration(t *testing.T) {
+	f := fleet.New("here", 1)
+	now := time.Now()
+	f.StartRelay(now)
+	state := &fleet.EngineState{EndpointID: "e", Models: map[string]map[string]bool{"m": nil}, OnDisk: map[string]bool{"d": true}}
+	f.ApplyRelayed(now, []fleet.RelayedEngine{{ID: "e", State: state, Reported: true}})
+	f.SetEndpoints([]catalog.Endpoint{{ID: "e", Service: "s", Revision: 1}})
+	list := f.Engines("s", now)
+	if len(list) != 1 || !list[0].Reported || !list[0].OnDisk["d"] {
+		t.Fatalf("engines %+v, want one with its state", list)
+	}
+	next := &fleet.EngineState{EndpointID: "e", Busy: true}
+	f.ApplyRelayed(now, []fleet.RelayedEngine{{ID: "e", State: next, CopiesUnchanged: true, Reported: true}})
+	if list = f.Engines("s", now); !list[0].Busy || !list[0].OnDisk["d"] {
+		t.Errorf("engine %+v, want the new state with the copies known before", list[0])
+	}
+	f.SetState("e", &fleet.EngineState{EndpointID: "e"}, 0, 0, now)
+	if list = f.Engines("s", now); !list[0].Busy {
+		t.Error("a report of a link that has ended replaced the hub's")
+	}
+	f.ApplyRelayed(now, []fleet.RelayedEngine{{ID: "e", Reported: true, HostDown: true}})
+	if list = f.Engines("s", now); len(list) != 0 {
+		t.Error("an engine on a host that does not respond is listed")
+	}
+	if list = f.Engines("s", now.Add(time.Minute)); len(list) != 1 || list[0].Reported {
+		t.Errorf("engines %+v a minute after the hub's last message, want the registration alone", list)
+	}
+}
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -7,8 +7,9 @@
 )
 
 // RegisterMetrics registers the metrics of a gateway's links: the number of listed and of active agents, the age of the
-// oldest last message among the active ones, the number of gateways, and whether this gateway is the coordinator.
-func RegisterMetrics(r prometheus.Registerer, a *Agents, p *Peers) error {
+// oldest last message among the active ones, the number of gateways, whether this gateway is its own hub, how many others
+// use it as theirs, and whether it is the coordinator.
+func RegisterMetrics(r prometheus.Registerer, a *Agents, h *Hub, u *Upstream, p *Peers) error {
 	gauge := func(name, help string, read func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "balsamsail_control_" + name, Help: help}, read)
 	}
@@ -17,12 +18,9 @@
 		gauge("agents_heard", "Agents that were heard within the silence limit.", func() float64 { _, active, _ := a.linkStats(time.Now()); return float64(active) }),
 		gauge("oldest_word_seconds", "Age of the oldest last word among the agents that are heard.", func() float64 { _, _, oldest := a.linkStats(time.Now()); return oldest.Seconds() }),
 		gauge("gateways", "Gateways that are known, this one included.", func() float64 { return float64(p.GatewayCount()) }),
-		gauge("coordinates", "1 while this gateway decides on placement.", func() float64 {
-			if p.IsCoordinator(time.Now()) {
-				return 1
-			}
-			return 0
-		}),
+		gauge("own_hub", "1 while this gateway has links of its own to the agents.", func() float64 { return boolValue(u.IsOwnHub()) }),
+		gauge("subscribers", "Gateways that use this one as their hub.", func() float64 { return float64(h.Subscribers()) }),
+		gauge("coordinates", "1 while this gateway decides on placement.", func() float64 { return boolValue(p.IsCoordinator(time.Now())) }),
 	} {
 		if err := r.Register(c); err != nil {
 			return err
@@ -45,3 +43,10 @@
 	}
 	return listed, active, oldest
 }
+
+func boolValue(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -10,7 +10,9 @@
 	"time"
 
 	"balsamsail/internal/control/controlpb"
+	"balsamsail/internal/demand"
 	"balsamsail/internal/fleet"
+	"balsamsail/internal/hubs"
 	"balsamsail/internal/wire"
 	"balsamsail/internal/wire/wirepb"
 )
@@ -28,64 +30,85 @@
 	minActivationDelay = 150 * time.Millisecond
 )
 
-// Peers elects the coordinator among the gateways and delivers every gateway's demand to it. The coordinator is the gateway
-// with the lowest address among those that agents report as connected. Two gateways that both consider themselves the
-// coordinator cause unnecessary model loads but no other harm: only agents send orders to engines, and they check each one.
+// Peers elects the coordinator among the hubs and delivers every gateway's demand to it. The coordinator is the hub on the
+// largest host, or with the lowest address, among those that agents report as connected. Two hubs that both consider
+// themselves the coordinator cause unnecessary model loads but no other harm: only agents send orders to engines, and they
+// check each one.
 type Peers struct {
-	options Options
-	agents  *Agents
-	fleet   *fleet.Fleet
-	logger  *slog.Logger
+	options  Options
+	agents   *Agents
+	hub      *Hub
+	upstream *Upstream
+	fleet    *fleet.Fleet
+	logger   *slog.Logger
 
-	mu     sync.Mutex
-	demand map[string]peerDemand
+	mu sync.Mutex
+	// local is the demand of this gateway and of those that it is the hub of, others that of the other hubs.
+	local, others *demand.Board
 	// electedAt is when this gateway was elected coordinator; zero while it is not. active is set once it acts as one.
 	electedAt time.Time
 	active    bool
-	// coordinatorWakeup wakes the link to the coordinator; nil while this gateway is the coordinator.
+	// coordinatorWakeup wakes the link to the coordinator; nil while this gateway has none.
 	coordinatorWakeup chan struct{}
-	// gatewayCount is the number of gateways, this one included, that agents report.
+	// gatewayCount is the number of gateways, this one included, that are registered or that agents report.
 	gatewayCount atomic.Int64
 	// waiting is signaled when a request of any gateway starts to wait for a model.
 	waiting chan struct{}
 }
 
-type peerDemand struct {
-	at      time.Time
-	message *controlpb.Demand
-}
-
 // NewPeers returns the peer state of a gateway.
-func NewPeers(options Options, agents *Agents, f *fleet.Fleet, logger *slog.Logger) *Peers {
+func NewPeers(options Options, agents *Agents, hub *Hub, upstream *Upstream, f *fleet.Fleet, logger *slog.Logger) *Peers {
 	p := &Peers{
-		options: options,
-		agents:  agents,
-		fleet:   f,
-		logger:  logger,
-		demand:  make(map[string]peerDemand),
-		waiting: make(chan struct{}, 1),
+		options:  options,
+		agents:   agents,
+		hub:      hub,
+		upstream: upstream,
+		fleet:    f,
+		logger:   logger,
+		local:    demand.NewBoard(),
+		others:   demand.NewBoard(),
+		waiting:  make(chan struct{}, 1),
 	}
-	f.OnWaiting(p.signalWaiting)
+	f.OnWaiting(func() { go p.signalWaiting() })
+	hub.onUpdate, hub.onLeave = p.handleUpdate, p.handleLeave
 	return p
 }
 
-// signalWaiting notifies the coordinator at once that a request of this gateway has started to wait. A model that is not
-// loaded should answer within 3 s, and loading it from disk takes 1.3 s; waiting for the next periodic message and decision
-// would add 0.2 s on average.
+// handleUpdate takes in the demand of a gateway that has chosen this one as its hub.
+func (p *Peers) handleUpdate(gateway string, message *controlpb.GatewayUpdate, first bool) {
+	m := decodeDemand(message.Demand)
+	m.Changes, m.First = true, first
+	p.mu.Lock()
+	increased := p.local.Apply(time.Now(), gateway, m)
+	p.mu.Unlock()
+	if increased {
+		p.signalWaiting()
+	}
+}
+
+func (p *Peers) handleLeave(gateway string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.local.Remove(gateway)
+}
+
+// signalWaiting notifies the coordinator at once that a request of this gateway, or of one that it is the hub of, has
+// started to wait. A model that is not loaded should answer within 3 s, and loading it from disk takes 1.3 s; waiting for
+// the next periodic message and decision would add 0.2 s on average.
 func (p *Peers) signalWaiting() {
-	// The fleet calls this with its lock held; taking p.mu here could deadlock.
-	go func() {
-		p.mu.Lock()
-		wakeup := p.coordinatorWakeup
-		p.mu.Unlock()
-		if wakeup == nil {
-			wakeup = p.waiting
-		}
-		wake(wakeup)
-	}()
+	if p.upstream.wakeHub() {
+		return
+	}
+	p.mu.Lock()
+	wakeup := p.coordinatorWakeup
+	p.mu.Unlock()
+	if wakeup == nil {
+		wakeup = p.waiting
+	}
+	wake(wakeup)
 }
 
-// GatewayCount returns the number of gateways, this one included, that agents have recently reported.
+// GatewayCount returns the number of gateways, this one included, that are registered or that agents have recently reported.
 func (p *Peers) GatewayCount() int { return max(1, int(p.gatewayCount.Load())) }
 
 // Waiting returns a channel that is signaled when a request of any gateway starts to wait for a model.
@@ -98,9 +121,13 @@
 	ticker := time.NewTicker(p.options.Interval)
 	defer ticker.Stop()
 	for {
+		next := ""
 		peers := p.agents.Peers(time.Now())
-		p.gatewayCount.Store(int64(len(peers)))
-		if next := slices.Min(peers); next != current {
+		p.gatewayCount.Store(int64(max(len(peers), p.upstream.Gateways())))
+		if p.upstream.IsOwnHub() {
+			next = p.elect(peers)
+		}
+		if next != current {
 			p.logger.Info("coordinator elected", "event", "coordinator", "before", current, "now", next)
 			stop()
 			current = next
@@ -114,8 +141,22 @@
 	}
 }
 
-// follow starts a link to the coordinator, or records the election if this gateway is the coordinator. The returned function
-// stops the link.
+// elect returns the coordinator among the given gateways: the one on the largest host. While one of them has not
+// registered, the lowest address decides; all gateways have to judge by what all of them know.
+func (p *Peers) elect(peers []string) string {
+	var list []hubs.Gateway
+	for _, address := range peers {
+		g, ok := p.upstream.Gateway(address)
+		if !ok {
+			return slices.Min(peers)
+		}
+		list = append(list, g)
+	}
+	return slices.MinFunc(list, hubs.ComparePreference).Address
+}
+
+// follow starts a link to the coordinator, or records the election if this gateway is the coordinator. It does nothing
+// without one: the gateway's hub has the link. The returned function stops the link.
 func (p *Peers) follow(ctx context.Context, coordinator string) context.CancelFunc {
 	p.mu.Lock()
 	p.electedAt, p.active, p.coordinatorWakeup = time.Time{}, false, nil
@@ -123,21 +164,28 @@
 		p.electedAt = time.Now()
 	}
 	p.mu.Unlock()
-	if coordinator == p.options.Self {
+	if coordinator == "" || coordinator == p.options.Self {
 		return func() {}
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	options := p.options
 	options.Interval = demandInterval
+	out := &demandSender{}
 	l := &link{
 		address: coordinator,
+		kind:    wirepb.StreamKind_CONTROL,
 		options: options,
 		logger:  p.logger,
 		wakeup:  make(chan struct{}, 1),
 		sendUpdate: func(now time.Time, s *sender) error {
-			return s.send(now, p.fleet.Demand(now), options.Heartbeat)
+			return out.send(now, s, p.localDemand(now), options.Heartbeat)
+		},
+		receive: func(stream *wire.Stream) error {
+			reply := &controlpb.Demand{}
+			err := stream.Read(reply)
+			out.takesChanges.Store(reply.TakesChanges)
+			return err
 		},
-		receive: func(stream *wire.Stream) error { return stream.Read(&controlpb.Demand{}) },
 	}
 	p.mu.Lock()
 	p.coordinatorWakeup = l.wakeup
@@ -146,12 +194,50 @@
 	return cancel
 }
 
+// demandSender sends the coordinator the demand: completely, until the coordinator has said that it takes changes.
+// Coordinators of earlier builds never do.
+type demandSender struct {
+	differ       demand.Differ
+	sender       *sender
+	takesChanges atomic.Bool
+}
+
+func (d *demandSender) send(now time.Time, s *sender, all []demand.Model, heartbeat time.Duration) error {
+	if d.sender != s {
+		d.sender = s
+		d.takesChanges.Store(false)
+	}
+	changes := d.differ.Changes(now, all)
+	if !d.takesChanges.Load() {
+		return s.send(now, encodeDemand(all, false), heartbeat)
+	}
+	if len(changes) > 0 {
+		// Two equal lists of changes are two changes.
+		s.last = nil
+	}
+	return s.send(now, encodeDemand(changes, true), heartbeat)
+}
+
+// localDemand returns the demand of this gateway and of those that it is the hub of.
+func (p *Peers) localDemand(now time.Time) []demand.Model {
+	own := p.fleet.Demand(now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.local.Apply(now, p.options.Self, demand.Message{Models: own})
+	p.local.Expire(now.Add(-peerTTL))
+	return p.local.Total(now)
+}
+
 // Serve accepts links of other gateways and receives their demand until ctx is done.
 func (p *Peers) Serve(ctx context.Context, listener net.Listener) error {
 	return wire.Serve(ctx, listener, WireOptions(p.options.SilenceLimit), p.logger, p.serveStream)
 }
 
-func (p *Peers) serveStream(_ context.Context, header *wirepb.StreamHeader, stream *wire.Stream) {
+func (p *Peers) serveStream(ctx context.Context, header *wirepb.StreamHeader, stream *wire.Stream) {
+	if header.Kind == wirepb.StreamKind_SITE {
+		p.hub.serveStream(ctx, header, stream)
+		return
+	}
 	s := &sender{stream: stream}
 	for {
 		message := &controlpb.Demand{}
@@ -164,30 +250,18 @@
 		}
 		now := time.Now()
 		p.mu.Lock()
-		increased := waitingModels(message) > waitingModels(p.demand[header.Entry].message)
-		p.demand[header.Entry] = peerDemand{at: now, message: message}
+		increased := p.others.Apply(now, header.Entry, decodeDemand(message))
 		p.mu.Unlock()
 		if increased {
 			wake(p.waiting)
 		}
 		// The reply keeps the peer's silence limit from expiring.
-		if err := s.send(now, &controlpb.Demand{}, p.options.Heartbeat); err != nil {
+		if err := s.send(now, &controlpb.Demand{TakesChanges: true}, p.options.Heartbeat); err != nil {
 			return
 		}
 	}
 }
 
-// waitingModels returns the number of models that requests of a gateway are waiting for.
-func waitingModels(d *controlpb.Demand) int {
-	n := 0
-	for _, m := range d.GetModels() {
-		if m.Waiting > 0 {
-			n++
-		}
-	}
-	return n
-}
-
 // IsCoordinator reports whether this gateway is the coordinator and has passed its activation delay.
 func (p *Peers) IsCoordinator(now time.Time) bool {
 	p.mu.Lock()
@@ -208,24 +282,19 @@
 		return false
 	}
 	for _, peer := range p.agents.Peers(now) {
-		if d, ok := p.demand[peer]; peer != p.options.Self && (!ok || now.Sub(d.at) > peerTTL) {
+		if at, ok := p.others.HeardAt(peer); peer != p.options.Self && (!ok || now.Sub(at) > peerTTL) {
 			return false
 		}
 	}
 	return true
 }
 
-// Demand returns the demand of all gateways, this one included, by gateway address.
-func (p *Peers) Demand(now time.Time) map[string]*controlpb.Demand {
-	all := map[string]*controlpb.Demand{p.options.Self: p.fleet.Demand(now)}
+// Demand returns the demand of all gateways. Only the coordinator knows it.
+func (p *Peers) Demand(now time.Time) []demand.Model {
+	local := p.localDemand(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for peer, d := range p.demand {
-		if now.Sub(d.at) > peerTTL {
-			delete(p.demand, peer)
-			continue
-		}
-		all[peer] = d.message
-	}
-	return all
+	p.others.Apply(now, p.options.Self, demand.Message{Models: local})
+	p.others.Expire(now.Add(-peerTTL))
+	return p.others.Total(now)
 }
--- a/internal/experiment/site.go
+++ b/internal/experiment/site.go
@@ -10,6 +10,7 @@
 
 	"balsamsail/internal/catalog"
 	"balsamsail/internal/control/controlpb"
+	"balsamsail/internal/demand"
 	"balsamsail/internal/fleet"
 	"balsamsail/internal/nameset"
 	"balsamsail/internal/placement"
@@ -24,7 +25,6 @@
 	decideInterval = 100 * time.Millisecond
 	reportLag      = 100 * time.Millisecond
 	service        = "engines"
-	gatewayName    = "gateway"
 	// patienceFactor is the time for which a client waits for the first event, as a multiple of its target, and
 	// minPatience the minimum of that time.
 	patienceFactor = 4
@@ -63,7 +63,7 @@
 	// targets are the shortest first-event targets of the requests so far, by model.
 	targets        map[string]time.Duration
 	loads          map[placement.Source]int
-	reportedDemand *controlpb.Demand
+	reportedDemand []demand.Model
 	manager        *placement.Manager
 	// newManager returns the manager of a coordinator that has just started.
 	newManager func() *placement.Manager
@@ -372,27 +372,26 @@
 }
 
 // demandNow returns the demand as the gateways would report it.
-func (s *site) demandNow() *controlpb.Demand {
-	models := make(map[string]*controlpb.ModelDemand)
+func (s *site) demandNow() []demand.Model {
+	models := make(map[string]*demand.Model)
 	for name, count := range s.arrived {
-		models[name] = &controlpb.ModelDemand{Service: service, Model: name, Arrived: count, TargetMs: s.targets[name].Milliseconds()}
+		models[name] = &demand.Model{Target: demand.Target{Service: service, Model: name}, Arrived: count, FirstEventTarget: s.targets[name]}
 	}
-	of := func(r *request) *controlpb.ModelDemand { return models[r.model] }
 	for _, r := range s.waiting {
-		d := of(r)
+		d := models[r.model]
 		d.Waiting++
-		d.OldestWaitMs = max(d.OldestWaitMs, (s.now - r.at).Milliseconds())
+		d.OldestWait = max(d.OldestWait, s.now-r.at)
 	}
 	for _, e := range s.engines {
 		for _, r := range slices.Concat(e.running, e.queued) {
-			of(r).Running++
+			models[r.model].Running++
 		}
 	}
-	demand := &controlpb.Demand{}
+	list := make([]demand.Model, 0, len(models))
 	for _, d := range models {
-		demand.Models = append(demand.Models, d)
+		list = append(list, *d)
 	}
-	return demand
+	return list
 }
 
 // Config implements placement.Site.
@@ -411,9 +410,7 @@
 func (s *site) IsCoordinator(time.Time) bool { return true }
 
 // Demand implements placement.Gateways.
-func (s *site) Demand(time.Time) map[string]*controlpb.Demand {
-	return map[string]*controlpb.Demand{gatewayName: s.reportedDemand}
-}
+func (s *site) Demand(time.Time) []demand.Model { return s.reportedDemand }
 
 // Waiting implements placement.Gateways.
 func (s *site) Waiting() <-chan struct{} { return nil }
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"balsamsail/internal/control/controlpb"
+	modeldemand "balsamsail/internal/demand"
 )
 
 // demand is the current demand of this gateway's requests for one target.
@@ -102,28 +103,27 @@
 }
 
 // Demand returns the demand of this gateway's requests for models.
-func (f *Fleet) Demand(now time.Time) *controlpb.Demand {
+func (f *Fleet) Demand(now time.Time) []modeldemand.Model {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	message := &controlpb.Demand{}
+	list := make([]modeldemand.Model, 0, len(f.demand))
 	for t, d := range f.demand {
 		if t.Model == "" {
 			continue
 		}
-		m := &controlpb.ModelDemand{
-			Service:  t.Service,
-			Model:    t.Model,
-			Waiting:  int32(len(d.waiting)),
-			Running:  int32(d.running),
-			Arrived:  d.arrived,
-			TargetMs: d.target.Milliseconds(),
+		m := modeldemand.Model{
+			Target:           modeldemand.Target{Service: t.Service, Model: t.Model},
+			Waiting:          len(d.waiting),
+			Running:          d.running,
+			Arrived:          d.arrived,
+			FirstEventTarget: d.target,
 		}
 		for w := range d.waiting {
-			m.OldestWaitMs = max(m.OldestWaitMs, now.Sub(w.since).Milliseconds())
+			m.OldestWait = max(m.OldestWait, now.Sub(w.since))
 		}
-		message.Models = append(message.Models, m)
+		list = append(list, m)
 	}
-	return message
+	return list
 }
 
 // AgentMessage returns the message to an endpoint's agent, without the engine class. It clears the requested adapters;
@@ -143,5 +143,6 @@
 	for a := range e.adapters {
 		message.Used = append(message.Used, &controlpb.AdapterRef{Model: a.Model, Adapter: a.Name})
 	}
+	message.Used = append(message.Used, f.relayedAdapterUse(id)...)
 	return message
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -88,6 +88,9 @@
 	connected bool
 	// refusedUntil is the time until which the endpoint gets no requests because it refused a connection.
 	refusedUntil time.Time
+	// relay is the hub that says of the engine, nil if the agent does; relayReported is set while the hub has a report.
+	relay         *relay
+	relayReported bool
 	// replaced is set when another incarnation responded at the address.
 	replaced bool
 	// hostDown is set while the endpoint's host does not respond on the connection to its agent.
@@ -111,8 +114,15 @@
 	// stores holds what was observed of each service's weight store.
 	stores map[string]*storeTracker
 	// answerTime is the moving average of the answer times per service.
-	answerTime      map[string]time.Duration
-	wantedAdapters  map[string]map[Adapter]bool
+	answerTime     map[string]time.Duration
+	wantedAdapters map[string]map[Adapter]bool
+	// relay is the hub that says of the engines; nil before there is one. relaying is set while reports of agents are ignored,
+	// because the hub has later ones. unlisted holds what it said of engines before their
+	// registration arrived, and relayedUse what the gateways that this one is the hub of use, by gateway and engine.
+	relay           *relay
+	relaying        bool
+	unlisted        map[string]unlistedEngine
+	relayedUse      map[string]map[string][]Adapter
 	onAdapterWanted func(endpointID string)
 	onWaiting       func()
 	onRestart       func()
@@ -141,6 +151,8 @@
 		stores:         make(map[string]*storeTracker),
 		answerTime:     make(map[string]time.Duration),
 		wantedAdapters: make(map[string]map[Adapter]bool),
+		unlisted:       make(map[string]unlistedEngine),
+		relayedUse:     make(map[string]map[string][]Adapter),
 		changed:        make(chan struct{}),
 	}
 }
@@ -195,6 +207,7 @@
 			added = append(added, e)
 		}
 		f.setRegistration(known, e)
+		f.applyUnlisted(known)
 	}
 	for id, e := range f.endpoints {
 		if !present[id] {
@@ -256,7 +269,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.endpoints[id]
-	if e == nil {
+	if e == nil || f.relaying {
 		return true
 	}
 	if state != nil && state.Started != 0 {
@@ -268,7 +281,7 @@
 	if state != nil || !e.connected || e.hostDown {
 		f.notify()
 	}
-	e.connected, e.hostDown = true, false
+	e.connected, e.hostDown, e.relay = true, false, nil
 	e.sentSinceLoad = 0
 	if state != nil {
 		f.observeLoad(now, e, state)
@@ -287,7 +300,7 @@
 func (f *Fleet) SetDisconnected(id string, hostDown bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if e := f.endpoints[id]; e != nil && (e.connected || e.hostDown != hostDown) {
+	if e := f.endpoints[id]; e != nil && !f.relaying && (e.connected || e.hostDown != hostDown) {
 		e.connected, e.hostDown = false, hostDown
 		f.notify()
 	}
@@ -302,7 +315,15 @@
 	if e.replaced || now.Before(e.refusedUntil) || e.reportFresh(now) && e.state.Down {
 		return false
 	}
-	return !e.hostDown && (e.state == nil || !e.connected || now.Sub(e.reportedAt) < hostTimeout)
+	return !e.hostUnresponsive(now)
+}
+
+// hostUnresponsive reports whether the endpoint's host appears to be frozen or unreachable.
+func (e *endpoint) hostUnresponsive(now time.Time) bool {
+	if e.relay != nil {
+		return e.hostDown && e.relay.alive(now)
+	}
+	return e.hostDown || e.state != nil && e.connected && now.Sub(e.reportedAt) >= hostTimeout
 }
 
 // Refused records that an endpoint's host is up but nothing listens at the endpoint's address: the endpoint has
@@ -340,7 +361,13 @@
 
 // reportFresh reports whether the agent's last report is for this endpoint and has not expired.
 func (e *endpoint) reportFresh(now time.Time) bool {
-	return e.state != nil && e.state.EndpointID == e.ID && (e.state.Started == 0 || e.state.Started == e.started) && now.Sub(e.reportedAt) < reportTTL
+	if e.state == nil || e.state.EndpointID != e.ID || e.state.Started != 0 && e.state.Started != e.started {
+		return false
+	}
+	if e.relay != nil {
+		return e.relayReported && e.relay.alive(now)
+	}
+	return now.Sub(e.reportedAt) < reportTTL
 }
 
 // recentlyAbsent reports whether the endpoint has recently rejected a request because the model or adapter is not
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -280,8 +280,8 @@
 	if after < 6*time.Second || after > 8*time.Second {
 		t.Errorf("Retry-After is %v, want 6 s to 8 s", after)
 	}
-	waiting := int32(0)
-	for _, m := range r.fleet.Demand(time.Now()).Models {
+	waiting := 0
+	for _, m := range r.fleet.Demand(time.Now()) {
 		if m.Model == "store-only" {
 			waiting = m.Waiting
 		}
--- a/internal/placement/manager.go
+++ b/internal/placement/manager.go
@@ -8,6 +8,7 @@
 	"balsamsail/internal/catalog"
 	"balsamsail/internal/clock"
 	"balsamsail/internal/control/controlpb"
+	"balsamsail/internal/demand"
 	"balsamsail/internal/fleet"
 	"balsamsail/internal/nameset"
 )
@@ -36,7 +37,7 @@
 // control.Peers.
 type Gateways interface {
 	IsCoordinator(now time.Time) bool
-	Demand(now time.Time) map[string]*controlpb.Demand
+	Demand(now time.Time) []demand.Model
 	// Waiting returns a channel that is signaled when a request starts waiting for a model.
 	Waiting() <-chan struct{}
 }
@@ -125,15 +126,15 @@
 		clear(m.services)
 		return
 	}
-	demand := m.gateways.Demand(now)
+	models := m.gateways.Demand(now)
 	for name, service := range config.Services {
 		if service.Engine != nil {
-			m.decide(now, name, service.Engine, demand)
+			m.decide(now, name, service.Engine, models)
 		}
 	}
 }
 
-func (m *Manager) decide(now time.Time, service string, class *catalog.EngineClass, demand map[string]*controlpb.Demand) {
+func (m *Manager) decide(now time.Time, service string, class *catalog.EngineClass, models []demand.Model) {
 	s := m.services[service]
 	if s == nil {
 		s = &serviceState{rates: make(map[string]*rates), storeLimiter: newStoreLimiter(), pending: make(map[string]*pendingCommand), metrics: m.metrics}
@@ -143,7 +144,7 @@
 	s.updatePending(now, engines)
 	in := Input{
 		Class:      class,
-		Demand:     s.sumDemand(now, service, demand),
+		Demand:     s.updateDemand(now, service, models),
 		StoreLoads: s.storeLimiter.available(now, class.LoadsPerSecond),
 		StoreLimit: s.storeLimiter.limit,
 	}
@@ -236,41 +237,27 @@
 	return engine
 }
 
-// sumDemand sums the demand that the gateways report for a service's models.
-func (s *serviceState) sumDemand(now time.Time, service string, all map[string]*controlpb.Demand) map[string]Demand {
-	sums := make(map[string]Demand)
-	counts := make(map[string]map[string]int64)
-	for gateway, message := range all {
-		for _, d := range message.Models {
-			if d.Service != service {
-				continue
-			}
-			sum := sums[d.Model]
-			sum.Waiting += int(d.Waiting)
-			sum.Running += int(d.Running)
-			if target := time.Duration(d.TargetMs) * time.Millisecond; target > 0 && (sum.Target == 0 || target < sum.Target) {
-				sum.Target = target
-			}
-			sum.OldestWait = max(sum.OldestWait, time.Duration(d.OldestWaitMs)*time.Millisecond)
-			sums[d.Model] = sum
-			if counts[d.Model] == nil {
-				counts[d.Model] = make(map[string]int64)
-			}
-			counts[d.Model][gateway] = d.Arrived
+// updateDemand returns the demand for a service's models, with the rates that follow from it.
+func (s *serviceState) updateDemand(now time.Time, service string, models []demand.Model) map[string]Demand {
+	current := make(map[string]Demand, len(models))
+	arrived := make(map[string]int64, len(models))
+	for _, m := range models {
+		if m.Service != service {
+			continue
 		}
-	}
-	for model := range counts {
-		if s.rates[model] == nil {
-			s.rates[model] = &rates{}
+		current[m.Model] = Demand{Waiting: m.Waiting, OldestWait: m.OldestWait, Running: m.Running, Target: m.FirstEventTarget}
+		arrived[m.Model] = m.Arrived
+		if s.rates[m.Model] == nil {
+			s.rates[m.Model] = &rates{}
 		}
 	}
 	for model, r := range s.rates {
-		sum := sums[model]
-		r.observe(now, sum.Running+sum.Waiting)
-		r.update(now, counts[model])
-		sum.Peak = int(r.peak + 0.5)
-		sum.Rate, sum.LongRate, sum.LastArrival = r.short, r.long, r.lastArrival
-		sums[model] = sum
+		d := current[model]
+		r.observe(now, d.Running+d.Waiting)
+		r.update(now, arrived[model])
+		d.Peak = int(r.peak + 0.5)
+		d.Rate, d.LongRate, d.LastArrival = r.short, r.long, r.lastArrival
+		current[model] = d
 	}
-	return sums
+	return current
 }
--- a/internal/placement/manager_test.go
+++ b/internal/placement/manager_test.go
@@ -9,13 +9,14 @@
 
 	"balsamsail/internal/catalog"
 	"balsamsail/internal/control/controlpb"
+	"balsamsail/internal/demand"
 	"balsamsail/internal/fleet"
 )
 
 // fakeSite implements the dependencies of a Manager with engines and demand set by the test.
 type fakeSite struct {
 	engines  []fleet.Engine
-	demand   *controlpb.Demand
+	demand   []demand.Model
 	commands []*controlpb.Command
 }
 
@@ -26,8 +27,11 @@
 func (s *fakeSite) IsCoordinator(time.Time) bool             { return true }
 func (s *fakeSite) Waiting() <-chan struct{}                 { return nil }
 func (s *fakeSite) SendCommand(c *controlpb.Command)         { s.commands = append(s.commands, c) }
-func (s *fakeSite) Demand(time.Time) map[string]*controlpb.Demand {
-	return map[string]*controlpb.Demand{"gateway": s.demand}
+func (s *fakeSite) Demand(time.Time) []demand.Model          { return s.demand }
+
+// waitingFor is the demand of two requests that wait for a model.
+func waitingFor(model string) []demand.Model {
+	return []demand.Model{{Target: demand.Target{Service: "s", Model: model}, Waiting: 2, OldestWait: 500 * time.Millisecond, Arrived: 2}}
 }
 
 func reportedEngine(id, models string, leaving bool) fleet.Engine {
@@ -49,7 +53,7 @@
 	}
 	site := &fakeSite{
 		engines: []fleet.Engine{reportedEngine("old", "m", true), reportedEngine("new-1", "", false), reportedEngine("new-2", "", false)},
-		demand:  &controlpb.Demand{Models: []*controlpb.ModelDemand{{Service: "s", Model: "m", Waiting: 2, OldestWaitMs: 500, Arrived: 2}}},
+		demand:  waitingFor("m"),
 	}
 	m := NewManager(site, site, site, slog.New(slog.DiscardHandler), metrics, Decide)
 	m.Step(time.Unix(1000, 0))
@@ -76,7 +80,7 @@
 	engine.Started = 100
 	site := &fakeSite{
 		engines: []fleet.Engine{engine},
-		demand:  &controlpb.Demand{Models: []*controlpb.ModelDemand{{Service: "s", Model: "m", Waiting: 2, OldestWaitMs: 500, Arrived: 2}}},
+		demand:  waitingFor("m"),
 	}
 	m := NewManager(site, site, site, slog.New(slog.DiscardHandler), metrics, Decide)
 	now := time.Unix(1000, 0)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -215,12 +215,12 @@
 func TestReplicasOutlastAPause(t *testing.T) {
 	r := &rates{}
 	now := time.Unix(0, 0)
-	r.update(now, nil)
+	r.update(now, 0)
 	r.observe(now, 40)
 	for range 20 {
 		now = now.Add(100 * time.Millisecond)
 		r.observe(now, 5)
-		r.update(now, nil)
+		r.update(now, 0)
 	}
 	p := plan{Input: Input{Class: testClass(), Engines: make([]Engine, 9), Demand: map[string]Demand{"a": {Running: 5, Peak: int(r.peak + 0.5)}}}}
 	if n := p.targetReplicas("a", scaleOutShare); n < 2 {
--- a/internal/placement/rates.go
+++ b/internal/placement/rates.go
@@ -17,7 +17,7 @@
 
 // rates tracks the requests for one model over all gateways.
 type rates struct {
-	arrived     map[string]int64
+	arrived     int64
 	short, long float64
 	updatedAt   time.Time
 	lastArrival time.Time
@@ -30,19 +30,14 @@
 	r.peak = max(float64(requests), decay(r.peak, now.Sub(r.updatedAt), peakWindow))
 }
 
-// update updates the rates from each gateway's request counter, which counts from the gateway's start.
-func (r *rates) update(now time.Time, counts map[string]int64) {
+// update updates the rates from the number of requests that have arrived so far. When the requests that were counted
+// before the first update arrived is not known.
+func (r *rates) update(now time.Time, arrived int64) {
 	arrivals := int64(0)
-	for gateway, count := range counts {
-		previous, known := r.arrived[gateway]
-		if known && count >= previous {
-			arrivals += count - previous
-		} else if !known && !r.updatedAt.IsZero() || count < previous {
-			// The gateway is new or has restarted: the arrival times of the requests counted so far are unknown.
-			arrivals += min(count, 1)
-		}
+	if !r.updatedAt.IsZero() {
+		arrivals = max(0, arrived-r.arrived)
 	}
-	r.arrived = counts
+	r.arrived = arrived
 	if arrivals > 0 {
 		r.lastArrival = now
 	}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -28,6 +28,8 @@
 	Listen          inifile.Address `ini:"listen" doc:"Address for clients' HTTP."`
 	ReadinessListen inifile.Address `ini:"readiness_listen" doc:"Address at which the balancer asks whether to send connections."`
 	MetricsListen   inifile.Address `ini:"metrics_listen" optional:"true" doc:"Address for health and metrics; not served where left out."`
+	ProcessorShare  float64         `ini:"processor_share" default:"1" min:"0" max:"1024" doc:"Share of a processor core that the host gives the process. Gateways with more of it are preferred for duties of the site: hub, coordinator."`
+	ProcessorSpeed  float64         `ini:"processor_speed" default:"1" min:"0" max:"1024" doc:"Speed of that core, as a multiple of the usual one."`
 }
 
 // Check implements inifile.Checker.
@@ -41,6 +43,7 @@
 	Address    inifile.Address `ini:"address" doc:"Address of the store."`
 	Wait       time.Duration   `ini:"wait" default:"5s" min:"100ms" max:"30s" doc:"How long one call waits for changes. Each call has a price; a connection that fell silent shows by the kernel's probes within 3 s."`
 	Gather     time.Duration   `ini:"gather" default:"400ms" min:"0s" max:"1s" doc:"Pause before the next call after changes came: registrations change several times a second, and each call has a price. A draining endpoint gets work for that much longer; 2 s are allowed."`
+	HubWait    time.Duration   `ini:"hub_wait" default:"700ms" min:"50ms" max:"30s" doc:"The same on a hub, for the tables that it passes on: with the gather time it bounds how late the other gateways notice that their hub is cut off from the store."`
 	MinBackoff time.Duration   `ini:"min_backoff" default:"150ms" min:"10ms" max:"10s" doc:"First pause after a call that failed; doubled each time."`
 	MaxBackoff time.Duration   `ini:"max_backoff" default:"500ms" min:"10ms" max:"1m" doc:"Longest such pause."`
 }
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -50,9 +50,8 @@
 
 // Options are the settings of a watch.
 type Options struct {
-	Table string
-	// Wait is the long-poll timeout of a call for changes.
-	Wait time.Duration
+	// Wait returns the long-poll timeout of the next call for changes.
+	Wait func() time.Duration
 	// CoalesceDelay is the delay between receiving changes and the next call, so that a series of changes takes fewer
 	// calls.
 	CoalesceDelay time.Duration
@@ -62,9 +61,11 @@
 	Metrics *Metrics
 }
 
-// Run follows a table until ctx ends.
-func Run(ctx context.Context, source Source, sink Sink, options Options, logger *slog.Logger) {
-	f := follower{source: source, sink: sink, options: options, logger: logger, backoff: options.MinBackoff}
+// Run keeps a replica up to date from the store until ctx ends. It continues at the replica's revision, so that a process
+// that had the table from another one reads only what has changed since.
+func Run(ctx context.Context, source Source, replica *Replica, options Options, logger *slog.Logger) {
+	f := follower{source: source, replica: replica, table: replica.Table(), options: options, logger: logger, backoff: options.MinBackoff}
+	f.revision, f.listed = replica.position()
 	for ctx.Err() == nil {
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			f.recordFailure(err)
@@ -76,7 +77,8 @@
 // follower is the state of a watch.
 type follower struct {
 	source  Source
-	sink    Sink
+	replica *Replica
+	table   string
 	options Options
 	logger  *slog.Logger
 
@@ -93,10 +95,10 @@
 	if !f.listed {
 		return f.list(ctx)
 	}
-	rows, revision, err := f.source.Changes(ctx, f.options.Table, f.revision, f.wait())
+	rows, revision, err := f.source.Changes(ctx, f.table, f.revision, f.wait())
 	if errors.Is(err, ErrHistoryGone) {
-		f.options.Metrics.recordCall(f.options.Table, resultHistoryGone, time.Now())
-		f.logger.Info("store no longer has the change history; reading the whole table", "event", "watch_restart", "table", f.options.Table, "revision", f.revision)
+		f.options.Metrics.recordCall(f.table, resultHistoryGone, time.Now())
+		f.logger.Info("store no longer has the change history; reading the whole table", "event", "watch_restart", "table", f.table, "revision", f.revision)
 		f.listed = false
 		// Without a delay, a store that always lacks the history would be called in a tight loop.
 		clock.Pause(ctx, f.options.CoalesceDelay)
@@ -106,9 +108,10 @@
 		return err
 	}
 	f.recordSuccess()
+	base := f.revision
 	f.revision = max(f.revision, revision)
+	f.replica.Apply(Change{Rows: rows, Base: base, Revision: f.revision, ConfirmedAt: time.Now()})
 	if len(rows) > 0 {
-		f.sink.Apply(rows)
 		clock.Pause(ctx, f.options.CoalesceDelay)
 	}
 	return nil
@@ -119,38 +122,37 @@
 	if f.unavailable {
 		return 0
 	}
-	return f.options.Wait
+	return f.options.Wait()
 }
 
 func (f *follower) list(ctx context.Context) error {
 	start := time.Now()
-	rows, revision, err := f.source.List(ctx, f.options.Table)
+	rows, revision, err := f.source.List(ctx, f.table)
 	if err != nil {
 		return err
 	}
-	f.options.Metrics.recordList(f.options.Table, time.Since(start))
+	f.options.Metrics.recordList(f.table, time.Since(start))
 	f.recordSuccess()
 	f.listed, f.revision = true, revision
-	f.sink.Replace(rows)
+	f.replica.Apply(Change{Replace: true, Rows: rows, Revision: revision, ConfirmedAt: start})
 	return nil
 }
 
 func (f *follower) recordSuccess() {
-	f.options.Metrics.recordCall(f.options.Table, resultAnswered, time.Now())
+	f.options.Metrics.recordCall(f.table, resultAnswered, time.Now())
 	f.backoff = f.options.MinBackoff
 	if f.unavailable {
 		f.unavailable = false
-		f.logger.Info("store is available again", "event", "store_back", "table", f.options.Table, "revision", f.revision)
-		f.sink.Available()
+		f.logger.Info("store is available again", "event", "store_back", "table", f.table, "revision", f.revision)
 	}
 }
 
 func (f *follower) recordFailure(err error) {
-	f.options.Metrics.recordCall(f.options.Table, resultFailed, time.Now())
+	f.options.Metrics.recordCall(f.table, resultFailed, time.Now())
 	if !f.unavailable {
 		f.unavailable = true
-		f.logger.Warn("store is unavailable", "event", "store_lost", "table", f.options.Table, "revision", f.revision, "error", err)
-		f.sink.Unavailable(err)
+		f.logger.Warn("store is unavailable", "event", "store_lost", "table", f.table, "revision", f.revision, "error", err)
+		f.replica.setUnavailable(err)
 	}
 }
 
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -108,11 +108,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		sink := &recordingSink{values: make(map[string]string)}
 		ctx, cancel := context.WithCancel(t.Context())
-		options := Options{Table: "t", Wait: 5 * time.Second, CoalesceDelay: 100 * time.Millisecond, MinBackoff: 100 * time.Millisecond, MaxBackoff: 400 * time.Millisecond}
+		options := Options{Wait: func() time.Duration { return 5 * time.Second }, CoalesceDelay: 100 * time.Millisecond, MinBackoff: 100 * time.Millisecond, MaxBackoff: 400 * time.Millisecond}
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			Run(ctx, store, sink, options, slog.New(slog.DiscardHandler))
+			Run(ctx, store, NewReplica("t", sink), options, slog.New(slog.DiscardHandler))
 		}()
 		scenario(sink)
 		cancel()
