--- a/internal/watch/replica.go
+++ b/internal/watch/replica.go
@@ -19,6 +19,9 @@
 	known    bool
 	rows     map[string]Row
 	revision int64
+	// rowsRevision is the revision that the rows have not changed since. Other tables change in between: a replica that has
+	// reached it has all rows of this one.
+	rowsRevision int64
 	// confirmedAt is when the store is known to have had no later changes, and down is set while it is unavailable.
 	confirmedAt time.Time
 	down        bool
@@ -61,7 +64,7 @@
 func (r *Replica) Status() (Change, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.change(false, nil, r.revision), r.known
+	return r.change(false, nil, r.rowsRevision), r.known
 }
 
 func (r *Replica) change(replace bool, rows []Row, base int64) Change {
@@ -108,12 +111,12 @@
 	case !c.Unavailable && r.down && c.ConfirmedAt.After(r.confirmedAt):
 		r.down = false
 		r.sink.Available()
-		r.notify(r.change(false, nil, r.revision))
+		r.notify(r.change(false, nil, r.rowsRevision))
 	}
 }
 
 func (r *Replica) replace(c Change) {
-	r.known, r.revision = true, c.Revision
+	r.known, r.revision, r.rowsRevision = true, c.Revision, c.Revision
 	r.confirmedAt = later(r.confirmedAt, c.ConfirmedAt)
 	clear(r.rows)
 	for _, row := range c.Rows {
@@ -124,7 +127,7 @@
 }
 
 func (r *Replica) applyRows(c Change) {
-	base := r.revision
+	base, rowsBase := r.revision, r.rowsRevision
 	if c.Revision >= r.revision {
 		r.confirmedAt = later(r.confirmedAt, c.ConfirmedAt)
 	}
@@ -142,8 +145,9 @@
 	}
 	r.revision = max(r.revision, c.Revision)
 	if len(rows) > 0 {
+		r.rowsRevision = r.revision
 		r.sink.Apply(rows)
-		r.notify(r.change(false, rows, base))
+		r.notify(r.change(false, rows, rowsBase))
 	}
 }
 
@@ -160,7 +164,7 @@
 func (r *Replica) setDown(err error) {
 	r.down = true
 	r.sink.Unavailable(err)
-	r.notify(r.change(false, nil, r.revision))
+	r.notify(r.change(false, nil, r.rowsRevision))
 }
 
 func (r *Replica) notify(c Change) {
--- a/internal/watch/replica_test.go
+++ b/internal/watch/replica_test.go
@@ -135,3 +135,24 @@
 		t.Errorf("lost %d times, want each outage once", sink.lost)
 	}
 }
+
+// Other tables change, so that the revision of a hub's table advances without rows. Its gateways must go on counting it as
+// confirmed: they used to read the store themselves half of the time.
+func TestRevisionAdvancesWithoutRows(t *testing.T) {
+	hubSink, sink := &tableSink{rows: make(map[string]string)}, &tableSink{rows: make(map[string]string)}
+	hub, replica := NewReplica("t", hubSink), NewReplica("t", sink)
+	hub.OnChange(func(c Change) { replica.Apply(c) })
+	hub.Apply(Change{Replace: true, Revision: 3, Rows: []Row{{Key: "a", Value: []byte("1"), Revision: 2}}, ConfirmedAt: start})
+	for i := range int64(5) {
+		at := start.Add(time.Duration(i+1) * time.Second)
+		hub.Apply(Change{Base: 3 + 10*i, Revision: 13 + 10*i, ConfirmedAt: at})
+		status, _ := hub.Status()
+		if !replica.Apply(status) || !replica.ConfirmedAt().Equal(at) {
+			t.Fatalf("confirmed at %v, want %v", replica.ConfirmedAt(), at)
+		}
+	}
+	hub.Apply(Change{Base: 53, Revision: 60, Rows: []Row{{Key: "a", Value: []byte("2"), Revision: 60}}, ConfirmedAt: start.Add(time.Minute)})
+	if sink.rows["a"] != "2" {
+		t.Errorf("row %q, want the hub's", sink.rows["a"])
+	}
+}
