app: idle connections to endpoints are closed after 4 s

On the large site 103 gateways came to hold an idle connection to nearly each of 186 endpoints, each probed once a second: a load for each pair of gateway and engine.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -134,6 +134,11 @@
 	return routing.BudgetOptions{Share: r.Share * budgetFraction, Burst: r.Extra * budgetFraction, FloorPerSecond: minRetryRate}
 }
 
+// idleConnTimeout is the time after which an idle connection to an endpoint is closed. Each is probed once a second. On a
+// large site a gateway uses an engine every 20 s or so; kept for that long, a connection for each pair of gateway and engine
+// would stay open and be probed.
+const idleConnTimeout = 4 * time.Second
+
 func newGateway(s *settings.Gateway, f *fleet.Fleet, p *control.Peers, l *slog.Logger, m *gateway.Metrics) *gateway.Gateway {
 	options := gateway.Options{
 		Seed:         rand.Uint64(),
@@ -143,7 +148,7 @@
 	transport := &http.Transport{
 		DialContext:         netconn.DialAbortive(),
 		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     20 * time.Second,
+		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 	}
 	// Kept connections to an endpoint that has restarted lead to its earlier process.
