--- a/internal/capacity/table_test.go
+++ b/internal/capacity/table_test.go
@@ -177,3 +177,13 @@
 		return ns
 	})
 }
+
+// eventually waits until a condition holds.
+func eventually(tb testing.TB, timeout time.Duration, what string, condition func() bool) {
+	tb.Helper()
+	for deadline := time.Now().Add(timeout); !condition(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			tb.Fatalf("timed out after %v waiting for: %s", timeout, what)
+		}
+	}
+}
