control: gateways that start together wait for their hub

When all processes of a site start at once, a hub that listened 250 ms after the others was passed by: each gateway went on to the next one, which became a hub by being asked and connected to every agent; with the retry delays, the site met at its hub after more than 10 s (TestSiteStartsWithOneHub before). For a second after its start a gateway now tries its preferred hub again each 100 ms.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -34,6 +34,8 @@
 	gateways []string
 	frozen   bool
 	messages []*controlpb.ToAgent
+	// links is the number of links that gateways have made.
+	links int
 }
 
 func startAgent(t *testing.T, gateways ...string) *fakeAgent {
@@ -53,6 +55,9 @@
 }
 
 func (a *fakeAgent) serve(ctx context.Context, _ *wirepb.StreamHeader, stream *wire.Stream) {
+	a.mu.Lock()
+	a.links++
+	a.mu.Unlock()
 	go func() {
 		for {
 			message := &controlpb.ToAgent{}
--- a/internal/control/hub_test.go
+++ b/internal/control/hub_test.go
@@ -99,6 +99,43 @@
 	eventuallyWithin(t, 40*time.Second, "all gateways use the hub again", func() bool { return hub.hub.Subscribers() == 9 && next.hub.Subscribers() == 0 })
 }
 
+// Loss of power of a whole site: all processes start together, and the hub's is the last to listen. The others must wait for
+// it for a while; each that took another one made that a hub too, and all of those connected to every agent.
+func TestSiteStartsWithOneHub(t *testing.T) {
+	const n = 20
+	var listeners []net.Listener
+	var list []hubs.Gateway
+	for i := range n {
+		l := listenLoopback(t)
+		listeners = append(listeners, l)
+		list = append(list, hubs.Gateway{Address: l.Addr().String(), FailureDomain: "here", Processor: 1 + float64(i)})
+	}
+	hubAddress := listeners[n-1].Addr().String()
+	if err := listeners[n-1].Close(); err != nil {
+		t.Fatal(err)
+	}
+	agent := startAgent(t, hubAddress)
+	var gateways []*testGateway
+	for i, l := range listeners[:n-1] {
+		gateways = append(gateways, startRegisteredGateway(t, l, agent, list[i], list))
+	}
+	time.Sleep(startPatience / 4)
+	late, err := net.Listen("tcp", hubAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	hub := startRegisteredGateway(t, late, agent, list[n-1], list)
+	eventually(t, "all others use the hub", func() bool { return hub.hub.Subscribers() == n-1 })
+	for i, g := range gateways {
+		eventually(t, fmt.Sprintf("gateway %d knows the engine's state", i), g.engineReported)
+	}
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	if agent.links > 2 {
+		t.Errorf("%d gateways connected to the agent, want the hub and at most one that was not patient", agent.links)
+	}
+}
+
 // A frozen hub's host accepts connections and sends nothing. Its gateways must notice and not return to it meanwhile.
 func TestFrozenHubIsLeft(t *testing.T) {
 	silent := listenLoopback(t)
--- a/internal/control/upstream.go
+++ b/internal/control/upstream.go
@@ -28,6 +28,11 @@
 	// directoryTimeout is how long a gateway that has just started waits for the list of gateways before it becomes its own
 	// hub. Otherwise all gateways of a site would connect to all agents when they start together.
 	directoryTimeout = 2 * time.Second
+	// startPatience is how long a gateway that has just started tries its preferred hub before it takes another, every
+	// startRetryDelay. When the processes of a site start together, the hub may be the last; without patience the gateways
+	// would go on from one to the next, and each that is asked connects to all agents.
+	startPatience   = time.Second
+	startRetryDelay = 100 * time.Millisecond
 )
 
 // Upstream keeps a gateway connected to its hub, or makes it its own hub.
@@ -47,6 +52,8 @@
 	ownHub  bool
 	// confirmedAt is when the hub's copy of each table was known to have all changes.
 	confirmedAt map[string]time.Time
+	// startedAt is when Run began, and retryAt when the preferred hub is tried again within startPatience.
+	startedAt, retryAt time.Time
 	// changed is signaled when the choice of the hub may change.
 	changed chan struct{}
 
@@ -150,12 +157,14 @@
 
 // Run keeps the gateway connected until ctx ends.
 func (u *Upstream) Run(ctx context.Context) {
-	started := time.Now()
+	u.mu.Lock()
+	u.startedAt = time.Now()
+	u.mu.Unlock()
 	ticker := time.NewTicker(selectInterval)
 	defer ticker.Stop()
 	var pending *subscription
 	for {
-		pending = u.follow(ctx, u.target(started), pending)
+		pending = u.follow(ctx, u.target(), pending)
 		var ready, failed, lost <-chan struct{}
 		if pending != nil {
 			ready, failed = pending.ready, pending.done
@@ -188,8 +197,8 @@
 	return u.current
 }
 
-// target returns the address of the hub to use; empty before the list of gateways is known.
-func (u *Upstream) target(started time.Time) string {
+// target returns the address of the hub to use; empty while this gateway is to wait.
+func (u *Upstream) target() string {
 	now := time.Now()
 	if u.hub.Subscribers() > 0 {
 		return u.options.Self
@@ -199,7 +208,7 @@
 	if u.current != nil && now.Sub(u.current.startedAt) >= hubTrialTime {
 		u.selector.Succeeded(u.current.address)
 	}
-	if !u.listed && now.Sub(started) < directoryTimeout {
+	if !u.listed && now.Sub(u.startedAt) < directoryTimeout || now.Before(u.retryAt) {
 		return ""
 	}
 	return u.selector.Choose(now)
@@ -269,7 +278,13 @@
 func (u *Upstream) recordFailure(s *subscription) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.selector.Failed(time.Now(), s.address)
+	now := time.Now()
+	if u.current == nil && now.Sub(u.startedAt) < startPatience {
+		u.retryAt = now.Add(startRetryDelay)
+		time.AfterFunc(startRetryDelay, func() { wake(u.changed) })
+		return
+	}
+	u.selector.Failed(now, s.address)
 	u.logger.Info("no connection to hub", "event", "hub_lost", "hub", s.address)
 }
 
