--- a/internal/app/feed.go
+++ b/internal/app/feed.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"time"
 
-	"balsamsail/internal/control"
 	"balsamsail/internal/watch"
 	"balsamsail/platform"
 )
@@ -36,12 +35,19 @@
 	feedFallback feedMode = "fallback"
 )
 
+// hubView is what a feed needs to know of the gateway's hub. Implemented by control.Upstream.
+type hubView interface {
+	IsOwnHub() bool
+	// ConfirmedAt returns when the hub's copy of a table was last known to have all changes.
+	ConfirmedAt(table string) time.Time
+}
+
 // feed keeps a replica of a table up to date: from the store where no hub does it.
 type feed struct {
 	replica  *watch.Replica
 	source   watch.Source
 	options  watch.Options
-	upstream *control.Upstream
+	upstream hubView
 	logger   *slog.Logger
 	started  time.Time
 }
