--- a/internal/app/directory.go
+++ b/internal/app/directory.go
@@ -56,6 +56,10 @@
 		return err
 	}
 	if err := store.Put(ctx, platform.GatewayTable, d.self.Address, value); err != nil {
+		// The others are hubs for this gateway all the same.
+		if _, readErr := d.read(ctx, store, false); readErr != nil {
+			d.logger.Debug("cannot read the list of gateways", "error", readErr)
+		}
 		return err
 	}
 	d.logger.Info("gateway registered", "event", "registered", "address", d.self.Address, "processor", d.self.Processor)
--- /dev/null
+++ b/internal/app/directory_test.go
@@ -0,0 +1,74 @@
+package app
+
+import (
+	"context"
+	"log/slog"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"balsamsail/internal/hubs"
+	"balsamsail/platform"
+	"balsamsail/platform/standin"
+)
+
+// startDirectory registers a gateway in a store, and returns the lists of gateways that it has read.
+func startDirectory(t *testing.T, ctx context.Context, address string, store *platform.Store) (<-chan []hubs.Gateway, <-chan struct{}) {
+	t.Helper()
+	d := newDirectory(hubs.Gateway{Address: address, FailureDomain: "here", Processor: 0.5}, slog.New(slog.DiscardHandler))
+	lists, done := make(chan []hubs.Gateway, 16), make(chan struct{})
+	d.sink.onChange = func(list []hubs.Gateway) { lists <- list }
+	go func() { defer close(done); d.register(ctx, store) }()
+	return lists, done
+}
+
+// All gateways of a site start together, while the store is down. Each must know all others from its first list on: a list of
+// those that registered first would make several hubs. One that restarts finds its registration and writes nothing.
+func TestGatewaysThatStartTogetherKnowEachOther(t *testing.T) {
+	standIn := standin.NewStore()
+	server := httptest.NewServer(standIn)
+	defer server.Close()
+	store := platform.NewStore(server.Listener.Addr().String())
+	standIn.SetFaults(func(f *standin.StoreFaults) { f.Down = true })
+	const n = 12
+	var lists []<-chan []hubs.Gateway
+	for i := range n {
+		l, _ := startDirectory(t, t.Context(), string(rune('a'+i)), store)
+		lists = append(lists, l)
+	}
+	time.Sleep(200 * time.Millisecond)
+	standIn.SetFaults(func(f *standin.StoreFaults) { f.Down = false })
+	for i, l := range lists {
+		select {
+		case list := <-l:
+			if len(list) != n {
+				t.Errorf("gateway %d begins with %d gateways, want %d", i, len(list), n)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatalf("gateway %d has no list", i)
+		}
+	}
+	before := standIn.Calls()
+	l, done := startDirectory(t, t.Context(), "a", store)
+	<-done
+	if list := <-l; len(list) != n || standIn.Calls() != before+1 {
+		t.Errorf("restart: %d gateways after %d calls, want %d after one", len(list), standIn.Calls()-before, n)
+	}
+}
+
+// A gateway stops while the store does not answer: it must not go on trying.
+func TestRegistrationEndsWithTheProcess(t *testing.T) {
+	standIn := standin.NewStore()
+	server := httptest.NewServer(standIn)
+	defer server.Close()
+	standIn.SetFaults(func(f *standin.StoreFaults) { f.Down = true })
+	ctx, cancel := context.WithCancel(t.Context())
+	_, done := startDirectory(t, ctx, "a", platform.NewStore(server.Listener.Addr().String()))
+	time.Sleep(50 * time.Millisecond)
+	cancel()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the registration goes on after the end")
+	}
+}
