control: what a gateway's requests use ends with its stream to the hub; metric of the hub's last message

A gateway that left its hub while a request used an adapter kept it in use for ever, and the agent could not unload it (found when the change was read; TestUseEndsWithTheStream).

--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"maps"
-	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"balsamsail/internal/clock"
@@ -31,7 +32,9 @@
 	fleet    *fleet.Fleet
 	replicas []*watch.Replica
 	logger   *slog.Logger
-	// onUpdate receives the messages of the gateways; onLeave is called when one is gone.
+	// streams counts the streams of gateways so far.
+	streams atomic.Uint64
+	// onUpdate receives the messages on the stream of a gateway; onLeave is called when the stream has ended.
 	onUpdate func(gateway string, message *controlpb.GatewayUpdate, first bool)
 	onLeave  func(gateway string)
 
@@ -52,6 +55,9 @@
 
 // subscriber is a gateway that gets the state of the site from this one.
 type subscriber struct {
+	// name identifies the stream: a gateway may have made a new one before the end of the old one is noticed, which must not
+	// take away what was said on the new one.
+	name  string
 	queue chan *controlpb.SiteUpdate
 	// stop ends the subscriber's stream.
 	stop context.CancelFunc
@@ -174,16 +180,16 @@
 func (h *Hub) serveStream(ctx context.Context, header *wirepb.StreamHeader, stream *wire.Stream) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s := &subscriber{queue: make(chan *controlpb.SiteUpdate, subscriberBacklog), stop: cancel}
+	s := &subscriber{name: fmt.Sprintf("%s#%d", header.Entry, h.streams.Add(1)), queue: make(chan *controlpb.SiteUpdate, subscriberBacklog), stop: cancel}
 	if !h.add(s) {
 		return
 	}
-	defer h.remove(s, header.Entry)
+	defer h.remove(s)
 	h.logger.Info("gateway uses this one as its hub", "event", "subscriber", "peer", header.Entry)
 	var reader sync.WaitGroup
 	reader.Go(func() {
 		defer cancel()
-		err := h.read(header.Entry, stream)
+		err := h.read(s.name, stream)
 		h.logger.Info("gateway has left this hub", "event", "subscriber_lost", "peer", header.Entry, "error", err)
 	})
 	if err := h.write(ctx, s, stream); err != nil {
@@ -204,11 +210,13 @@
 	return true
 }
 
-func (h *Hub) remove(s *subscriber, gateway string) {
+// remove forgets a subscriber and what its requests ask for and use.
+func (h *Hub) remove(s *subscriber) {
 	h.mu.Lock()
 	delete(h.subscribers, s)
 	h.mu.Unlock()
-	h.onLeave(gateway)
+	h.fleet.SetRelayedUse(s.name, nil)
+	h.onLeave(s.name)
 }
 
 // snapshot returns everything that this gateway knows. The subscriber is already registered: changes that it gets before
@@ -268,8 +276,8 @@
 		if err := stream.Read(message); err != nil {
 			return err
 		}
-		for _, wanted := range message.Wanted {
-			h.fleet.WantAdapters(wanted.EndpointId, decodeAdapters([]*controlpb.EngineAdapters{wanted})[wanted.EndpointId])
+		for id, adapters := range decodeAdapters(message.Wanted) {
+			h.fleet.WantAdapters(id, adapters)
 		}
 		h.fleet.SetRelayedUse(gateway, decodeAdapters(message.Used))
 		h.onUpdate(gateway, message, first)
@@ -279,7 +287,7 @@
 // byTable returns the replicas by the names of their tables.
 func byTable(replicas []*watch.Replica) map[string]*watch.Replica {
 	index := make(map[string]*watch.Replica, len(replicas))
-	for r := range slices.Values(replicas) {
+	for _, r := range replicas {
 		index[r.Table()] = r
 	}
 	return index
--- a/internal/control/hub_test.go
+++ b/internal/control/hub_test.go
@@ -168,6 +168,26 @@
 	}
 }
 
+// Guards against adapters that count as used for ever: a gateway leaves its hub while its requests use one, and the agent
+// never unloads it again. A new stream of the same gateway keeps what it has said when the old one ends.
+func TestUseEndsWithTheStream(t *testing.T) {
+	f := fleet.New("here", 1)
+	f.SetEndpoints([]catalog.Endpoint{{ID: "e", Service: "s", Revision: 1}})
+	h := NewHub(testOptions("hub"), f, nil, discardLogger)
+	first, second := &subscriber{name: "g#1"}, &subscriber{name: "g#2"}
+	used := map[string][]fleet.Adapter{"e": {{Model: "m", Name: "a"}}}
+	f.SetRelayedUse(first.name, used)
+	f.SetRelayedUse(second.name, used)
+	h.remove(first)
+	if n := len(f.AgentMessage("e").Used); n != 1 {
+		t.Errorf("%d adapters in use, want that of the second stream", n)
+	}
+	h.remove(second)
+	if n := len(f.AgentMessage("e").Used); n != 0 {
+		t.Errorf("%d adapters in use after both streams have ended", n)
+	}
+}
+
 // The hub's states of an engine come before the gateway has read its registration. They are not sent again, so they must be
 // kept until then.
 func TestRelayedStateThatComesBeforeTheRegistration(t *testing.T) {
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -7,7 +7,7 @@
 )
 
 // RegisterMetrics registers the metrics of a gateway's links: the number of listed and of active agents, the age of the
-// oldest last message among the active ones, the number of gateways, whether this gateway is its own hub, how many others
+// oldest last message among the active ones, the number of gateways, whether this gateway is its own hub, the age of its hub's last message, how many others
 // use it as theirs, and whether it is the coordinator.
 func RegisterMetrics(r prometheus.Registerer, a *Agents, h *Hub, u *Upstream, p *Peers) error {
 	gauge := func(name, help string, read func() float64) prometheus.Collector {
@@ -19,6 +19,7 @@
 		gauge("oldest_word_seconds", "Age of the oldest last word among the agents that are heard.", func() float64 { _, _, oldest := a.linkStats(time.Now()); return oldest.Seconds() }),
 		gauge("gateways", "Gateways that are known, this one included.", func() float64 { return float64(p.GatewayCount()) }),
 		gauge("own_hub", "1 while this gateway has links of its own to the agents.", func() float64 { return boolValue(u.IsOwnHub()) }),
+		gauge("hub_word_seconds", "Age of the hub's last message; 0 on a gateway that is its own hub.", func() float64 { return u.fleet.RelayAge(time.Now()).Seconds() }),
 		gauge("subscribers", "Gateways that use this one as their hub.", func() float64 { return float64(h.Subscribers()) }),
 		gauge("coordinates", "1 while this gateway decides on placement.", func() float64 { return boolValue(p.IsCoordinator(time.Now())) }),
 	} {
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -83,6 +83,16 @@
 	f.relaying = false
 }
 
+// RelayAge returns the time since the hub's last message, or zero while the agents say of the engines.
+func (f *Fleet) RelayAge(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.relaying {
+		return 0
+	}
+	return now.Sub(f.relay.heardAt)
+}
+
 // ApplyRelayed applies what a hub says of engines. A call without engines says that nothing has changed.
 func (f *Fleet) ApplyRelayed(now time.Time, list []RelayedEngine) {
 	f.mu.Lock()
