--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -118,10 +118,15 @@
 	_, portText, _ := net.SplitHostPort(a.listener.Addr().String())
 	port, _ := strconv.Atoi(portText)
 	g := &testGateway{address: listener.Addr().String(), fleet: fleet.New("here", 1)}
-	g.agents = NewAgents(testOptions(g.address), port, g.fleet, discardLogger)
-	g.hub = NewHub(testOptions(g.address), g.fleet, nil, discardLogger)
-	g.up = NewUpstream(testOptions(g.address), self, g.agents, g.hub, g.fleet, nil, discardLogger)
-	g.peers = NewPeers(testOptions(g.address), g.agents, g.hub, g.up, g.fleet, discardLogger)
+	options := testOptions(g.address)
+	if list != nil {
+		// A gateway sends its hub something each demandInterval; a shorter silence would end sound connections.
+		options.SilenceLimit = 5 * demandInterval
+	}
+	g.agents = NewAgents(options, port, g.fleet, discardLogger)
+	g.hub = NewHub(options, g.fleet, nil, discardLogger)
+	g.up = NewUpstream(options, self, g.agents, g.hub, g.fleet, nil, discardLogger)
+	g.peers = NewPeers(options, g.agents, g.hub, g.up, g.fleet, discardLogger)
 	g.up.SetGateways(list)
 	engine := &catalog.EngineClass{Models: map[string]catalog.Model{"m": {Name: "m", SizeMB: 10}}}
 	g.fleet.SetConfig(catalog.NewConfig(1, catalog.ClientLimits{}, map[string]*catalog.Service{"s": {Name: "s", Engine: engine}}, nil))
--- a/internal/control/hub_test.go
+++ b/internal/control/hub_test.go
@@ -85,11 +85,14 @@
 	gateways, _ := startSite(t, 10)
 	hub, next := gateways[9], gateways[8]
 	eventually(t, "all gateways use the hub", func() bool { return hub.hub.Subscribers() == 9 })
+	for i, g := range gateways {
+		eventually(t, fmt.Sprintf("gateway %d knows the engine's state", i), g.engineReported)
+	}
 	hub.hub.Drain()
 	eventually(t, "the others use the next one", func() bool { return next.hub.Subscribers() == 8 })
 	for i, g := range gateways[:9] {
 		if !g.engineReported() {
-			t.Errorf("gateway %d has lost the engine's state while it changed its hub", i)
+			t.Errorf("gateway %d has lost the engine's state while it changed its hub: %+v", i, g.fleet.Engines("s", time.Now()))
 		}
 	}
 	hub.hub.mu.Lock()
