--- a/internal/settings/template_test.go
+++ b/internal/settings/template_test.go
@@ -21,7 +21,6 @@
 		"node_name": "host-1", "zone": "domain-1", "ip": "10.0.0.1", "app": "10.0.0.1:8145", "listen.frontend": "10.0.0.1:8149",
 		"listen.readiness": "10.0.0.1:8141", "platform.address": "10.0.9.1:8142", "internal_ports.0": "7380", "internal_ports.1": "7395",
 		"bounds.retry_budget_ratio": "0.2", "bounds.budget_extra_retries": "54", "bounds.budget_window_s": "10", "bounds.grace_s": "8",
-		"limits.cpu_share": "0.304", "limits.cores": "1",
 	}
 	return placeholder.ReplaceAllStringFunc(string(text), func(field string) string {
 		value, ok := values[field[2:len(field)-2]]
@@ -58,7 +57,7 @@
 		{"a window that is not a duration", "gateway.ini", "window = 10s", "window = s", []string{"[retries]", "window"}},
 		{"a wait beyond what the store allows", "gateway.ini", "address = 10.0.9.1:8142", "address = 10.0.9.1:8142\nwait = 1m", []string{"[store]", "wait", "30s"}},
 		{"a minimum backoff above the maximum", "gateway.ini", "address = 10.0.9.1:8142", "address = 10.0.9.1:8142\nmin_backoff = 5s", []string{"[store]", "min_backoff"}},
-		{"a negative share of the processor", "gateway.ini", "processor_share = 0.304", "processor_share = -1", []string{"[gateway]", "processor_share", "0"}},
+		{"a negative share of the processor", "gateway.ini", "metrics_listen = 10.0.0.1:9464", "processor_share = -1", []string{"[gateway]", "processor_share", "0"}},
 		{"an unknown log level", "gateway.ini", "level = info", "level = loud", []string{"[log]", "level", "debug"}},
 		{"no port of the agents", "engine-agent.ini", "agent_port = 7380", "agent_port = 0", []string{"[control]", "agent_port", "1"}},
 		{"a silence limit that one late heartbeat exceeds", "engine-agent.ini", "agent_port = 7380", "agent_port = 7380\nsilence_limit = 300ms", []string{"[control]", "silence_limit", "heartbeat"}},
--- a/soak/site.go
+++ b/soak/site.go
@@ -172,7 +172,6 @@
 		"platform.address": path.Address(), "internal_ports.0": fmt.Sprint(portAgent), "internal_ports.1": fmt.Sprint(portPeers),
 		"bounds.retry_budget_ratio": fmt.Sprint(retryRatio), "bounds.budget_extra_retries": fmt.Sprint(retryExtra),
 		"bounds.budget_window_s": fmt.Sprint(retryWindow.Seconds()), "bounds.grace_s": fmt.Sprint(grace.Seconds()),
-		"limits.cpu_share": "1", "limits.cores": "1",
 	})
 	s.gateways = append(s.gateways, h)
 	return err
