--- a/internal/control/agents.go
+++ b/internal/control/agents.go
@@ -29,7 +29,8 @@
 
 	mu  sync.Mutex
 	ctx context.Context
-	// active is set while this gateway has links to the agents; list and configVersion are what SetEndpoints was called with.
+	// active is set while this gateway has links to the agents. list is the last list of endpoints, and configVersion the
+	// configuration that the links were last told of.
 	active        bool
 	list          []catalog.Endpoint
 	configVersion int64
--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -283,12 +283,3 @@
 		h.onUpdate(gateway, message, first)
 	}
 }
-
-// byTable returns the replicas by the names of their tables.
-func byTable(replicas []*watch.Replica) map[string]*watch.Replica {
-	index := make(map[string]*watch.Replica, len(replicas))
-	for _, r := range replicas {
-		index[r.Table()] = r
-	}
-	return index
-}
--- a/internal/control/upstream.go
+++ b/internal/control/upstream.go
@@ -80,6 +80,15 @@
 	return u
 }
 
+// byTable returns the replicas by the names of their tables.
+func byTable(replicas []*watch.Replica) map[string]*watch.Replica {
+	index := make(map[string]*watch.Replica, len(replicas))
+	for _, r := range replicas {
+		index[r.Table()] = r
+	}
+	return index
+}
+
 // SetGateways sets the list of gateways that are registered.
 func (u *Upstream) SetGateways(list []hubs.Gateway) {
 	u.mu.Lock()
