watch, control: the log tells an answer that does not arrive in time from none, and why a hub was lost

A gateway behind a cut and one whose catch-up is too long for its link both logged one line, store_lost, at the start of the outage.

--- a/internal/control/upstream.go
+++ b/internal/control/upstream.go
@@ -162,6 +162,8 @@
 	startedAt time.Time
 	// ready is closed once the hub has sent its first message, and done when the connection has ended.
 	ready, done chan struct{}
+	// err is why the connection ended; it is set before done is closed.
+	err error
 }
 
 // Run keeps the gateway connected until ctx ends.
@@ -294,7 +296,7 @@
 		return
 	}
 	u.selector.Failed(now, s.address)
-	u.logger.Info("no connection to hub", "event", "hub_lost", "hub", s.address)
+	u.logger.Info("no connection to hub", "event", "hub_lost", "hub", s.address, "error", s.err)
 }
 
 // subscribe starts a connection to a hub.
@@ -315,8 +317,8 @@
 	go func() {
 		defer close(s.done)
 		connected := false
-		err := s.link.runConnection(ctx, &connected)
-		u.logger.Debug("connection to hub ended", "hub", address, "error", err)
+		s.err = s.link.runConnection(ctx, &connected)
+		u.logger.Debug("connection to hub ended", "hub", address, "error", s.err)
 	}()
 	time.AfterFunc(hubDialTimeout, func() {
 		select {
--- a/internal/watch/metrics.go
+++ b/internal/watch/metrics.go
@@ -39,6 +39,7 @@
 	resultAnswered    = "answered"
 	resultHistoryGone = "history_gone"
 	resultFailed      = "failed"
+	resultIncomplete  = "incomplete"
 )
 
 // recordCall counts a call and updates the time since the last answer.
@@ -49,7 +50,7 @@
 	m.calls.WithLabelValues(table, result).Inc()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if result != resultFailed || m.answeredAt[table].IsZero() {
+	if result != resultFailed && result != resultIncomplete || m.answeredAt[table].IsZero() {
 		m.answeredAt[table] = now
 	}
 	m.silence.WithLabelValues(table).Set(now.Sub(m.answeredAt[table]).Seconds())
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -16,6 +16,8 @@
 var (
 	// ErrUnavailable means that the store did not answer or rejected the call.
 	ErrUnavailable = errors.New("watch: the store is unavailable")
+	// ErrIncomplete means that the store answered, but the answer did not arrive in full in time.
+	ErrIncomplete = errors.New("watch: the answer of the store did not arrive in full")
 	// ErrHistoryGone means that the store no longer has the requested changes.
 	ErrHistoryGone = errors.New("watch: the store has dropped this part of its history")
 )
@@ -87,7 +89,9 @@
 	listed      bool
 	revision    int64
 	unavailable bool
-	backoff     time.Duration
+	// failure is how the last call failed; it is logged again when it changes during an outage.
+	failure string
+	backoff time.Duration
 }
 
 // step makes one call to the store.
@@ -148,12 +152,21 @@
 }
 
 func (f *follower) recordFailure(err error) {
-	f.options.Metrics.recordCall(f.table, resultFailed, time.Now())
-	if !f.unavailable {
-		f.unavailable = true
-		f.logger.Warn("store is unavailable", "event", "store_lost", "table", f.table, "revision", f.revision, "error", err)
-		f.replica.setUnavailable(err)
+	result := resultFailed
+	if errors.Is(err, ErrIncomplete) {
+		result = resultIncomplete
 	}
+	f.options.Metrics.recordCall(f.table, result, time.Now())
+	if f.unavailable {
+		if result != f.failure {
+			f.logger.Warn("store is still unavailable, for another reason", "event", "store_lost", "table", f.table, "revision", f.revision, "error", err)
+		}
+		f.failure = result
+		return
+	}
+	f.unavailable, f.failure = true, result
+	f.logger.Warn("store is unavailable", "event", "store_lost", "table", f.table, "revision", f.revision, "error", err)
+	f.replica.setUnavailable(err)
 }
 
 // nextBackoff returns a backoff that doubles with each failure up to MaxBackoff, half of it random.
