watch: a replica passes on the newest version of each row only

When a hub came back from a cut it sent its gateways every version of the configuration that it had missed, in one message: over 1 MB, which the wire rejects.

TestHubPassesABacklogOn failed before: 'gateways connected 9 times again'.

--- a/internal/watch/replica.go
+++ b/internal/watch/replica.go
@@ -147,10 +147,26 @@
 	if len(rows) > 0 {
 		r.rowsRevision = r.revision
 		r.sink.Apply(rows)
-		r.notify(r.change(false, rows, rowsBase))
+		r.notify(r.change(false, newestVersions(rows), rowsBase))
 	}
 }
 
+// newestVersions returns the last version of each row. Other replicas need the state, not its history: with it, a hub that
+// catches up with the store would send a message that grows with the outage and that its gateways reject.
+func newestVersions(rows []Row) []Row {
+	last := make(map[string]int, len(rows))
+	for i, row := range rows {
+		last[row.Key] = i
+	}
+	newest := make([]Row, 0, len(last))
+	for i, row := range rows {
+		if last[row.Key] == i {
+			newest = append(newest, row)
+		}
+	}
+	return newest
+}
+
 // setUnavailable records that the store does not answer this process.
 func (r *Replica) setUnavailable(err error) {
 	r.mu.Lock()
