--- a/tools/generate.sh
+++ b/tools/generate.sh
@@ -1,7 +1,6 @@
 #!/usr/bin/env bash
-# Regenerates the committed protobuf code. Needs protoc on the PATH; protoc-gen-go comes from go.mod's tool list.
+# Regenerates the committed protobuf code. The generators come from go.mod.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-plugin=$(go tool -n protoc-gen-go)
-protoc --plugin="protoc-gen-go=$plugin" --go_out=. --go_opt=module=balsamsail \
+go run ./tools/genproto "$(go tool -n protoc-gen-go)" \
   $(git ls-files --cached --others --exclude-standard 'internal/*.proto' | sort)
