--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -77,6 +77,9 @@
 	}
 	return invoke(container, func(role gatewayRole) error {
 		role.Directory.sink.onChange = role.Upstream.SetGateways
+		if err := fleet.RegisterMetrics(role.Registry, role.Fleet); err != nil {
+			return err
+		}
 		if err := control.RegisterMetrics(role.Registry, role.Agents, role.Hub, role.Upstream, role.Peers); err != nil {
 			return err
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -97,6 +97,8 @@
 	hostDown bool
 	// responses tracks the endpoint's own responses.
 	responses responseTracker
+	// limit is the rate of requests that the endpoint names.
+	limit limitState
 }
 
 // Adapter identifies an adapter of a model; Name is empty for the model itself.
@@ -243,7 +245,7 @@
 	e.state, e.Models = nil, nil
 	e.headerLoad, e.headerLoadAt = 0, time.Time{}
 	e.refusedUntil, e.replaced = time.Time{}, false
-	e.responses = responseTracker{}
+	e.responses, e.limit = responseTracker{}, limitState{}
 	clear(e.absent)
 	f.router.Forget(e.ID)
 	for r := range e.reservations {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -7,6 +7,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"balsamsail/internal/fleet"
 )
 
 // Call is the decoded metadata of a client's request.
@@ -58,6 +60,9 @@
 	// Running and Queued are the endpoint's load; they are valid if HasLoad is set.
 	HasLoad         bool
 	Running, Queued int
+	// Limit is what the endpoint says of the requests that it takes; it is not valid if LimitInvalid is set.
+	Limit        fleet.RateLimit
+	LimitInvalid bool
 }
 
 // Codec translates between HTTP messages and the gateway's types.
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -43,7 +43,9 @@
 }
 
 func (testCodec) ReadResponse(resp *http.Response) Response {
+	perSecond, err := strconv.ParseFloat(resp.Header.Get("Limit"), 64)
 	return Response{
+		Limit:             fleet.RateLimit{Named: err == nil, PerSecond: perSecond},
 		ID:                resp.Header.Get("Id"),
 		Signed:            resp.Header.Get("Signed") != "",
 		NotRun:            resp.Header.Get("Not-Run") != "",
