--- /dev/null
+++ b/internal/control/limits_test.go
@@ -0,0 +1,110 @@
+package control
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"balsamsail/internal/fleet"
+	"balsamsail/internal/hubs"
+)
+
+// sendings records when which gateway sent the engine a request.
+type sendings struct {
+	mu    sync.Mutex
+	times []time.Time
+}
+
+func (s *sendings) add(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.times = append(s.times, now)
+}
+
+// most returns the largest number of requests in a window.
+func (s *sendings) most(window time.Duration) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for i, first := range s.times {
+		in := 0
+		for _, t := range s.times[i:] {
+			if t.Sub(first) < window {
+				in++
+			}
+		}
+		n = max(n, in)
+	}
+	return n
+}
+
+// press sends requests for the engine's model from each gateway as fast as it is allowed to, for a while.
+func press(gateways []*testGateway, d time.Duration) *sendings {
+	s := &sendings{}
+	var clients sync.WaitGroup
+	until := time.Now().Add(d)
+	for _, g := range gateways {
+		clients.Go(func() {
+			for time.Now().Before(until) {
+				now := time.Now()
+				r := &fleet.Request{Target: fleet.Target{Service: "s", Model: "m"}}
+				if c, _, ok := g.fleet.Choose(now, r); ok {
+					s.add(now)
+					g.fleet.Done(c, r)
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	clients.Wait()
+	return s
+}
+
+// Guards against gateways that each keep an engine's limit for themselves alone: one of them hears of it, and all together
+// stay within it, as a mesh and behind hubs.
+func TestLimitHoldsOverAllGateways(t *testing.T) {
+	for _, n := range []int{4, 10} {
+		t.Run(fmt.Sprintf("%d gateways", n), func(t *testing.T) {
+			gateways, _ := startSite(t, n)
+			for i, g := range gateways {
+				eventually(t, fmt.Sprintf("gateway %d knows the engine's state", i), g.engineReported)
+			}
+			limit := fleet.RateLimit{Named: true, PerSecond: 10}
+			gateways[1].fleet.ObserveLimit(time.Now(), "e1", limit)
+			for i, g := range gateways {
+				eventuallyWithin(t, 2*time.Second, fmt.Sprintf("gateway %d knows the limit", i), func() bool { return g.fleet.LimitedEndpoints() == 1 })
+			}
+			const window = 2 * time.Second
+			sent := press(gateways, 2*window)
+			allowed := int(limit.PerSecond*window.Seconds()) + n
+			if got := sent.most(window); got > allowed || got < allowed/2 {
+				t.Errorf("%d requests in %v from %d gateways, want at most %d, and half of them at least", got, window, n, allowed)
+			}
+
+			gateways[2].fleet.ObserveLimit(time.Now(), "e1", fleet.RateLimit{})
+			for i, g := range gateways {
+				eventuallyWithin(t, 2*time.Second, fmt.Sprintf("gateway %d knows that there is no limit", i), func() bool { return g.fleet.LimitedEndpoints() == 0 })
+			}
+			if sent := press(gateways, time.Second).most(window); sent < 2*allowed {
+				t.Errorf("%d requests after the end of the limit", sent)
+			}
+		})
+	}
+}
+
+// Guards against a gateway that has just come to a hub and does not hear of the limits that the hub knows.
+func TestNewSubscriberHearsOfLimits(t *testing.T) {
+	gateways, agent := startSite(t, 10)
+	hub := gateways[9]
+	eventually(t, "all gateways use the hub", func() bool { return hub.hub.Subscribers() == 9 })
+	hub.fleet.ObserveLimit(time.Now(), "e1", fleet.RateLimit{Named: true, PerSecond: 3})
+	late := listenLoopback(t)
+	self := hubs.Gateway{Address: late.Addr().String(), FailureDomain: "here", Processor: 0.5}
+	list := []hubs.Gateway{self}
+	for i, g := range gateways {
+		list = append(list, hubs.Gateway{Address: g.address, FailureDomain: "here", Processor: 1 + float64(i)})
+	}
+	newcomer := startRegisteredGateway(t, late, agent, self, list)
+	eventually(t, "the new gateway knows the limit", func() bool { return newcomer.fleet.LimitedEndpoints() == 1 })
+}
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -53,3 +53,6 @@
 	}
 	return n
 }
+
+// SetLimitShares sets into how many shares the limits of endpoints are divided: the number of gateways that are hubs.
+func (f *Fleet) SetLimitShares(n int) {}
--- /dev/null
+++ b/internal/fleet/limits_test.go
@@ -0,0 +1,95 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"balsamsail/internal/catalog"
+)
+
+// load sends requests at a rate for a while, from a time, and returns when which endpoint got one.
+func load(f *Fleet, from time.Time, d time.Duration, perSecond int, request func() *Request) map[string][]time.Time {
+	sent := make(map[string][]time.Time)
+	for i := range int(d.Seconds() * float64(perSecond)) {
+		now := from.Add(time.Duration(i) * time.Second / time.Duration(perSecond))
+		for _, id := range []string{"e1", "e2"} {
+			f.SetState(id, nil, 0, 0, now)
+		}
+		r := request()
+		if c, _, ok := f.Choose(now, r); ok {
+			sent[c.ID] = append(sent[c.ID], now)
+			f.Done(c, r)
+		}
+	}
+	return sent
+}
+
+// most returns the largest number of times within a window.
+func most(times []time.Time, window time.Duration) int {
+	n := 0
+	for i := range times {
+		in := 0
+		for _, t := range times[i:] {
+			if t.Sub(times[i]) < window {
+				in++
+			}
+		}
+		n = max(n, in)
+	}
+	return n
+}
+
+const limitWindow = 4 * time.Second
+
+// Guards against an endpoint in need that goes on to get its share of the requests: with a limit of 2 a second it gets them
+// only where no other endpoint can serve, and never more.
+func TestEndpointGetsTheRateThatItNames(t *testing.T) {
+	limit := RateLimit{Named: true, PerSecond: 2}
+	model := func() *Request { return &Request{Target: Target{Service: "s", Model: "m"}} }
+	plain := func() *Request { return &Request{Target: Target{Service: "s"}} }
+	resumed := func() *Request { r := model(); r.Resuming = true; return r }
+	for _, c := range []struct {
+		name    string
+		fleet   func() *Fleet
+		request func() *Request
+		// others is set if another endpoint can serve the requests.
+		others bool
+	}{
+		{"model with another replica", twoEngines, model, true},
+		{"model with one replica", oneEngine, model, false},
+		{"rest of a stream", oneEngine, resumed, false},
+		{"plain service with another endpoint", plainEndpoints("e1", "e2"), plain, true},
+		{"plain service with one endpoint", plainEndpoints("e1"), plain, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := c.fleet()
+			f.SetLimitShares(1)
+			f.ObserveLimit(start, "e1", limit)
+			const perSecond, d = 20, 10 * time.Second
+			sent := load(f, start, d, perSecond, c.request)
+			if got, allowed := most(sent["e1"], limitWindow), int(limit.PerSecond*limitWindow.Seconds())+1; got > allowed {
+				t.Errorf("%d requests in %v to an endpoint that takes %v a second, want at most %d", got, limitWindow, limit.PerSecond, allowed)
+			}
+			want := map[bool]int{true: 0, false: int(limit.PerSecond*d.Seconds()) - 1}[c.others]
+			if len(sent["e1"]) < want {
+				t.Errorf("%d requests in %v to the only endpoint, want %d at least", len(sent["e1"]), d, want)
+			}
+			if c.others && len(sent["e2"]) < perSecond*int(d.Seconds())-int(limit.PerSecond*d.Seconds()) {
+				t.Errorf("%d of %d requests to the other endpoint", len(sent["e2"]), perSecond*int(d.Seconds()))
+			}
+		})
+	}
+}
+
+func plainEndpoints(ids ...string) func() *Fleet {
+	return func() *Fleet {
+		f := New("here", 1)
+		var list []catalog.Endpoint
+		for _, id := range ids {
+			list = append(list, catalog.Endpoint{ID: id, Service: "s", Address: id, Revision: 1})
+		}
+		f.SetConfig(catalog.NewConfig(1, catalog.ClientLimits{}, map[string]*catalog.Service{"s": {Name: "s"}}, nil))
+		f.SetEndpoints(list)
+		return f
+	}
+}
