fleet, control: all gateways together keep the limit that an endpoint names

Cause: the header field is new and nothing read it.

- The gateway that sees the limit, or its end, in an answer passes it on: to its hub, from there to the coordinator, and by the replies of both to all others, with its age.
The later observation counts.
Without a limit nothing is sent.
- The rate is divided among the hubs, each with a bucket of one request; in a mesh every gateway is one.
A gateway behind a hub asks it for a permit for each request that needs one: with a fixed share each, twenty gateways could send hardly anything of a rare model that one limited engine alone holds, and all at once more than the engine takes.
- Endpoints without a limit go first as long as one has room.
Requests that only limited ones can serve wait for their turn, or are refused at once with the time after which to return, as at engines that are full.

TestEndpointGetsTheRateThatItNames, TestLimitHoldsOverAllGateways and TestNewSubscriberHearsOfLimits failed before (79 requests in 4 s, 9 allowed).

Weighed: the engine's agent as the one who divides (plain endpoints have none, and the limit would depend on the agent's life); fixed shares of a few gateways an engine (most gateways could not send at all).

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -85,6 +85,16 @@
 	}
 }
 
+// setGateways makes the agent report the given gateways as connected.
+func (a *fakeAgent) setGateways(list []*testGateway) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.gateways = nil
+	for _, g := range list {
+		a.gateways = append(a.gateways, g.address)
+	}
+}
+
 // hasReceived reports whether the agent has received a message that satisfies a condition.
 func (a *fakeAgent) hasReceived(condition func(*controlpb.ToAgent) bool) bool {
 	a.mu.Lock()
--- a/internal/control/convert.go
+++ b/internal/control/convert.go
@@ -119,6 +119,28 @@
 	return m
 }
 
+func encodeLimits(now time.Time, list []fleet.ObservedLimit) []*controlpb.EndpointLimit {
+	encoded := make([]*controlpb.EndpointLimit, 0, len(list))
+	for _, l := range list {
+		encoded = append(encoded, &controlpb.EndpointLimit{
+			EndpointId: l.EndpointID, Named: l.Named, PerSecond: l.PerSecond, AgeMs: now.Sub(l.ObservedAt).Milliseconds(),
+		})
+	}
+	return encoded
+}
+
+func decodeLimits(now time.Time, list []*controlpb.EndpointLimit) []fleet.ObservedLimit {
+	decoded := make([]fleet.ObservedLimit, 0, len(list))
+	for _, l := range list {
+		decoded = append(decoded, fleet.ObservedLimit{
+			EndpointID: l.EndpointId,
+			RateLimit:  fleet.RateLimit{Named: l.Named, PerSecond: l.PerSecond},
+			ObservedAt: now.Add(-time.Duration(l.AgeMs) * time.Millisecond),
+		})
+	}
+	return decoded
+}
+
 func encodeAdapters(byEngine map[string][]fleet.Adapter) []*controlpb.EngineAdapters {
 	list := make([]*controlpb.EngineAdapters, 0, len(byEngine))
 	for id, adapters := range byEngine {
--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -61,8 +61,13 @@
 	queue chan *controlpb.SiteUpdate
 	// stop ends the subscriber's stream.
 	stop context.CancelFunc
+	// wantedPermits are the endpoints for which the gateway has asked for a permit, and when.
+	wantedPermits map[string]time.Time
 }
 
+// permitRequestTTL is how long a request for a permit stays valid. Gateways repeat it every 250 ms while requests wait.
+const permitRequestTTL = 400 * time.Millisecond
+
 // NewHub returns a hub without subscribers that passes on the given tables.
 func NewHub(options Options, f *fleet.Fleet, replicas []*watch.Replica, logger *slog.Logger) *Hub {
 	h := &Hub{
@@ -107,7 +112,9 @@
 			continue
 		}
 		changed := h.fleet.Changed()
-		h.relayEngines(time.Now())
+		now := time.Now()
+		h.relayEngines(now)
+		h.grantPermits(now)
 		clock.Pause(ctx, minRelayInterval)
 		h.await(ctx, changed)
 	}
@@ -152,6 +159,46 @@
 	}
 }
 
+// grantPermits gives permits to the gateways that wait for one, in random order, as far as this hub's share of the
+// endpoints' limits goes.
+func (h *Hub) grantPermits(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for s := range h.subscribers {
+		h.grantTo(now, s)
+	}
+}
+
+// grantTo gives a gateway the permits that it waits for. The caller holds mu.
+func (h *Hub) grantTo(now time.Time, s *subscriber) {
+	var granted []string
+	for id, askedAt := range s.wantedPermits {
+		switch {
+		case now.Sub(askedAt) > permitRequestTTL:
+			delete(s.wantedPermits, id)
+		case h.fleet.TakePermit(now, id):
+			granted = append(granted, id)
+			delete(s.wantedPermits, id)
+		}
+	}
+	if len(granted) > 0 {
+		s.send(&controlpb.SiteUpdate{Permits: granted})
+	}
+}
+
+// requestPermits takes in the requests of a gateway for permits.
+func (h *Hub) requestPermits(now time.Time, s *subscriber, ids []string) {
+	if len(ids) == 0 {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, id := range ids {
+		s.wantedPermits[id] = now
+	}
+	h.grantTo(now, s)
+}
+
 func sameCopies(a, b *fleet.EngineState) bool {
 	return maps.Equal(a.InMemory, b.InMemory) && maps.Equal(a.OnDisk, b.OnDisk)
 }
@@ -168,11 +215,16 @@
 // broadcast queues a message for all subscribers. The caller holds mu.
 func (h *Hub) broadcast(update *controlpb.SiteUpdate) {
 	for s := range h.subscribers {
-		select {
-		case s.queue <- update:
-		default:
-			s.stop()
-		}
+		s.send(update)
+	}
+}
+
+// send queues a message for a subscriber, which is disconnected if it is too far behind.
+func (s *subscriber) send(update *controlpb.SiteUpdate) {
+	select {
+	case s.queue <- update:
+	default:
+		s.stop()
 	}
 }
 
@@ -180,7 +232,12 @@
 func (h *Hub) serveStream(ctx context.Context, header *wirepb.StreamHeader, stream *wire.Stream) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s := &subscriber{name: fmt.Sprintf("%s#%d", header.Entry, h.streams.Add(1)), queue: make(chan *controlpb.SiteUpdate, subscriberBacklog), stop: cancel}
+	s := &subscriber{
+		name:          fmt.Sprintf("%s#%d", header.Entry, h.streams.Add(1)),
+		queue:         make(chan *controlpb.SiteUpdate, subscriberBacklog),
+		stop:          cancel,
+		wantedPermits: make(map[string]time.Time),
+	}
 	if !h.add(s) {
 		return
 	}
@@ -189,7 +246,7 @@
 	var reader sync.WaitGroup
 	reader.Go(func() {
 		defer cancel()
-		err := h.read(s.name, stream)
+		err := h.read(s, stream)
 		h.logger.Info("gateway has left this hub", "event", "subscriber_lost", "peer", header.Entry, "error", err)
 	})
 	if err := h.write(ctx, s, stream); err != nil {
@@ -235,9 +292,10 @@
 	return update
 }
 
-// status returns a message without changes, which says how recent the hub's copies of the tables are.
+// status returns a message without changes, which says how recent the hub's copies of the tables are. It repeats the limits
+// that endpoints name: a gateway may not have known an endpoint before.
 func (h *Hub) status(now time.Time) *controlpb.SiteUpdate {
-	update := &controlpb.SiteUpdate{}
+	update := &controlpb.SiteUpdate{Limits: encodeLimits(now, h.fleet.Limits(now))}
 	for _, r := range h.replicas {
 		if c, known := r.Status(); known {
 			update.Tables = append(update.Tables, encodeTable(now, c))
@@ -267,7 +325,7 @@
 	}
 }
 
-func (h *Hub) read(gateway string, stream *wire.Stream) error {
+func (h *Hub) read(s *subscriber, stream *wire.Stream) error {
 	for first := true; ; first = false {
 		if err := stream.SetReadDeadline(time.Now().Add(h.options.SilenceLimit)); err != nil {
 			return err
@@ -279,7 +337,10 @@
 		for id, adapters := range decodeAdapters(message.Wanted) {
 			h.fleet.WantAdapters(id, adapters)
 		}
-		h.fleet.SetRelayedUse(gateway, decodeAdapters(message.Used))
-		h.onUpdate(gateway, message, first)
+		h.fleet.SetRelayedUse(s.name, decodeAdapters(message.Used))
+		now := time.Now()
+		h.fleet.ApplyLimits(now, decodeLimits(now, message.Limits))
+		h.requestPermits(now, s, message.WantedPermits)
+		h.onUpdate(s.name, message, first)
 	}
 }
--- a/internal/control/limits_test.go
+++ b/internal/control/limits_test.go
@@ -66,7 +66,10 @@
 func TestLimitHoldsOverAllGateways(t *testing.T) {
 	for _, n := range []int{4, 10} {
 		t.Run(fmt.Sprintf("%d gateways", n), func(t *testing.T) {
-			gateways, _ := startSite(t, n)
+			gateways, agent := startSite(t, n)
+			if n < 8 {
+				agent.setGateways(gateways)
+			}
 			for i, g := range gateways {
 				eventually(t, fmt.Sprintf("gateway %d knows the engine's state", i), g.engineReported)
 			}
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -70,6 +70,8 @@
 		waiting:  make(chan struct{}, 1),
 	}
 	f.OnWaiting(func() { go p.signalWaiting() })
+	f.OnLimitChange(func() { go p.signalLimit() })
+	f.OnPermitWanted(func() { go upstream.wakeHub() })
 	hub.onUpdate, hub.onLeave = p.handleUpdate, p.handleLeave
 	return p
 }
@@ -108,6 +110,32 @@
 	wake(wakeup)
 }
 
+// signalLimit passes on at once that the known limit of an endpoint has changed.
+func (p *Peers) signalLimit() {
+	if p.upstream.wakeHub() {
+		return
+	}
+	p.mu.Lock()
+	wakeup := p.coordinatorWakeup
+	p.mu.Unlock()
+	if wakeup != nil {
+		wake(wakeup)
+	}
+}
+
+// hubCount returns the number of hubs: those that agents report as connected or, while no agent is heard, all gateways of a
+// mesh, else one for each failure domain.
+func (p *Peers) hubCount(now time.Time, connected []string) int {
+	_, heard, _ := p.agents.linkStats(now)
+	switch {
+	case heard > 0:
+		return len(connected)
+	case p.upstream.IsMesh():
+		return p.upstream.Gateways()
+	}
+	return p.upstream.FailureDomains()
+}
+
 // GatewayCount returns the number of gateways, this one included, that are registered or that agents have recently reported.
 func (p *Peers) GatewayCount() int { return max(1, int(p.gatewayCount.Load())) }
 
@@ -122,10 +150,12 @@
 	defer ticker.Stop()
 	for {
 		next := ""
-		peers := p.agents.Peers(time.Now())
+		now := time.Now()
+		peers := p.agents.Peers(now)
 		p.gatewayCount.Store(int64(max(len(peers), p.upstream.Gateways())))
 		if p.upstream.IsOwnHub() {
 			next = p.elect(peers)
+			p.fleet.SetLimitShares(now, p.hubCount(now, peers))
 		}
 		if next != current {
 			p.logger.Info("coordinator elected", "event", "coordinator", "before", current, "now", next)
@@ -178,12 +208,14 @@
 		logger:  p.logger,
 		wakeup:  make(chan struct{}, 1),
 		sendUpdate: func(now time.Time, s *sender) error {
-			return out.send(now, s, p.localDemand(now), options.Heartbeat)
+			return out.send(now, s, p.localDemand(now), encodeLimits(now, p.fleet.Limits(now)), options.Heartbeat)
 		},
 		receive: func(stream *wire.Stream) error {
 			reply := &controlpb.Demand{}
 			err := stream.Read(reply)
 			out.takesChanges.Store(reply.TakesChanges)
+			now := time.Now()
+			p.fleet.ApplyLimits(now, decodeLimits(now, reply.Limits))
 			return err
 		},
 	}
@@ -202,20 +234,22 @@
 	takesChanges atomic.Bool
 }
 
-func (d *demandSender) send(now time.Time, s *sender, all []demand.Model, heartbeat time.Duration) error {
+func (d *demandSender) send(now time.Time, s *sender, all []demand.Model, limits []*controlpb.EndpointLimit, heartbeat time.Duration) error {
 	if d.sender != s {
 		d.sender = s
 		d.takesChanges.Store(false)
 	}
 	changes := d.differ.Changes(now, all)
-	if !d.takesChanges.Load() {
-		return s.send(now, encodeDemand(all, false), heartbeat)
-	}
-	if len(changes) > 0 {
-		// Two equal lists of changes are two changes.
-		s.last = nil
+	message := encodeDemand(all, false)
+	if d.takesChanges.Load() {
+		message = encodeDemand(changes, true)
+		if len(changes) > 0 {
+			// Two equal lists of changes are two changes.
+			s.last = nil
+		}
 	}
-	return s.send(now, encodeDemand(changes, true), heartbeat)
+	message.Limits = limits
+	return s.send(now, message, heartbeat)
 }
 
 // localDemand returns the demand of this gateway and of those that it is the hub of.
@@ -255,8 +289,10 @@
 		if increased {
 			wake(p.waiting)
 		}
+		p.fleet.ApplyLimits(now, decodeLimits(now, message.Limits))
 		// The reply keeps the peer's silence limit from expiring.
-		if err := s.send(now, &controlpb.Demand{TakesChanges: true}, p.options.Heartbeat); err != nil {
+		reply := &controlpb.Demand{TakesChanges: true, Limits: encodeLimits(now, p.fleet.Limits(now))}
+		if err := s.send(now, reply, p.options.Heartbeat); err != nil {
 			return
 		}
 	}
--- a/internal/control/upstream.go
+++ b/internal/control/upstream.go
@@ -112,6 +112,13 @@
 	return u.selector.IsMesh()
 }
 
+// FailureDomains returns the number of failure domains of the registered gateways.
+func (u *Upstream) FailureDomains() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.selector.FailureDomains()
+}
+
 // Gateway returns a registered gateway.
 func (u *Upstream) Gateway(address string) (hubs.Gateway, bool) {
 	u.mu.Lock()
@@ -346,7 +353,9 @@
 	message.Demand = encodeDemand(u.differ.Changes(now, u.fleet.Demand(now)), true)
 	message.Wanted = encodeAdapters(u.fleet.WantedAdapters())
 	message.Used = encodeAdapters(u.fleet.UsedAdapters())
-	if len(message.Demand.Models) > 0 || len(message.Wanted) > 0 {
+	message.Limits = encodeLimits(now, u.fleet.Limits(now))
+	message.WantedPermits = u.fleet.WantedPermits()
+	if len(message.Demand.Models) > 0 || len(message.Wanted) > 0 || len(message.WantedPermits) > 0 {
 		// Two equal lists of changes are two changes.
 		out.last = nil
 	}
@@ -378,6 +387,8 @@
 		engines[i] = decodeEngine(e)
 	}
 	u.fleet.ApplyRelayed(now, engines)
+	u.fleet.ApplyLimits(now, decodeLimits(now, message.Limits))
+	u.fleet.AddPermits(now, message.Permits)
 	return nil
 }
 
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -79,30 +79,23 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	candidates, reason := f.candidates(now, req)
+	unlimited, limited := f.splitByLimit(candidates)
+	p := f.pick(now, unlimited, req, reason)
+	if !p.ok && len(limited) > 0 {
+		p = f.pickLimited(now, limited, req, p)
+	}
 	if reason == AllTried {
-		var room bool
-		replicas := len(candidates)
-		candidates, room = f.withRoom(now, candidates, req)
-		f.demandOf(req.Target).noteFull(now, !room, replicas)
-		if !room {
-			return Choice{}, EnginesFull, false
-		}
+		f.demandOf(req.Target).noteFull(now, !p.room, len(candidates))
 	}
-	if now.Before(req.PacedUntil) {
-		if candidates = f.dropCrowded(candidates, req); len(candidates) == 0 && reason == AllTried {
-			return Choice{}, PromptBacklog, false
-		}
+	if !p.ok {
+		return Choice{}, p.reason, false
 	}
-	candidates = f.dropUnresponsive(now, candidates, req)
-	i, ok := f.router.Pick(now, candidates, req.Tried, wirepb.Class_INTERACTIVE)
-	if !ok {
-		return Choice{}, reason, false
-	}
-	e := f.endpoints[candidates[i].Endpoint]
-	if req.Adapter != "" && !candidates[i].HasAdapter {
+	e := f.endpoints[p.candidate.Endpoint]
+	if req.Adapter != "" && !p.candidate.HasAdapter {
 		f.requestAdapter(e.ID, req.adapter())
 		return Choice{}, AdapterMissing, false
 	}
+	f.usePermit(now, e)
 	e.inFlight++
 	e.sentSinceLoad++
 	f.demandOf(req.Target).servedWhileFull++
@@ -116,6 +109,39 @@
 	return Choice{ID: e.ID, Address: e.Address, reservation: r}, reason, true
 }
 
+// picked is the candidate that was chosen for a request, or the reason why there is none.
+type picked struct {
+	ok        bool
+	candidate routing.Candidate
+	reason    NoEndpointReason
+	// room is set if one of the candidates had room for the request.
+	room bool
+}
+
+// pick chooses among candidates. The reason is the one to return if all of them have been tried.
+func (f *Fleet) pick(now time.Time, candidates []routing.Candidate, req *Request, reason NoEndpointReason) picked {
+	p := picked{reason: reason}
+	if reason == AllTried {
+		candidates, p.room = f.withRoom(now, candidates, req)
+		if !p.room {
+			p.reason = EnginesFull
+			return p
+		}
+	}
+	if now.Before(req.PacedUntil) {
+		if candidates = f.dropCrowded(candidates, req); len(candidates) == 0 && reason == AllTried {
+			p.reason = PromptBacklog
+			return p
+		}
+	}
+	candidates = f.dropUnresponsive(now, candidates, req)
+	i, ok := f.router.Pick(now, candidates, req.Tried, wirepb.Class_INTERACTIVE)
+	if ok {
+		p.ok, p.candidate = true, candidates[i]
+	}
+	return p
+}
+
 // NotifyRestart calls lost, with locks held, if the chosen endpoint restarts under its ID before Done. The request is then
 // lost there, which its connection may not show: it stays open if the host was unreachable when the process ended.
 func (f *Fleet) NotifyRestart(c Choice, lost func()) {
@@ -132,6 +158,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	candidates, _ := f.candidates(now, req)
+	candidates = slices.DeleteFunc(candidates, func(c routing.Candidate) bool { return !f.permitted(now, f.endpoints[c.Endpoint]) })
 	candidates, room := f.withRoom(now, candidates, req)
 	return room && slices.ContainsFunc(candidates, func(c routing.Candidate) bool {
 		return c.HasAdapter && !slices.Contains(req.Tried, c.Endpoint)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -121,10 +121,16 @@
 	// relay is the hub that says of the engines; nil before there is one. relaying is set while reports of agents are ignored,
 	// because the hub has later ones. unlisted holds what it said of engines before their
 	// registration arrived, and relayedUse what the gateways that this one is the hub of use, by gateway and engine.
-	relay           *relay
-	relaying        bool
-	unlisted        map[string]unlistedEngine
-	relayedUse      map[string]map[string][]Adapter
+	relay      *relay
+	relaying   bool
+	unlisted   map[string]unlistedEngine
+	relayedUse map[string]map[string][]Adapter
+	// limitShares is the number of gateways among which the limits of endpoints are divided, and wantedPermits the endpoints
+	// to which requests wait for the hub's permit to send one.
+	limitShares     int
+	wantedPermits   map[string]bool
+	onPermitWanted  func()
+	onLimitChange   func()
 	onAdapterWanted func(endpointID string)
 	onWaiting       func()
 	onRestart       func()
@@ -155,6 +161,8 @@
 		wantedAdapters: make(map[string]map[Adapter]bool),
 		unlisted:       make(map[string]unlistedEngine),
 		relayedUse:     make(map[string]map[string][]Adapter),
+		limitShares:    initialLimitShares,
+		wantedPermits:  make(map[string]bool),
 		changed:        make(chan struct{}),
 	}
 }
--- a/internal/fleet/limits_test.go
+++ b/internal/fleet/limits_test.go
@@ -63,7 +63,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := c.fleet()
-			f.SetLimitShares(1)
+			f.SetLimitShares(start, 1)
 			f.ObserveLimit(start, "e1", limit)
 			const perSecond, d = 20, 10 * time.Second
 			sent := load(f, start, d, perSecond, c.request)
--- a/internal/hubs/hubs.go
+++ b/internal/hubs/hubs.go
@@ -81,6 +81,15 @@
 // Gateways returns the number of gateways, this one included.
 func (s *Selector) Gateways() int { return max(1, len(s.order)) }
 
+// FailureDomains returns the number of failure domains of the registered gateways.
+func (s *Selector) FailureDomains() int {
+	domains := map[string]bool{s.self.FailureDomain: true}
+	for _, g := range s.order {
+		domains[g.FailureDomain] = true
+	}
+	return len(domains)
+}
+
 // IsMesh reports whether each gateway is its own hub.
 func (s *Selector) IsMesh() bool { return len(s.order) <= fullMeshGateways }
 
