placement: an engine that names a limit counts only for what it takes

A model whose only replica is at an engine in need had its requests wait for their turn there, however many came: 0.5 a second taken, one a second asked for. Such a replica no longer counts where more requests come than the engine takes, so the model gets another one; further replicas of busy models and prefetches go to engines without a limit, and a load that requests wait for goes to a limited one only where that is faster, its turn included. TestLimitedEngines: four of its six cases fail without these rules.

--- a/internal/fleet/engines.go
+++ b/internal/fleet/engines.go
@@ -9,6 +9,8 @@
 	Leaving bool
 	// Reported is set if the agent's report has not expired.
 	Reported bool
+	// Limit is the rate of requests that the engine names.
+	Limit RateLimit
 }
 
 // Engines returns the responsive engines of a service. Without an unexpired report, an engine has the models from its
@@ -21,7 +23,7 @@
 		if e.Service != service || !e.responsive(now) {
 			continue
 		}
-		engine := Engine{ID: e.ID, Leaving: e.Leaving, Reported: e.reportFresh(now)}
+		engine := Engine{ID: e.ID, Leaving: e.Leaving, Reported: e.reportFresh(now), Limit: e.limit.RateLimit}
 		if engine.Reported {
 			engine.EngineState = *e.state
 		} else {
--- a/internal/placement/manager.go
+++ b/internal/placement/manager.go
@@ -226,6 +226,8 @@
 		Unloading: e.Unloading,
 		InMemory:  e.InMemory,
 		OnDisk:    e.OnDisk,
+		Limited:   e.Limit.Named,
+		RateLimit: e.Limit.PerSecond,
 	}
 	for m := range e.Models {
 		engine.Loaded[m] = true
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -74,8 +74,14 @@
 	Remaining time.Duration
 	// InMemory and OnDisk are the models whose weights the host caches.
 	InMemory, OnDisk map[string]bool
+	// Limited is set while the engine names a limit, and RateLimit the requests per second that it takes then.
+	Limited   bool
+	RateLimit float64
 }
 
+// takes reports whether the engine takes a model's requests at the rate at which they come.
+func (e *Engine) takes(d Demand) bool { return !e.Limited || d.Rate <= e.RateLimit }
+
 // Demand is the demand for a model, summed over all gateways.
 type Demand struct {
 	// Waiting is the number of requests without an engine, and OldestWait the age of the oldest one.
@@ -133,6 +139,8 @@
 	freeCount int
 	// replicas counts the replicas per model, including those being loaded; ready counts only those that serve now.
 	replicas, ready map[string]int
+	// overLimit are the models with a replica that does not count, because its engine takes fewer requests than come.
+	overLimit map[string]bool
 	// holders lists the candidates that have a model loaded, and copies those whose host has a copy of a model with demand.
 	holders, copies map[string][]*candidate
 	// adapterMemory is the memory, in MB, that is reserved on each engine for adapters.
@@ -173,6 +181,7 @@
 		candidates: make([]*candidate, len(in.Engines)),
 		replicas:   make(map[string]int),
 		ready:      make(map[string]int),
+		overLimit:  make(map[string]bool),
 		holders:    make(map[string][]*candidate),
 		copies:     make(map[string][]*candidate),
 	}
@@ -196,9 +205,13 @@
 	for m := range e.Loaded {
 		c.freeMemory -= p.Class.Models[m].SizeMB
 		p.holders[m] = append(p.holders[m], c)
-		if !e.Unloading[m] {
+		switch {
+		case e.Unloading[m]:
+		case e.takes(p.Demand[m]):
 			p.replicas[m]++
 			p.ready[m]++
+		default:
+			p.overLimit[m] = true
 		}
 	}
 	if e.Loading != "" && !e.Loaded[e.Loading] {
@@ -289,7 +302,10 @@
 // scaleOutBusy adds replicas to busy models, starting with the model that lacks most.
 func (p *plan) scaleOutBusy() {
 	missing := func(m string, share float64) int { return p.targetReplicas(m, share) - p.replicas[m] }
-	for _, m := range p.models(func(m string) bool { return missing(m, scaleOutShare) > 0 && p.targetReplicas(m, scaleOutShare) > 1 }, func(a, b string) int {
+	lacks := func(m string) bool {
+		return missing(m, scaleOutShare) > 0 && (p.overLimit[m] || p.targetReplicas(m, scaleOutShare) > 1)
+	}
+	for _, m := range p.models(lacks, func(a, b string) int {
 		return cmp.Compare(missing(b, scaleOutShare), missing(a, scaleOutShare))
 	}) {
 		for range missing(m, scaleOutShare) {
@@ -321,7 +337,7 @@
 			if float64(p.freeCount) <= idleEngineShare*float64(len(p.Engines)) {
 				return
 			}
-			if c.free && c.freeMemory >= p.Class.Models[m].SizeMB && c.SourceOf(m) != FromStore {
+			if c.free && !c.Limited && c.freeMemory >= p.Class.Models[m].SizeMB && c.SourceOf(m) != FromStore {
 				p.issue(c, m, nil, "room")
 				break
 			}
@@ -417,11 +433,14 @@
 		if !c.free || c.Loaded[model] || source > slowest || source == FromStore && p.StoreLoads <= 0 {
 			continue
 		}
+		if c.Limited && !(urgent && c.takes(p.Demand[model]) && c.RateLimit > 0) {
+			continue
+		}
 		unload, evictCost, ok := p.chooseEvictions(c, model, urgent)
 		if !ok {
 			continue
 		}
-		if cost := p.loadTime(model, source).Seconds() + evictCost + p.blockingCost(c.Engine, source); cost < best.cost {
+		if cost := p.loadTime(model, source).Seconds() + evictCost + p.blockingCost(c.Engine, source) + c.turnTime(); cost < best.cost {
 			best = choice{engine: c, unload: unload, cost: cost}
 		}
 	}
@@ -441,6 +460,14 @@
 	return false
 }
 
+// turnTime returns the time, in seconds, that a request waits for its turn at an engine that names a limit.
+func (e *Engine) turnTime() float64 {
+	if !e.Limited {
+		return 0
+	}
+	return 1 / e.RateLimit
+}
+
 // blockingCost returns the cost, in seconds, of blocking an engine with a load from the weight store: an engine
 // executes one command at a time, so its local copies can't be loaded meanwhile.
 func (p *plan) blockingCost(e *Engine, source Source) float64 {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -271,3 +271,68 @@
 		}
 	}
 }
+
+// limitedEngine returns an engine of testEngine that takes the given number of requests per second.
+func limitedEngine(id, loaded, onDisk string, perSecond float64) Engine {
+	e := testEngine(id, loaded, onDisk)
+	e.Limited, e.RateLimit = true, perSecond
+	return e
+}
+
+// Load pattern: an engine names a limit while it holds the only replica of a model. Guards against a model whose requests
+// can only wait for their turn there, and against further work for the engine in need.
+func TestLimitedEngines(t *testing.T) {
+	waits := Demand{Waiting: 1, Peak: 1, OldestWait: time.Second}
+	cases := []struct {
+		name    string
+		engines []Engine
+		demand  map[string]Demand
+		store   int
+		want    []string
+	}{
+		{
+			"a model that is asked for more often than its engine takes gets another replica",
+			[]Engine{limitedEngine("1", "abc", "", 0.5), testEngine("2", "def", "a")},
+			map[string]Demand{"a": {Rate: 1, LongRate: 1, Running: 2, Peak: 2}}, 0,
+			[]string{"2:-[d]+a disk"},
+		},
+		{
+			"one that is asked for less often does not",
+			[]Engine{limitedEngine("1", "abc", "", 1.5), testEngine("2", "def", "a")},
+			map[string]Demand{"a": {Rate: 1, LongRate: 1, Running: 2, Peak: 2}}, 0,
+			nil,
+		},
+		{
+			"a busy model gets its further replica at an engine without a limit",
+			[]Engine{testEngine("1", "abc", ""), limitedEngine("2", "def", "a", 4), testEngine("3", "ghi", "a")},
+			map[string]Demand{"a": {Rate: 3, LongRate: 3, Running: 4, Peak: 4}}, 0,
+			[]string{"3:-[g]+a disk"},
+		},
+		{
+			"a waiting request's model is loaded elsewhere if that is as fast",
+			[]Engine{limitedEngine("1", "abc", "g", 2), testEngine("2", "def", "g")},
+			map[string]Demand{"g": waits}, 0,
+			[]string{"2:-[d]+g disk"},
+		},
+		{
+			"and at the engine in need if nobody else has a copy",
+			[]Engine{limitedEngine("1", "abc", "g", 2), testEngine("2", "def", "")},
+			map[string]Demand{"g": waits}, 0,
+			[]string{"1:-[a]+g disk"},
+		},
+		{
+			"but not if that takes no requests",
+			[]Engine{limitedEngine("1", "abc", "g", 0), testEngine("2", "def", "")},
+			map[string]Demand{"g": waits}, 1,
+			[]string{"2:-[d]+g store"},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got := formatCommands(Decide(Input{Class: testClass(), Engines: c.engines, Demand: c.demand, StoreLoads: c.store, StoreLimit: 4}))
+			if !slices.Equal(got, c.want) {
+				t.Errorf("commands %v, want %v", got, c.want)
+			}
+		})
+	}
+}
