--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -198,6 +198,13 @@
 			w.routes["/added-1/"] = &routeLifetime{added: time.Now().Add(-time.Second)}
 			w.checkProbe(w.sendProbe("/added-1/p"), outcome{status: http.StatusNotFound}, 1)
 		}, 0},
+		{"more requests than the endpoint has named", "limit", func(w fixture) { w.runLimited(limitGrace+time.Second, 12) }, 1},
+		{"as many as are tolerated", "", func(w fixture) { w.runLimited(limitGrace+time.Second, 11) }, 0},
+		{"more, right after the endpoint has named it", "", func(w fixture) { w.runLimited(limitGrace-time.Second, 12) }, 0},
+		{"more, from a gateway that was frozen", "", func(w fixture) {
+			w.beginFault("gateway")()
+			w.runLimited(limitGrace+time.Second, 12)
+		}, 0},
 		{"back to an older configuration", "configuration", func(w fixture) {
 			w.routes["/added-1/"] = &routeLifetime{added: time.Now().Add(-1500 * time.Millisecond)}
 			w.routes["/added-2/"] = &routeLifetime{added: time.Now().Add(-time.Second)}
@@ -222,6 +229,15 @@
 	}
 }
 
+// runLimited records that an endpoint named a limit of one request a second some time ago, and got a number of requests now.
+func (w fixture) runLimited(ago time.Duration, n int) {
+	w.recordLimit("pads", 1)
+	w.endpoints["pads"].limitedSince = time.Now().Add(-ago)
+	for range n {
+		w.runAt(w.send(read, 0), "pads")
+	}
+}
+
 // sendProbe records a probe of a path.
 func (w fixture) sendProbe(path string) *record {
 	r := &record{kind: probe, gateway: "gateway", call: standin.Call{ID: path, Path: path}, sentAt: time.Now()}
