--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -65,9 +65,6 @@
 	wantedPermits map[string]time.Time
 }
 
-// permitRequestTTL is how long a request for a permit stays valid. Gateways repeat it every 250 ms while requests wait.
-const permitRequestTTL = 400 * time.Millisecond
-
 // NewHub returns a hub without subscribers that passes on the given tables.
 func NewHub(options Options, f *fleet.Fleet, replicas []*watch.Replica, logger *slog.Logger) *Hub {
 	h := &Hub{
@@ -159,46 +156,6 @@
 	}
 }
 
-// grantPermits gives permits to the gateways that wait for one, in random order, as far as this hub's share of the
-// endpoints' limits goes.
-func (h *Hub) grantPermits(now time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for s := range h.subscribers {
-		h.grantTo(now, s)
-	}
-}
-
-// grantTo gives a gateway the permits that it waits for. The caller holds mu.
-func (h *Hub) grantTo(now time.Time, s *subscriber) {
-	var granted []string
-	for id, askedAt := range s.wantedPermits {
-		switch {
-		case now.Sub(askedAt) > permitRequestTTL:
-			delete(s.wantedPermits, id)
-		case h.fleet.TakePermit(now, id):
-			granted = append(granted, id)
-			delete(s.wantedPermits, id)
-		}
-	}
-	if len(granted) > 0 {
-		s.send(&controlpb.SiteUpdate{Permits: granted})
-	}
-}
-
-// requestPermits takes in the requests of a gateway for permits.
-func (h *Hub) requestPermits(now time.Time, s *subscriber, ids []string) {
-	if len(ids) == 0 {
-		return
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, id := range ids {
-		s.wantedPermits[id] = now
-	}
-	h.grantTo(now, s)
-}
-
 func sameCopies(a, b *fleet.EngineState) bool {
 	return maps.Equal(a.InMemory, b.InMemory) && maps.Equal(a.OnDisk, b.OnDisk)
 }
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -240,13 +240,15 @@
 		d.takesChanges.Store(false)
 	}
 	changes := d.differ.Changes(now, all)
-	message := encodeDemand(all, false)
+	var message *controlpb.Demand
 	if d.takesChanges.Load() {
 		message = encodeDemand(changes, true)
 		if len(changes) > 0 {
 			// Two equal lists of changes are two changes.
 			s.last = nil
 		}
+	} else {
+		message = encodeDemand(all, false)
 	}
 	message.Limits = limits
 	return s.send(now, message, heartbeat)
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -80,7 +80,10 @@
 	defer f.mu.Unlock()
 	candidates, reason := f.candidates(now, req)
 	unlimited, limited := f.splitByLimit(candidates)
-	p := f.pick(now, unlimited, req, reason)
+	p := picked{reason: EnginesFull}
+	if len(unlimited) > 0 || len(limited) == 0 {
+		p = f.pick(now, unlimited, req, reason)
+	}
 	if !p.ok && len(limited) > 0 {
 		p = f.pickLimited(now, limited, req, p)
 	}
--- a/internal/fleet/limits_test.go
+++ b/internal/fleet/limits_test.go
@@ -81,6 +81,18 @@
 	}
 }
 
+// Guards against a stream that waits for a place though its only engine was tried: it must be told so, to go there again.
+func TestRestOfAStreamAfterAllEnginesWereTried(t *testing.T) {
+	for _, limit := range []RateLimit{{}, {Named: true, PerSecond: 2}} {
+		f := oneEngine()
+		f.ObserveLimit(start, "e1", limit)
+		r := &Request{Target: Target{Service: "s", Model: "m"}, Adapter: "a1", Resuming: true, Tried: []string{"e1"}}
+		if _, reason, ok := f.Choose(start, r); ok || reason != AllTried {
+			t.Errorf("limit %+v: chosen %t, reason %v; want AllTried", limit, ok, reason)
+		}
+	}
+}
+
 func plainEndpoints(ids ...string) func() *Fleet {
 	return func() *Fleet {
 		f := New("here", 1)
--- a/internal/fleet/queue.go
+++ b/internal/fleet/queue.go
@@ -128,7 +128,7 @@
 // grew until each request waited there for as long as its client did: nearly none was served, and none was refused.
 func (f *Fleet) withRoom(now time.Time, candidates []routing.Candidate, req *Request) ([]routing.Candidate, bool) {
 	if req.Model == "" || req.Resuming {
-		return candidates, len(candidates) > 0
+		return candidates, true
 	}
 	places := 0
 	free := slices.DeleteFunc(candidates, func(c routing.Candidate) bool {
