--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -97,30 +97,24 @@
 // signalWaiting notifies the coordinator at once that a request of this gateway, or of one that it is the hub of, has
 // started to wait. A model that is not loaded should answer within 3 s, and loading it from disk takes 1.3 s; waiting for
 // the next periodic message and decision would add 0.2 s on average.
-func (p *Peers) signalWaiting() {
-	if p.upstream.wakeHub() {
-		return
-	}
-	p.mu.Lock()
-	wakeup := p.coordinatorWakeup
-	p.mu.Unlock()
-	if wakeup == nil {
-		wakeup = p.waiting
-	}
-	wake(wakeup)
-}
+func (p *Peers) signalWaiting() { p.wakeUpstream(p.waiting) }
 
 // signalLimit passes on at once that the known limit of an endpoint has changed.
-func (p *Peers) signalLimit() {
+func (p *Peers) signalLimit() { p.wakeUpstream(nil) }
+
+// wakeUpstream wakes the link to the hub or, on a hub, the one to the coordinator. The coordinator has neither; there it
+// signals own, if it is set.
+func (p *Peers) wakeUpstream(own chan struct{}) {
 	if p.upstream.wakeHub() {
 		return
 	}
 	p.mu.Lock()
 	wakeup := p.coordinatorWakeup
 	p.mu.Unlock()
-	if wakeup != nil {
-		wake(wakeup)
+	if wakeup == nil {
+		wakeup = own
 	}
+	wake(wakeup)
 }
 
 // hubCount returns the number of hubs: those that agents report as connected or, while no agent is heard, all gateways of a
