--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -494,8 +494,10 @@
 	p.commands = append(p.commands, Command{Engine: c.ID, Unload: unload, Load: model, Source: source, Reason: reason})
 	p.replicas[model]++
 	for _, m := range unload {
-		p.replicas[m]--
-		p.ready[m]--
+		if c.takes(p.Demand[m]) {
+			p.replicas[m]--
+			p.ready[m]--
+		}
 		for _, holder := range p.holders[m] {
 			holder.evictions = nil
 		}
