soak: an endpoint that restarts under its ID keeps its service

Cause, by the logs of all gateways: the ID was registered first for pads (revision 29), while the fault that uses an address again ran its endpoint there, then for ledger (revision 30), because the fault that restarts an endpoint under its ID took the host's own service. No endpoint of the platform changes its service under an ID, so the soak is mended and the check stays.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -256,13 +256,14 @@
 
 // restartUnderID stops an endpoint without notice; the returned function starts it again under the same ID.
 func (s *site) restartUnderID(p *endpointHost) func() {
-	id := ""
-	p.withEndpoint(func(e *standin.Endpoint) { id = e.ID })
+	// The host may run an endpoint of another service meanwhile; an ID never changes its service.
+	id, service := "", p.service
+	p.withEndpoint(func(e *standin.Endpoint) { id, service = e.ID, e.Service() })
 	end := s.checker.beginFault(p.name)
 	p.stopEndpoint(false)
 	return func() {
 		defer end()
-		s.startIfStopped(p, p.service, id)
+		s.startIfStopped(p, service, id)
 	}
 }
 
