--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -91,10 +91,10 @@
 
 	// relist is set if the changes since the replica's revision cannot be had: the whole table is read next.
 	relist bool
-	// answeredAt is when the store last answered.
-	answeredAt  time.Time
-	unavailable bool
-	// failure is how the last call failed; it is logged again when it changes during an outage.
+	// answeredAt is when the store last answered. An answer older than the replica, which a hub may feed as well, does not
+	// confirm the replica; without answeredAt, the table would be read again and again without a pause.
+	answeredAt time.Time
+	// failure is how the last call failed; empty while the store is available.
 	failure string
 	backoff time.Duration
 }
@@ -130,7 +130,7 @@
 
 // wait returns the long-poll timeout. It is zero after a failure, so that a recovery of the store is noticed quickly.
 func (f *follower) wait() time.Duration {
-	if f.unavailable {
+	if f.failure != "" {
 		return 0
 	}
 	return f.options.Wait()
@@ -153,9 +153,10 @@
 	f.answeredAt = time.Now()
 	f.options.Metrics.recordCall(f.table, resultAnswered, f.answeredAt)
 	f.backoff = f.options.MinBackoff
-	if f.unavailable {
-		f.unavailable = false
-		f.logger.Info("store is available again", "event", "store_back", "table", f.table)
+	if f.failure != "" {
+		f.failure = ""
+		revision, _ := f.replica.position()
+		f.logger.Info("store is available again", "event", "store_back", "table", f.table, "revision", revision)
 	}
 }
 
@@ -166,16 +167,15 @@
 	}
 	f.options.Metrics.recordCall(f.table, result, time.Now())
 	revision, _ := f.replica.position()
-	if f.unavailable {
-		if result != f.failure {
-			f.logger.Warn("store is still unavailable, for another reason", "event", "store_lost", "table", f.table, "revision", revision, "error", err)
-		}
-		f.failure = result
-		return
+	switch f.failure {
+	case result:
+	case "":
+		f.logger.Warn("store is unavailable", "event", "store_lost", "table", f.table, "revision", revision, "error", err)
+		f.replica.setUnavailable(err)
+	default:
+		f.logger.Warn("store is still unavailable, for another reason", "event", "store_lost", "table", f.table, "revision", revision, "error", err)
 	}
-	f.unavailable, f.failure = true, result
-	f.logger.Warn("store is unavailable", "event", "store_lost", "table", f.table, "revision", revision, "error", err)
-	f.replica.setUnavailable(err)
+	f.failure = result
 }
 
 // nextBackoff returns a backoff that doubles with each failure up to MaxBackoff, half of it random.
