tests: one count of the requests in a sliding window

Three tests of limits each had their own loop for it. Bounds and assertions are the same; the test over all gateways now sorts its times first, which the gateways' goroutines record nearly in order.

--- a/internal/control/limits_test.go
+++ b/internal/control/limits_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"balsamsail/internal/fleet"
 	"balsamsail/internal/hubs"
+	"balsamsail/internal/peak"
 )
 
 // sendings records when which gateway sent the engine a request.
@@ -26,17 +28,8 @@
 func (s *sendings) most(window time.Duration) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := 0
-	for i, first := range s.times {
-		in := 0
-		for _, t := range s.times[i:] {
-			if t.Sub(first) < window {
-				in++
-			}
-		}
-		n = max(n, in)
-	}
-	return n
+	slices.SortFunc(s.times, time.Time.Compare)
+	return peak.Within(s.times, window)
 }
 
 // press sends requests for the engine's model from each gateway as fast as it is allowed to, for a while.
--- a/internal/fleet/limits_test.go
+++ b/internal/fleet/limits_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"balsamsail/internal/catalog"
+	"balsamsail/internal/peak"
 )
 
 // load sends requests at a rate for a while, from a time, and returns when which endpoint got one.
@@ -24,21 +25,6 @@
 	return sent
 }
 
-// most returns the largest number of times within a window.
-func most(times []time.Time, window time.Duration) int {
-	n := 0
-	for i := range times {
-		in := 0
-		for _, t := range times[i:] {
-			if t.Sub(times[i]) < window {
-				in++
-			}
-		}
-		n = max(n, in)
-	}
-	return n
-}
-
 const limitWindow = 4 * time.Second
 
 // Guards against an endpoint in need that goes on to get its share of the requests: with a limit of 2 a second it gets them
@@ -67,7 +53,7 @@
 			f.ObserveLimit(start, "e1", limit)
 			const perSecond, d = 20, 10 * time.Second
 			sent := load(f, start, d, perSecond, c.request)
-			if got, allowed := most(sent["e1"], limitWindow), int(limit.PerSecond*limitWindow.Seconds())+1; got > allowed {
+			if got, allowed := peak.Within(sent["e1"], limitWindow), int(limit.PerSecond*limitWindow.Seconds())+1; got > allowed {
 				t.Errorf("%d requests in %v to an endpoint that takes %v a second, want at most %d", got, limitWindow, limit.PerSecond, allowed)
 			}
 			want := map[bool]int{true: 0, false: int(limit.PerSecond*d.Seconds()) - 1}[c.others]
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"balsamsail/internal/peak"
 )
 
 // Load pattern: three times the rate that the only endpoint of a service names, for some seconds. Guards against an endpoint
@@ -59,16 +61,8 @@
 	times := arrivals
 	mu.Unlock()
 	const window = 4 * time.Second
-	for i := range times {
-		in := 0
-		for _, at := range times[i:] {
-			if at.Sub(times[i]) < window {
-				in++
-			}
-		}
-		if allowed := perSecond*int(window.Seconds()) + 2; in > allowed {
-			t.Fatalf("%d requests in %v to an endpoint that takes %d a second", in, window, perSecond)
-		}
+	if in, allowed := peak.Within(times, window), perSecond*int(window.Seconds())+2; in > allowed {
+		t.Fatalf("%d requests in %v to an endpoint that takes %d a second", in, window, perSecond)
 	}
 
 	// The endpoint is well again: its next answer says so, and all are served.
