--- a/tools/genproto/main.go
+++ b/tools/genproto/main.go
@@ -10,7 +10,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 
 	"github.com/bufbuild/protocompile"
 	"github.com/pkg/errors"
@@ -20,8 +19,8 @@
 	"google.golang.org/protobuf/types/pluginpb"
 )
 
-// modulePrefix is cut from the import paths of the generated packages to get their directories.
-const modulePrefix = "balsamsail/"
+// pluginOptions make the plugin name the files by their paths below the module, not by their import paths.
+const pluginOptions = "module=balsamsail"
 
 func main() {
 	if len(os.Args) < 3 {
@@ -58,7 +57,7 @@
 		return errors.New(response.GetError())
 	}
 	for _, f := range response.File {
-		path := filepath.FromSlash(strings.TrimPrefix(f.GetName(), modulePrefix))
+		path := filepath.FromSlash(f.GetName())
 		if err := os.WriteFile(path, []byte(f.GetContent()), 0o644); err != nil {
 			return errors.Wrap(err, "writing the code")
 		}
@@ -76,7 +75,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "compiling")
 	}
-	request := &pluginpb.CodeGeneratorRequest{FileToGenerate: files}
+	request := &pluginpb.CodeGeneratorRequest{FileToGenerate: files, Parameter: proto.String(pluginOptions)}
 	added := make(map[string]bool)
 	var add func(f protoreflect.FileDescriptor)
 	add = func(f protoreflect.FileDescriptor) {
