soak: a fault of an endpoint that ends leaves the limit that it names

The end of any fault cleared all faults of its endpoint. A limit ends with its own fault only, so the checks hold for longer than before.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -369,7 +369,8 @@
 		p.withEndpoint(func(e *standin.Endpoint) { e.SetFaults(change) })
 		return func() {
 			p.withEndpoint(func(e *standin.Endpoint) {
-				e.SetFaults(func(f *standin.EndpointFaults) { *f = standin.EndpointFaults{} })
+				// The limit ends with its own fault, by which the checker knows it.
+				e.SetFaults(func(f *standin.EndpointFaults) { *f = standin.EndpointFaults{Limit: f.Limit} })
 			})
 			end()
 		}
