entry: the test of claims waits for the first request's handler

The test waits until the entry has noticed that the caller left, by the return of a handler. Any handler's return counted: the repeated request, which is sent as soon as the first one is cancelled, is refused as in progress, and its handler may return before the first one's. The endpoint then answers to a caller that the entry still takes for present.

The bound and what is expected are the same. The entry itself is not at fault: a complete response that was written in time is recorded.

--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -77,12 +78,15 @@
 	returned chan struct{}
 }
 
-// notifyReturns closes returned when the handler has returned for the first request.
+// notifyReturns closes returned when the handler has returned for the first request. A later request may return earlier:
+// the repetition of one that is still in progress is refused at once.
 func (s *site) notifyReturns(handler http.Handler) http.Handler {
 	s.returned = make(chan struct{})
-	first := sync.OnceFunc(func() { close(s.returned) })
+	var requests atomic.Int32
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		defer first()
+		if requests.Add(1) == 1 {
+			defer close(s.returned)
+		}
 		handler.ServeHTTP(w, r)
 	})
 }
