fleet: an answer to a request sent before a limit was named does not end the limit

An endpoint in need answers quick requests that name its limit while it still works on slow ones that it took before; their answers, where they were begun then, bear no limit. Such an answer ended the limit for the whole site until the next one named it again, and the bursts in between count against the endpoint. The other way round, a gateway that goes on getting such late answers took them for later news than another gateway's of the limit, and did not believe it.

An answer without a limit counts as of the time at which its request was sent: the endpoint cannot have said so earlier. It ends a limit only if that is later than the last answer that named it, here or at another gateway. The price is that the end of a need shows one request later.

--- a/internal/control/limits_test.go
+++ b/internal/control/limits_test.go
@@ -67,7 +67,7 @@
 				eventually(t, fmt.Sprintf("gateway %d knows the engine's state", i), g.engineReported)
 			}
 			limit := fleet.RateLimit{Named: true, PerSecond: 10}
-			gateways[1].fleet.ObserveLimit(time.Now(), "e1", limit)
+			gateways[1].fleet.ObserveLimit(time.Now(), time.Now(), "e1", limit)
 			for i, g := range gateways {
 				eventuallyWithin(t, 2*time.Second, fmt.Sprintf("gateway %d knows the limit", i), func() bool { return g.fleet.LimitedEndpoints() == 1 })
 			}
@@ -78,7 +78,7 @@
 				t.Errorf("%d requests in %v from %d gateways, want at most %d, and half of them at least", got, window, n, allowed)
 			}
 
-			gateways[2].fleet.ObserveLimit(time.Now(), "e1", fleet.RateLimit{})
+			gateways[2].fleet.ObserveLimit(time.Now(), time.Now(), "e1", fleet.RateLimit{})
 			for i, g := range gateways {
 				eventuallyWithin(t, 2*time.Second, fmt.Sprintf("gateway %d knows that there is no limit", i), func() bool { return g.fleet.LimitedEndpoints() == 0 })
 			}
@@ -94,7 +94,7 @@
 	gateways, agent := startSite(t, 10)
 	hub := gateways[9]
 	eventually(t, "all gateways use the hub", func() bool { return hub.hub.Subscribers() == 9 })
-	hub.fleet.ObserveLimit(time.Now(), "e1", fleet.RateLimit{Named: true, PerSecond: 3})
+	hub.fleet.ObserveLimit(time.Now(), time.Now(), "e1", fleet.RateLimit{Named: true, PerSecond: 3})
 	late := listenLoopback(t)
 	self := hubs.Gateway{Address: late.Addr().String(), FailureDomain: "here", Processor: 0.5}
 	list := []hubs.Gateway{self}
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -37,6 +37,7 @@
 type ObservedLimit struct {
 	EndpointID string
 	RateLimit
+	// ObservedAt is when the answer arrived or, of an answer without a limit, when its request was sent.
 	ObservedAt time.Time
 }
 
@@ -47,7 +48,7 @@
 // one a hub beyond the rate.
 type limitState struct {
 	RateLimit
-	// observedAt is when the endpoint last said so, to any gateway, and changedAt when the limit last changed.
+	// observedAt is when the endpoint last said so, to any gateway, as in ObservedLimit; changedAt is when the limit last changed.
 	observedAt, changedAt time.Time
 	// bucket is this gateway's share while it is its own hub; nil while there is no limit.
 	bucket *rate.Limiter
@@ -64,12 +65,21 @@
 // block. Call OnPermitWanted before the first request.
 func (f *Fleet) OnPermitWanted(call func()) { f.onPermitWanted = call }
 
-// ObserveLimit records what an answer of an endpoint says of its limit, and reports whether that has changed.
-func (f *Fleet) ObserveLimit(now time.Time, id string, limit RateLimit) bool {
+// ObserveLimit records what an answer of an endpoint, to a request sent at sentAt, says of its limit. It reports whether that
+// has changed.
+func (f *Fleet) ObserveLimit(now, sentAt time.Time, id string, limit RateLimit) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.endpoints[id]
-	return e != nil && f.setLimit(now, e, ObservedLimit{RateLimit: limit, ObservedAt: now})
+	if e == nil {
+		return false
+	}
+	o := ObservedLimit{RateLimit: limit, ObservedAt: now}
+	if !limit.Named {
+		// The endpoint may have begun its answer as soon as it had the request, before it named a limit in another answer.
+		o.ObservedAt = sentAt
+	}
+	return !o.ObservedAt.Before(e.limit.observedAt) && f.setLimit(now, e, o)
 }
 
 // ApplyLimits applies what other gateways have observed, where it is later than what this one knows.
--- a/internal/fleet/limits_test.go
+++ b/internal/fleet/limits_test.go
@@ -50,7 +50,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			f := c.fleet()
 			f.SetLimitShares(start, 1)
-			f.ObserveLimit(start, "e1", limit)
+			f.ObserveLimit(start, start, "e1", limit)
 			const perSecond, d = 20, 10 * time.Second
 			sent := load(f, start, d, perSecond, c.request)
 			if got, allowed := peak.Within(sent["e1"], limitWindow), int(limit.PerSecond*limitWindow.Seconds())+1; got > allowed {
@@ -67,11 +67,55 @@
 	}
 }
 
+// Guards against an endpoint in need that is taken for well again because of an answer that it gave, or began to give, before
+// it named its limit: slow requests are answered after quick ones that were sent later.
+func TestAnswerToAnEarlierRequestDoesNotEndALimit(t *testing.T) {
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	limit := RateLimit{Named: true, PerSecond: 2}
+	named := func(f *Fleet) { f.ObserveLimit(at(2), at(1.9), "e1", limit) }
+	for _, c := range []struct {
+		name    string
+		observe func(f *Fleet)
+		want    int
+	}{
+		{"sent before the limit was named", func(f *Fleet) { named(f); f.ObserveLimit(at(3), at(1), "e1", RateLimit{}) }, 1},
+		{"sent after the limit was named", func(f *Fleet) { named(f); f.ObserveLimit(at(3), at(2.1), "e1", RateLimit{}) }, 0},
+		{"sent before, by another gateway", func(f *Fleet) {
+			other := oneEngine()
+			other.ObserveLimit(at(1.5), at(1.4), "e1", limit)
+			other.ObserveLimit(at(3), at(1.6), "e1", RateLimit{})
+			named(f)
+			f.ApplyLimits(at(3.1), other.Limits(at(3.1)))
+		}, 1},
+		{"sent after, by another gateway", func(f *Fleet) {
+			other := oneEngine()
+			other.ObserveLimit(at(1.5), at(1.4), "e1", limit)
+			other.ObserveLimit(at(3), at(2.5), "e1", RateLimit{})
+			named(f)
+			f.ApplyLimits(at(3.1), other.Limits(at(3.1)))
+		}, 0},
+		{"sent before another gateway was told the limit", func(f *Fleet) {
+			other := oneEngine()
+			named(other)
+			f.ObserveLimit(at(3), at(1), "e1", RateLimit{})
+			f.ApplyLimits(at(3.1), other.Limits(at(3.1)))
+		}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := oneEngine()
+			c.observe(f)
+			if got := f.LimitedEndpoints(); got != c.want {
+				t.Errorf("%d endpoints with a limit, want %d", got, c.want)
+			}
+		})
+	}
+}
+
 // Guards against a stream that waits for a place though its only engine was tried: it must be told so, to go there again.
 func TestRestOfAStreamAfterAllEnginesWereTried(t *testing.T) {
 	for _, limit := range []RateLimit{{}, {Named: true, PerSecond: 2}} {
 		f := oneEngine()
-		f.ObserveLimit(start, "e1", limit)
+		f.ObserveLimit(start, start, "e1", limit)
 		r := &Request{Target: Target{Service: "s", Model: "m"}, Adapter: "a1", Resuming: true, Tried: []string{"e1"}}
 		if _, reason, ok := f.Choose(start, r); ok || reason != AllTried {
 			t.Errorf("limit %+v: chosen %t, reason %v; want AllTried", limit, ok, reason)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -66,7 +66,7 @@
 	a := g.codec.ReadResponse(result.Response)
 	g.fleet.ObserveResponse(time.Now(), choice.ID, time.Since(began))
 	g.recordLoad(q, choice, a)
-	g.recordLimit(q, choice, a)
+	g.recordLimit(q, choice, a, began)
 	if a.NotRun {
 		return g.handleRefusal(q, choice, result, a)
 	}
@@ -126,13 +126,13 @@
 	}
 }
 
-// recordLimit passes on what an answer of the chosen endpoint says of its limit.
-func (g *Gateway) recordLimit(q *request, choice fleet.Choice, a Response) {
+// recordLimit passes on what an answer of the chosen endpoint, to an attempt that began at sentAt, says of its limit.
+func (g *Gateway) recordLimit(q *request, choice fleet.Choice, a Response, sentAt time.Time) {
 	ofRequest := a.ID == q.call.ID || a.ID == "" && a.NotRun
 	if a.LimitInvalid || !ofRequest || a.Incarnation != "" && a.Incarnation != choice.ID {
 		return
 	}
-	if g.fleet.ObserveLimit(time.Now(), choice.ID, a.Limit) {
+	if g.fleet.ObserveLimit(time.Now(), sentAt, choice.ID, a.Limit) {
 		g.logger.Info("endpoint has changed the limit that it names", "event", "limit", "endpoint", choice.ID, "service", q.fleetRequest.Service,
 			"named", a.Limit.Named, "per_second", a.Limit.PerSecond, "request", q.call.ID)
 	}
