fleet: the end of a limit shows although other endpoints have room

Only an answer without the field ends a limit, and requests go to other endpoints as long as one has room.

An endpoint that has not answered for five seconds counts among the others for a request that its limit allows, at hubs. Placement takes a limit for ended that nothing has confirmed for thirty seconds; requests still keep to it until an answer ends it, so a wrong guess costs a load, not a breach.

TestLimitIsCheckedAgainWhileOthersHaveRoom (0 requests in 30 s before, in need and well again) and TestPlacementForgetsALimitThatNothingConfirms failed before.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -79,7 +79,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	candidates, reason := f.candidates(now, req)
-	unlimited, limited := f.splitByLimit(candidates)
+	unlimited, limited := f.splitByLimit(now, candidates)
 	p := picked{reason: EnginesFull}
 	if len(unlimited) > 0 || len(limited) == 0 {
 		p = f.pick(now, unlimited, req, reason)
--- a/internal/fleet/engines.go
+++ b/internal/fleet/engines.go
@@ -9,7 +9,7 @@
 	Leaving bool
 	// Reported is set if the agent's report has not expired.
 	Reported bool
-	// Limit is the rate of requests that the engine names.
+	// Limit is the rate of requests that the engine has named within limitPlacementTTL.
 	Limit RateLimit
 }
 
@@ -23,7 +23,10 @@
 		if e.Service != service || !e.responsive(now) {
 			continue
 		}
-		engine := Engine{ID: e.ID, Leaving: e.Leaving, Reported: e.reportFresh(now), Limit: e.limit.RateLimit}
+		engine := Engine{ID: e.ID, Leaving: e.Leaving, Reported: e.reportFresh(now)}
+		if now.Sub(e.limit.observedAt) < limitPlacementTTL {
+			engine.Limit = e.limit.RateLimit
+		}
 		if engine.Reported {
 			engine.EngineState = *e.state
 		} else {
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -14,6 +14,12 @@
 	// initialLimitShares is the number of shares into which limits are divided before the number of hubs is known: the most
 	// gateways of a full mesh.
 	initialLimitShares = 8
+	// limitRecheckInterval is the time without an answer of an endpoint after which it may get a request although others have
+	// room, to see whether it still names its limit.
+	limitRecheckInterval = 5 * time.Second
+	// limitPlacementTTL is the time without an answer after which a limit no longer counts where models are placed. Requests
+	// still keep to it: the first one to a model that is placed there shows whether the need has ended.
+	limitPlacementTTL = 30 * time.Second
 	// limitNewsTTL is how long it is passed on that an endpoint names no limit any more.
 	limitNewsTTL = 10 * time.Second
 	// limitSkew is by how much an observation of another gateway must be later than this gateway's own to replace it. Ages
@@ -152,9 +158,13 @@
 }
 
 // splitByLimit separates the candidates that name a limit from the others. Requests go to the others as long as one of them
-// has room: the limited ones keep what they take for requests that nobody else can serve.
-func (f *Fleet) splitByLimit(candidates []routing.Candidate) (unlimited, limited []routing.Candidate) {
-	isLimited := func(c routing.Candidate) bool { return f.endpoints[c.Endpoint].limit.Named }
+// has room: the limited ones keep what they take for requests that nobody else can serve. One that has said nothing for some
+// time counts among the others for a request that it may get: nothing else would show the end of its need.
+func (f *Fleet) splitByLimit(now time.Time, candidates []routing.Candidate) (unlimited, limited []routing.Candidate) {
+	isLimited := func(c routing.Candidate) bool {
+		e := f.endpoints[c.Endpoint]
+		return e.limit.Named && (now.Sub(e.limit.observedAt) < limitRecheckInterval || !f.permitted(now, e))
+	}
 	if !slices.ContainsFunc(candidates, isLimited) {
 		return candidates, nil
 	}
--- a/internal/fleet/limits_test.go
+++ b/internal/fleet/limits_test.go
@@ -111,6 +111,70 @@
 	}
 }
 
+// Guards against an endpoint that gets no requests for the rest of the day, though it is well again, because others have room
+// and only an answer of its own can say so. While it still names its limit, it is asked rarely.
+func TestLimitIsCheckedAgainWhileOthersHaveRoom(t *testing.T) {
+	const d = 30 * time.Second
+	limit := RateLimit{Named: true, PerSecond: 2}
+	for _, c := range []struct {
+		name        string
+		endsAfter   time.Duration
+		least, most int
+	}{
+		{"still in need", time.Hour, 3, int(d / limitRecheckInterval)},
+		{"well again after 10 s", 10 * time.Second, 50, 400},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := twoEngines()
+			f.SetLimitShares(start, 1)
+			f.ObserveLimit(start, start, "e1", limit)
+			sent := 0
+			for now := start; now.Before(start.Add(d)); now = now.Add(50 * time.Millisecond) {
+				for _, id := range []string{"e1", "e2"} {
+					f.SetState(id, nil, 0, 0, now)
+				}
+				r := &Request{Target: Target{Service: "s", Model: "m"}}
+				choice, _, ok := f.Choose(now, r)
+				if !ok {
+					t.Fatalf("no endpoint after %v", now.Sub(start))
+				}
+				f.Done(choice, r)
+				if choice.ID == "e1" {
+					sent++
+					said := limit
+					if now.Sub(start) >= c.endsAfter {
+						said = RateLimit{}
+					}
+					f.ObserveLimit(now, now, "e1", said)
+				}
+			}
+			if sent < c.least || sent > c.most {
+				t.Errorf("%d requests in %v, want %d to %d", sent, d, c.least, c.most)
+			}
+		})
+	}
+}
+
+// Guards against an engine that gets no models for the rest of the day, though it is well again, because nobody asks for those
+// that it holds and so nothing says that its need has ended.
+func TestPlacementForgetsALimitThatNothingConfirms(t *testing.T) {
+	f := oneEngine()
+	f.ObserveLimit(start, start, "e1", RateLimit{Named: true, PerSecond: 2})
+	for _, c := range []struct {
+		after time.Duration
+		want  bool
+	}{{0, true}, {limitPlacementTTL - time.Second, true}, {limitPlacementTTL + time.Second, false}} {
+		now := start.Add(c.after)
+		f.SetState("e1", nil, 0, 0, now)
+		if got := f.Engines("s", now)[0].Limit.Named; got != c.want {
+			t.Errorf("limited %t after %v, want %t", got, c.after, c.want)
+		}
+	}
+	if got := f.LimitedEndpoints(); got != 1 {
+		t.Errorf("requests to %d endpoints are limited, want 1: only an answer ends that", got)
+	}
+}
+
 // Guards against a stream that waits for a place though its only engine was tried: it must be told so, to go there again.
 func TestRestOfAStreamAfterAllEnginesWereTried(t *testing.T) {
 	for _, limit := range []RateLimit{{}, {Named: true, PerSecond: 2}} {
