control: what a hub knows of a large site reaches its gateways over a small link

A gateway that chose a hub had 0.7 s for the hub's whole first message, whose size grows with the site, and no message may exceed 1 MB. A gateway on a link of 10 Mbit/s to a hub of 1,200 engines never got to it, or to any hub; above 1 MB no gateway did, on any link. Each would have become its own hub, with links to every agent.

The hub sends what it knows in parts of 64 kB, each of which has the time limit to itself, and changes of many engines as well. The gateway begins to use the hub with the last part, so that until then it keeps the one that it has. A table is not divided; one of over 1 MB (about 3,000 endpoints by their rows of 300 bytes) would still not pass.

TestStateOfALargeSiteArrivesOverASmallLink: both cases failed before (no hub within 10 s).

--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"balsamsail/internal/clock"
 	"balsamsail/internal/control/controlpb"
 	"balsamsail/internal/fleet"
@@ -24,6 +26,9 @@
 	// subscriberBacklog is the number of messages that a gateway may be behind its hub. One that is slower is disconnected, and
 	// gets everything anew when it returns.
 	subscriberBacklog = 64
+	// partBytes bounds a message with what the hub knows of many engines, which grows with the site. On a link of 10 Mbit/s a
+	// part takes 50 ms, so that the next one arrives well within the time limits of the receiver.
+	partBytes = 64 << 10
 )
 
 // Hub passes what this gateway knows of the site on to the gateways that have chosen it as their hub.
@@ -152,8 +157,35 @@
 	}
 	maps.DeleteFunc(h.sent, func(id string, _ sentEngine) bool { return !present[id] })
 	if len(update.Engines) > 0 {
-		h.broadcast(update)
+		for _, part := range splitUpdate(update) {
+			h.broadcast(part)
+		}
+	}
+}
+
+// splitUpdate divides the tables and engines of an update into messages of up to partBytes. A table is not divided: only the
+// whole of it may replace another copy.
+func splitUpdate(update *controlpb.SiteUpdate) []*controlpb.SiteUpdate {
+	last := &controlpb.SiteUpdate{}
+	parts := []*controlpb.SiteUpdate{last}
+	size := 0
+	reserve := func(m proto.Message) {
+		n := proto.Size(m)
+		if size > 0 && size+n > partBytes {
+			last, size = &controlpb.SiteUpdate{}, 0
+			parts = append(parts, last)
+		}
+		size += n
 	}
+	for _, t := range update.Tables {
+		reserve(t)
+		last.Tables = append(last.Tables, t)
+	}
+	for _, e := range update.Engines {
+		reserve(e)
+		last.Engines = append(last.Engines, e)
+	}
+	return parts
 }
 
 func sameCopies(a, b *fleet.EngineState) bool {
@@ -233,9 +265,9 @@
 	h.onLeave(s.name)
 }
 
-// snapshot returns everything that this gateway knows. The subscriber is already registered: changes that it gets before
-// or after the snapshot are ones that the snapshot may contain, and are dropped as older, or applied twice.
-func (h *Hub) snapshot() *controlpb.SiteUpdate {
+// snapshot returns everything that this gateway knows, in parts. The subscriber is already registered: changes that it gets
+// after the snapshot are ones that the snapshot may contain, and are dropped as older, or applied twice.
+func (h *Hub) snapshot() []*controlpb.SiteUpdate {
 	now := time.Now()
 	update := &controlpb.SiteUpdate{}
 	for _, r := range h.replicas {
@@ -246,7 +278,11 @@
 	for _, e := range h.fleet.RelayView(now) {
 		update.Engines = append(update.Engines, encodeEngine(e))
 	}
-	return update
+	parts := splitUpdate(update)
+	for _, part := range parts[:len(parts)-1] {
+		part.More = true
+	}
+	return parts
 }
 
 // status returns a message without changes, which says how recent the hub's copies of the tables are. It repeats the limits
@@ -262,8 +298,10 @@
 }
 
 func (h *Hub) write(ctx context.Context, s *subscriber, stream *wire.Stream) error {
-	if err := stream.Write(h.snapshot()); err != nil {
-		return err
+	for _, part := range h.snapshot() {
+		if err := stream.Write(part); err != nil {
+			return err
+		}
 	}
 	heartbeat := time.NewTicker(h.options.Heartbeat)
 	defer heartbeat.Stop()
--- a/internal/control/hub_test.go
+++ b/internal/control/hub_test.go
@@ -9,6 +9,7 @@
 
 	"balsamsail/internal/catalog"
 	"balsamsail/internal/control/controlpb"
+	"balsamsail/internal/faultlink"
 	"balsamsail/internal/fleet"
 	"balsamsail/internal/hubs"
 	"balsamsail/internal/watch"
@@ -201,6 +202,72 @@
 	}
 }
 
+// Guards against a gateway that never gets to its hub, because everything that the hub knows of a large site is longer than one
+// message or takes longer than a connection attempt on a small link.
+func TestStateOfALargeSiteArrivesOverASmallLink(t *testing.T) {
+	const (
+		engines = 1200
+		// bytesPerSecond is a link of 10 Mbit/s.
+		bytesPerSecond = 10_000_000 / 8
+		tableBytes     = 400 << 10
+	)
+	for _, c := range []struct {
+		name   string
+		models int
+	}{
+		{"longer than a connection attempt", 16},
+		{"longer than a message", 30},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var endpoints []catalog.Endpoint
+			for i := range engines {
+				endpoints = append(endpoints, catalog.Endpoint{ID: fmt.Sprintf("engine-%d", i), Service: "s", Address: "127.0.0.1:9", Revision: 1})
+			}
+			onDisk := make(map[string]bool)
+			for i := range c.models {
+				onDisk[fmt.Sprintf("model-of-a-usual-name-%d", i)] = true
+			}
+			agent := startAgent(t)
+			hub := startGateway(t, listenLoopback(t), agent)
+			hub.fleet.SetEndpoints(endpoints)
+			for _, e := range endpoints {
+				hub.fleet.SetState(e.ID, &fleet.EngineState{EndpointID: e.ID, OnDisk: onDisk}, 0, 0, time.Now())
+			}
+			row := watch.Row{Key: "config", Value: make([]byte, tableBytes), Revision: 1}
+			hub.table.Apply(watch.Change{Replace: true, Rows: []watch.Row{row}, Revision: 1, ConfirmedAt: time.Now()})
+
+			link, err := faultlink.New("127.0.0.1:0", hub.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer link.Close()
+			link.SetThrottle(faultlink.Throttle{BytesPerSecond: bytesPerSecond})
+			// Eight more gateways that do not run keep the site from being a mesh.
+			list := []hubs.Gateway{{Address: link.Address(), FailureDomain: "here", Processor: 9}}
+			for i := range 8 {
+				list = append(list, hubs.Gateway{Address: fmt.Sprintf("127.0.0.1:%d", i+1), FailureDomain: "elsewhere", Processor: 1})
+			}
+			listener := listenLoopback(t)
+			self := hubs.Gateway{Address: listener.Addr().String(), FailureDomain: "here", Processor: 1}
+			g := startRegisteredGateway(t, listener, agent, self, append(list, self))
+			g.fleet.SetEndpoints(endpoints)
+			eventually(t, "the gateway uses the hub", func() bool {
+				current := g.up.connection()
+				return current != nil && current.address == link.Address()
+			})
+			eventually(t, "the gateway knows the table and all engines", func() bool {
+				known := 0
+				for _, e := range g.fleet.RelayView(time.Now()) {
+					if len(e.State.OnDisk) == c.models {
+						known++
+					}
+				}
+				return known == engines && len(g.rows.value("config")) == tableBytes
+			})
+		})
+	}
+}
+
 // Guards against adapters that count as used for ever: a gateway leaves its hub while its requests use one, and the agent
 // never unloads it again. A new stream of the same gateway keeps what it has said when the old one ends.
 func TestUseEndsWithTheStream(t *testing.T) {
--- a/internal/control/upstream.go
+++ b/internal/control/upstream.go
@@ -18,8 +18,8 @@
 const (
 	// hubSilenceLimit is the time without a message after which a gateway leaves its hub: four heartbeats of 250 ms.
 	hubSilenceLimit = time.Second
-	// hubDialTimeout bounds the time from the connection attempt to a hub to its first message. A frozen host's kernel
-	// accepts the connection, and nothing follows.
+	// hubDialTimeout bounds the time from the connection attempt to a hub to its first message, and from there to each one
+	// before the gateway knows what the hub knows. A frozen host's kernel accepts the connection, and nothing follows.
 	hubDialTimeout = 700 * time.Millisecond
 	// hubTrialTime is the time after which a hub that serves counts as sound again.
 	hubTrialTime = 10 * time.Second
@@ -167,12 +167,21 @@
 	link      *link
 	cancel    context.CancelFunc
 	startedAt time.Time
-	// ready is closed once the hub has sent its first message, and done when the connection has ended.
+	// ready is closed once the hub has sent everything that it knows, and done when the connection has ended.
 	ready, done chan struct{}
+	// first holds the messages before that, and progress ends the connection if the next one does not come in time.
+	first    []arrivedUpdate
+	progress *time.Timer
 	// err is why the connection ended; it is set before done is closed.
 	err error
 }
 
+// arrivedUpdate is a message of a hub and when it arrived, from which the ages in it count.
+type arrivedUpdate struct {
+	at      time.Time
+	message *controlpb.SiteUpdate
+}
+
 // Run keeps the gateway connected until ctx ends.
 func (u *Upstream) Run(ctx context.Context) {
 	u.mu.Lock()
@@ -321,19 +330,14 @@
 		sendUpdate: func(now time.Time, out *sender) error { return u.sendUpdate(s, now, out) },
 		receive:    func(stream *wire.Stream) error { return u.receive(s, stream) },
 	}
+	s.progress = time.AfterFunc(hubDialTimeout, cancel)
 	go func() {
 		defer close(s.done)
+		defer s.progress.Stop()
 		connected := false
 		s.err = s.link.runConnection(ctx, &connected)
 		u.logger.Debug("connection to hub ended", "hub", address, "error", s.err)
 	}()
-	time.AfterFunc(hubDialTimeout, func() {
-		select {
-		case <-s.ready:
-		default:
-			cancel()
-		}
-	})
 	return s
 }
 
@@ -368,17 +372,34 @@
 	if err := stream.Read(message); err != nil {
 		return err
 	}
-	now := time.Now()
+	arrived := arrivedUpdate{at: time.Now(), message: message}
 	select {
 	case <-s.ready:
-		if u.connection() != s {
-			return nil
+		if u.connection() == s {
+			u.apply(arrived)
 		}
+		return nil
 	default:
-		u.useHub(s, now)
-		defer wake(s.link.wakeup)
-		defer close(s.ready)
 	}
+	s.first = append(s.first, arrived)
+	if message.More {
+		s.progress.Reset(hubDialTimeout)
+		return nil
+	}
+	s.progress.Stop()
+	u.useHub(s, arrived.at)
+	for _, part := range s.first {
+		u.apply(part)
+	}
+	s.first = nil
+	close(s.ready)
+	wake(s.link.wakeup)
+	return nil
+}
+
+// apply applies a message of the hub in use.
+func (u *Upstream) apply(arrived arrivedUpdate) {
+	now, message := arrived.at, arrived.message
 	for _, t := range message.Tables {
 		u.applyTable(decodeTable(now, t))
 	}
@@ -389,7 +410,6 @@
 	u.fleet.ApplyRelayed(now, engines)
 	u.fleet.ApplyLimits(now, decodeLimits(now, message.Limits))
 	u.fleet.AddPermits(now, message.Permits)
-	return nil
 }
 
 // applyTable applies a hub's change to a replica, and notes how recent the hub's copy is.
