fleet: a gateway behind a hub asks for a permit to check a limit again

A hub checks the limit of an endpoint that has not answered for five seconds, the gateways behind it did not: where only their clients ask for a model, the end of the need showed to nobody while other endpoints had room.

Two cases of TestLimitIsCheckedAgainWhileOthersHaveRoom, which failed before.

--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -161,15 +161,12 @@
 // has room: the limited ones keep what they take for requests that nobody else can serve. One that has said nothing for some
 // time counts among the others for a request that it may get: nothing else would show the end of its need.
 func (f *Fleet) splitByLimit(now time.Time, candidates []routing.Candidate) (unlimited, limited []routing.Candidate) {
-	isLimited := func(c routing.Candidate) bool {
-		e := f.endpoints[c.Endpoint]
-		return e.limit.Named && (now.Sub(e.limit.observedAt) < limitRecheckInterval || !f.permitted(now, e))
-	}
-	if !slices.ContainsFunc(candidates, isLimited) {
+	isNamed := func(c routing.Candidate) bool { return f.endpoints[c.Endpoint].limit.Named }
+	if !slices.ContainsFunc(candidates, isNamed) {
 		return candidates, nil
 	}
 	for _, c := range candidates {
-		if isLimited(c) {
+		if isNamed(c) && !f.recheckLimit(now, f.endpoints[c.Endpoint]) {
 			limited = append(limited, c)
 		} else {
 			unlimited = append(unlimited, c)
@@ -178,6 +175,19 @@
 	return unlimited, limited
 }
 
+// recheckLimit reports whether an endpoint that names a limit may get a request to see whether it still does. The lock must
+// be held.
+func (f *Fleet) recheckLimit(now time.Time, e *endpoint) bool {
+	if now.Sub(e.limit.observedAt) < limitRecheckInterval {
+		return false
+	}
+	if f.permitted(now, e) {
+		return true
+	}
+	f.wantPermit(now, e)
+	return false
+}
+
 // pickLimited chooses among candidates that name a limit, after no other could be chosen.
 func (f *Fleet) pickLimited(now time.Time, limited []routing.Candidate, req *Request, others picked) picked {
 	untried := slices.DeleteFunc(limited, func(c routing.Candidate) bool { return slices.Contains(req.Tried, c.Endpoint) })
--- a/internal/fleet/limits_test.go
+++ b/internal/fleet/limits_test.go
@@ -117,22 +117,31 @@
 	const d = 30 * time.Second
 	limit := RateLimit{Named: true, PerSecond: 2}
 	for _, c := range []struct {
-		name        string
-		endsAfter   time.Duration
+		name      string
+		endsAfter time.Duration
+		// behindHub is set if the gateway needs permits of a hub, which grants each that it asks for.
+		behindHub   bool
 		least, most int
 	}{
-		{"still in need", time.Hour, 3, int(d / limitRecheckInterval)},
-		{"well again after 10 s", 10 * time.Second, 50, 400},
+		{"still in need", time.Hour, false, 3, int(d / limitRecheckInterval)},
+		{"well again after 10 s", 10 * time.Second, false, 50, 400},
+		{"still in need, behind a hub", time.Hour, true, 3, int(d / limitRecheckInterval)},
+		{"well again after 10 s, behind a hub", 10 * time.Second, true, 50, 400},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := twoEngines()
 			f.SetLimitShares(start, 1)
 			f.ObserveLimit(start, start, "e1", limit)
+			if c.behindHub {
+				f.StartRelay(start)
+			}
 			sent := 0
 			for now := start; now.Before(start.Add(d)); now = now.Add(50 * time.Millisecond) {
 				for _, id := range []string{"e1", "e2"} {
 					f.SetState(id, nil, 0, 0, now)
 				}
+				f.ApplyRelayed(now, []RelayedEngine{{ID: "e1", Reported: true}, {ID: "e2", Reported: true}})
+				f.AddPermits(now, f.WantedPermits())
 				r := &Request{Target: Target{Service: "s", Model: "m"}}
 				choice, _, ok := f.Choose(now, r)
 				if !ok {
