fleet: a gateway that loses its hub has no reserve of a limit

A gateway behind a hub does not use its own bucket, which fills meanwhile. When the gateways of a failure domain lose all their hubs together, each sent one request at once beside what the hub had just allowed: the number of gateways, not of hubs, bounded the burst at an endpoint in need. Found by reading; not seen.

TestGatewayWithoutItsHubHasNothingInReserve failed before.

--- a/internal/control/upstream.go
+++ b/internal/control/upstream.go
@@ -269,7 +269,7 @@
 	u.logger.Info("this gateway is its own hub", "event", "hub", "hub", u.options.Self, "gateways", u.selector.Gateways())
 	u.ownHub = true
 	u.setCurrent(nil)
-	u.fleet.StopRelay()
+	u.fleet.StopRelay(time.Now())
 	u.agents.SetActive(true)
 }
 
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -127,8 +127,15 @@
 	}
 }
 
-// divideLimit sets the rate of this gateway's share. A new bucket is empty: the endpoint has just had its requests. The
-// lock must be held.
+// spendReserve empties the bucket, whose reserve the endpoint has had by other ways: through this gateway before the limit was
+// known, or with permits of the hub.
+func (s *limitState) spendReserve(now time.Time) {
+	if s.bucket != nil {
+		s.bucket.AllowN(now, 1)
+	}
+}
+
+// divideLimit sets the rate of this gateway's share. The lock must be held.
 func (f *Fleet) divideLimit(now time.Time, e *endpoint) {
 	if !e.limit.Named {
 		e.limit.bucket, e.limit.permits = nil, 0
@@ -137,7 +144,7 @@
 	share := rate.Limit(e.limit.PerSecond / float64(f.limitShares))
 	if e.limit.bucket == nil {
 		e.limit.bucket = rate.NewLimiter(share, 1)
-		e.limit.bucket.AllowN(now, 1)
+		e.limit.spendReserve(now)
 		return
 	}
 	e.limit.bucket.SetLimitAt(now, share)
--- a/internal/fleet/limits_test.go
+++ b/internal/fleet/limits_test.go
@@ -184,6 +184,26 @@
 	}
 }
 
+// Guards against gateways that lose their hub at the same time and all send at once what they had in reserve, unused, while the
+// hub gave them permits.
+func TestGatewayWithoutItsHubHasNothingInReserve(t *testing.T) {
+	f := oneEngine()
+	f.SetLimitShares(start, 1)
+	f.ObserveLimit(start, start, "e1", RateLimit{Named: true, PerSecond: 2})
+	f.StartRelay(start)
+	now := start.Add(time.Minute)
+	f.StopRelay(now)
+	f.SetState("e1", nil, 0, 0, now)
+	if _, _, ok := f.Choose(now, requestDue(time.Hour)); ok {
+		t.Error("a request was sent at once")
+	}
+	later := now.Add(time.Second)
+	f.SetState("e1", nil, 0, 0, later)
+	if _, _, ok := f.Choose(later, requestDue(time.Hour)); !ok {
+		t.Error("no request was sent within a second, want two")
+	}
+}
+
 // Guards against a stream that waits for a place though its only engine was tried: it must be told so, to go there again.
 func TestRestOfAStreamAfterAllEnginesWereTried(t *testing.T) {
 	for _, limit := range []RateLimit{{}, {Named: true, PerSecond: 2}} {
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -77,10 +77,13 @@
 
 // StopRelay begins to take engines' states from their agents. What the hub has said of an engine stays valid for a while,
 // until its agent reports.
-func (f *Fleet) StopRelay() {
+func (f *Fleet) StopRelay(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.relaying = false
+	for _, e := range f.endpoints {
+		e.limit.spendReserve(now)
+	}
 }
 
 // RelayAge returns the time since the hub's last message, or zero while the agents say of the engines.
