settings, watch: a call for changes that the store has lost is given up within 2.5 s

Callers got 404 on routes that had been confirmed more than two seconds before, from gateways in touch. In a mesh a gateway's call waits up to 5 s for changes, and its answer another second. Where the store loses the call, as it does while it is silent, and is well again right afterwards, the gateway learned of no change for up to 6 s; the bounds leave it 3 s after the outage.

Ruled out: the connection (the store's other table was read meanwhile), a longer backoff (the next call came 0.15 s later). Hubs wait 0.7 s and are not affected; the test says so.

TestLostCallDelaysNoConfiguration/mesh failed before.

--- a/internal/app/feed_test.go
+++ b/internal/app/feed_test.go
@@ -3,13 +3,19 @@
 import (
 	"context"
 	"log/slog"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"balsamsail/internal/settings"
 	"balsamsail/internal/watch"
 	"balsamsail/platform"
+	"balsamsail/platform/standin"
 )
 
 // scriptedHub is a hub whose copy of every table was last confirmed at a time.
@@ -121,3 +127,70 @@
 func (discardSink) Apply([]watch.Row)   {}
 func (discardSink) Unavailable(error)   {}
 func (discardSink) Available()          {}
+
+// countingSink counts the rows that it receives.
+type countingSink struct{ rows atomic.Int64 }
+
+func (s *countingSink) Replace(rows []watch.Row) { s.Apply(rows) }
+func (s *countingSink) Apply(rows []watch.Row)   { s.rows.Add(int64(len(rows))) }
+func (*countingSink) Unavailable(error)          {}
+func (*countingSink) Available()                 {}
+
+// Guards against a gateway that keeps an old configuration for seconds after the store is well again, because it waits for the
+// answer to a call for changes that the store has lost.
+func TestLostCallDelaysNoConfiguration(t *testing.T) {
+	// inTouch is the time after an outage of the store from which the platform expects configurations to be in force.
+	const inTouch = 3 * time.Second
+	s := defaultStoreSettings(t)
+	for name, wait := range map[string]time.Duration{"mesh": s.Wait, "hub": s.HubWait} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := standin.NewStore()
+			server := httptest.NewServer(store)
+			defer server.Close()
+			sink := &countingSink{}
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				options := watchOptions(s, func() time.Duration { return wait }, nil)
+				source := platform.NewStore(server.Listener.Addr().String())
+				watch.Run(ctx, source, watch.NewReplica(platform.OperatorTable, sink), options, slog.New(slog.DiscardHandler))
+			}()
+			defer func() { cancel(); <-done }()
+			awaitFor := func(d time.Duration, what string, condition func() bool) {
+				t.Helper()
+				for end := time.Now().Add(d); !condition(); time.Sleep(5 * time.Millisecond) {
+					if time.Now().After(end) {
+						t.Fatalf("not within %v: %s", d, what)
+					}
+				}
+			}
+			store.Put(standin.OperatorTable, standin.ConfigKey, "first")
+			awaitFor(inTouch, "the first version is in force", func() bool { return sink.rows.Load() == 1 })
+			calls := store.Calls()
+			store.SetFaults(func(f *standin.StoreFaults) { f.Unresponsive = true })
+			awaitFor(10*time.Second, "a call is lost", func() bool { return store.Calls() > calls })
+			store.SetFaults(func(f *standin.StoreFaults) { f.Unresponsive = false })
+			store.Put(standin.OperatorTable, standin.ConfigKey, "second")
+			awaitFor(inTouch, "the second version is in force", func() bool { return sink.rows.Load() == 2 })
+		})
+	}
+}
+
+// defaultStoreSettings returns the settings of the store that a gateway has where its file names none.
+func defaultStoreSettings(t *testing.T) settings.Store {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "gateway.ini")
+	text := "[gateway]\nhost = h\nfailure_domain = d\nlisten = 127.0.0.1:1\nreadiness_listen = 127.0.0.1:2\n" +
+		"[store]\naddress = 127.0.0.1:3\n[control]\nlisten = 127.0.0.1:4\nagent_port = 5\n" +
+		"[retries]\nshare = 0.2\nextra = 50\nwindow = 10s\n[drain]\ngrace = 8s\n"
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	g, err := settings.LoadGateway(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return g.Store
+}
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -282,7 +282,7 @@
 	f := &feed{
 		replica:  replica,
 		source:   source,
-		options:  watch.Options{Wait: wait, CoalesceDelay: s.Gather, MinBackoff: s.MinBackoff, MaxBackoff: s.MaxBackoff, Metrics: r.WatchMetrics},
+		options:  watchOptions(s, wait, r.WatchMetrics),
 		upstream: r.Upstream,
 		logger:   r.Logger,
 		started:  time.Now(),
@@ -290,6 +290,10 @@
 	group.Go(func() error { f.run(ctx); return nil })
 }
 
+func watchOptions(s settings.Store, wait func() time.Duration, metrics *watch.Metrics) watch.Options {
+	return watch.Options{Wait: wait, CoalesceDelay: s.Gather, MinBackoff: s.MinBackoff, MaxBackoff: s.MaxBackoff, Metrics: metrics}
+}
+
 // gatewayListeners holds a gateway's listeners.
 type gatewayListeners struct{ clients, readiness, control, metrics net.Listener }
 
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -41,7 +41,7 @@
 // Store configures the watches on the platform's store.
 type Store struct {
 	Address    inifile.Address `ini:"address" doc:"Address of the store."`
-	Wait       time.Duration   `ini:"wait" default:"5s" min:"100ms" max:"30s" doc:"How long one call waits for changes. Each call has a price; a connection that fell silent shows by the kernel's probes within 3 s."`
+	Wait       time.Duration   `ini:"wait" default:"1500ms" min:"100ms" max:"30s" doc:"How long one call waits for changes. Each call has a price. The answer of a call that the store has lost is awaited for a second more, and configurations have to be in force 3 s after an outage of the store."`
 	Gather     time.Duration   `ini:"gather" default:"400ms" min:"0s" max:"1s" doc:"Pause before the next call after changes came: registrations change several times a second, and each call has a price. A draining endpoint gets work for that much longer; 2 s are allowed."`
 	HubWait    time.Duration   `ini:"hub_wait" default:"700ms" min:"50ms" max:"30s" doc:"The same on a hub, for the tables that it passes on: with the gather time it bounds how late the other gateways notice that their hub is cut off from the store."`
 	MinBackoff time.Duration   `ini:"min_backoff" default:"150ms" min:"10ms" max:"10s" doc:"First pause after a call that failed; doubled each time."`
