--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -41,6 +41,7 @@
 }{
 	{2, 15 * time.Second, "", "none; a fixed run with most kinds of faults"},
 	{14, 22 * time.Second, "configuration,store cut,store silent", "a catch-up with the store that a slow link could not carry within a call's time limit"},
+	{18, 14 * time.Second, "store mute,configuration", "a call for changes that the store had lost was awaited for six seconds"},
 	{2040, 14 * time.Second, "", "the soak itself: an endpoint of one service was restarted under its ID as one of another"},
 	{1, 15 * time.Second, "limit", "a limit that an endpoint named was not kept"},
 }
