gateway, control: a request under which three endpoints have ended is sent to no other

What callers saw: a request that ends the endpoints that run it went on to others, again and again; each of its client's tries ended two more, with all the streams that ran there.

Cause: max_attempts bounds one client attempt. The tries of a client have other IDs and come to other gateways, and nothing connected them. Class: a bound that holds over all gateways and all tries, kept by each for one attempt.

Ruled out: attempts beyond max_attempts within one client attempt, and repeats past the retry budget (both by reading).

Why this works: an attempt that ends without a whole answer leaves an entry of content and endpoint, which every gateway hears of (by its hub or the coordinator, at once). An entry does not count any more once the endpoint has responded since or its agent reports it. Before each sending the endpoints are counted: three end the request, 502 where it may have run, else 503 with the time of return. A gateway that hears from no other sends nothing on under which an endpoint has ended.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"balsamsail/internal/control"
+	"balsamsail/internal/crashes"
 	"balsamsail/internal/fleet"
 	"balsamsail/internal/gateway"
 	"balsamsail/internal/hubs"
@@ -58,11 +59,13 @@
 		func() hubs.Gateway { return selfGateway(s) },
 		newDirectory,
 		newSiteTables,
-		func(o control.Options, f *fleet.Fleet, t siteTables, l *slog.Logger) *control.Hub {
-			return control.NewHub(o, f, t.all(), l)
+		crashes.New,
+		control.NewFacts,
+		func(o control.Options, f *fleet.Fleet, facts *control.Facts, t siteTables, l *slog.Logger) *control.Hub {
+			return control.NewHub(o, f, facts, t.all(), l)
 		},
-		func(o control.Options, self hubs.Gateway, a *control.Agents, h *control.Hub, f *fleet.Fleet, t siteTables, l *slog.Logger) *control.Upstream {
-			return control.NewUpstream(o, self, a, h, f, t.all(), l)
+		func(o control.Options, self hubs.Gateway, a *control.Agents, h *control.Hub, f *fleet.Fleet, facts *control.Facts, t siteTables, l *slog.Logger) *control.Upstream {
+			return control.NewUpstream(o, self, a, h, f, facts, t.all(), l)
 		},
 		control.NewPeers,
 		placement.NewMetrics,
@@ -142,11 +145,13 @@
 // would stay open and be probed.
 const idleConnTimeout = 4 * time.Second
 
-func newGateway(s *settings.Gateway, f *fleet.Fleet, p *control.Peers, l *slog.Logger, m *gateway.Metrics) *gateway.Gateway {
+func newGateway(s *settings.Gateway, f *fleet.Fleet, p *control.Peers, c *crashes.Tracker, l *slog.Logger, m *gateway.Metrics) *gateway.Gateway {
 	options := gateway.Options{
 		Seed:         rand.Uint64(),
 		Budget:       retryBudget(s.Retries),
 		GatewayCount: func() int { return max(p.GatewayCount(), minGateways) },
+		Crashes:      c,
+		InContact:    func() bool { return p.InContact(time.Now()) },
 	}
 	transport := &http.Transport{
 		DialContext:         netconn.DialAbortive(),
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -12,6 +12,7 @@
 	"balsamsail/internal/catalog"
 	"balsamsail/internal/clock"
 	"balsamsail/internal/control/controlpb"
+	"balsamsail/internal/crashes"
 	"balsamsail/internal/fleet"
 	"balsamsail/internal/hubs"
 	"balsamsail/internal/watch"
@@ -114,6 +115,7 @@
 	agents  *Agents
 	peers   *Peers
 	hub     *Hub
+	facts   *Facts
 	up      *Upstream
 	// table is the gateway's copy of a table of the store, and rows what its consumer has received.
 	table *watch.Replica
@@ -155,7 +157,7 @@
 	t.Helper()
 	_, portText, _ := net.SplitHostPort(a.listener.Addr().String())
 	port, _ := strconv.Atoi(portText)
-	g := &testGateway{address: listener.Addr().String(), fleet: fleet.New("here", 1)}
+	g := &testGateway{address: listener.Addr().String(), fleet: fleet.New("here", 1), facts: NewFacts(crashes.New())}
 	options := testOptions(g.address)
 	if list != nil {
 		// A gateway sends its hub something each demandInterval; a shorter silence would end sound connections.
@@ -165,9 +167,9 @@
 	g.rows = &rowSink{values: make(map[string]string)}
 	g.table = watch.NewReplica("t", g.rows)
 	replicas := []*watch.Replica{g.table}
-	g.hub = NewHub(options, g.fleet, replicas, discardLogger)
-	g.up = NewUpstream(options, self, g.agents, g.hub, g.fleet, replicas, discardLogger)
-	g.peers = NewPeers(options, g.agents, g.hub, g.up, g.fleet, discardLogger)
+	g.hub = NewHub(options, g.fleet, g.facts, replicas, discardLogger)
+	g.up = NewUpstream(options, self, g.agents, g.hub, g.fleet, g.facts, replicas, discardLogger)
+	g.peers = NewPeers(options, g.agents, g.hub, g.up, g.fleet, g.facts, discardLogger)
 	g.up.SetGateways(list)
 	engine := &catalog.EngineClass{Models: map[string]catalog.Model{"m": {Name: "m", SizeMB: 10}}}
 	g.fleet.SetConfig(catalog.NewConfig(1, catalog.ClientLimits{}, map[string]*catalog.Service{"s": {Name: "s", Engine: engine}}, nil))
--- /dev/null
+++ b/internal/control/facts_test.go
@@ -0,0 +1,66 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"balsamsail/internal/crashes"
+	"balsamsail/internal/hubs"
+)
+
+// endedUnder returns the number of endpoints that have ended under a request as far as a gateway knows.
+func (g *testGateway) endedUnder(c crashes.Content) int {
+	now := time.Now()
+	return g.facts.Crashes.Ended(now, c, func(time.Time, string, time.Time) bool { return true }).Endpoints
+}
+
+// Guards against gateways that each count only the ends that they have seen, as a mesh and behind hubs: a client comes back some
+// 80 ms after it got no answer, mostly at another gateway.
+func TestEndsAreKnownToAllGateways(t *testing.T) {
+	const request crashes.Content = 7
+	for _, n := range []int{4, 10} {
+		t.Run(fmt.Sprintf("%d gateways", n), func(t *testing.T) {
+			gateways, agent := startSite(t, n)
+			if n < 8 {
+				agent.setGateways(gateways)
+			}
+			for i, g := range gateways {
+				eventually(t, fmt.Sprintf("gateway %d is in contact", i), func() bool { return g.peers.InContact(time.Now()) })
+			}
+			for i, g := range gateways[:3] {
+				now := time.Now()
+				g.facts.Crashes.Add(now, crashes.End{Content: request, EndpointID: fmt.Sprint("e", i)}, now)
+			}
+			for i, g := range gateways {
+				eventuallyWithin(t, time.Second, fmt.Sprintf("gateway %d knows of all ends", i), func() bool { return g.endedUnder(request) == 3 })
+			}
+		})
+	}
+}
+
+// Guards against a gateway that has just started and sends a request on to which others have lost endpoints.
+func TestGatewayThatStartsHearsOfEnds(t *testing.T) {
+	const ends = 3 * factsPerMessage
+	gateways, agent := startSite(t, 10)
+	hub := gateways[9]
+	eventually(t, "all gateways use the hub", func() bool { return hub.hub.Subscribers() == 9 })
+	for i := range ends {
+		now := time.Now()
+		hub.facts.Crashes.Add(now, crashes.End{Content: crashes.Content(i), EndpointID: "e1"}, now)
+	}
+	late := listenLoopback(t)
+	self := hubs.Gateway{Address: late.Addr().String(), FailureDomain: "here", Processor: 0.5}
+	list := []hubs.Gateway{self}
+	for i, g := range gateways {
+		list = append(list, hubs.Gateway{Address: g.address, FailureDomain: "here", Processor: 1 + float64(i)})
+	}
+	newcomer := startRegisteredGateway(t, late, agent, self, list)
+	if newcomer.peers.InContact(time.Now()) && newcomer.endedUnder(ends-1) == 0 {
+		t.Error("a gateway counts as in contact before it has heard from another")
+	}
+	eventually(t, "the new gateway knows of all ends", func() bool { return newcomer.endedUnder(0) == 1 && newcomer.endedUnder(ends-1) == 1 })
+	if !newcomer.peers.InContact(time.Now()) {
+		t.Error("a gateway that has heard from its hub is not in contact")
+	}
+}
--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -35,6 +35,7 @@
 type Hub struct {
 	options  Options
 	fleet    *fleet.Fleet
+	facts    *Facts
 	replicas []*watch.Replica
 	logger   *slog.Logger
 	// streams counts the streams of gateways so far.
@@ -71,10 +72,11 @@
 }
 
 // NewHub returns a hub without subscribers that passes on the given tables.
-func NewHub(options Options, f *fleet.Fleet, replicas []*watch.Replica, logger *slog.Logger) *Hub {
+func NewHub(options Options, f *fleet.Fleet, facts *Facts, replicas []*watch.Replica, logger *slog.Logger) *Hub {
 	h := &Hub{
 		options:     options,
 		fleet:       f,
+		facts:       facts,
 		replicas:    replicas,
 		logger:      logger,
 		onUpdate:    func(string, *controlpb.GatewayUpdate, bool) {},
@@ -108,27 +110,40 @@
 
 // Run passes on changes of engines until ctx ends.
 func (h *Hub) Run(ctx context.Context) {
+	cursor := &factsCursor{}
 	for ctx.Err() == nil {
 		if h.Subscribers() == 0 {
-			h.await(ctx, h.arrived)
+			h.facts.skip(time.Now(), cursor)
+			h.await(ctx, h.arrived, nil)
 			continue
 		}
-		changed := h.fleet.Changed()
+		changed, factsChanged := h.fleet.Changed(), h.facts.Changed()
 		now := time.Now()
 		h.relayEngines(now)
+		h.relayFacts(now, cursor)
 		h.grantPermits(now)
 		clock.Pause(ctx, minRelayInterval)
-		h.await(ctx, changed)
+		h.await(ctx, changed, factsChanged)
 	}
 }
 
-// await waits for a signal, for at most one interval.
-func (h *Hub) await(ctx context.Context, signal <-chan struct{}) {
+// relayFacts sends new facts to all subscribers.
+func (h *Hub) relayFacts(now time.Time, cursor *factsCursor) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for facts := h.facts.next(now, cursor); facts != nil; facts = h.facts.next(now, cursor) {
+		h.broadcast(&controlpb.SiteUpdate{Facts: facts})
+	}
+}
+
+// await waits for one of two signals, for at most one interval.
+func (h *Hub) await(ctx context.Context, signal, other <-chan struct{}) {
 	timer := time.NewTimer(h.options.Interval)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-signal:
+	case <-other:
 	case <-timer.C:
 	}
 }
@@ -279,6 +294,10 @@
 		update.Engines = append(update.Engines, encodeEngine(e))
 	}
 	parts := splitUpdate(update)
+	cursor := &factsCursor{}
+	for facts := h.facts.next(now, cursor); facts != nil; facts = h.facts.next(now, cursor) {
+		parts = append(parts, &controlpb.SiteUpdate{Facts: facts})
+	}
 	for _, part := range parts[:len(parts)-1] {
 		part.More = true
 	}
@@ -335,6 +354,7 @@
 		h.fleet.SetRelayedUse(s.name, decodeAdapters(message.Used))
 		now := time.Now()
 		h.fleet.ApplyLimits(now, decodeLimits(now, message.Limits))
+		h.facts.apply(now, message.Facts)
 		h.requestPermits(now, s, message.WantedPermits)
 		h.onUpdate(s.name, message, first)
 	}
--- a/internal/control/hub_test.go
+++ b/internal/control/hub_test.go
@@ -9,6 +9,7 @@
 
 	"balsamsail/internal/catalog"
 	"balsamsail/internal/control/controlpb"
+	"balsamsail/internal/crashes"
 	"balsamsail/internal/faultlink"
 	"balsamsail/internal/fleet"
 	"balsamsail/internal/hubs"
@@ -273,7 +274,7 @@
 func TestUseEndsWithTheStream(t *testing.T) {
 	f := fleet.New("here", 1)
 	f.SetEndpoints([]catalog.Endpoint{{ID: "e", Service: "s", Revision: 1}})
-	h := NewHub(testOptions("hub"), f, nil, discardLogger)
+	h := NewHub(testOptions("hub"), f, NewFacts(crashes.New()), nil, discardLogger)
 	first, second := &subscriber{name: "g#1"}, &subscriber{name: "g#2"}
 	used := map[string][]fleet.Adapter{"e": {{Model: "m", Name: "a"}}}
 	f.SetRelayedUse(first.name, used)
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"balsamsail/internal/clock"
 	"balsamsail/internal/control/controlpb"
 	"balsamsail/internal/demand"
 	"balsamsail/internal/fleet"
@@ -40,6 +41,7 @@
 	hub      *Hub
 	upstream *Upstream
 	fleet    *fleet.Fleet
+	facts    *Facts
 	logger   *slog.Logger
 
 	mu sync.Mutex
@@ -57,13 +59,14 @@
 }
 
 // NewPeers returns the peer state of a gateway.
-func NewPeers(options Options, agents *Agents, hub *Hub, upstream *Upstream, f *fleet.Fleet, logger *slog.Logger) *Peers {
+func NewPeers(options Options, agents *Agents, hub *Hub, upstream *Upstream, f *fleet.Fleet, facts *Facts, logger *slog.Logger) *Peers {
 	p := &Peers{
 		options:  options,
 		agents:   agents,
 		hub:      hub,
 		upstream: upstream,
 		fleet:    f,
+		facts:    facts,
 		logger:   logger,
 		local:    demand.NewBoard(),
 		others:   demand.NewBoard(),
@@ -133,6 +136,11 @@
 // GatewayCount returns the number of gateways, this one included, that are registered or that agents have recently reported.
 func (p *Peers) GatewayCount() int { return max(1, int(p.gatewayCount.Load())) }
 
+// InContact reports whether this gateway hears from others, or is the only one of the site.
+func (p *Peers) InContact(now time.Time) bool {
+	return p.facts.inContact(now) || p.upstream.isAlone()
+}
+
 // Waiting returns a channel that is signaled when a request of any gateway starts to wait for a model.
 func (p *Peers) Waiting() <-chan struct{} { return p.waiting }
 
@@ -140,6 +148,7 @@
 func (p *Peers) Run(ctx context.Context) {
 	current, stop := "", context.CancelFunc(func() {})
 	defer func() { stop() }()
+	go p.wakeOnFacts(ctx)
 	ticker := time.NewTicker(p.options.Interval)
 	defer ticker.Stop()
 	for {
@@ -165,6 +174,20 @@
 	}
 }
 
+// wakeOnFacts passes new facts on at once, until ctx is done.
+func (p *Peers) wakeOnFacts(ctx context.Context) {
+	for {
+		changed := p.facts.Changed()
+		p.wakeUpstream(nil)
+		clock.Pause(ctx, minRelayInterval)
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
 // elect returns the coordinator among the given gateways: the one on the largest host. While one of them has not
 // registered, the lowest address decides; all gateways have to judge by what all of them know.
 func (p *Peers) elect(peers []string) string {
@@ -194,7 +217,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	options := p.options
 	options.Interval = demandInterval
-	out := &demandSender{}
+	out := &demandSender{facts: p.facts}
 	l := &link{
 		address: coordinator,
 		kind:    wirepb.StreamKind_CONTROL,
@@ -210,6 +233,9 @@
 			out.takesChanges.Store(reply.TakesChanges)
 			now := time.Now()
 			p.fleet.ApplyLimits(now, decodeLimits(now, reply.Limits))
+			if err == nil {
+				p.facts.apply(now, reply.Facts)
+			}
 			return err
 		},
 	}
@@ -224,13 +250,15 @@
 // Coordinators of earlier builds never do.
 type demandSender struct {
 	differ       demand.Differ
+	facts        *Facts
+	cursor       factsCursor
 	sender       *sender
 	takesChanges atomic.Bool
 }
 
 func (d *demandSender) send(now time.Time, s *sender, all []demand.Model, limits []*controlpb.EndpointLimit, heartbeat time.Duration) error {
 	if d.sender != s {
-		d.sender = s
+		d.sender, d.cursor = s, factsCursor{}
 		d.takesChanges.Store(false)
 	}
 	changes := d.differ.Changes(now, all)
@@ -245,6 +273,7 @@
 		message = encodeDemand(all, false)
 	}
 	message.Limits = limits
+	message.Facts = d.facts.next(now, &d.cursor)
 	return s.send(now, message, heartbeat)
 }
 
@@ -268,7 +297,12 @@
 		p.hub.serveStream(ctx, header, stream)
 		return
 	}
-	s := &sender{stream: stream}
+	ctx, cancel := context.WithCancel(ctx)
+	reply := p.replier(stream)
+	var writer sync.WaitGroup
+	defer writer.Wait()
+	defer cancel()
+	writer.Go(func() { p.pushFacts(ctx, stream, reply) })
 	for {
 		message := &controlpb.Demand{}
 		if err := stream.SetReadDeadline(time.Now().Add(p.options.SilenceLimit)); err != nil {
@@ -286,10 +320,41 @@
 			wake(p.waiting)
 		}
 		p.fleet.ApplyLimits(now, decodeLimits(now, message.Limits))
+		p.facts.apply(now, message.Facts)
 		// The reply keeps the peer's silence limit from expiring.
-		reply := &controlpb.Demand{TakesChanges: true, Limits: encodeLimits(now, p.fleet.Limits(now))}
-		if err := s.send(now, reply, p.options.Heartbeat); err != nil {
+		if err := reply(); err != nil {
+			return
+		}
+	}
+}
+
+// replier returns a function that sends a hub what the coordinator knows, if there is something new or the heartbeat is due.
+func (p *Peers) replier(stream *wire.Stream) func() error {
+	var mu sync.Mutex
+	s, cursor := &sender{stream: stream}, &factsCursor{}
+	return func() error {
+		mu.Lock()
+		defer mu.Unlock()
+		now := time.Now()
+		reply := &controlpb.Demand{TakesChanges: true, Limits: encodeLimits(now, p.fleet.Limits(now)), Facts: p.facts.next(now, cursor)}
+		return s.send(now, reply, p.options.Heartbeat)
+	}
+}
+
+// pushFacts sends a hub new facts without waiting for its next message, until ctx is done.
+func (p *Peers) pushFacts(ctx context.Context, stream *wire.Stream, reply func() error) {
+	for {
+		changed := p.facts.Changed()
+		if err := reply(); err != nil {
+			p.logger.Debug("cannot send to peer", "error", err)
+			_ = stream.Close()
+			return
+		}
+		clock.Pause(ctx, minRelayInterval)
+		select {
+		case <-ctx.Done():
 			return
+		case <-changed:
 		}
 	}
 }
--- a/internal/control/upstream.go
+++ b/internal/control/upstream.go
@@ -41,6 +41,7 @@
 	agents   *Agents
 	hub      *Hub
 	fleet    *fleet.Fleet
+	facts    *Facts
 	replicas map[string]*watch.Replica
 	logger   *slog.Logger
 
@@ -64,12 +65,13 @@
 }
 
 // NewUpstream returns the upstream side of a gateway.
-func NewUpstream(options Options, self hubs.Gateway, agents *Agents, hub *Hub, f *fleet.Fleet, replicas []*watch.Replica, logger *slog.Logger) *Upstream {
+func NewUpstream(options Options, self hubs.Gateway, agents *Agents, hub *Hub, f *fleet.Fleet, facts *Facts, replicas []*watch.Replica, logger *slog.Logger) *Upstream {
 	u := &Upstream{
 		options:     options,
 		agents:      agents,
 		hub:         hub,
 		fleet:       f,
+		facts:       facts,
 		replicas:    byTable(replicas),
 		logger:      logger,
 		selector:    hubs.NewSelector(self),
@@ -126,6 +128,13 @@
 	return u.selector.Gateway(address)
 }
 
+// isAlone reports whether the list of gateways is known and has no other one.
+func (u *Upstream) isAlone() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.listed && u.selector.Gateways() <= 1
+}
+
 // IsOwnHub reports whether this gateway has links of its own to the agents.
 func (u *Upstream) IsOwnHub() bool {
 	u.mu.Lock()
@@ -172,6 +181,8 @@
 	// first holds the messages before that, and progress ends the connection if the next one does not come in time.
 	first    []arrivedUpdate
 	progress *time.Timer
+	// facts is how far the hub has been sent what this gateway knows.
+	facts factsCursor
 	// err is why the connection ended; it is set before done is closed.
 	err error
 }
@@ -359,6 +370,7 @@
 	message.Used = encodeAdapters(u.fleet.UsedAdapters())
 	message.Limits = encodeLimits(now, u.fleet.Limits(now))
 	message.WantedPermits = u.fleet.WantedPermits()
+	message.Facts = u.facts.next(now, &s.facts)
 	if len(message.Demand.Models) > 0 || len(message.Wanted) > 0 || len(message.WantedPermits) > 0 {
 		// Two equal lists of changes are two changes.
 		out.last = nil
@@ -410,6 +422,7 @@
 	u.fleet.ApplyRelayed(now, engines)
 	u.fleet.ApplyLimits(now, decodeLimits(now, message.Limits))
 	u.fleet.AddPermits(now, message.Permits)
+	u.facts.apply(now, message.Facts)
 }
 
 // applyTable applies a hub's change to a replica, and notes how recent the hub's copy is.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -95,6 +95,8 @@
 	replaced bool
 	// hostDown is set while the endpoint's host does not respond on the connection to its agent.
 	hostDown bool
+	// downAt is when the agent last reported that the engine does not respond.
+	downAt time.Time
 	// responses tracks the endpoint's own responses.
 	responses responseTracker
 	// limit is the rate of requests that the endpoint names.
@@ -295,7 +297,7 @@
 	e.sentSinceLoad = 0
 	if state != nil {
 		f.observeLoad(now, e, state)
-		e.state, e.fullReportAt = state, now
+		e.setState(now, state)
 		clear(e.absent)
 	}
 	if e.state != nil {
@@ -305,6 +307,14 @@
 	return true
 }
 
+// setState records an agent's report, whether it came from the agent or by a hub.
+func (e *endpoint) setState(now time.Time, state *EngineState) {
+	e.state, e.fullReportAt = state, now
+	if state.Down && state.EndpointID == e.ID {
+		e.downAt = now
+	}
+}
+
 // SetDisconnected records that the connection to an endpoint's agent is closed, and whether the host has stopped
 // responding.
 func (f *Fleet) SetDisconnected(id string, hostDown bool) {
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -157,7 +157,7 @@
 			state.InMemory, state.OnDisk = e.state.InMemory, e.state.OnDisk
 		}
 		f.observeLoad(now, e, &state)
-		e.state, e.fullReportAt = &state, now
+		e.setState(now, &state)
 		clear(e.absent)
 	}
 	if e.state != nil {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -165,12 +165,15 @@
 // handleFailure decides what follows an attempt that got no valid response.
 func (g *Gateway) handleFailure(parent context.Context, q *request, choice fleet.Choice, maybeSent bool, err error) verdict {
 	g.metrics.countAttempt("unanswered")
+	if maybeSent && (parent.Err() == nil || !g.fleet.IsResponsive(time.Now(), choice.ID)) {
+		g.recordEnd(q, choice)
+	}
 	if parent.Err() != nil && q.inbound.Context().Err() != nil {
 		q.mayHaveRun = q.mayHaveRun || maybeSent
 		return failed
 	}
-	g.requestLog.write(time.Now(), true, "attempt failed", "event", "attempt_failed", "request", q.call.ID, "endpoint", choice.ID, "sending", q.attempts,
-		"maybe_sent", maybeSent, "error", err, "left", time.Until(q.deadline))
+	g.requestLog.write(time.Now(), true, "attempt failed", "event", "attempt_failed", "request", q.call.ID, "content", q.contentText(), "endpoint", choice.ID,
+		"sending", q.attempts, "maybe_sent", maybeSent, "error", err, "left", time.Until(q.deadline))
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		g.fleet.Refused(time.Now(), choice.ID)
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -19,6 +19,8 @@
 	Model, Adapter string
 	// PromptTokens is the length of the prompt; 0 if unknown.
 	PromptTokens int
+	// Prompt identifies the prompt; it is the same in all tries of a client.
+	Prompt string
 	// Timeout is the client's timeout; 0 if the client gave none.
 	Timeout time.Duration
 	// LastEventID is the last event that the client has, if it resumes a stream.
--- /dev/null
+++ b/internal/gateway/crash.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"balsamsail/internal/crashes"
+	"balsamsail/internal/fleet"
+)
+
+const (
+	// maxEndedAlone is the number of endpoints that may end under a request at a gateway that does not hear from the others,
+	// and so does not know what the client's other tries have ended.
+	maxEndedAlone = 1
+	// endCheckTime is the time after which a refused request is worth another look: by then endpoints that have not ended have
+	// reported, and a gateway that has just started has heard from the others.
+	endCheckTime = time.Second
+)
+
+// contentOf returns the hash of what all tries of a client have in common.
+func contentOf(r *http.Request, call Call, body []byte) crashes.Content {
+	h := xxhash.New()
+	for _, part := range []string{r.Method, r.Host, r.RequestURI, call.Model, call.Adapter, call.Prompt} {
+		// Writes to a hash never fail.
+		_, _ = h.WriteString(strconv.Itoa(len(part)))
+		_, _ = h.WriteString(":")
+		_, _ = h.WriteString(part)
+	}
+	_, _ = h.Write(body)
+	return crashes.Content(h.Sum64())
+}
+
+// recordEnd records that an endpoint has left a request without a whole answer, and so may have ended.
+func (g *Gateway) recordEnd(q *request, choice fleet.Choice) {
+	now := time.Now()
+	g.crashes.Add(now, crashes.End{Content: q.content, EndpointID: choice.ID, Attempt: rand.Uint64()}, now)
+}
+
+// mustNotBeSent reports whether so many endpoints have ended under the request, in all tries of its client, that it is sent to no
+// other one.
+func (g *Gateway) mustNotBeSent(now time.Time, q *request) bool {
+	ended := g.crashes.Ended(now, q.content, g.fleet.MayHaveEnded)
+	limit, alone := crashes.MaxEnded, !g.options.InContact()
+	if alone {
+		limit = maxEndedAlone
+	}
+	if ended.Endpoints < limit {
+		return false
+	}
+	q.refusedFor, q.servableIn = reasonEndsEndpoints, ended.Until.Sub(now)
+	if alone || now.Sub(ended.Last) < endCheckTime {
+		q.servableIn = endCheckTime
+	}
+	g.requestLog.write(now, true, "endpoints have ended under this request", "event", "crash_refused", "request", q.call.ID,
+		"content", q.contentText(), "ended", ended.Endpoints, "alone", alone, "sendings", q.attempts)
+	return true
+}
+
+func (q *request) contentText() string { return strconv.FormatUint(uint64(q.content), 16) }
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -3,8 +3,12 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
+
+	"balsamsail/internal/crashes"
 )
 
 // crashingEndpoints returns n endpoints of a service each of which ends when a request reaches it, and the number that have
@@ -12,8 +16,9 @@
 func crashingEndpoints(service string, n int, crash endpointScript) (endpoints map[string]endpointScript, ended *atomic.Int64) {
 	endpoints, ended = make(map[string]endpointScript), &atomic.Int64{}
 	for i := range n {
+		var once sync.Once
 		endpoints[fmt.Sprintf("%s-%d", service, i)] = func(w http.ResponseWriter, r *http.Request) {
-			ended.Add(1)
+			once.Do(func() { ended.Add(1) })
 			crash(w, r)
 		}
 	}
@@ -48,3 +53,63 @@
 		})
 	}
 }
+
+// Guards against a gateway that hears from no other and sends a request on whose client has been at others before.
+func TestGatewayAloneSendsNothingOnWhoseEndpointEnded(t *testing.T) {
+	endpoints, ended := crashingEndpoints("plain", 6, resetsConnection)
+	r := newRig(t, endpoints)
+	r.gateway.options.InContact = func() bool { return false }
+	for try := range 3 {
+		r.send(fmt.Sprintf("try-%d", try), "/read/", "")
+	}
+	if n := ended.Load(); n != maxEndedAlone {
+		t.Errorf("%d endpoints ended under one request, want %d", n, maxEndedAlone)
+	}
+}
+
+// Guards against refusals of a request whose connections were reset by endpoints that go on serving others.
+func TestRequestIsSentOnWhereEndpointsLive(t *testing.T) {
+	var resets atomic.Int64
+	endpoints := make(map[string]endpointScript)
+	for i := range 4 {
+		endpoints[fmt.Sprintf("plain-%d", i)] = func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/read/reset" {
+				resets.Add(1)
+				resetsConnection(w, r)
+				return
+			}
+			good(w, r)
+		}
+	}
+	r := newRig(t, endpoints)
+	const tries = 4
+	for try := range tries {
+		if a := r.send(fmt.Sprintf("reset-%d", try), "/read/reset", ""); a.status != http.StatusBadGateway {
+			t.Errorf("try %d: %d", try, a.status)
+		}
+		for i := range 20 {
+			r.send(fmt.Sprintf("other-%d-%d", try, i), "/read/other", "")
+		}
+	}
+	if n := resets.Load(); n != 2*tries {
+		t.Errorf("%d attempts in %d tries, want two in each", n, tries)
+	}
+}
+
+// Guards against requests that differ in one part only and count as the same, or a client's tries that do not.
+func TestContentIsTheSameInAllTriesOfAClient(t *testing.T) {
+	endpoints, _ := crashingEndpoints("plain", 3, resetsConnection)
+	r := newRig(t, endpoints)
+	r.send("first", "/read/", "")
+	r.send("second", "/read/", "")
+	r.send("third", "/read/other", "")
+	now := time.Now()
+	ends, _ := r.gateway.crashes.Since(now, 0, 100)
+	perContent := make(map[crashes.Content]int)
+	for _, e := range ends {
+		perContent[e.Key.Content]++
+	}
+	if len(perContent) != 2 {
+		t.Errorf("%d contents in two requests: %v", len(perContent), perContent)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"balsamsail/internal/catalog"
+	"balsamsail/internal/crashes"
 	"balsamsail/internal/fleet"
 	"balsamsail/internal/routing"
 	"balsamsail/internal/sendonce"
@@ -42,6 +43,10 @@
 	Budget routing.BudgetOptions
 	// GatewayCount returns the number of gateways that share the budget's Burst.
 	GatewayCount func() int
+	// Crashes holds the endpoints that have ended under requests, as the gateways of the site have seen it.
+	Crashes *crashes.Tracker
+	// InContact reports whether this gateway hears from the others, or is the only one.
+	InContact func() bool
 	// Seed seeds the random choice between the services of a route with weighted services.
 	Seed uint64
 }
@@ -55,6 +60,7 @@
 	logger     *slog.Logger
 	requestLog *requestLog
 	metrics    *Metrics
+	crashes    *crashes.Tracker
 
 	active atomic.Int64
 	// waitDeadline is when requests that wait for an endpoint are refused because of the shutdown, in Unix nanoseconds;
@@ -82,6 +88,7 @@
 		logger:     logger,
 		requestLog: newRequestLog(logger, metrics),
 		metrics:    metrics,
+		crashes:    options.Crashes,
 		random:     rand.New(rand.NewPCG(options.Seed, 0)),
 		budgets:    make(map[string]*routing.RetryBudget),
 	}
@@ -178,6 +185,7 @@
 // request is the state of one request while the gateway serves it.
 type request struct {
 	call         Call
+	content      crashes.Content
 	route        *catalog.Route
 	version      int64
 	fleetRequest fleet.Request
@@ -225,6 +233,7 @@
 	}
 	return &request{
 		call:    call,
+		content: contentOf(r, call, body),
 		route:   route,
 		version: config.Version,
 		fleetRequest: fleet.Request{
@@ -340,6 +349,7 @@
 	reasonUnknownOutcome refusalReason = "no whole answer, the request may have run"
 	reasonModelTooLate   refusalReason = "the model comes too late for this try"
 	reasonPlaceTooLate   refusalReason = "the engines of the model have no place in time"
+	reasonEndsEndpoints  refusalReason = "endpoints have ended under this request"
 	reasonRetryBudget    refusalReason = "the retry budget allows no further attempt in time"
 	reasonDeadline       refusalReason = "no endpoint in time"
 	reasonNoEndpoint     refusalReason = "no endpoint takes the request now"
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"balsamsail/internal/catalog"
+	"balsamsail/internal/crashes"
 	"balsamsail/internal/fleet"
 	"balsamsail/internal/routing"
 )
@@ -100,7 +101,7 @@
 	r.fleet.SetConfig(testConfig())
 	r.fleet.SetEndpoints(list)
 	r.gateways = 1
-	options := Options{Budget: routing.BudgetOptions{Burst: 100}, GatewayCount: func() int { return r.gateways }}
+	options := Options{Budget: routing.BudgetOptions{Burst: 100}, GatewayCount: func() int { return r.gateways }, Crashes: crashes.New(), InContact: func() bool { return true }}
 	r.gateway = New(options, testCodec{}, r.fleet, &http.Transport{}, slog.New(slog.DiscardHandler), metrics)
 	r.server = httptest.NewServer(r.gateway)
 	t.Cleanup(r.server.Close)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -79,6 +79,9 @@
 	for {
 		changed := g.fleet.Changed()
 		now := time.Now()
+		if g.mustNotBeSent(now, q) {
+			return fleet.Choice{}, false
+		}
 		if q.needsBudget && !g.spendRetry(q.fleetRequest.Service, now) {
 			if w.refused(now, reasonRetryBudget) || !waitForChange(ctx, nil, recheckInterval) {
 				return fleet.Choice{}, false
