--- a/internal/app/site.go
+++ b/internal/app/site.go
@@ -68,7 +68,7 @@
 	live := s.endpoints.Live(time.Now())
 	added, removed := s.fleet.SetEndpoints(live)
 	for _, e := range added {
-		s.logger.Info("endpoint added", "event", "endpoint_added", "endpoint", e.ID, "service", e.Service, "address", e.Address, "revision", e.Revision)
+		s.logger.Info("endpoint added", "event", "endpoint_added", "endpoint", e.ID, "service", e.Service, "address", e.Address, "version", e.Version, "revision", e.Revision)
 	}
 	for _, e := range removed {
 		s.logger.Info("endpoint removed", "event", "endpoint_gone", "endpoint", e.ID, "service", e.Service)
--- a/internal/catalog/endpoints.go
+++ b/internal/catalog/endpoints.go
@@ -19,7 +19,9 @@
 	Service       string
 	Address       string
 	FailureDomain string
-	Slots         int
+	// Version is the version of the endpoint's software; versions have no order.
+	Version string
+	Slots   int
 	// Leaving is set for endpoints that get no new work.
 	Leaving bool
 	// Remaining is the time until a leaving endpoint terminates, even if requests still run; zero if unknown.
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -61,6 +61,8 @@
 // Choice is the endpoint chosen for one attempt.
 type Choice struct {
 	ID, Address string
+	// Version is the version of the endpoint's software.
+	Version string
 	// reservation is shared by the copies of a Choice.
 	reservation *reservation
 }
@@ -109,7 +111,7 @@
 	}
 	r := &reservation{promptTokens: req.PromptTokens, started: e.started}
 	e.reservations[r] = struct{}{}
-	return Choice{ID: e.ID, Address: e.Address, reservation: r}, reason, true
+	return Choice{ID: e.ID, Address: e.Address, Version: e.Version, reservation: r}, reason, true
 }
 
 // picked is the candidate that was chosen for a request, or the reason why there is none.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -40,7 +40,7 @@
 func (g *Gateway) attempt(parent context.Context, out *response, q *request, choice fleet.Choice) verdict {
 	began := time.Now()
 	q.attempts++
-	q.endpoint = choice.ID
+	q.endpoint, q.endpointVersion = choice.ID, choice.Version
 	q.fleetRequest.Tried = append(q.fleetRequest.Tried, choice.ID)
 	g.fleet.Running(q.fleetRequest.Target, 1)
 	defer func() {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -23,8 +23,9 @@
 	Prompt string
 	// Timeout is the client's timeout; 0 if the client gave none.
 	Timeout time.Duration
-	// LastEventID is the last event that the client has, if it resumes a stream.
-	LastEventID string
+	// LastEventID is the last event that the client has, if it resumes a stream, and Resumes the ID of the request that
+	// brought the first one; empty if the client does not say.
+	LastEventID, Resumes string
 }
 
 // Attempt describes one attempt to send a request to an endpoint.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -213,8 +213,9 @@
 	refusedFor refusalReason
 	// needsBudget is set while the next attempt still has to be taken out of the retry budget.
 	needsBudget bool
-	endpoint    string
-	firstEvent  time.Duration
+	// endpoint is where the request was sent last, and endpointVersion the version of its software.
+	endpoint, endpointVersion string
+	firstEvent                time.Duration
 	// longestGap is the longest pause between two parts of a stream.
 	longestGap time.Duration
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -185,8 +185,9 @@
 	if outcome == "client_gone" {
 		g.metrics.clientsLeft.Inc()
 	}
-	problem := outcome != "answered" || status >= http.StatusBadRequest || q.attempts > 1
+	problem := outcome != "answered" || status >= http.StatusBadRequest || q.attempts > 1 || q.call.LastEventID != ""
 	g.requestLog.write(time.Now(), problem, "request ended", "event", "ended", "request", q.call.ID, "route", q.route.Name, "service", q.fleetRequest.Service,
-		"model", q.fleetRequest.Model, "adapter", q.fleetRequest.Adapter, "outcome", outcome, "status", status, "endpoint", q.endpoint,
+		"model", q.fleetRequest.Model, "adapter", q.fleetRequest.Adapter, "outcome", outcome, "status", status, "endpoint", q.endpoint, "endpoint_version", q.endpointVersion,
+		"last_event", q.call.LastEventID, "resumes", q.call.Resumes,
 		"sendings", q.attempts, "late", q.late(), "waited_for", q.waitedFor, "first_event", q.firstEvent, "longest_gap", q.longestGap, "waited", q.waited, "took", time.Since(q.arrived), "config", q.version)
 }
