gateway: failing tests of streams that go on at another software version

Within one answer and over a client's tries: about half of the streams hold events of two versions where engines of two serve side by side.

--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -27,7 +27,8 @@
 func (testCodec) ReadCall(r *http.Request) (Call, error) {
 	ms, _ := strconv.Atoi(r.Header.Get("Timeout"))
 	model, adapter, _ := strings.Cut(r.Header.Get("Model"), "/")
-	return Call{ID: r.Header.Get("Id"), Model: model, Adapter: adapter, Timeout: time.Duration(ms) * time.Millisecond}, nil
+	return Call{ID: r.Header.Get("Id"), Model: model, Adapter: adapter, Timeout: time.Duration(ms) * time.Millisecond,
+		LastEventID: r.Header.Get("Last"), Resumes: r.Header.Get("Resumes")}, nil
 }
 
 func (testCodec) NewRequest(ctx context.Context, r *http.Request, body []byte, a Attempt) *http.Request {
@@ -124,6 +125,17 @@
 	return catalog.NewConfig(1, catalog.ClientLimits{}, services, []*catalog.Route{route("/plain/", "plain"), read, chat, resumable})
 }
 
+// setVersions lists the given endpoints, each with a version of its software, and no others.
+func (r *rig) setVersions(versions map[string]string) {
+	var list []catalog.Endpoint
+	for id, version := range versions {
+		e := r.endpoints[id]
+		e.Version = version
+		list = append(list, e)
+	}
+	r.fleet.SetEndpoints(list)
+}
+
 func (r *rig) counted(script endpointScript) http.HandlerFunc {
 	return func(w http.ResponseWriter, request *http.Request) {
 		r.mu.Lock()
@@ -151,7 +163,10 @@
 }
 
 // send sends a request to the gateway as a client would.
-func (r *rig) send(id, path, model string) answer {
+func (r *rig) send(id, path, model string) answer { return r.takeUp(id, path, model, "", "") }
+
+// takeUp sends a request that goes on after an event of the stream that another request began.
+func (r *rig) takeUp(id, path, model, lastEvent, resumes string) answer {
 	r.t.Helper()
 	request, err := http.NewRequestWithContext(r.t.Context(), http.MethodPost, r.server.URL+path, strings.NewReader("body"))
 	if err != nil {
@@ -160,6 +175,10 @@
 	request.Host = "site"
 	request.Header.Set("Id", id)
 	request.Header.Set("Model", model)
+	if lastEvent != "" {
+		request.Header.Set("Last", lastEvent)
+		request.Header.Set("Resumes", resumes)
+	}
 	began := time.Now()
 	response, err := (&http.Transport{}).RoundTrip(request)
 	if err != nil {
