gateway, control: a stream goes on only at the software version that began it

What callers saw: streams with events of engines of two software versions, which do not fit together, in one answer or over a client's tries.

Cause: nothing read an engine's version, nor which request began the stream that a client takes up. Class: a choice that depends on what an earlier try has met, made by a gateway that was not told of it.

Why this works: the version is recorded before the client gets the first event, and passed on to all gateways by hubs and coordinator.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -24,6 +24,7 @@
 	"balsamsail/internal/routing"
 	"balsamsail/internal/settings"
 	"balsamsail/internal/settings/inifile"
+	"balsamsail/internal/streams"
 	"balsamsail/internal/watch"
 	"balsamsail/platform"
 )
@@ -60,6 +61,7 @@
 		newDirectory,
 		newSiteTables,
 		crashes.New,
+		streams.New,
 		control.NewFacts,
 		func(o control.Options, f *fleet.Fleet, facts *control.Facts, t siteTables, l *slog.Logger) *control.Hub {
 			return control.NewHub(o, f, facts, t.all(), l)
@@ -145,12 +147,13 @@
 // would stay open and be probed.
 const idleConnTimeout = 4 * time.Second
 
-func newGateway(s *settings.Gateway, f *fleet.Fleet, p *control.Peers, c *crashes.Tracker, l *slog.Logger, m *gateway.Metrics) *gateway.Gateway {
+func newGateway(s *settings.Gateway, f *fleet.Fleet, p *control.Peers, c *crashes.Tracker, st *streams.Registry, l *slog.Logger, m *gateway.Metrics) *gateway.Gateway {
 	options := gateway.Options{
 		Seed:         rand.Uint64(),
 		Budget:       retryBudget(s.Retries),
 		GatewayCount: func() int { return max(p.GatewayCount(), minGateways) },
 		Crashes:      c,
+		Streams:      st,
 		InContact:    func() bool { return p.InContact(time.Now()) },
 	}
 	transport := &http.Transport{
--- a/internal/control/facts.go
+++ b/internal/control/facts.go
@@ -6,6 +6,8 @@
 
 	"balsamsail/internal/control/controlpb"
 	"balsamsail/internal/crashes"
+	"balsamsail/internal/sitelog"
+	"balsamsail/internal/streams"
 )
 
 const (
@@ -13,12 +15,15 @@
 	factsPerMessage = 512
 	// contactTTL is the time without a message of another gateway after which this one counts as cut off.
 	contactTTL = 2 * time.Second
+	// factsInterval is the time between two messages that are sent for new facts alone: streams begin all the time.
+	factsInterval = 50 * time.Millisecond
 )
 
 // Facts are what the gateways of a site tell each other of requests. Gateways pass all that they learn on to their hub, hubs to
 // their gateways and to the coordinator, and the coordinator to the hubs, so that each link carries each fact once or twice.
 type Facts struct {
 	Crashes *crashes.Tracker
+	Streams *streams.Registry
 
 	mu        sync.Mutex
 	contactAt time.Time
@@ -27,9 +32,10 @@
 }
 
 // NewFacts returns what a gateway that has just started knows.
-func NewFacts(c *crashes.Tracker) *Facts {
-	f := &Facts{Crashes: c, changed: make(chan struct{})}
+func NewFacts(c *crashes.Tracker, s *streams.Registry) *Facts {
+	f := &Facts{Crashes: c, Streams: s, changed: make(chan struct{})}
 	c.OnAdd(f.notify)
+	s.OnAdd(f.notify)
 	return f
 }
 
@@ -55,7 +61,7 @@
 }
 
 // factsCursor is how far a peer has been sent the facts on one stream.
-type factsCursor struct{ crashes int64 }
+type factsCursor struct{ crashes, streams int64 }
 
 // next returns the facts that a peer has not been sent yet; nil if there are none.
 func (f *Facts) next(now time.Time, c *factsCursor) *controlpb.SiteFacts {
@@ -67,7 +73,10 @@
 			Content: uint64(e.Key.Content), EndpointId: e.Key.EndpointID, AgeMs: now.Sub(e.Value).Milliseconds(), Attempt: e.Key.Attempt,
 		})
 	}
-	if len(message.Ended) == 0 {
+	begun, position := f.Streams.Since(now, c.streams, factsPerMessage)
+	c.streams = position
+	message.Streams = encodeStreams(now, begun)
+	if len(message.Ended) == 0 && len(message.Streams) == 0 {
 		return nil
 	}
 	return message
@@ -88,4 +97,32 @@
 		at := now.Add(-time.Duration(e.AgeMs) * time.Millisecond)
 		f.Crashes.Add(now, crashes.End{Content: crashes.Content(e.Content), EndpointID: e.EndpointId, Attempt: e.Attempt}, at)
 	}
+	for _, group := range message.GetStreams() {
+		expires := now.Add(time.Duration(group.ExpiresInMs) * time.Millisecond)
+		for _, key := range group.Streams {
+			f.Streams.Add(now, streams.Key(key), group.Version, expires)
+		}
+	}
+}
+
+// expiryStep is the step in which the expiry of streams is passed on, so that one message holds few groups of them.
+const expiryStep = 4 * time.Second
+
+// encodeStreams groups streams by version and time of expiry, which is rounded up.
+func encodeStreams(now time.Time, list []sitelog.Fact[streams.Key, string]) []*controlpb.StreamsBegun {
+	type group struct {
+		version string
+		steps   int64
+	}
+	var encoded []*controlpb.StreamsBegun
+	groups := make(map[group]*controlpb.StreamsBegun)
+	for _, s := range list {
+		g := group{s.Value, int64((s.Expires.Sub(now) + expiryStep - 1) / expiryStep)}
+		if groups[g] == nil {
+			groups[g] = &controlpb.StreamsBegun{Version: g.version, ExpiresInMs: g.steps * expiryStep.Milliseconds()}
+			encoded = append(encoded, groups[g])
+		}
+		groups[g].Streams = append(groups[g].Streams, uint64(s.Key))
+	}
+	return encoded
 }
--- a/internal/control/facts_test.go
+++ b/internal/control/facts_test.go
@@ -7,6 +7,7 @@
 
 	"balsamsail/internal/crashes"
 	"balsamsail/internal/hubs"
+	"balsamsail/internal/streams"
 )
 
 // endedUnder returns the number of endpoints that have ended under a request as far as a gateway knows.
@@ -64,3 +65,52 @@
 		t.Error("a gateway that has heard from its hub is not in contact")
 	}
 }
+
+// Guards against a gateway that does not know which version began a stream that its client takes up there, as a mesh, behind hubs,
+// and where it has started since.
+func TestStreamsAreKnownToAllGateways(t *testing.T) {
+	for _, n := range []int{4, 10} {
+		t.Run(fmt.Sprintf("%d gateways", n), func(t *testing.T) {
+			gateways, agent := startSite(t, n)
+			if n < 8 {
+				agent.setGateways(gateways)
+			}
+			for i, g := range gateways {
+				eventually(t, fmt.Sprintf("gateway %d is in contact", i), func() bool { return g.peers.InContact(time.Now()) })
+			}
+			now := time.Now()
+			for i, g := range gateways {
+				g.facts.Streams.Add(now, streams.KeyOf(fmt.Sprint("request", i)), fmt.Sprint("v", i%2), now.Add(time.Minute))
+			}
+			for i, g := range gateways {
+				eventuallyWithin(t, time.Second, fmt.Sprintf("gateway %d knows all streams", i), func() bool {
+					for other := range gateways {
+						v, known := g.facts.Streams.Version(time.Now(), streams.KeyOf(fmt.Sprint("request", other)))
+						if !known || v != fmt.Sprint("v", other%2) {
+							return false
+						}
+					}
+					return true
+				})
+			}
+		})
+	}
+}
+
+// Guards against streams that are forgotten on their way through the gateways before their clients can no longer come back.
+func TestStreamsKeepTheirExpiry(t *testing.T) {
+	now := time.Unix(1000, 0)
+	from, to := NewFacts(crashes.New(), streams.New()), NewFacts(crashes.New(), streams.New())
+	for i, life := range []time.Duration{time.Second, 30 * time.Second} {
+		from.Streams.Add(now, streams.Key(i), "v1", now.Add(life))
+	}
+	to.apply(now, from.next(now, &factsCursor{}))
+	for i, life := range []time.Duration{time.Second, 30 * time.Second} {
+		if _, known := to.Streams.Version(now.Add(life-time.Millisecond), streams.Key(i)); !known {
+			t.Errorf("a stream of %v is forgotten too soon", life)
+		}
+		if _, known := to.Streams.Version(now.Add(life+expiryStep), streams.Key(i)); known {
+			t.Errorf("a stream of %v is known too long", life)
+		}
+	}
+}
--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -119,23 +119,13 @@
 		}
 		changed, factsChanged := h.fleet.Changed(), h.facts.Changed()
 		now := time.Now()
-		h.relayEngines(now)
-		h.relayFacts(now, cursor)
+		h.relayChanges(now, cursor)
 		h.grantPermits(now)
 		clock.Pause(ctx, minRelayInterval)
 		h.await(ctx, changed, factsChanged)
 	}
 }
 
-// relayFacts sends new facts to all subscribers.
-func (h *Hub) relayFacts(now time.Time, cursor *factsCursor) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for facts := h.facts.next(now, cursor); facts != nil; facts = h.facts.next(now, cursor) {
-		h.broadcast(&controlpb.SiteUpdate{Facts: facts})
-	}
-}
-
 // await waits for one of two signals, for at most one interval.
 func (h *Hub) await(ctx context.Context, signal, other <-chan struct{}) {
 	timer := time.NewTimer(h.options.Interval)
@@ -148,12 +138,12 @@
 	}
 }
 
-// relayEngines sends what has changed of engines to all subscribers.
-func (h *Hub) relayEngines(now time.Time) {
+// relayChanges sends what has changed of engines, and new facts, to all subscribers.
+func (h *Hub) relayChanges(now time.Time, cursor *factsCursor) {
 	view := h.fleet.RelayView(now)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	update := &controlpb.SiteUpdate{}
+	update := &controlpb.SiteUpdate{Facts: h.facts.next(now, cursor)}
 	present := make(map[string]bool, len(view))
 	for _, e := range view {
 		present[e.ID] = true
@@ -171,7 +161,7 @@
 		update.Engines = append(update.Engines, encodeEngine(e))
 	}
 	maps.DeleteFunc(h.sent, func(id string, _ sentEngine) bool { return !present[id] })
-	if len(update.Engines) > 0 {
+	if len(update.Engines) > 0 || update.Facts != nil {
 		for _, part := range splitUpdate(update) {
 			h.broadcast(part)
 		}
@@ -181,7 +171,7 @@
 // splitUpdate divides the tables and engines of an update into messages of up to partBytes. A table is not divided: only the
 // whole of it may replace another copy.
 func splitUpdate(update *controlpb.SiteUpdate) []*controlpb.SiteUpdate {
-	last := &controlpb.SiteUpdate{}
+	last := &controlpb.SiteUpdate{Facts: update.Facts}
 	parts := []*controlpb.SiteUpdate{last}
 	size := 0
 	reserve := func(m proto.Message) {
--- a/internal/control/hub_test.go
+++ b/internal/control/hub_test.go
@@ -13,6 +13,7 @@
 	"balsamsail/internal/faultlink"
 	"balsamsail/internal/fleet"
 	"balsamsail/internal/hubs"
+	"balsamsail/internal/streams"
 	"balsamsail/internal/watch"
 	"balsamsail/internal/wire"
 	"balsamsail/internal/wire/wirepb"
@@ -274,7 +275,7 @@
 func TestUseEndsWithTheStream(t *testing.T) {
 	f := fleet.New("here", 1)
 	f.SetEndpoints([]catalog.Endpoint{{ID: "e", Service: "s", Revision: 1}})
-	h := NewHub(testOptions("hub"), f, NewFacts(crashes.New()), nil, discardLogger)
+	h := NewHub(testOptions("hub"), f, NewFacts(crashes.New(), streams.New()), nil, discardLogger)
 	first, second := &subscriber{name: "g#1"}, &subscriber{name: "g#2"}
 	used := map[string][]fleet.Adapter{"e": {{Model: "m", Name: "a"}}}
 	f.SetRelayedUse(first.name, used)
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -179,7 +179,7 @@
 	for {
 		changed := p.facts.Changed()
 		p.wakeUpstream(nil)
-		clock.Pause(ctx, minRelayInterval)
+		clock.Pause(ctx, factsInterval)
 		select {
 		case <-ctx.Done():
 			return
@@ -350,7 +350,7 @@
 			_ = stream.Close()
 			return
 		}
-		clock.Pause(ctx, minRelayInterval)
+		clock.Pause(ctx, factsInterval)
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -32,6 +32,9 @@
 	OnTime time.Time
 	// Resuming is set once the client has a part of the stream; the rest does not wait for a place.
 	Resuming bool
+	// OneVersion is set if the request may be served only by endpoints whose software has the given version.
+	OneVersion bool
+	Version    string
 	// place is set while the request waits for a place.
 	place *placeWaiter
 }
@@ -56,6 +59,8 @@
 	EnginesFull
 	// AllTried: every endpoint that could serve the request is in Tried.
 	AllTried
+	// OtherVersions: endpoints could serve the request, but none with the only version that may.
+	OtherVersions
 )
 
 // Choice is the endpoint chosen for one attempt.
@@ -174,6 +179,7 @@
 // the engine that should load it.
 func (f *Fleet) candidates(now time.Time, req *Request) ([]routing.Candidate, NoEndpointReason) {
 	reason := NoEndpoints
+	otherVersions := false
 	var list, withoutAdapter []routing.Candidate
 	for _, e := range f.endpoints {
 		if e.Service != req.Service || e.Leaving {
@@ -186,6 +192,10 @@
 		if req.Model != "" && (!e.hasModel(now, req.Model) || e.recentlyAbsent(now, Adapter{Model: req.Model})) {
 			continue
 		}
+		if req.OneVersion && e.Version != req.Version {
+			otherVersions = true
+			continue
+		}
 		reason = max(reason, AllTried)
 		c := f.candidate(now, e, req)
 		if c.HasAdapter {
@@ -194,6 +204,9 @@
 			withoutAdapter = append(withoutAdapter, c)
 		}
 	}
+	if otherVersions && reason < AllTried {
+		return nil, OtherVersions
+	}
 	if len(list) > 0 || len(withoutAdapter) == 0 {
 		return list, reason
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"balsamsail/internal/fleet"
 	"balsamsail/internal/routing"
 	"balsamsail/internal/sendonce"
+	"balsamsail/internal/streams"
 )
 
 const (
@@ -45,6 +46,8 @@
 	GatewayCount func() int
 	// Crashes holds the endpoints that have ended under requests, as the gateways of the site have seen it.
 	Crashes *crashes.Tracker
+	// Streams holds the versions that have begun streams, as the gateways of the site have seen it.
+	Streams *streams.Registry
 	// InContact reports whether this gateway hears from the others, or is the only one.
 	InContact func() bool
 	// Seed seeds the random choice between the services of a route with weighted services.
@@ -61,6 +64,7 @@
 	requestLog *requestLog
 	metrics    *Metrics
 	crashes    *crashes.Tracker
+	streams    *streams.Registry
 
 	active atomic.Int64
 	// waitDeadline is when requests that wait for an endpoint are refused because of the shutdown, in Unix nanoseconds;
@@ -89,6 +93,7 @@
 		requestLog: newRequestLog(logger, metrics),
 		metrics:    metrics,
 		crashes:    options.Crashes,
+		streams:    options.Streams,
 		random:     rand.New(rand.NewPCG(options.Seed, 0)),
 		budgets:    make(map[string]*routing.RetryBudget),
 	}
@@ -351,6 +356,8 @@
 	reasonModelTooLate   refusalReason = "the model comes too late for this try"
 	reasonPlaceTooLate   refusalReason = "the engines of the model have no place in time"
 	reasonEndsEndpoints  refusalReason = "endpoints have ended under this request"
+	reasonUnknownVersion refusalReason = "the version that began the stream is not known"
+	reasonOtherVersions  refusalReason = "the version that began the stream does not serve its model"
 	reasonRetryBudget    refusalReason = "the retry budget allows no further attempt in time"
 	reasonDeadline       refusalReason = "no endpoint in time"
 	reasonNoEndpoint     refusalReason = "no endpoint takes the request now"
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -19,6 +19,7 @@
 	"balsamsail/internal/crashes"
 	"balsamsail/internal/fleet"
 	"balsamsail/internal/routing"
+	"balsamsail/internal/streams"
 )
 
 // testCodec is a Codec with short header names of its own.
@@ -102,7 +103,7 @@
 	r.fleet.SetConfig(testConfig())
 	r.fleet.SetEndpoints(list)
 	r.gateways = 1
-	options := Options{Budget: routing.BudgetOptions{Burst: 100}, GatewayCount: func() int { return r.gateways }, Crashes: crashes.New(), InContact: func() bool { return true }}
+	options := Options{Budget: routing.BudgetOptions{Burst: 100}, GatewayCount: func() int { return r.gateways }, Crashes: crashes.New(), Streams: streams.New(), InContact: func() bool { return true }}
 	r.gateway = New(options, testCodec{}, r.fleet, &http.Transport{}, slog.New(slog.DiscardHandler), metrics)
 	r.server = httptest.NewServer(r.gateway)
 	t.Cleanup(r.server.Close)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -49,6 +49,10 @@
 	defer cancel()
 	defer context.AfterFunc(g.abortCtx, cancel)()
 	out := &response{writer: w, codec: g.codec, lastEventID: q.call.LastEventID}
+	if !g.bindVersion(ctx, q) {
+		g.giveUp(out, r, q)
+		return
+	}
 	for {
 		choice, ok := g.choose(ctx, q)
 		if !ok {
@@ -113,6 +117,9 @@
 	switch reason {
 	case fleet.NoEndpoints:
 		return false
+	case fleet.OtherVersions:
+		q.refusedFor, q.servableIn = reasonOtherVersions, retryAfterBase
+		return false
 	case fleet.AllTried:
 		if q.fleetRequest.Model == "" || q.mayHaveRun && !q.repeatable() {
 			return false
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -104,6 +104,7 @@
 	g.fleet.Prefilled(choice, &q.fleetRequest)
 	if !resumed {
 		q.firstEvent = time.Since(q.arrived)
+		g.recordStream(q, choice)
 	}
 }
 
