--- a/soak/answers.go
+++ b/soak/answers.go
@@ -89,7 +89,7 @@
 		}
 		return
 	}
-	if err := checkEventOrder(e.body); err != nil {
+	if err := checkEventOrder(e.body, r.call.LastEvent+1); err != nil {
 		c.addViolationLocked("order", "the stream of request %s: %v", r.call.ID, err)
 	}
 	now := time.Now()
@@ -104,9 +104,8 @@
 	c.addViolationLocked("lost", "the stream of request %s was cut by the planned stop of %s after %v: %v", r.call.ID, r.gateway, e.took, e.err)
 }
 
-// checkEventOrder checks that the event ids of a stream that broke off count up from 1 without gaps.
-func checkEventOrder(body []byte) error {
-	next := 1
+// checkEventOrder checks that the event ids of a stream that broke off count up from the next one without gaps.
+func checkEventOrder(body []byte, next int) error {
 	for line := range strings.Lines(string(body)) {
 		id, ok := strings.CutPrefix(line, "id: ")
 		if !ok || !strings.HasSuffix(id, "\n") {
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -91,7 +92,7 @@
 		}
 	}
 	r := &record{kind: p.kind, gateway: c.gateway.name, call: standin.Call{
-		ID: fmt.Sprintf("%s-%d", c.name, c.n), Host: siteHost, Method: p.method, Path: p.prefix + "item?n=" + fmt.Sprint(c.n), Timeout: p.timeout,
+		ID: fmt.Sprintf("%s-%d", c.name, c.n), Host: siteHost, Method: p.method, Path: fmt.Sprintf("%sitem?client=%s&n=%d", p.prefix, c.name, c.n), Timeout: p.timeout,
 	}}
 	if p.kind == notice {
 		r.call.Body = fmt.Appendf(nil, "notice %d", c.n)
@@ -144,9 +145,42 @@
 	e := c.exchange(ctx, r.call)
 	e.took = time.Since(r.sentAt)
 	c.site.checker.checkOutcome(r, e)
+	if r.kind == chat {
+		c.site.checker.recordTakenUp(r, e)
+		c.takeUp(r, e)
+	}
 	return e.status != 0
 }
 
+const (
+	// takeUpTries is how often a client comes back for the rest of a stream that broke off, takeUpPause the mean time before each.
+	takeUpTries = 3
+	takeUpPause = 60 * time.Millisecond
+)
+
+// takeUp comes back for the rest of a stream that broke off, each time at a random gateway.
+func (c *client) takeUp(first *record, e outcome) {
+	last := 0
+	for try := range takeUpTries {
+		last += bytes.Count(e.body, []byte("\n\n"))
+		if e.err == nil && e.status == http.StatusOK || e.cancelled || last == 0 || last >= first.call.Events {
+			return
+		}
+		time.Sleep(time.Duration(c.random.ExpFloat64() * float64(takeUpPause)))
+		other := newClient(c.site, c.site.gateways[c.random.IntN(len(c.site.gateways))], c.n)
+		r := &record{kind: chat, gateway: other.gateway.name, call: first.call, sentAt: time.Now()}
+		r.call.ID, r.call.Resumes, r.call.LastEvent = fmt.Sprintf("%s-again%d", first.call.ID, try), first.call.ID, last
+		ctx, cancel := context.WithTimeout(context.Background(), r.call.Timeout+responseSlack)
+		c.site.checker.recordSent(r)
+		e = other.exchange(ctx, r.call)
+		e.took = time.Since(r.sentAt)
+		c.site.checker.checkOutcome(r, e)
+		c.site.checker.recordTakenUp(r, e)
+		cancel()
+		other.close()
+	}
+}
+
 // exchange sends a call and reads the response.
 func (c *client) exchange(ctx context.Context, call standin.Call) outcome {
 	request, err := call.Request(ctx, c.gateway.frontend)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -120,6 +120,7 @@
 	{"endpoint names a limit", 4, limitGrace + limitWindow, limitGrace + 2*limitWindow, func(s *site, pick uint64, _ time.Duration) func() {
 		return s.nameLimit(s.endpoint(pick), float64(1+pick/11%4))
 	}},
+	{"request that ends endpoints", 3, 0, 0, func(s *site, pick uint64, _ time.Duration) func() { s.sendEnding(pick); return nil }},
 	{"orders late", 3, second, 5 * second, endpointFault(func(f *standin.EndpointFaults) { f.LateOrders = 0.5 })},
 
 	{"configuration changed", 5, 0, 0, func(s *site, pick uint64, _ time.Duration) func() { s.reconfigure(pick); return nil }},
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -69,21 +69,27 @@
 	arrivals int
 	// status is the status of the response; 0 before it.
 	status int
+	// version is the software version of the engine that was last to begin the stream.
+	version string
 }
 
 // checker checks during the run that what clients and endpoints observe agrees with the system's guarantees.
 type checker struct {
 	began time.Time
 
-	mu                sync.Mutex
-	requests          map[string]*record
-	endpoints         map[string]*incarnation
-	faultPeriods      map[string][]span
-	storeLoads        []time.Time
-	arrivals          map[string][]time.Time
-	retries           map[string][]time.Time
-	routes            map[string]*routeLifetime
-	newestRoutes      map[string]newestRoute
+	mu           sync.Mutex
+	requests     map[string]*record
+	endpoints    map[string]*incarnation
+	faultPeriods map[string][]span
+	storeLoads   []time.Time
+	arrivals     map[string][]time.Time
+	retries      map[string][]time.Time
+	routes       map[string]*routeLifetime
+	newestRoutes map[string]newestRoute
+	// endedUnder holds the endpoints that have ended under each request that ends endpoints, and current is the incarnation that
+	// each host runs.
+	endedUnder        map[string]map[string]bool
+	current           map[string]string
 	lateArrivals      int
 	unexplainedCloses int
 	violations        []string
@@ -97,8 +103,10 @@
 // incarnation is one start of an endpoint.
 type incarnation struct {
 	host, service string
-	leavingSince  time.Time
-	holder        string
+	// version is the version of the endpoint's software.
+	version      string
+	leavingSince time.Time
+	holder       string
 	// limit is the number of requests per second that the endpoint names; 0 while it names none. limitedSince is when it
 	// first did, and limited holds the requests that have counted since.
 	limit        float64
@@ -113,6 +121,7 @@
 	return &checker{
 		began: time.Now(), requests: map[string]*record{}, endpoints: map[string]*incarnation{}, faultPeriods: map[string][]span{},
 		arrivals: map[string][]time.Time{}, retries: map[string][]time.Time{}, routes: map[string]*routeLifetime{}, newestRoutes: map[string]newestRoute{}, counts: map[string]int{},
+		endedUnder: map[string]map[string]bool{}, current: map[string]string{},
 	}
 }
 
@@ -183,10 +192,11 @@
 }
 
 // recordStarted records a new incarnation on a host.
-func (c *checker) recordStarted(id, host, service string) {
+func (c *checker) recordStarted(id, host, service, version string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.endpoints[id] = &incarnation{host: host, service: service}
+	c.endpoints[id] = &incarnation{host: host, service: service, version: version}
+	c.current[host] = id
 }
 
 // recordLimit records that an endpoint names a limit, in requests per second, or none any more.
@@ -276,6 +286,7 @@
 	if a.Path != r.call.Path || a.Method != r.call.Method || a.Model != r.call.Model || string(a.Body) != string(r.call.Body) {
 		c.addViolationLocked("unchanged", "request %s ran as %s %s %s with %d bytes", a.RequestID, a.Method, a.Path, a.Model, len(a.Body))
 	}
+	c.checkVersion(r, a, e)
 	if len(r.runs) > 1 && !r.kind.repeatable() {
 		c.addViolationLocked("once", "request %s ran at %v", a.RequestID, r.runs)
 	}
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -14,9 +14,10 @@
 
 func newFixture() fixture {
 	w := fixture{newChecker()}
-	w.recordStarted("engine", "host-1", engineService)
-	w.recordStarted("pads", "host-2", padsService)
-	w.recordStarted("ledger", "host-3", ledgerService)
+	w.recordStarted("engine", "host-1", engineService, "v1")
+	w.recordStarted("engine-v2", "host-4", engineService, "v2")
+	w.recordStarted("pads", "host-2", padsService, "v1")
+	w.recordStarted("ledger", "host-3", ledgerService, "v1")
 	return w
 }
 
--- a/soak/main.go
+++ b/soak/main.go
@@ -141,6 +141,7 @@
 	stopWatching()
 	watchers.Wait()
 	s.checker.checkRetryBudget()
+	s.checker.checkTakenUp()
 }
 
 // selectFaults returns the faults whose names contain one of the comma-separated texts.
--- a/soak/site.go
+++ b/soak/site.go
@@ -92,6 +92,8 @@
 	endpoint *standin.Endpoint
 	disk     map[string]bool
 	starts   uint64
+	// version is that of the software of the last incarnation.
+	version string
 }
 
 // site is the whole system with its stand-ins.
@@ -111,6 +113,8 @@
 
 	mu     sync.Mutex
 	states map[string]*processState
+	// endings are the requests that end endpoints, with the time at which each was first sent.
+	endings map[string]time.Time
 }
 
 // ip returns a loopback address. Links listen on addresses of their own, apart from the hosts that they lead to.
@@ -131,7 +135,7 @@
 // templates are read from root.
 func newSite(seed uint64, sz size, dir, root, binary string, c *checker) (*site, error) {
 	s := &site{
-		seed: seed, octet: 20 + int(seed%200), dir: dir, store: standin.NewStore(), checker: c, states: map[string]*processState{},
+		seed: seed, octet: 20 + int(seed%200), dir: dir, store: standin.NewStore(), checker: c, states: map[string]*processState{}, endings: map[string]time.Time{},
 		weights: &standin.WeightStore{FullSpeed: fullSpeedLoads},
 	}
 	s.operator = standin.NewOperator(s.store)
@@ -242,7 +246,7 @@
 	o := standin.EndpointOptions{
 		ID: id, Listen: p.listen, Listed: p.listed, Service: service, FailureDomain: failureDomain(len(p.name)), Heartbeat: heartbeat,
 		Work: serviceTime, Pause: eventInterval, Slots: serviceSlots, Store: s.store, Observer: s.checker,
-		Seed: s.seed<<20 + uint64(p.index)<<10 + p.starts,
+		Seed: s.seed<<20 + uint64(p.index)<<10 + p.starts, Version: s.versionOf(p, id), EndsUnder: s.endsUnder(p),
 	}
 	if service == engineService {
 		o.Slots = engineSlots
@@ -252,11 +256,24 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	s.checker.recordStarted(e.ID, p.name, service)
+	s.checker.recordStarted(e.ID, p.name, service, o.Version)
+	p.version = o.Version
 	p.endpoint = e
 	return nil
 }
 
+// softwareVersions is the number of versions of the endpoints' software that serve side by side.
+const softwareVersions = 2
+
+// versionOf returns the software version of a host's next incarnation: any of them, or the last one's where the endpoint restarts
+// under an ID.
+func (s *site) versionOf(p *endpointHost, id string) string {
+	if id != "" {
+		return p.version
+	}
+	return fmt.Sprintf("v%d", 1+(s.seed+uint64(p.index)+p.starts*uint64(p.index/2))%softwareVersions)
+}
+
 // engineOptions returns the options of an engine's next incarnation. The first one has a model loaded; later ones start with
 // empty memory and the checkpoints on the host's disk.
 func (s *site) engineOptions(p *endpointHost) *standin.EngineOptions {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -44,6 +44,8 @@
 	{18, 14 * time.Second, "store mute,configuration", "a call for changes that the store had lost was awaited for six seconds"},
 	{2040, 14 * time.Second, "", "the soak itself: an endpoint of one service was restarted under its ID as one of another"},
 	{1, 15 * time.Second, "limit", "a limit that an endpoint named was not kept"},
+	{11, 15 * time.Second, "request that ends", "a request that ends endpoints was sent on to others in each try"},
+	{31, 20 * time.Second, "gateway killed,gateway stopped,endpoint crashed,broken off,truncates", "streams went on at another software version"},
 }
 
 // Runs the real programs with stand-ins for the platform while processes, network, store and endpoints fail. No guarantee
