placement, gateway: a stream that may go on at one version waits for its model there

What callers would see: where a model serves at other software versions only, the streams of the engine that has ended were refused, each time they came back, although engines of their version could load the model. That is the other side of binding streams to a version; the share of streams that go on is bounded from below.

Such a request now waits as one whose model is not loaded. Its demand names the version; placement loads the model at an engine of that version, from a copy on its host, from the store only where the model serves nowhere. A further replica of a model prefers the versions that serve it already.

--- a/internal/control/convert.go
+++ b/internal/control/convert.go
@@ -100,7 +100,7 @@
 	message := &controlpb.Demand{Changes: changes}
 	for _, m := range models {
 		message.Models = append(message.Models, &controlpb.ModelDemand{
-			Service: m.Service, Model: m.Model, Waiting: int32(m.Waiting), OldestWaitMs: m.OldestWait.Milliseconds(),
+			Service: m.Service, Model: m.Model, Version: m.Version, Waiting: int32(m.Waiting), OldestWaitMs: m.OldestWait.Milliseconds(),
 			Running: int32(m.Running), Arrived: m.Arrived, TargetMs: m.FirstEventTarget.Milliseconds(),
 		})
 	}
@@ -111,7 +111,7 @@
 	m := demand.Message{Changes: message.GetChanges()}
 	for _, d := range message.GetModels() {
 		m.Models = append(m.Models, demand.Model{
-			Target:  demand.Target{Service: d.Service, Model: d.Model},
+			Target:  demand.Target{Service: d.Service, Model: d.Model, Version: d.Version},
 			Waiting: int(d.Waiting), OldestWait: time.Duration(d.OldestWaitMs) * time.Millisecond,
 			Running: int(d.Running), Arrived: d.Arrived, FirstEventTarget: time.Duration(d.TargetMs) * time.Millisecond,
 		})
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -4,8 +4,9 @@
 
 import "time"
 
-// Target is a model of a service.
-type Target struct{ Service, Model string }
+// Target is a model of a service. Version is empty but for requests that only engines of one software version may serve
+// while they wait for one that has the model; all else counts without it.
+type Target struct{ Service, Model, Version string }
 
 // Model is the demand for one model.
 type Model struct {
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -9,10 +9,12 @@
 	"balsamsail/internal/wire/wirepb"
 )
 
-// Target is the service and model that a request is for. Model is empty for a plain service.
+// Target is the service and model that a request is for. Model is empty for a plain service, Version but for a request that
+// waits for an engine of one software version only.
 type Target struct {
 	Service string
 	Model   string
+	Version string
 }
 
 // Request describes a request that needs an endpoint.
@@ -32,13 +34,20 @@
 	OnTime time.Time
 	// Resuming is set once the client has a part of the stream; the rest does not wait for a place.
 	Resuming bool
-	// OneVersion is set if the request may be served only by endpoints whose software has the given version.
-	OneVersion bool
-	Version    string
+	// OneVersion is set if the request may be served only by endpoints whose software has the version OnlyVersion.
+	OneVersion  bool
+	OnlyVersion string
 	// place is set while the request waits for a place.
 	place *placeWaiter
 }
 
+// WaitTarget is the target for which the request waits while no endpoint that may serve it has its model.
+func (r *Request) WaitTarget() Target {
+	t := r.Target
+	t.Version = r.OnlyVersion
+	return t
+}
+
 func (r *Request) adapter() Adapter { return Adapter{Model: r.Model, Name: r.Adapter} }
 
 // NoEndpointReason is the reason why a request got no endpoint.
@@ -59,7 +68,7 @@
 	EnginesFull
 	// AllTried: every endpoint that could serve the request is in Tried.
 	AllTried
-	// OtherVersions: endpoints could serve the request, but none with the only version that may.
+	// OtherVersions: endpoints could serve the request, but of those with the only version that may none has the model loaded.
 	OtherVersions
 )
 
@@ -179,7 +188,7 @@
 // the engine that should load it.
 func (f *Fleet) candidates(now time.Time, req *Request) ([]routing.Candidate, NoEndpointReason) {
 	reason := NoEndpoints
-	otherVersions := false
+	ofVersion, otherVersions := false, false
 	var list, withoutAdapter []routing.Candidate
 	for _, e := range f.endpoints {
 		if e.Service != req.Service || e.Leaving {
@@ -189,10 +198,11 @@
 		if !e.responsive(now) {
 			continue
 		}
+		ofVersion = ofVersion || e.Version == req.OnlyVersion
 		if req.Model != "" && (!e.hasModel(now, req.Model) || e.recentlyAbsent(now, Adapter{Model: req.Model})) {
 			continue
 		}
-		if req.OneVersion && e.Version != req.Version {
+		if req.OneVersion && e.Version != req.OnlyVersion {
 			otherVersions = true
 			continue
 		}
@@ -204,7 +214,10 @@
 			withoutAdapter = append(withoutAdapter, c)
 		}
 	}
-	if otherVersions && reason < AllTried {
+	switch {
+	case req.OneVersion && !ofVersion:
+		return nil, NoEndpoints
+	case otherVersions && reason < AllTried:
 		return nil, OtherVersions
 	}
 	if len(list) > 0 || len(withoutAdapter) == 0 {
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -112,7 +112,7 @@
 			continue
 		}
 		m := modeldemand.Model{
-			Target:           modeldemand.Target{Service: t.Service, Model: t.Model},
+			Target:           modeldemand.Target{Service: t.Service, Model: t.Model, Version: t.Version},
 			Waiting:          len(d.waiting),
 			Running:          d.running,
 			Arrived:          d.arrived,
--- a/internal/fleet/engines.go
+++ b/internal/fleet/engines.go
@@ -5,7 +5,9 @@
 // Engine is the last known state of an engine.
 type Engine struct {
 	EngineState
-	ID      string
+	ID string
+	// Version is the version of the engine's software.
+	Version string
 	Leaving bool
 	// Reported is set if the agent's report has not expired.
 	Reported bool
@@ -23,7 +25,7 @@
 		if e.Service != service || !e.responsive(now) {
 			continue
 		}
-		engine := Engine{ID: e.ID, Leaving: e.Leaving, Reported: e.reportFresh(now)}
+		engine := Engine{ID: e.ID, Version: e.Version, Leaving: e.Leaving, Reported: e.reportFresh(now)}
 		if now.Sub(e.limit.observedAt) < limitPlacementTTL {
 			engine.Limit = e.limit.RateLimit
 		}
--- a/internal/fleet/queue.go
+++ b/internal/fleet/queue.go
@@ -248,7 +248,7 @@
 		return nil, false
 	}
 	for _, e := range f.endpoints {
-		if e.Service != t.Service || e.Leaving || !e.responsive(now) || !e.reportFresh(now) {
+		if e.Service != t.Service || e.Leaving || !e.responsive(now) || !e.reportFresh(now) || t.Version != "" && e.Version != t.Version {
 			continue
 		}
 		s := e.state
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -117,9 +117,6 @@
 	switch reason {
 	case fleet.NoEndpoints:
 		return false
-	case fleet.OtherVersions:
-		q.refusedFor, q.servableIn = reasonOtherVersions, retryAfterBase
-		return false
 	case fleet.AllTried:
 		if q.fleetRequest.Model == "" || q.mayHaveRun && !q.repeatable() {
 			return false
--- a/internal/gateway/version.go
+++ b/internal/gateway/version.go
@@ -27,7 +27,7 @@
 		q.refusedFor, q.servableIn = reasonUnknownVersion, retryAfterBase
 		return false
 	}
-	q.fleetRequest.OneVersion, q.fleetRequest.Version = true, version
+	q.fleetRequest.OneVersion, q.fleetRequest.OnlyVersion = true, version
 	return true
 }
 
@@ -58,7 +58,7 @@
 	if q.call.LastEventID != "" || q.fleetRequest.Model == "" {
 		return
 	}
-	q.fleetRequest.OneVersion, q.fleetRequest.Version = true, choice.Version
+	q.fleetRequest.OneVersion, q.fleetRequest.OnlyVersion = true, choice.Version
 	if q.call.ID != "" {
 		expires := q.arrived.Add(max(q.call.Timeout, q.route.Timeout) + returnSlack)
 		g.streams.Add(time.Now(), streams.KeyOf(q.call.ID), choice.Version, expires)
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
+
+	"balsamsail/internal/catalog"
 )
 
 // versionedEngines are engines of two versions that mark each event with their own; while breaks is set, each breaks off a new
@@ -109,3 +112,44 @@
 		t.Errorf("a stream whose version is gone: %d with events of %v", a.status, versionsIn(a.body))
 	}
 }
+
+// Guards against a stream that is refused although an engine of its version could load its model: it waits, and the coordinator
+// hears for which version.
+func TestStreamWaitsForItsModelAtItsVersion(t *testing.T) {
+	scripts, versions := versionedEngines(false)
+	r := newRig(t, scripts)
+	r.setVersions(versions)
+	first := r.send("first", "/resumable/x", "m")
+	version := versionsIn(first.body)[0]
+	var others []catalog.Endpoint
+	for id, v := range versions {
+		e := r.endpoints[id]
+		if e.Version = v; v == version {
+			e.Models = nil
+		}
+		others = append(others, e)
+	}
+	r.fleet.SetEndpoints(others)
+	second := make(chan answer)
+	go func() { second <- r.takeUp("second", "/resumable/x", "m", "3", "first") }()
+	waiting := func() (n int) {
+		for _, d := range r.fleet.Demand(time.Now()) {
+			if d.Model == "m" && d.Version == version {
+				n += d.Waiting
+			}
+		}
+		return n
+	}
+	for deadline := time.Now().Add(time.Second); waiting() == 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("no request waits for the model at the version")
+		}
+	}
+	r.setVersions(versions)
+	if a := <-second; a.status != http.StatusOK || len(versionsIn(first.body, a.body)) != 1 {
+		t.Errorf("status %d, events of %v", a.status, versionsIn(first.body, a.body))
+	}
+	if n := waiting(); n != 0 {
+		t.Errorf("%d requests still wait", n)
+	}
+}
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -12,14 +12,16 @@
 // waitReasons are the refusal reasons of requests that would wait too long.
 var waitReasons = map[fleet.NoEndpointReason]refusalReason{
 	fleet.ModelNotLoaded: reasonModelTooLate,
+	fleet.OtherVersions:  reasonOtherVersions,
 	fleet.EnginesFull:    reasonPlaceTooLate,
 }
 
 // waitNames name in the log what requests wait for.
 var waitNames = map[refusalReason]string{
-	reasonModelTooLate: "model",
-	reasonPlaceTooLate: "place",
-	reasonRetryBudget:  "budget",
+	reasonModelTooLate:  "model",
+	reasonOtherVersions: "model",
+	reasonPlaceTooLate:  "place",
+	reasonRetryBudget:   "budget",
 }
 
 // wait is the wait of a request for an endpoint.
@@ -39,8 +41,8 @@
 func (w *wait) register(now time.Time, reason fleet.NoEndpointReason) {
 	q := w.request
 	switch {
-	case reason == fleet.ModelNotLoaded && w.model == nil:
-		w.model = w.gateway.fleet.Wait(q.fleetRequest.Target, now)
+	case (reason == fleet.ModelNotLoaded || reason == fleet.OtherVersions) && w.model == nil:
+		w.model = w.gateway.fleet.Wait(q.fleetRequest.WaitTarget(), now)
 		q.cold = q.attempts == 0
 	case reason == fleet.EnginesFull && !w.place:
 		w.place = true
@@ -56,8 +58,8 @@
 	q.waitedFor = cmp.Or(waitNames[reason], "endpoint")
 	var d waiting.Decision
 	switch reason {
-	case reasonModelTooLate:
-		d = waiting.ForModel(now, request, g.fleet.ReadyIn(now, q.fleetRequest.Target), estimateSlack)
+	case reasonModelTooLate, reasonOtherVersions:
+		d = waiting.ForModel(now, request, g.fleet.ReadyIn(now, q.fleetRequest.WaitTarget()), estimateSlack)
 	case reasonPlaceTooLate:
 		d = waiting.ForPlace(now, request, g.fleet.Queue(now, &q.fleetRequest))
 	case reasonRetryBudget:
@@ -72,7 +74,7 @@
 		return false
 	}
 	q.servableIn, q.refusedFor = d.Expected, reason
-	if reason == reasonModelTooLate {
+	if reason == reasonModelTooLate || reason == reasonOtherVersions {
 		w.holdDemand(now, d.Expected+returnSpread)
 	}
 	return true
@@ -81,7 +83,7 @@
 // holdDemand keeps a refused request counted as waiting for its model until its client returns: models are loaded only for
 // waiting requests.
 func (w *wait) holdDemand(now time.Time, d time.Duration) {
-	target := w.request.fleetRequest.Target
+	target := w.request.fleetRequest.WaitTarget()
 	waiter := w.gateway.fleet.Wait(target, now)
 	time.AfterFunc(d, func() { w.gateway.fleet.StopWaiting(target, waiter) })
 }
@@ -98,7 +100,7 @@
 	q := w.request
 	q.waited += time.Since(w.began)
 	if w.model != nil {
-		w.gateway.fleet.StopWaiting(q.fleetRequest.Target, w.model)
+		w.gateway.fleet.StopWaiting(q.fleetRequest.WaitTarget(), w.model)
 	}
 	if w.place {
 		w.gateway.fleet.StopWaitingForPlace(&q.fleetRequest)
--- a/internal/placement/manager.go
+++ b/internal/placement/manager.go
@@ -218,6 +218,7 @@
 func (s *serviceState) engineInput(now time.Time, e fleet.Engine, class *catalog.EngineClass) Engine {
 	engine := Engine{
 		ID:        e.ID,
+		Version:   e.Version,
 		Started:   e.Started,
 		Free:      e.Reported && !e.Busy && e.Loading == "" && s.pending[e.ID] == nil,
 		Loaded:    make(map[string]bool, len(e.Models)),
@@ -244,7 +245,7 @@
 	current := make(map[string]Demand, len(models))
 	arrived := make(map[string]int64, len(models))
 	for _, m := range models {
-		if m.Service != service {
+		if m.Service != service || m.Version != "" {
 			continue
 		}
 		current[m.Model] = Demand{Waiting: m.Waiting, OldestWait: m.OldestWait, Running: m.Running, Target: m.FirstEventTarget}
@@ -253,6 +254,18 @@
 			s.rates[m.Model] = &rates{}
 		}
 	}
+	for _, m := range models {
+		if m.Service != service || m.Version == "" || m.Waiting == 0 {
+			continue
+		}
+		d := current[m.Model]
+		d.Waiting, d.OldestWait = d.Waiting+m.Waiting, max(d.OldestWait, m.OldestWait)
+		if d.WaitingAt == nil {
+			d.WaitingAt = make(map[string]int)
+		}
+		d.WaitingAt[m.Version] += m.Waiting
+		current[m.Model] = d
+	}
 	for model, r := range s.rates {
 		d := current[model]
 		r.observe(now, d.Running+d.Waiting)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -38,6 +39,9 @@
 	// requests. It applies from a StoreLimit of reserveMinLimit.
 	reservedStoreLoads = 1
 	reserveMinLimit    = 3
+	// otherVersionCost is the cost, in seconds, of a replica at a software version that does not serve the model yet: where one of
+	// two replicas ends, its streams can go on at the other only if both have the same version.
+	otherVersionCost = 0.5
 )
 
 // Source is the place from which a model's weights are loaded.
@@ -60,6 +64,8 @@
 // Engine is the state of an engine as last reported by its agent.
 type Engine struct {
 	ID string
+	// Version is the version of the engine's software.
+	Version string
 	// Started is the start of the engine's process in Unix milliseconds; 0 if it is not known.
 	Started int64
 	// Free is set if the engine accepts a command now.
@@ -87,6 +93,8 @@
 	// Waiting is the number of requests without an engine, and OldestWait the age of the oldest one.
 	Waiting    int
 	OldestWait time.Duration
+	// WaitingAt counts those of them that only engines of one software version may serve, by version.
+	WaitingAt map[string]int
 	// Running is the number of requests at engines.
 	Running int
 	// Rate and LongRate are request rates in 1/s, averaged over the last seconds and over the last half minute.
@@ -168,6 +176,7 @@
 func Decide(in Input) []Command {
 	p := newPlan(in)
 	p.scaleOutOverloaded()
+	p.loadForStreams()
 	p.loadForWaiting()
 	p.scaleOutBusy()
 	p.fillFreeMemory()
@@ -290,6 +299,32 @@
 	}
 }
 
+// loadForStreams loads models for streams that may go on at one software version only, where no engine of that version has or
+// loads the model. It does not take such a load from the store while the model serves elsewhere: the clients would not wait.
+func (p *plan) loadForStreams() {
+	for _, m := range p.models(func(m string) bool { return len(p.Demand[m].WaitingAt) > 0 }, func(a, b string) int {
+		return cmp.Compare(p.Demand[b].urgency(), p.Demand[a].urgency())
+	}) {
+		for _, version := range slices.Sorted(maps.Keys(p.Demand[m].WaitingAt)) {
+			if p.heldAt(m, version) {
+				continue
+			}
+			slowest := FromDisk
+			if p.replicas[m] == 0 {
+				slowest = FromStore
+			}
+			p.loadAt(m, version, "streams go on", slowest, p.replicas[m] == 0)
+		}
+	}
+}
+
+// heldAt reports whether an engine of a software version has a model, or loads it.
+func (p *plan) heldAt(model, version string) bool {
+	return slices.ContainsFunc(p.candidates, func(c *candidate) bool {
+		return c.Version == version && (c.Loaded[model] && !c.Unloading[model] || c.Loading == model)
+	})
+}
+
 // loadForWaiting loads models that requests wait for, in order of urgency.
 func (p *plan) loadForWaiting() {
 	for _, m := range p.models(func(m string) bool { return p.Demand[m].Waiting > 0 && p.replicas[m] == 0 }, func(a, b string) int {
@@ -406,12 +441,17 @@
 // load adds a command that loads a model on the best free engine, from a source no slower than the given one. Only an
 // urgent load evicts replicas that cost avoidEvictCost or more. It reports whether an engine was found.
 func (p *plan) load(model, reason string, slowest Source, urgent bool) bool {
-	best := p.bestEngine(p.copies[model], model, slowest, urgent)
+	return p.loadAt(model, "", reason, slowest, urgent)
+}
+
+// loadAt is load on the engines of one software version; an empty version allows all.
+func (p *plan) loadAt(model, version, reason string, slowest Source, urgent bool) bool {
+	best := p.bestEngine(p.copies[model], model, version, slowest, urgent)
 	if slowest == FromStore && p.StoreLoads > 0 && (best.engine == nil || best.cost > p.loadTime(model, FromStore).Seconds()) {
 		// Hosts without a copy are considered only here: they are most of the engines.
-		best = p.bestEngine(p.candidates, model, slowest, urgent)
+		best = p.bestEngine(p.candidates, model, version, slowest, urgent)
 	}
-	if best.engine == nil || best.engine.SourceOf(model) == FromStore && p.copyAvailableSooner(model) {
+	if best.engine == nil || best.engine.SourceOf(model) == FromStore && p.copyAvailableSooner(model, version) {
 		return false
 	}
 	p.issue(best.engine, model, best.unload, reason)
@@ -426,10 +466,14 @@
 }
 
 // bestEngine returns the cheapest free engine of a list for a load; its engine is nil if there is none.
-func (p *plan) bestEngine(list []*candidate, model string, slowest Source, urgent bool) choice {
+func (p *plan) bestEngine(list []*candidate, model, version string, slowest Source, urgent bool) choice {
 	best := choice{cost: math.Inf(1)}
+	versions := p.versionsOf(model)
 	for _, c := range list {
 		source := c.SourceOf(model)
+		if version != "" && c.Version != version {
+			continue
+		}
 		if !c.free || c.Loaded[model] || source > slowest || source == FromStore && p.StoreLoads <= 0 {
 			continue
 		}
@@ -440,20 +484,33 @@
 		if !ok {
 			continue
 		}
-		if cost := p.loadTime(model, source).Seconds() + evictCost + p.blockingCost(c.Engine, source) + c.turnTime(); cost < best.cost {
+		cost := p.loadTime(model, source).Seconds() + evictCost + p.blockingCost(c.Engine, source) + c.turnTime()
+		if len(versions) > 0 && !versions[c.Version] {
+			cost += otherVersionCost
+		}
+		if cost < best.cost {
 			best = choice{engine: c, unload: unload, cost: cost}
 		}
 	}
 	return best
 }
 
+// versionsOf returns the software versions of the engines that have a model.
+func (p *plan) versionsOf(model string) map[string]bool {
+	versions := make(map[string]bool)
+	for _, c := range p.holders[model] {
+		versions[c.Version] = true
+	}
+	return versions
+}
+
 // copyAvailableSooner reports whether an engine that is busy now has a copy of the model and can load it before a load
 // from the weight store would complete.
-func (p *plan) copyAvailableSooner(model string) bool {
+func (p *plan) copyAvailableSooner(model, version string) bool {
 	for i := range p.Engines {
 		e := &p.Engines[i]
 		source := e.SourceOf(model)
-		if !e.Free && !e.Loaded[model] && e.Loading != model && source != FromStore && e.Remaining+p.loadTime(model, source) < p.loadTime(model, FromStore) {
+		if (version == "" || e.Version == version) && !e.Free && !e.Loaded[model] && e.Loading != model && source != FromStore && e.Remaining+p.loadTime(model, source) < p.loadTime(model, FromStore) {
 			return true
 		}
 	}
