gateway: a pause in a stream does not end it where only other versions could go on

The watchdog that ends a stalled attempt asks whether another endpoint could take the request; its copy of the request did not know that the stream is bound to a version. Found by reading; TestStalledStreamStaysWhereOnlyOtherVersionsServe failed before (two attempts instead of one, and the pause became an interruption).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -102,6 +102,9 @@
 	watchdog := time.AfterFunc(g.firstByteTimeout(q), func() {
 		timer := <-started
 		started <- timer
+		if version := q.begunBy.Load(); version != nil {
+			fleetRequest.OneVersion, fleetRequest.OnlyVersion = true, *version
+		}
 		if time.Now().Before(q.deadline) && !g.fleet.HasOther(time.Now(), &fleetRequest) {
 			timer.Reset(watchdogRecheck)
 			return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -207,6 +207,8 @@
 	attempts int
 	// mismatches counts the attempts that reached another incarnation than the listed one.
 	mismatches int
+	// begunBy is the version that began the stream, once the client has its first event.
+	begunBy atomic.Pointer[string]
 	// mayHaveRun is set once an endpoint may have started the request.
 	mayHaveRun bool
 	waited     time.Duration
--- a/internal/gateway/version.go
+++ b/internal/gateway/version.go
@@ -59,6 +59,7 @@
 		return
 	}
 	q.fleetRequest.OneVersion, q.fleetRequest.OnlyVersion = true, choice.Version
+	q.begunBy.Store(&choice.Version)
 	if q.call.ID != "" {
 		expires := q.arrived.Add(max(q.call.Timeout, q.route.Timeout) + returnSlack)
 		g.streams.Add(time.Now(), streams.KeyOf(q.call.ID), choice.Version, expires)
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -153,3 +153,20 @@
 		t.Errorf("%d requests still wait", n)
 	}
 }
+
+// Guards against a stream that is broken off in a pause because an engine of another version, which may not go on with it, has room.
+func TestStalledStreamStaysWhereOnlyOtherVersionsServe(t *testing.T) {
+	t.Parallel()
+	script := func(w http.ResponseWriter, r *http.Request) {
+		events(1, 2, false)(w, r)
+		time.Sleep(minStall + 400*time.Millisecond)
+		for i := 3; i <= 4; i++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", i, i)
+		}
+	}
+	r := newRig(t, map[string]endpointScript{"engine-1": script, "engine-2": script})
+	r.setVersions(map[string]string{"engine-1": "v1", "engine-2": "v2"})
+	if got := r.send("a", "/resumable/x", "m"); got.err != nil || numbers(got.body) != "1,2,3,4" || r.attempts("a") != 1 {
+		t.Errorf("events %s, error %v, %d attempts, want 1 to 4 from one attempt", numbers(got.body), got.err, r.attempts("a"))
+	}
+}
