--- a/internal/control/facts.go
+++ b/internal/control/facts.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// factsPerMessage bounds the facts of a kind in one message, which then takes some 20 KB; the rest follows in the next one.
-	factsPerMessage = 512
+	// endsPerMessage and streamsPerMessage bound the facts in one message, which then takes some 60 KB; the rest follows in the
+	// next one.
+	endsPerMessage    = 512
+	streamsPerMessage = 4096
 	// contactTTL is the time without a message of another gateway after which this one counts as cut off.
 	contactTTL = 2 * time.Second
 	// factsInterval is the time between two messages that are sent for new facts alone: streams begin all the time.
@@ -66,14 +68,14 @@
 // next returns the facts that a peer has not been sent yet; nil if there are none.
 func (f *Facts) next(now time.Time, c *factsCursor) *controlpb.SiteFacts {
 	message := &controlpb.SiteFacts{}
-	ends, position := f.Crashes.Since(now, c.crashes, factsPerMessage)
+	ends, position := f.Crashes.Since(now, c.crashes, endsPerMessage)
 	c.crashes = position
 	for _, e := range ends {
 		message.Ended = append(message.Ended, &controlpb.EndedUnder{
 			Content: uint64(e.Key.Content), EndpointId: e.Key.EndpointID, AgeMs: now.Sub(e.Value).Milliseconds(), Attempt: e.Key.Attempt,
 		})
 	}
-	begun, position := f.Streams.Since(now, c.streams, factsPerMessage)
+	begun, position := f.Streams.Since(now, c.streams, streamsPerMessage)
 	c.streams = position
 	message.Streams = encodeStreams(now, begun)
 	if len(message.Ended) == 0 && len(message.Streams) == 0 {
--- a/internal/control/facts_test.go
+++ b/internal/control/facts_test.go
@@ -42,7 +42,7 @@
 
 // Guards against a gateway that has just started and sends a request on to which others have lost endpoints.
 func TestGatewayThatStartsHearsOfEnds(t *testing.T) {
-	const ends = 3 * factsPerMessage
+	const ends = 3 * endsPerMessage
 	gateways, agent := startSite(t, 10)
 	hub := gateways[9]
 	eventually(t, "all gateways use the hub", func() bool { return hub.hub.Subscribers() == 9 })
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -8,7 +8,7 @@
 
 // RegisterMetrics registers the metrics of a gateway's links: the number of listed and of active agents, the age of the
 // oldest last message among the active ones, the number of gateways, whether this gateway is its own hub, the age of its hub's last message, how many others
-// use it as theirs, and whether it is the coordinator.
+// use it as theirs, whether it is the coordinator, and what it knows of streams and of endpoints that have ended.
 func RegisterMetrics(r prometheus.Registerer, a *Agents, h *Hub, u *Upstream, p *Peers) error {
 	gauge := func(name, help string, read func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "balsamsail_control_" + name, Help: help}, read)
@@ -21,6 +21,8 @@
 		gauge("own_hub", "1 while this gateway has links of its own to the agents.", func() float64 { return boolValue(u.IsOwnHub()) }),
 		gauge("hub_word_seconds", "Age of the hub's last message; 0 on a gateway that is its own hub.", func() float64 { return u.fleet.RelayAge(time.Now()).Seconds() }),
 		gauge("subscribers", "Gateways that use this one as their hub.", func() float64 { return float64(h.Subscribers()) }),
+		gauge("streams_known", "Streams whose software version is known, because a client may come back for them.", func() float64 { return float64(p.facts.Streams.Len()) }),
+		gauge("ends_known", "Endpoints that may have ended under a request, in the last minute.", func() float64 { return float64(p.facts.Crashes.Len()) }),
 		gauge("coordinates", "1 while this gateway decides on placement.", func() float64 { return boolValue(p.IsCoordinator(time.Now())) }),
 	} {
 		if err := r.Register(c); err != nil {
--- a/internal/crashes/crashes.go
+++ b/internal/crashes/crashes.go
@@ -122,6 +122,13 @@
 	return list
 }
 
+// Len returns the number of ends that are remembered.
+func (t *Tracker) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.log.Len()
+}
+
 // Since returns the ends that became known from a position on, at most limit, with the times at which they happened.
 func (t *Tracker) Since(now time.Time, position int64, limit int) ([]sitelog.Fact[End, time.Time], int64) {
 	t.mu.Lock()
