--- a/internal/control/facts_test.go
+++ b/internal/control/facts_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"balsamsail/internal/crashes"
-	"balsamsail/internal/hubs"
 	"balsamsail/internal/streams"
 )
 
@@ -16,19 +15,26 @@
 	return g.facts.Crashes.Ended(now, c, func(time.Time, string, time.Time) bool { return true }).Endpoints
 }
 
+// startSiteInContact starts a site and waits until each gateway has heard from another.
+func startSiteInContact(t *testing.T, n int) []*testGateway {
+	t.Helper()
+	gateways, agent := startSite(t, n)
+	if n < 8 {
+		agent.setGateways(gateways)
+	}
+	for i, g := range gateways {
+		eventually(t, fmt.Sprintf("gateway %d is in contact", i), func() bool { return g.peers.InContact(time.Now()) })
+	}
+	return gateways
+}
+
 // Guards against gateways that each count only the ends that they have seen, as a mesh and behind hubs: a client comes back some
 // 80 ms after it got no answer, mostly at another gateway.
 func TestEndsAreKnownToAllGateways(t *testing.T) {
 	const request crashes.Content = 7
 	for _, n := range []int{4, 10} {
 		t.Run(fmt.Sprintf("%d gateways", n), func(t *testing.T) {
-			gateways, agent := startSite(t, n)
-			if n < 8 {
-				agent.setGateways(gateways)
-			}
-			for i, g := range gateways {
-				eventually(t, fmt.Sprintf("gateway %d is in contact", i), func() bool { return g.peers.InContact(time.Now()) })
-			}
+			gateways := startSiteInContact(t, n)
 			for i, g := range gateways[:3] {
 				now := time.Now()
 				g.facts.Crashes.Add(now, crashes.End{Content: request, EndpointID: fmt.Sprint("e", i)}, now)
@@ -50,13 +56,7 @@
 		now := time.Now()
 		hub.facts.Crashes.Add(now, crashes.End{Content: crashes.Content(i), EndpointID: "e1"}, now)
 	}
-	late := listenLoopback(t)
-	self := hubs.Gateway{Address: late.Addr().String(), FailureDomain: "here", Processor: 0.5}
-	list := []hubs.Gateway{self}
-	for i, g := range gateways {
-		list = append(list, hubs.Gateway{Address: g.address, FailureDomain: "here", Processor: 1 + float64(i)})
-	}
-	newcomer := startRegisteredGateway(t, late, agent, self, list)
+	newcomer := startNewcomer(t, gateways, agent)
 	if newcomer.peers.InContact(time.Now()) && newcomer.endedUnder(ends-1) == 0 {
 		t.Error("a gateway counts as in contact before it has heard from another")
 	}
@@ -71,13 +71,7 @@
 func TestStreamsAreKnownToAllGateways(t *testing.T) {
 	for _, n := range []int{4, 10} {
 		t.Run(fmt.Sprintf("%d gateways", n), func(t *testing.T) {
-			gateways, agent := startSite(t, n)
-			if n < 8 {
-				agent.setGateways(gateways)
-			}
-			for i, g := range gateways {
-				eventually(t, fmt.Sprintf("gateway %d is in contact", i), func() bool { return g.peers.InContact(time.Now()) })
-			}
+			gateways := startSiteInContact(t, n)
 			now := time.Now()
 			for i, g := range gateways {
 				g.facts.Streams.Add(now, streams.KeyOf(fmt.Sprint("request", i)), fmt.Sprint("v", i%2), now.Add(time.Minute))
--- a/internal/control/hub_test.go
+++ b/internal/control/hub_test.go
@@ -37,6 +37,18 @@
 	return gateways, agent
 }
 
+// startNewcomer starts a gateway that joins a site of startSite.
+func startNewcomer(t *testing.T, gateways []*testGateway, agent *fakeAgent) *testGateway {
+	t.Helper()
+	listener := listenLoopback(t)
+	self := hubs.Gateway{Address: listener.Addr().String(), FailureDomain: "here", Processor: 0.5}
+	list := []hubs.Gateway{self}
+	for i, g := range gateways {
+		list = append(list, hubs.Gateway{Address: g.address, FailureDomain: "here", Processor: 1 + float64(i)})
+	}
+	return startRegisteredGateway(t, listener, agent, self, list)
+}
+
 func (g *testGateway) engineReported() bool {
 	list := g.fleet.Engines("s", time.Now())
 	return len(list) == 1 && list[0].Reported && list[0].Models["m"] != nil
--- a/internal/control/limits_test.go
+++ b/internal/control/limits_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"balsamsail/internal/fleet"
-	"balsamsail/internal/hubs"
 	"balsamsail/internal/peak"
 )
 
@@ -95,12 +94,6 @@
 	hub := gateways[9]
 	eventually(t, "all gateways use the hub", func() bool { return hub.hub.Subscribers() == 9 })
 	hub.fleet.ObserveLimit(time.Now(), time.Now(), "e1", fleet.RateLimit{Named: true, PerSecond: 3})
-	late := listenLoopback(t)
-	self := hubs.Gateway{Address: late.Addr().String(), FailureDomain: "here", Processor: 0.5}
-	list := []hubs.Gateway{self}
-	for i, g := range gateways {
-		list = append(list, hubs.Gateway{Address: g.address, FailureDomain: "here", Processor: 1 + float64(i)})
-	}
-	newcomer := startRegisteredGateway(t, late, agent, self, list)
+	newcomer := startNewcomer(t, gateways, agent)
 	eventually(t, "the new gateway knows the limit", func() bool { return newcomer.fleet.LimitedEndpoints() == 1 })
 }
