fleet: a restart under an endpoint's ID, or a report that it was away, counts as its end

Read in the diff: an endpoint that restarts under its ID and then answers looked like one that had never ended, so that a request which ends endpoints would not be recognised on a site whose endpoints keep their IDs.

--- a/internal/fleet/ended.go
+++ b/internal/fleet/ended.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// endDetectionTime is the time after which an engine's end shows in its agent's reports and in what a hub relays of them.
+// endDetectionTime is the time within which the end of an engine shows in its agent's reports and in what a hub relays of them,
+// before or after its requests break off.
 const endDetectionTime = time.Second
 
 // MayHaveEnded reports whether an endpoint may have ended at a time: whether nothing shows that it was there later.
@@ -10,7 +11,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.endpoints[id]
-	if e == nil || e.replaced || !e.responsive(now) || e.downAt.After(at) {
+	if e == nil || e.replaced || !e.responsive(now) || e.downAt.Add(endDetectionTime).After(at) {
 		return true
 	}
 	responded := e.responses.lastResponse
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -95,7 +95,7 @@
 	replaced bool
 	// hostDown is set while the endpoint's host does not respond on the connection to its agent.
 	hostDown bool
-	// downAt is when the agent last reported that the engine does not respond.
+	// downAt is when the agent last reported that the engine does not respond, or another process of the endpoint was last seen.
 	downAt time.Time
 	// responses tracks the endpoint's own responses.
 	responses responseTracker
@@ -252,6 +252,7 @@
 	if !restarted {
 		return
 	}
+	e.downAt = time.Now()
 	e.state, e.Models = nil, nil
 	e.headerLoad, e.headerLoadAt = 0, time.Time{}
 	e.refusedUntil, e.replaced = time.Time{}, false
--- a/internal/fleet/versions.go
+++ b/internal/fleet/versions.go
@@ -1,7 +1,7 @@
 package fleet
 
-// OnlyVersion returns the version of the software of a service's endpoints, if all that are listed have the same.
-func (f *Fleet) OnlyVersion(service string) (version string, ok bool) {
+// SingleVersion returns the version of the software of a service's endpoints, if all that are listed have the same.
+func (f *Fleet) SingleVersion(service string) (version string, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, e := range f.endpoints {
--- a/internal/gateway/version.go
+++ b/internal/gateway/version.go
@@ -35,7 +35,7 @@
 // began it, this is known only where there is just one version.
 func (g *Gateway) versionOf(ctx context.Context, q *request) (version string, known bool) {
 	if q.call.Resumes == "" {
-		return g.fleet.OnlyVersion(q.fleetRequest.Service)
+		return g.fleet.SingleVersion(q.fleetRequest.Service)
 	}
 	key := streams.KeyOf(q.call.Resumes)
 	for {
