control, faultlink: a hub without gateways moves past facts without encoding them

Read in the diff: Facts.skip encoded every fact that is known, ten times a second on each gateway that nobody uses as its hub, to throw the messages away. The log's end is now read instead.

The endless answers use strings.Repeat, and 'one event without an end' begins as an event; it was the same bytes as 'body in chunks'.

--- a/internal/control/facts.go
+++ b/internal/control/facts.go
@@ -84,10 +84,9 @@
 	return message
 }
 
-// skip moves a cursor past all facts.
-func (f *Facts) skip(now time.Time, c *factsCursor) {
-	for f.next(now, c) != nil {
-	}
+// end returns the cursor of a peer that needs none of the facts that are known.
+func (f *Facts) end() factsCursor {
+	return factsCursor{crashes: f.Crashes.End(), streams: f.Streams.End()}
 }
 
 // apply takes in the facts in a message of another gateway; nil is a message without any.
--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -112,8 +112,10 @@
 func (h *Hub) Run(ctx context.Context) {
 	cursor := &factsCursor{}
 	for ctx.Err() == nil {
+		// Read before the subscribers: one that arrives after this gets these facts with its snapshot.
+		end := h.facts.end()
 		if h.Subscribers() == 0 {
-			h.facts.skip(time.Now(), cursor)
+			*cursor = end
 			h.await(ctx, h.arrived, nil)
 			continue
 		}
--- a/internal/crashes/crashes.go
+++ b/internal/crashes/crashes.go
@@ -129,6 +129,13 @@
 	return t.log.Len()
 }
 
+// End returns the position after all that is known.
+func (t *Tracker) End() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.log.End()
+}
+
 // Since returns the ends that became known from a position on, at most limit, with the times at which they happened.
 func (t *Tracker) Since(now time.Time, position int64, limit int) ([]sitelog.Fact[End, time.Time], int64) {
 	t.mu.Lock()
--- a/internal/faultlink/endless.go
+++ b/internal/faultlink/endless.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -77,13 +78,7 @@
 func EndlessAnswers(fields string) map[string]*Endless {
 	chunked := "Transfer-Encoding: chunked\r\n"
 	ok := "HTTP/1.1 200 OK\r\n" + fields
-	line := func(n int) string {
-		b := make([]byte, n)
-		for i := range b {
-			b[i] = 'x'
-		}
-		return string(b)
-	}
+	line := func(n int) string { return strings.Repeat("x", n) }
 	return map[string]*Endless{
 		"one header field":         {Head: ok + "X: ", Chunk: line(4096)},
 		"many header fields":       {Head: ok, Chunk: "X: " + line(1000) + "\r\n"},
@@ -94,6 +89,6 @@
 		"body longer than said":    {Head: ok + "Content-Length: 1000000000000\r\n\r\n", Chunk: line(4096)},
 		"slow body":                {Head: ok + chunked + "\r\n", Chunk: "1\r\nx\r\n", Pause: 50 * time.Millisecond},
 		"events":                   {Head: ok + chunked + "\r\n", Chunk: "11\r\nid: 1\ndata: abc\n\n\r\n"},
-		"one event without an end": {Head: ok + chunked + "\r\n", Chunk: "1000\r\n" + line(4096) + "\r\n"},
+		"one event without an end": {Head: ok + chunked + "\r\n6\r\ndata: \r\n", Chunk: "1000\r\n" + line(4096) + "\r\n"},
 	}
 }
--- a/internal/sitelog/sitelog.go
+++ b/internal/sitelog/sitelog.go
@@ -52,7 +52,7 @@
 func (l *Log[K, V]) Since(now time.Time, position int64, limit int) ([]Fact[K, V], int64) {
 	l.forget(now)
 	position = max(position, l.start)
-	end := min(position+int64(limit), l.start+int64(len(l.order)))
+	end := min(position+int64(limit), l.End())
 	var list []Fact[K, V]
 	for _, key := range l.order[position-l.start : end-l.start] {
 		if f := l.byKey[key]; now.Before(f.Expires) {
@@ -62,6 +62,9 @@
 	return list, end
 }
 
+// End returns the position after all facts.
+func (l *Log[K, V]) End() int64 { return l.start + int64(len(l.order)) }
+
 // Len returns the number of facts that the log holds.
 func (l *Log[K, V]) Len() int {
 	return len(l.order)
--- a/internal/streams/streams.go
+++ b/internal/streams/streams.go
@@ -55,6 +55,13 @@
 	return f.Value, ok
 }
 
+// End returns the position after all that is known.
+func (r *Registry) End() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.log.End()
+}
+
 // Since returns the streams that became known from a position on, at most limit.
 func (r *Registry) Since(now time.Time, position int64, limit int) ([]sitelog.Fact[Key, string], int64) {
 	r.mu.Lock()
