agent: a control stream is forgotten before it is closed

The agent closed the stream of a silent entry and took it off its list afterwards, so that for microseconds more was asked of it; the test looks in between. The test is as it was.

--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -136,11 +136,12 @@
 		_ = stream.Close()
 	})
 	err := a.readControl(s, stream)
-	cancel()
-	writer.Wait()
+	// Before the writer closes the stream, so that nothing more is asked of an entry whose stream has ended.
 	a.mu.Lock()
 	delete(a.streams, s)
 	a.mu.Unlock()
+	cancel()
+	writer.Wait()
 	a.recorder.Record(timeline.Event{Kind: timeline.PeerLost, Detail: header.Entry})
 	a.logger.Info("control stream ended", "entry", header.Entry, "error", err)
 }
