soak, gateway: one function sends a request once and checks its outcome; no copies of options

client.send, takeUp and sendEnding wrote the same five lines; the gateway kept the tracker and the registry beside the options that hold them.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -37,13 +37,13 @@
 // recordEnd records that an endpoint has left a request without a whole answer, and so may have ended.
 func (g *Gateway) recordEnd(q *request, choice fleet.Choice) {
 	now := time.Now()
-	g.crashes.Add(now, crashes.End{Content: q.content, EndpointID: choice.ID, Attempt: rand.Uint64()}, now)
+	g.options.Crashes.Add(now, crashes.End{Content: q.content, EndpointID: choice.ID, Attempt: rand.Uint64()}, now)
 }
 
 // mustNotBeSent reports whether so many endpoints have ended under the request, in all tries of its client, that it is sent to no
 // other one.
 func (g *Gateway) mustNotBeSent(now time.Time, q *request) bool {
-	ended := g.crashes.Ended(now, q.content, g.fleet.MayHaveEnded)
+	ended := g.options.Crashes.Ended(now, q.content, g.fleet.MayHaveEnded)
 	limit, alone := crashes.MaxEnded, !g.options.InContact()
 	if alone {
 		limit = maxEndedAlone
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -104,7 +104,7 @@
 	r.send("second", "/read/", "")
 	r.send("third", "/read/other", "")
 	now := time.Now()
-	ends, _ := r.gateway.crashes.Since(now, 0, 100)
+	ends, _ := r.gateway.options.Crashes.Since(now, 0, 100)
 	perContent := make(map[crashes.Content]int)
 	for _, e := range ends {
 		perContent[e.Key.Content]++
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,8 +63,6 @@
 	logger     *slog.Logger
 	requestLog *requestLog
 	metrics    *Metrics
-	crashes    *crashes.Tracker
-	streams    *streams.Registry
 
 	buffers buffers
 
@@ -94,8 +92,6 @@
 		logger:     logger,
 		requestLog: newRequestLog(logger, metrics),
 		metrics:    metrics,
-		crashes:    options.Crashes,
-		streams:    options.Streams,
 		random:     rand.New(rand.NewPCG(options.Seed, 0)),
 		budgets:    make(map[string]*routing.RetryBudget),
 	}
--- a/internal/gateway/version.go
+++ b/internal/gateway/version.go
@@ -40,7 +40,7 @@
 	key := streams.KeyOf(q.call.Resumes)
 	for {
 		now := time.Now()
-		if version, known = g.streams.Version(now, key); known || now.Sub(q.arrived) >= versionWait {
+		if version, known = g.options.Streams.Version(now, key); known || now.Sub(q.arrived) >= versionWait {
 			return version, known
 		}
 		if !waitForChange(ctx, nil, versionRecheck) {
@@ -62,6 +62,6 @@
 	q.begunBy.Store(&choice.Version)
 	if q.call.ID != "" {
 		expires := q.arrived.Add(max(q.call.Timeout, q.route.Timeout) + returnSlack)
-		g.streams.Add(time.Now(), streams.KeyOf(q.call.ID), choice.Version, expires)
+		g.options.Streams.Add(time.Now(), streams.KeyOf(q.call.ID), choice.Version, expires)
 	}
 }
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -140,11 +140,7 @@
 		})
 		defer cancelTimer.Stop()
 	}
-	r.sentAt = time.Now()
-	c.site.checker.recordSent(r)
-	e := c.exchange(ctx, r.call)
-	e.took = time.Since(r.sentAt)
-	c.site.checker.checkOutcome(r, e)
+	e := c.attempt(ctx, r)
 	if r.kind == chat {
 		c.site.checker.recordTakenUp(r, e)
 		c.takeUp(r, e)
@@ -152,6 +148,16 @@
 	return e.status != 0
 }
 
+// attempt sends a request once and checks its outcome.
+func (c *client) attempt(ctx context.Context, r *record) outcome {
+	r.sentAt = time.Now()
+	c.site.checker.recordSent(r)
+	e := c.exchange(ctx, r.call)
+	e.took = time.Since(r.sentAt)
+	c.site.checker.checkOutcome(r, e)
+	return e
+}
+
 const (
 	// takeUpTries is how often a client comes back for the rest of a stream that broke off, takeUpPause the mean time before each.
 	takeUpTries = 3
@@ -168,13 +174,10 @@
 		}
 		time.Sleep(time.Duration(c.random.ExpFloat64() * float64(takeUpPause)))
 		other := newClient(c.site, c.site.gateways[c.random.IntN(len(c.site.gateways))], c.n)
-		r := &record{kind: chat, gateway: other.gateway.name, call: first.call, sentAt: time.Now()}
+		r := &record{kind: chat, gateway: other.gateway.name, call: first.call}
 		r.call.ID, r.call.Resumes, r.call.LastEvent = fmt.Sprintf("%s-again%d", first.call.ID, try), first.call.ID, last
 		ctx, cancel := context.WithTimeout(context.Background(), r.call.Timeout+responseSlack)
-		c.site.checker.recordSent(r)
-		e = other.exchange(ctx, r.call)
-		e.took = time.Since(r.sentAt)
-		c.site.checker.checkOutcome(r, e)
+		e = other.attempt(ctx, r)
 		c.site.checker.recordTakenUp(r, e)
 		cancel()
 		other.close()
--- a/soak/ending.go
+++ b/soak/ending.go
@@ -53,20 +53,17 @@
 		for try := range uint64(endingTries) {
 			gateway := s.gateway(pick + try)
 			c := newClient(s, gateway, 2000)
-			r := &record{kind: read, gateway: gateway.name, sentAt: time.Now(), call: standin.Call{
+			r := &record{kind: read, gateway: gateway.name, call: standin.Call{
 				ID: fmt.Sprintf("%s-%d", name, try), Host: siteHost, Method: http.MethodGet, Path: prefixRead + "ending", Body: append(endingMark, name...),
 				Timeout: 1500 * ms,
 			}}
 			if pick%2 == 1 {
 				r.kind, r.call.Method, r.call.Path, r.call.Model, r.call.Events = chat, http.MethodPost, prefixChat+"ending", s.models[pick/2%3], 5
 			}
-			s.checker.recordSent(r)
 			ctx, cancel := context.WithTimeout(context.Background(), r.call.Timeout+responseSlack)
-			e := c.exchange(ctx, r.call)
-			e.took = time.Since(r.sentAt)
+			c.attempt(ctx, r)
 			cancel()
 			c.close()
-			s.checker.checkOutcome(r, e)
 			time.Sleep(endingPause)
 		}
 	}()
