entry: the late confirmation of a withdrawal decides what the caller is told

Its timeline: withdrawn after a second's wait, the agent's confirmation written 84 ms before the entry had stopped waiting for it (100 ms) and not read by then, beside another package's test that kept all processors busy; then three refusals for want of memory. Found by reading the timeline; the test added here fails before with a confirmation 200 ms late.

Now the stream of a withdrawn request stays open until the caller's deadline, while other endpoints are tried; if none serves, a confirmation by then turns 502 into 503 with not_run. A head or a failure on that stream, another request's frame, or silence leave the outcome unknown (tested). The attempts, their number and their order are as before.

Ruled out: a longer wait, which delays each retry at an agent that does not answer.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -34,6 +34,8 @@
 	bodyStarted bool
 	statusCode  int
 	pending     chan execution
+	// withdrawal is set while the agent's confirmation that a withdrawn request did not run may still arrive.
+	withdrawal *withdrawal
 	// noAlternative is set when no other endpoint can take the request; hasAlternative checks again.
 	noAlternative  bool
 	hasAlternative func() bool
@@ -84,10 +86,13 @@
 	t.readFrames(ctx)
 	stopInterrupt()
 	t.confirmCancel()
-	if t.exchange.Open() {
+	switch {
+	case t.exchange.Open():
 		t.pending = make(chan execution, 1)
 		go t.awaitExecution()
-	} else {
+	case t.withdrawal != nil:
+		go t.awaitConfirmation()
+	default:
 		_ = stream.Close()
 	}
 	return t.end(t.outcome())
@@ -108,7 +113,7 @@
 	})
 }
 
-// cancelConfirmTimeout bounds the wait for the agent's reply to a cancel.
+// cancelConfirmTimeout bounds how long a retry is delayed for the agent's reply to a cancel.
 const cancelConfirmTimeout = 100 * time.Millisecond
 
 // confirmCancel waits briefly for the agent to confirm that a cancelled request, which was not known to be running, did
@@ -117,16 +122,30 @@
 	if t.endAction != atmostonce.EndUnknown || t.running || t.callerGone || t.exchange.Open() {
 		return
 	}
-	_ = t.stream.SetReadDeadline(t.entry.clock.Now().Add(cancelConfirmTimeout))
+	refusal, err := t.readConfirmation(t.entry.clock.Now().Add(cancelConfirmTimeout))
+	switch {
+	case refusal != nil:
+		t.refusal = refusal
+		t.endAction = atmostonce.EndNotRun
+	case errors.Is(err, wire.ErrTimeout):
+		t.withdrawal = &withdrawal{}
+	}
+}
+
+// readConfirmation reads frames until the agent has confirmed that it did not run the request. It returns neither a refusal nor
+// an error if the agent says otherwise.
+func (t *attempt) readConfirmation(until time.Time) (*wirepb.Refused, error) {
+	_ = t.stream.SetReadDeadline(until)
 	for {
 		frame := &wirepb.FromAgent{}
-		if err := t.stream.Read(frame); err != nil || frame.RequestId != t.rq.id || frame.GetHead() != nil {
-			return
+		if err := t.stream.Read(frame); err != nil {
+			return nil, err
+		}
+		if frame.RequestId != t.rq.id || frame.GetHead() != nil || frame.GetFailed() != nil {
+			return nil, nil
 		}
 		if refused := frame.GetRefused(); refused != nil {
-			t.refusal = refused
-			t.endAction = atmostonce.EndNotRun
-			return
+			return refused, nil
 		}
 	}
 }
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -45,16 +45,20 @@
 		Budget:      e.budget,
 	}
 	var tried []string
+	var unknown withdrawals
 	for {
 		candidate, refusal := e.pick(ctx, rq, tried, state)
 		if refusal != nil {
-			return e.noEndpointResult(state, refusal)
+			return e.noEndpointResult(&unknown, refusal)
 		}
 		tried = append(tried, candidate.Endpoint)
 		t := newAttempt(e, rq, candidate, out)
 		t.hasAlternative = func() bool { return e.hasUntried(rq, tried) }
 		t.noAlternative = !t.hasAlternative()
 		ended := t.run(ctx)
+		if ended.attempt.MayHaveRun(rq.idempotent) {
+			unknown.add(t)
+		}
 		verdict := e.decide(rq, state, ended, tried)
 		if ended.callerGone {
 			return result{abort: true, execution: executionOf(state, ended), pending: t.pending}
@@ -76,6 +80,9 @@
 		case routing.VerdictRefuse:
 			return result{err: rq.bodyErrorOr(refusalError(verdict.Reason, verdict.RetryAfter)), execution: executionNotRun}
 		case routing.VerdictUnknown:
+			if unknown.allNotRun() {
+				return result{err: rq.bodyErrorOr(refusalError(verdict.Reason, ended.attempt.RetryAfter)), execution: executionNotRun}
+			}
 			return result{err: rq.bodyErrorOr(e.unknownOutcomeError(rq)), pending: t.pending}
 		case routing.VerdictAbort:
 			return result{abort: true, pending: t.pending}
@@ -96,8 +103,8 @@
 }
 
 // noEndpointResult returns the result when no endpoint is left: "not run" only when no earlier attempt may have run.
-func (e *Entry) noEndpointResult(state *routing.RequestState, refusal *apiError) result {
-	if state.MayHaveRun {
+func (e *Entry) noEndpointResult(unknown *withdrawals, refusal *apiError) result {
+	if !unknown.allNotRun() {
 		return result{err: outcomeUnknown("the request may have run; no endpoint is left to try")}
 	}
 	return result{err: refusal, execution: executionNotRun}
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -188,6 +188,52 @@
 	}
 }
 
+// Guards against an answer of "outcome unknown" to a request that certainly did not run: it was withdrawn while it waited, and
+// the agent's confirmation arrives while other endpoints are tried.
+func TestLateConfirmationOfAWithdrawalCounts(t *testing.T) {
+	const unknown = "502 outcome_unknown outcome_unknown"
+	confirm := func(x *fakeStream) { x.refused(wirepb.RefusalReason_CANCELLED) }
+	cases := []struct {
+		name string
+		// end is what the agent sends for a withdrawn request, and late how long after the withdrawal.
+		end  func(x *fakeStream)
+		late time.Duration
+		want string
+	}{
+		{"confirmed at once", confirm, 0, "503 no_capacity not_run"},
+		{"confirmed late", confirm, 2 * cancelConfirmTimeout, "503 no_capacity not_run"},
+		{"it had begun to run", func(x *fakeStream) { x.failed(true) }, 2 * cancelConfirmTimeout, unknown},
+		{"the response has begun", func(x *fakeStream) { x.head(http.StatusOK); confirm(x) }, 2 * cancelConfirmTimeout, unknown},
+		{"for another request", func(x *fakeStream) { x.id = "other"; confirm(x) }, 2 * cancelConfirmTimeout, unknown},
+		{"never confirmed", (*fakeStream).stall, 0, unknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, siteOptions{agents: 2})
+			var offers atomic.Int32
+			for _, a := range s.agents {
+				a.setScript(func(x *fakeStream) {
+					if offers.Add(1) > 1 {
+						x.refused(wirepb.RefusalReason_NO_MEMORY)
+						return
+					}
+					x.accepted()
+					if x.next().GetCancel() != nil {
+						time.Sleep(c.late)
+						c.end(x)
+					}
+				})
+			}
+			got := s.send(t.Context(), call{method: get, header: http.Header{headerDeadline: {"3000"}}})
+			if got.text() != c.want || offers.Load() < 2 {
+				t.Errorf("got %s after %d offers, want %s", got.text(), offers.Load(), c.want)
+			}
+			checkReply(t, got)
+		})
+	}
+}
+
 // acceptedTimeout is how long an accepted request waits while another endpoint could take it: the minimum of
 // routing.StageTimeout, because the fake agents report no expected wait.
 const acceptedTimeout = time.Second
--- a/internal/routing/retry.go
+++ b/internal/routing/retry.go
@@ -33,7 +33,7 @@
 // an earlier one that failed without a definite outcome may still have run.
 func Decide(now time.Time, a Attempt, s *RequestState) Verdict {
 	s.Attempts++
-	s.MayHaveRun = s.MayHaveRun || a.mayHaveRun(s.Idempotent)
+	s.MayHaveRun = s.MayHaveRun || a.MayHaveRun(s.Idempotent)
 	switch {
 	case a.Outcome == OutcomeServed:
 		return Verdict{Kind: VerdictDone}
@@ -52,9 +52,9 @@
 // minRetryAfter is the shortest Retry-After returned to a caller.
 const minRetryAfter = 100 * time.Millisecond
 
-// mayHaveRun reports whether the endpoint may have run the request without a definite answer. A two-step request
+// MayHaveRun reports whether the endpoint may have run the request without a definite answer. A two-step request
 // (offer, then commit) cannot have run before its commit.
-func (a Attempt) mayHaveRun(idempotent bool) bool {
+func (a Attempt) MayHaveRun(idempotent bool) bool {
 	switch a.Outcome {
 	case OutcomeUnknown, OutcomeTruncated:
 		return idempotent || a.Committed
