entry, agent: a waiting request is withdrawn only if it has not started

The entry cancelled it without knowing that it had started.

Now the entry first asks the agent to give the request back unless it has started. The agent answers with a refusal (not run), or not at all: then the notice of the start, which is on its way, keeps the request where it is. Without either within 100 ms it is cancelled as before, so an agent that does not answer costs no more time. Two-step requests, which cannot start without a commit, bodies that are not whole yet, and the last 100 ms before a deadline are as before.

--- a/internal/agent/exchange_rig_test.go
+++ b/internal/agent/exchange_rig_test.go
@@ -303,6 +303,12 @@
 	x.send(&wirepb.ToAgent{Frame: &wirepb.ToAgent_Cancel{Cancel: &wirepb.Cancel{}}})
 }
 
+// withdraw cancels the request unless it has started.
+func (x *entryExchange) withdraw() {
+	x.t.Helper()
+	x.send(&wirepb.ToAgent{Frame: &wirepb.ToAgent_Cancel{Cancel: &wirepb.Cancel{UnlessStarted: true}}})
+}
+
 func (x *entryExchange) chunk(data []byte, done bool) {
 	x.t.Helper()
 	x.send(&wirepb.ToAgent{Frame: &wirepb.ToAgent_Body{Body: &wirepb.BodyChunk{Data: data, Done: done}}})
--- a/internal/agent/exchange_test.go
+++ b/internal/agent/exchange_test.go
@@ -59,6 +59,22 @@
 			x.commit()
 			x.cancel()
 		}, want: endTrailer, ran: 1},
+		{name: "withdrawn unless started, before the commit", offer: twoStep, run: func(x *entryExchange) {
+			x.await("ready")
+			x.withdraw()
+		}, want: "CANCELLED"},
+		{name: "withdrawn unless started, after the commit", offer: twoStep, run: func(x *entryExchange) {
+			x.await("ready")
+			x.commit()
+			x.withdraw()
+		}, want: endTrailer, ran: 1},
+		{name: "withdrawn unless started, while the answer is relayed", offer: func(o *wirepb.Offer) { upload(1000)(o); o.Path = "/echo" }, run: func(x *entryExchange) {
+			x.await("ready")
+			x.chunk([]byte("half"), false)
+			x.await("body")
+			x.withdraw()
+			x.chunk(make([]byte, 996), true)
+		}, want: endTrailer, ran: 1},
 		{name: "committed twice", offer: twoStep, run: func(x *entryExchange) {
 			x.await("ready")
 			x.commit()
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -188,6 +188,10 @@
 			x.agent.recorder.Clock().Observe(frame.Clock)
 			x.postEvent(done, atmostonce.GotCommit)
 		case *wirepb.ToAgent_Cancel:
+			if f.Cancel.UnlessStarted {
+				x.postEvent(done, atmostonce.GotWithdrawal)
+				continue
+			}
 			x.body.fail(errWithdrawn)
 			x.postEvent(done, atmostonce.GotCancel)
 		}
--- a/internal/atmostonce/execution.go
+++ b/internal/atmostonce/execution.go
@@ -12,6 +12,8 @@
 	// GotCommit and GotCancel are frames from the entry.
 	GotCommit
 	GotCancel
+	// GotWithdrawal: the entry cancels the request unless it has started.
+	GotWithdrawal
 	// EntryLost: the stream to the entry broke.
 	EntryLost
 	// CommitLate: no commit arrived within the time that a ready request may stay admitted.
@@ -98,7 +100,7 @@
 	case QueueRefused:
 		x.state = executionEnded
 		return []ExecutionAction{SendRefused}
-	case GotCancel:
+	case GotCancel, GotWithdrawal:
 		x.state = executionEnded
 		return []ExecutionAction{LeaveQueue, SendRefused}
 	case EntryLost:
@@ -113,7 +115,7 @@
 	case GotCommit:
 		x.state = executionRunning
 		return []ExecutionAction{StartCall}
-	case GotCancel, CommitLate, QueueRefused:
+	case GotCancel, GotWithdrawal, CommitLate, QueueRefused:
 		x.state = executionEnded
 		return []ExecutionAction{ReleaseAdmission, SendRefused}
 	case EntryLost:
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -34,6 +34,8 @@
 	bodyStarted bool
 	statusCode  int
 	pending     chan execution
+	// withdrawn is set once the agent was asked to give the request back unless it has started.
+	withdrawn bool
 	// withdrawal is set while the agent's confirmation that a withdrawn request did not run may still arrive.
 	withdrawal *withdrawal
 	// noAlternative is set when no other endpoint can take the request; hasAlternative checks again.
@@ -113,7 +115,7 @@
 	})
 }
 
-// cancelConfirmTimeout bounds how long a retry is delayed for the agent's reply to a cancel.
+// cancelConfirmTimeout bounds how long a retry is delayed for the agent's reply to a cancel or a withdrawal.
 const cancelConfirmTimeout = 100 * time.Millisecond
 
 // confirmCancel waits briefly for the agent to confirm that a cancelled request, which was not known to be running, did
@@ -122,7 +124,11 @@
 	if t.endAction != atmostonce.EndUnknown || t.running || t.callerGone || t.exchange.Open() {
 		return
 	}
-	refusal, err := t.readConfirmation(t.entry.clock.Now().Add(cancelConfirmTimeout))
+	confirmBy := t.entry.clock.Now()
+	if !t.withdrawn {
+		confirmBy = confirmBy.Add(cancelConfirmTimeout)
+	}
+	refusal, err := t.readConfirmation(confirmBy)
 	switch {
 	case refusal != nil:
 		t.refusal = refusal
@@ -197,20 +203,37 @@
 	}
 }
 
-// keepsWaiting reports whether a waiting request stays at its endpoint after a read timeout because no other endpoint
-// can take it.
+// keepsWaiting reports whether a waiting request stays at its endpoint after a read timeout: because no other endpoint
+// can take it, or until the agent has said whether the request has started.
 //
 // The alternative that existed when the request was offered may have left since, for example in a rolling restart of
 // all agents. A cancelled request would then have nowhere to go, and if the agent's confirmation is late, the caller
 // gets "outcome unknown" although there was still time to serve the request. So the request stays until its deadline.
 func (t *attempt) keepsWaiting(ctx context.Context, err error) bool {
-	if !errors.Is(err, wire.ErrTimeout) || ctx.Err() != nil || t.running || t.noAlternative || t.hasAlternative() {
+	if !errors.Is(err, wire.ErrTimeout) || ctx.Err() != nil || t.running || t.noAlternative {
 		return false
 	}
+	if t.hasAlternative() {
+		return t.withdraw()
+	}
 	t.noAlternative = true
 	return true
 }
 
+// withdraw asks the agent, once, to give the request back unless it has started, and reports whether the reply is awaited. A
+// cancelled request that starts at this moment would end without a definite outcome, and the next endpoint may have no room for
+// it. A two-step request needs no reply: it cannot start without its commit.
+func (t *attempt) withdraw() bool {
+	left := t.rq.deadline.Sub(t.entry.clock.Now())
+	if t.withdrawn || !t.rq.idempotent || !t.rq.hasFullBody() || left <= cancelConfirmTimeout {
+		return false
+	}
+	t.withdrawn = true
+	// Nothing but a cancel follows on this stream, so the write need not wait for an agent that does not read.
+	t.stream.AbortWrites()
+	return t.write(&wirepb.ToAgent{Frame: &wirepb.ToAgent_Cancel{Cancel: &wirepb.Cancel{UnlessStarted: true}}}) == nil
+}
+
 // setReadDeadline bounds the wait for the next frame.
 func (t *attempt) setReadDeadline(ctx context.Context) {
 	now := t.entry.clock.Now()
@@ -229,6 +252,8 @@
 	switch {
 	case t.firstByte > 0 && t.rq.stream:
 		return t.entry.options.MaxResponseDuration
+	case t.withdrawn && !t.running && !t.noAlternative:
+		return cancelConfirmTimeout
 	case !t.running && !t.noAlternative:
 		return min(left, t.acceptTimeout(left))
 	default:
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -234,6 +234,33 @@
 	}
 }
 
+// Guards against a request that is withdrawn in the moment in which it starts: it must stay at its endpoint, which serves it.
+func TestStartedRequestIsNotWithdrawn(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, siteOptions{agents: 2})
+	var offers atomic.Int32
+	for _, a := range s.agents {
+		a.setScript(func(x *fakeStream) {
+			if offers.Add(1) > 1 {
+				x.refused(wirepb.RefusalReason_NO_MEMORY)
+				return
+			}
+			x.accepted()
+			if !x.next().GetCancel().GetUnlessStarted() {
+				return
+			}
+			x.ready()
+			if x.stallFor(3 * cancelConfirmTimeout) {
+				x.respond("first")
+			}
+		})
+	}
+	got := s.send(t.Context(), call{method: get, header: http.Header{headerDeadline: {"2000"}}})
+	if got.text() != "200 first" || offers.Load() != 1 {
+		t.Errorf("got %s after %d offers, want the answer of the first endpoint", got.text(), offers.Load())
+	}
+}
+
 // acceptedTimeout is how long an accepted request waits while another endpoint could take it: the minimum of
 // routing.StageTimeout, because the fake agents report no expected wait.
 const acceptedTimeout = time.Second
