--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -264,6 +264,7 @@
 		}
 		delayed = nil
 		if err := a.sendBatch(s, stream, status); err != nil {
+			a.logger.Info("sending to the entry failed", "entry", s.entry, "error", err)
 			return
 		}
 	}
