--- a/internal/endpoint/endless_test.go
+++ b/internal/endpoint/endless_test.go
@@ -8,33 +8,30 @@
 	"time"
 
 	"balsamsail/internal/endpoint"
-	"balsamsail/internal/faultlink"
+	"balsamsail/internal/faultlink/endlesstest"
 )
 
 // Guards against an endpoint whose bytes never end: calls fail by their timeout and read no more than they may hold, and the
 // caller of a request can end the body at any time.
 func TestCallsEndWhereBytesDoNot(t *testing.T) {
-	const (
-		timeout  = 500 * time.Millisecond
-		maxBytes = 32 << 20
-	)
-	calls := map[string]func(ctx context.Context, base string){
-		"state": func(ctx context.Context, base string) {
-			_, err := endpoint.NewHTTPEngine(base, "", endpoint.Timeouts{Read: timeout}).State(ctx)
+	const timeout = 500 * time.Millisecond
+	calls := map[string]func(t *testing.T, base string){
+		"state": func(t *testing.T, base string) {
+			_, err := endpoint.NewHTTPEngine(base, "", endpoint.Timeouts{Read: timeout}).State(t.Context())
 			if err == nil {
 				t.Error("a state was read")
 			}
 		},
-		"order": func(ctx context.Context, base string) {
+		"order": func(t *testing.T, base string) {
 			// The status is the answer to an order, so that an order whose body does not end may succeed.
-			_ = endpoint.NewHTTPEngine(base, "", endpoint.Timeouts{Order: timeout}).Do(ctx, load("m", 1, 1))
+			_ = endpoint.NewHTTPEngine(base, "", endpoint.Timeouts{Order: timeout}).Do(t.Context(), load("m", 1, 1))
 		},
-		"request": func(ctx context.Context, base string) {
+		"request": func(t *testing.T, base string) {
 			caller, err := endpoint.NewHTTPCaller(base, endpoint.CallerOptions{})
 			if err != nil {
 				t.Fatal(err)
 			}
-			ctx, cancel := context.WithTimeout(ctx, timeout)
+			ctx, cancel := context.WithTimeout(t.Context(), timeout)
 			defer cancel()
 			request, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/x", http.NoBody)
 			if err != nil {
@@ -50,23 +47,10 @@
 		},
 	}
 	for name, call := range calls {
-		for kind, answer := range faultlink.EndlessAnswers("") {
-			t.Run(name+", "+kind, func(t *testing.T) {
-				t.Parallel()
-				if err := answer.Start(); err != nil {
-					t.Fatal(err)
-				}
-				// Close returns once the caller has closed its connection.
-				t.Cleanup(answer.Close)
-				began := time.Now()
-				call(t.Context(), "http://"+answer.Address())
-				if took := time.Since(began); took > timeout+time.Second {
-					t.Errorf("the call took %v", took)
-				}
-				if n := answer.Sent(); n > maxBytes {
-					t.Errorf("%d MB were read", n>>20)
-				}
+		t.Run(name, func(t *testing.T) {
+			endlesstest.Run(t, endlesstest.Bounds{Time: timeout + time.Second, Bytes: 32 << 20}, func(t *testing.T, address string) {
+				call(t, "http://"+address)
 			})
-		}
+		})
 	}
 }
