load: a body without end is not a served call

The body of a response was cut at 64 MB without an error, so that a call whose answer never ends counted as served, and a stream of whole events was kept until the call's timeout whatever its size. Both are errors at 64 MB now.

--- a/internal/load/answer.go
+++ b/internal/load/answer.go
@@ -91,7 +91,7 @@
 
 // drain reads to the end of the body: a response is complete only if the body ends without an error.
 func drain(body io.Reader) error {
-	if _, err := io.Copy(io.Discard, io.LimitReader(body, maxAnswerBytes)); err != nil {
+	if _, err := io.Copy(io.Discard, body); err != nil {
 		return errors.Wrap(errTruncated, err.Error())
 	}
 	return nil
@@ -99,7 +99,7 @@
 
 // readCompletion reads a whole chat completion.
 func (a *responseContent) readCompletion(body io.Reader) error {
-	data, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes))
+	data, err := io.ReadAll(body)
 	if err != nil {
 		return errors.Wrap(errTruncated, err.Error())
 	}
@@ -116,7 +116,7 @@
 
 // readPlain reads the response to a plain call.
 func (a *responseContent) readPlain(body io.Reader) error {
-	data, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes))
+	data, err := io.ReadAll(body)
 	if err != nil {
 		return errors.Wrap(errTruncated, err.Error())
 	}
--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -127,7 +127,7 @@
 		return
 	}
 	var a responseContent
-	err := a.read(e.call, response.Body, e.onFirstToken)
+	err := a.read(e.call, http.MaxBytesReader(nil, response.Body, maxAnswerBytes), e.onFirstToken)
 	if !a.firstToken.IsZero() {
 		o.firstToken = a.firstToken.Sub(e.planned)
 	}
