operator: a response over the limit is not taken for whole

A response of over 64 MB was cut there without an error; one that begins with a valid answer counted as whole. It now ends as a response that is not whole: a read goes on to the next entry, an edit has an unknown outcome.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -174,7 +174,7 @@
 }
 
 func readResponse(response *http.Response, answer any) error {
-	data, err := io.ReadAll(io.LimitReader(response.Body, MaxResponseBytes))
+	data, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, MaxResponseBytes))
 	if err != nil {
 		return &transportError{reason: err.Error()}
 	}
