soak: a client that cancels before its request is sent breaks nothing

A client draws the time after which it cancels, which may be shorter than the time until its request is recorded; the request was then looked up by an ID that the checker did not know. The record itself is passed now, so there is nothing to look up. The order is as old as the cancelling clients; the process's other runs were not affected.

--- a/soak/clients.go
+++ b/soak/clients.go
@@ -135,7 +135,7 @@
 	defer cancel()
 	if c.random.Float64() < cancelShare {
 		cancelTimer := time.AfterFunc(rand.N(cancelWithin), func() {
-			c.site.checker.recordCancelled(r.call.ID)
+			c.site.checker.recordCancelled(r)
 			cancel()
 		})
 		defer cancelTimer.Stop()
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -184,11 +184,11 @@
 	c.counts["requests"]++
 }
 
-// recordCancelled records that a client cancels a request.
-func (c *checker) recordCancelled(id string) {
+// recordCancelled records that a client cancels a request, which may not have been sent yet.
+func (c *checker) recordCancelled(r *record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.requests[id].cancelledAt = time.Now()
+	r.cancelledAt = time.Now()
 }
 
 // recordStarted records a new incarnation on a host.
