--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,8 +37,10 @@
 	pending     chan execution
 	// withdrawn is set once the agent was asked to give the request back unless it has started.
 	withdrawn bool
-	// withdrawal is set while the agent's confirmation that a withdrawn request did not run may still arrive.
-	withdrawal *withdrawal
+	// awaitsConfirmation is set if the attempt ended before the agent said whether the withdrawn request ran, and
+	// confirmedNotRun once the agent says afterwards that it did not.
+	awaitsConfirmation bool
+	confirmedNotRun    atomic.Bool
 	// noAlternative is set when no other endpoint can take the request; hasAlternative checks again.
 	noAlternative  bool
 	hasAlternative func() bool
@@ -92,7 +95,7 @@
 	case t.exchange.Open():
 		t.pending = make(chan execution, 1)
 		go t.awaitExecution()
-	case t.withdrawal != nil:
+	case t.awaitsConfirmation:
 		go t.awaitConfirmation()
 	default:
 		_ = stream.Close()
@@ -134,7 +137,7 @@
 		t.refusal = refusal
 		t.endAction = atmostonce.EndNotRun
 	case errors.Is(err, wire.ErrTimeout):
-		t.withdrawal = &withdrawal{}
+		t.awaitsConfirmation = true
 	}
 }
 
--- a/internal/entry/fate.go
+++ b/internal/entry/fate.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"sync/atomic"
-
 	"balsamsail/internal/atmostonce"
 	"balsamsail/internal/wire/wirepb"
 )
@@ -52,40 +50,22 @@
 	}
 }
 
-// withdrawal is what becomes known of a withdrawn request after its attempt has ended.
-type withdrawal struct{ notRun atomic.Bool }
-
 // awaitConfirmation reads on until the caller's deadline for the agent's confirmation that the withdrawn request did not run.
 // Meanwhile the request is tried elsewhere; if no endpoint serves it, the confirmation decides what the caller is told.
 func (t *attempt) awaitConfirmation() {
 	defer func() { _ = t.stream.Close() }()
 	if refusal, _ := t.readConfirmation(t.rq.deadline); refusal != nil {
-		t.withdrawal.notRun.Store(true)
-	}
-}
-
-// withdrawals are a request's attempts that ended without a definite outcome.
-type withdrawals struct {
-	attempts []*withdrawal
-	// unsettled is set once an attempt ended of which nothing more will be known.
-	unsettled bool
-}
-
-// add records an attempt that ended without a definite outcome.
-func (w *withdrawals) add(t *attempt) {
-	if t.withdrawal == nil {
-		w.unsettled = true
-		return
+		t.confirmedNotRun.Store(true)
 	}
-	w.attempts = append(w.attempts, t.withdrawal)
 }
 
-// allNotRun reports whether it is known by now of all attempts that the request did not run.
-func (w *withdrawals) allNotRun() bool {
-	for _, a := range w.attempts {
-		if !a.notRun.Load() {
+// allConfirmedNotRun reports whether it is known by now of all these attempts, which ended without a definite outcome, that the
+// request did not run.
+func allConfirmedNotRun(attempts []*attempt) bool {
+	for _, t := range attempts {
+		if !t.confirmedNotRun.Load() {
 			return false
 		}
 	}
-	return !w.unsettled
+	return true
 }
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -45,11 +45,12 @@
 		Budget:      e.budget,
 	}
 	var tried []string
-	var unknown withdrawals
+	// unknown holds the attempts that ended without a definite outcome.
+	var unknown []*attempt
 	for {
 		candidate, refusal := e.pick(ctx, rq, tried, state)
 		if refusal != nil {
-			return e.noEndpointResult(&unknown, refusal)
+			return e.noEndpointResult(unknown, refusal)
 		}
 		tried = append(tried, candidate.Endpoint)
 		t := newAttempt(e, rq, candidate, out)
@@ -57,7 +58,7 @@
 		t.noAlternative = !t.hasAlternative()
 		ended := t.run(ctx)
 		if ended.attempt.MayHaveRun(rq.idempotent) {
-			unknown.add(t)
+			unknown = append(unknown, t)
 		}
 		verdict := e.decide(rq, state, ended, tried)
 		if ended.callerGone {
@@ -80,7 +81,7 @@
 		case routing.VerdictRefuse:
 			return result{err: rq.bodyErrorOr(refusalError(verdict.Reason, verdict.RetryAfter)), execution: executionNotRun}
 		case routing.VerdictUnknown:
-			if unknown.allNotRun() {
+			if allConfirmedNotRun(unknown) {
 				return result{err: rq.bodyErrorOr(refusalError(verdict.Reason, ended.attempt.RetryAfter)), execution: executionNotRun}
 			}
 			return result{err: rq.bodyErrorOr(e.unknownOutcomeError(rq)), pending: t.pending}
@@ -103,8 +104,8 @@
 }
 
 // noEndpointResult returns the result when no endpoint is left: "not run" only when no earlier attempt may have run.
-func (e *Entry) noEndpointResult(unknown *withdrawals, refusal *apiError) result {
-	if !unknown.allNotRun() {
+func (e *Entry) noEndpointResult(unknown []*attempt, refusal *apiError) result {
+	if !allConfirmedNotRun(unknown) {
 		return result{err: outcomeUnknown("the request may have run; no endpoint is left to try")}
 	}
 	return result{err: refusal, execution: executionNotRun}
