crashes, fleet, gateway: ends are counted by process, not by endpoint ID

The only way found in which today's code still allowed it: an endpoint that restarts under its ID counted once, however many of its processes had ended, and a gateway that had started since took the next process's answers as a sign that the earlier one lives.

TestRequestThatEndsRestartedEndpointsIsNotSentOn: 12 processes of two endpoints ended under one client's tries before, at most three may. Ends carry the process start now, between gateways too. The class: a process is identified by something that outlives it.

Ruled out: a gateway alone or just started (TestGatewayAloneSendsNothingOnWhoseEndpointEnded, TestGatewayThatStartsHearsOfEnds). Left: an end that a killed gateway had not passed on.

--- a/internal/control/facts.go
+++ b/internal/control/facts.go
@@ -72,7 +72,8 @@
 	c.crashes = position
 	for _, e := range ends {
 		message.Ended = append(message.Ended, &controlpb.EndedUnder{
-			Content: uint64(e.Key.Content), EndpointId: e.Key.EndpointID, AgeMs: now.Sub(e.Value).Milliseconds(), Attempt: e.Key.Attempt,
+			Content: uint64(e.Key.Content), EndpointId: e.Key.Process.EndpointID, EndpointStarted: e.Key.Process.Started,
+			AgeMs: now.Sub(e.Value).Milliseconds(), Attempt: e.Key.Attempt,
 		})
 	}
 	begun, position := f.Streams.Since(now, c.streams, streamsPerMessage)
@@ -96,7 +97,8 @@
 	f.mu.Unlock()
 	for _, e := range message.GetEnded() {
 		at := now.Add(-time.Duration(e.AgeMs) * time.Millisecond)
-		f.Crashes.Add(now, crashes.End{Content: crashes.Content(e.Content), EndpointID: e.EndpointId, Attempt: e.Attempt}, at)
+		process := crashes.Process{EndpointID: e.EndpointId, Started: e.EndpointStarted}
+		f.Crashes.Add(now, crashes.End{Content: crashes.Content(e.Content), Process: process, Attempt: e.Attempt}, at)
 	}
 	for _, group := range message.GetStreams() {
 		expires := now.Add(time.Duration(group.ExpiresInMs) * time.Millisecond)
--- a/internal/control/facts_test.go
+++ b/internal/control/facts_test.go
@@ -9,10 +9,12 @@
 	"balsamsail/internal/streams"
 )
 
+func mayHaveEnded(time.Time, crashes.Process, time.Time) bool { return true }
+
 // endedUnder returns the number of endpoints that have ended under a request as far as a gateway knows.
 func (g *testGateway) endedUnder(c crashes.Content) int {
 	now := time.Now()
-	return g.facts.Crashes.Ended(now, c, func(time.Time, string, time.Time) bool { return true }).Endpoints
+	return g.facts.Crashes.Ended(now, c, mayHaveEnded).Processes
 }
 
 // startSiteInContact starts a site and waits until each gateway has heard from another.
@@ -37,7 +39,7 @@
 			gateways := startSiteInContact(t, n)
 			for i, g := range gateways[:3] {
 				now := time.Now()
-				g.facts.Crashes.Add(now, crashes.End{Content: request, EndpointID: fmt.Sprint("e", i)}, now)
+				g.facts.Crashes.Add(now, crashes.End{Content: request, Process: crashes.Process{EndpointID: fmt.Sprint("e", i%2), Started: int64(i)}}, now)
 			}
 			for i, g := range gateways {
 				eventuallyWithin(t, time.Second, fmt.Sprintf("gateway %d knows of all ends", i), func() bool { return g.endedUnder(request) == 3 })
@@ -54,7 +56,7 @@
 	eventually(t, "all gateways use the hub", func() bool { return hub.hub.Subscribers() == 9 })
 	for i := range ends {
 		now := time.Now()
-		hub.facts.Crashes.Add(now, crashes.End{Content: crashes.Content(i), EndpointID: "e1"}, now)
+		hub.facts.Crashes.Add(now, crashes.End{Content: crashes.Content(i), Process: crashes.Process{EndpointID: "e1"}}, now)
 	}
 	newcomer := startNewcomer(t, gateways, agent)
 	if newcomer.peers.InContact(time.Now()) && newcomer.endedUnder(ends-1) == 0 {
--- a/internal/crashes/crashes.go
+++ b/internal/crashes/crashes.go
@@ -23,10 +23,17 @@
 // Content identifies what a client asks for: the hash of everything that its tries have in common.
 type Content uint64
 
-// End says that an endpoint may have ended while it worked on a request.
-type End struct {
-	Content    Content
+// Process is one process of an endpoint: a restarted endpoint may have the ID that it had.
+type Process struct {
 	EndpointID string
+	// Started is the Unix time in milliseconds at which the process started; 0 if it is not known.
+	Started int64
+}
+
+// End says that a process of an endpoint may have ended while it worked on a request.
+type End struct {
+	Content Content
+	Process Process
 	// Attempt tells the ends of several attempts at one endpoint apart: it may have survived the first.
 	Attempt uint64
 }
@@ -78,27 +85,27 @@
 	t.ends[e.Content] = rest
 }
 
-// Ended says how many endpoints have ended under a request.
+// Ended says how many processes of endpoints have ended under a request.
 type Ended struct {
-	Endpoints int
+	Processes int
 	// Last is when the last of them ended, and Until when the first of these ends is forgotten.
 	Last, Until time.Time
 }
 
-// Ended returns the endpoints that have ended under a request, as far as mayHaveEnded does not rule it out for an endpoint and a
+// Ended returns the processes that have ended under a request, as far as mayHaveEnded does not rule it out for a process and a
 // time.
-func (t *Tracker) Ended(now time.Time, c Content, mayHaveEnded func(now time.Time, endpointID string, at time.Time) bool) Ended {
+func (t *Tracker) Ended(now time.Time, c Content, mayHaveEnded func(now time.Time, p Process, at time.Time) bool) Ended {
 	ends := t.endsUnder(now, c)
 	if len(ends) == 0 {
 		return Ended{}
 	}
 	var ended Ended
-	endpoints := make(map[string]struct{})
+	processes := make(map[Process]struct{})
 	for _, f := range ends {
-		if !mayHaveEnded(now, f.Key.EndpointID, f.Value) {
+		if !mayHaveEnded(now, f.Key.Process, f.Value) {
 			continue
 		}
-		endpoints[f.Key.EndpointID] = struct{}{}
+		processes[f.Key.Process] = struct{}{}
 		if f.Value.After(ended.Last) {
 			ended.Last = f.Value
 		}
@@ -106,7 +113,7 @@
 			ended.Until = f.Expires
 		}
 	}
-	ended.Endpoints = len(endpoints)
+	ended.Processes = len(processes)
 	return ended
 }
 
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -75,6 +75,8 @@
 // Choice is the endpoint chosen for one attempt.
 type Choice struct {
 	ID, Address string
+	// Started is the Unix time in milliseconds at which the endpoint's process started; 0 if it is not known.
+	Started int64
 	// Version is the version of the endpoint's software.
 	Version string
 	// reservation is shared by the copies of a Choice.
@@ -84,8 +86,7 @@
 // reservation is the load that one request adds to an endpoint's counters.
 type reservation struct {
 	promptTokens int
-	// started is the start of the endpoint's process, and onRestart is called if the endpoint restarts.
-	started   int64
+	// onRestart is called if the endpoint restarts.
 	onRestart func()
 }
 
@@ -123,9 +124,9 @@
 	if req.Adapter != "" {
 		e.adapters[req.adapter()]++
 	}
-	r := &reservation{promptTokens: req.PromptTokens, started: e.started}
+	r := &reservation{promptTokens: req.PromptTokens}
 	e.reservations[r] = struct{}{}
-	return Choice{ID: e.ID, Address: e.Address, Version: e.Version, reservation: r}, reason, true
+	return Choice{ID: e.ID, Address: e.Address, Started: e.started, Version: e.Version, reservation: r}, reason, true
 }
 
 // picked is the candidate that was chosen for a request, or the reason why there is none.
@@ -167,7 +168,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c.reservation.onRestart = lost
-	if e := f.endpoints[c.ID]; e != nil && c.reservation.started != 0 && c.reservation.started != e.started {
+	if e := f.endpoints[c.ID]; e != nil && c.Started != 0 && c.Started != e.started {
 		lost()
 	}
 }
--- a/internal/fleet/ended_test.go
+++ b/internal/fleet/ended_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"balsamsail/internal/catalog"
+	"balsamsail/internal/crashes"
 )
 
 // Guards against endpoints that count as alive because another process answers after them, and against ones that count as ended
@@ -23,12 +24,17 @@
 		{"it had answered before", func(f *Fleet, at time.Time) { f.ObserveResponse(at.Add(-time.Millisecond), "e", time.Millisecond) }, true},
 		{"its agent reports it at once", func(f *Fleet, at time.Time) { f.SetState("e", report(false), 0, 0, at.Add(100*time.Millisecond)) }, true},
 		{"its agent reports it a while later", func(f *Fleet, at time.Time) {
-			f.SetState("e", report(false), 0, 0, at.Add(endDetectionTime+time.Millisecond))
+			f.SetState("e", report(false), 0, 0, at.Add(EndDetectionTime+time.Millisecond))
 		}, false},
 		{"its agent had lost it, and reports again", func(f *Fleet, at time.Time) {
 			f.SetState("e", report(true), 0, 0, at.Add(200*time.Millisecond))
 			f.SetState("e", report(false), 0, 0, at.Add(1500*time.Millisecond))
 		}, true},
+		{"it had restarted under its ID before this gateway started, and answers", func(f *Fleet, at time.Time) {
+			f.SetEndpoints(nil)
+			f.SetEndpoints([]catalog.Endpoint{{ID: "e", Service: "s", Started: started + 1, Revision: 2}})
+			f.ObserveResponse(at.Add(100*time.Millisecond), "e", time.Millisecond)
+		}, true},
 		{"it has restarted under its ID, and answers", func(f *Fleet, at time.Time) {
 			f.SetEndpoints([]catalog.Endpoint{{ID: "e", Service: "s", Started: started + 1, Revision: 2}})
 			f.ObserveResponse(at.Add(100*time.Millisecond), "e", time.Millisecond)
@@ -39,7 +45,7 @@
 			f.SetEndpoints([]catalog.Endpoint{{ID: "e", Service: "s", Started: started, Revision: 1}})
 			at := time.Now()
 			c.events(f, at)
-			if got := f.MayHaveEnded(at.Add(1600*time.Millisecond), "e", at); got != c.want {
+			if got := f.MayHaveEnded(at.Add(1600*time.Millisecond), crashes.Process{EndpointID: "e", Started: started}, at); got != c.want {
 				t.Errorf("got %v, want %v", got, c.want)
 			}
 		})
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -178,7 +178,7 @@
 		return failed
 	}
 	g.requestLog.write(time.Now(), true, "attempt failed", "event", "attempt_failed", "request", q.call.ID, "content", q.contentText(), "endpoint", choice.ID,
-		"sending", q.attempts, "maybe_sent", maybeSent, "error", err, "left", time.Until(q.deadline))
+		"endpoint_started", choice.Started, "sending", q.attempts, "maybe_sent", maybeSent, "error", err, "left", time.Until(q.deadline))
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		g.fleet.Refused(time.Now(), choice.ID)
 	}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -37,7 +37,15 @@
 // recordEnd records that an endpoint has left a request without a whole answer, and so may have ended.
 func (g *Gateway) recordEnd(q *request, choice fleet.Choice) {
 	now := time.Now()
-	g.options.Crashes.Add(now, crashes.End{Content: q.content, EndpointID: choice.ID, Attempt: rand.Uint64()}, now)
+	g.options.Crashes.Add(now, endOf(q, choice), now)
+}
+
+func endOf(q *request, choice fleet.Choice) crashes.End {
+	return crashes.End{Content: q.content, Process: processOf(choice), Attempt: rand.Uint64()}
+}
+
+func processOf(c fleet.Choice) crashes.Process {
+	return crashes.Process{EndpointID: c.ID, Started: c.Started}
 }
 
 // mustNotBeSent reports whether so many endpoints have ended under the request, in all tries of its client, that it is sent to no
@@ -48,7 +56,7 @@
 	if alone {
 		limit = maxEndedAlone
 	}
-	if ended.Endpoints < limit {
+	if ended.Processes < limit {
 		return false
 	}
 	q.refusedFor, q.servableIn = reasonEndsEndpoints, ended.Until.Sub(now)
@@ -56,7 +64,7 @@
 		q.servableIn = endCheckTime
 	}
 	g.requestLog.write(now, true, "endpoints have ended under this request", "event", "crash_refused", "request", q.call.ID,
-		"content", q.contentText(), "ended", ended.Endpoints, "alone", alone, "sendings", q.attempts)
+		"content", q.contentText(), "ended", ended.Processes, "alone", alone, "sendings", q.attempts)
 	return true
 }
 
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -54,6 +54,23 @@
 	}
 }
 
+// Guards against a request that ends endpoints which restart under their IDs, and so counts as having ended few.
+func TestRequestThatEndsRestartedEndpointsIsNotSentOn(t *testing.T) {
+	const mostEnded = 3
+	r := newRig(t, map[string]endpointScript{"plain-0": resetsConnection, "plain-1": resetsConnection})
+	r.restart()
+	ended := 0
+	for try := range 6 {
+		id := fmt.Sprintf("try-%d", try)
+		r.send(id, "/read/", "")
+		ended += r.attempts(id)
+		r.restart()
+	}
+	if ended > mostEnded {
+		t.Errorf("%d processes of endpoints ended under one request, want at most %d", ended, mostEnded)
+	}
+}
+
 // Guards against a gateway that hears from no other and sends a request on whose client has been at others before.
 func TestGatewayAloneSendsNothingOnWhoseEndpointEnded(t *testing.T) {
 	endpoints, ended := crashingEndpoints("plain", 6, resetsConnection)
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -137,6 +137,17 @@
 	r.fleet.SetEndpoints(list)
 }
 
+// restart starts each endpoint anew, under the ID that it had.
+func (r *rig) restart() {
+	var list []catalog.Endpoint
+	for id, e := range r.endpoints {
+		e.Started++
+		r.endpoints[id] = e
+		list = append(list, e)
+	}
+	r.fleet.SetEndpoints(list)
+}
+
 func (r *rig) counted(script endpointScript) http.HandlerFunc {
 	return func(w http.ResponseWriter, request *http.Request) {
 		r.mu.Lock()
