gateway: an endpoint that ends as its request's client leaves counts

Where a client leaves or its time is over, the gateway looks once more after the time within which an end shows, and counts the endpoint if its process is gone by then.

--- a/internal/fleet/ended.go
+++ b/internal/fleet/ended.go
@@ -27,6 +27,13 @@
 	return !responded.After(at)
 }
 
+// HasEnded reports whether a process of an endpoint is gone or does not respond, and so may have ended at the given time.
+func (f *Fleet) HasEnded(now time.Time, p crashes.Process, at time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.endpoints[p.EndpointID].endedAfter(now, p, at)
+}
+
 // endedAfter reports whether the process p is gone or does not respond now, or its agent has lost it at about the given time or later.
 // The endpoint is the one listed under its ID, or nil.
 func (e *endpoint) endedAfter(now time.Time, p crashes.Process, at time.Time) bool {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -170,8 +170,12 @@
 // handleFailure decides what follows an attempt that got no valid response.
 func (g *Gateway) handleFailure(parent context.Context, q *request, choice fleet.Choice, maybeSent bool, err error) verdict {
 	g.metrics.countAttempt("unanswered")
-	if maybeSent && (parent.Err() == nil || !g.fleet.IsResponsive(time.Now(), choice.ID)) {
+	switch {
+	case !maybeSent:
+	case parent.Err() == nil || !g.fleet.IsResponsive(time.Now(), choice.ID):
 		g.recordEnd(q, choice)
+	default:
+		g.recordLaterEnd(q, choice)
 	}
 	if parent.Err() != nil && q.inbound.Context().Err() != nil {
 		q.mayHaveRun = q.mayHaveRun || maybeSent
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -40,6 +40,17 @@
 	g.options.Crashes.Add(now, endOf(q, choice), now)
 }
 
+// recordLaterEnd records that an endpoint has ended under a request that its client, or the deadline, took from it at about the same
+// time: an end that has come before shows only after a while.
+func (g *Gateway) recordLaterEnd(q *request, choice fleet.Choice) {
+	end, at := endOf(q, choice), time.Now()
+	time.AfterFunc(fleet.EndDetectionTime, func() {
+		if now := time.Now(); g.fleet.HasEnded(now, end.Process, at) {
+			g.options.Crashes.Add(now, end, at)
+		}
+	})
+}
+
 func endOf(q *request, choice fleet.Choice) crashes.End {
 	return crashes.End{Content: q.content, Process: processOf(choice), Attempt: rand.Uint64()}
 }
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -9,6 +11,7 @@
 	"time"
 
 	"balsamsail/internal/crashes"
+	"balsamsail/internal/fleet"
 )
 
 // crashingEndpoints returns n endpoints of a service each of which ends when a request reaches it, and the number that have
@@ -71,6 +74,49 @@
 	}
 }
 
+// Guards against a request that ends endpoints and counts as having ended none, as its client leaves at the same time.
+func TestEndOfAnEndpointThatItsClientHasLeftCounts(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		ends bool
+		want int
+	}{
+		{"the endpoint ends", true, http.StatusServiceUnavailable},
+		{"the endpoint lives on", false, http.StatusOK},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var left atomic.Bool
+			r := newRig(t, map[string]endpointScript{"plain-0": func(w http.ResponseWriter, r *http.Request) {
+				if left.Load() {
+					good(w, r)
+					return
+				}
+				// The server notices that its client has left once the body is read.
+				_, _ = io.Copy(io.Discard, r.Body)
+				<-r.Context().Done()
+			}})
+			r.gateway.options.InContact = func() bool { return false }
+			r.restart()
+			ctx, leave := context.WithCancel(t.Context())
+			var client sync.WaitGroup
+			client.Go(func() { r.sendUntil(ctx, "/read/", http.Header{"Id": {"first"}, "Model": {""}}, io.Discard) })
+			r.await("the request runs", func() bool { return r.attempts("first") == 1 })
+			leave()
+			client.Wait()
+			left.Store(true)
+			r.await("the gateway knows that the client has left", func() bool { return r.gateway.Active() == 0 })
+			if c.ends {
+				r.restart()
+			}
+			time.Sleep(fleet.EndDetectionTime + 200*time.Millisecond)
+			if a := r.send("last", "/read/", ""); a.status != c.want {
+				t.Errorf("the last try got %d, want %d", a.status, c.want)
+			}
+		})
+	}
+}
+
 // Guards against a gateway that hears from no other and sends a request on whose client has been at others before.
 func TestGatewayAloneSendsNothingOnWhoseEndpointEnded(t *testing.T) {
 	endpoints, ended := crashingEndpoints("plain", 6, resetsConnection)
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -157,6 +157,17 @@
 	}
 }
 
+// await waits until a condition holds.
+func (r *rig) await(what string, condition func() bool) {
+	r.t.Helper()
+	const limit = 5 * time.Second
+	for deadline := time.Now().Add(limit); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			r.t.Fatalf("not within %v: %s", limit, what)
+		}
+	}
+}
+
 // attempts returns how many requests with the ID reached an endpoint.
 func (r *rig) attempts(id string) int {
 	r.mu.Lock()
@@ -193,8 +204,13 @@
 
 // sendTo sends a request to the gateway and writes the body of the response to a writer.
 func (r *rig) sendTo(path string, header http.Header, to io.Writer) answer {
+	return r.sendUntil(r.t.Context(), path, header, to)
+}
+
+// sendUntil is sendTo of a client that leaves when ctx is done.
+func (r *rig) sendUntil(ctx context.Context, path string, header http.Header, to io.Writer) answer {
 	r.t.Helper()
-	request, err := http.NewRequestWithContext(r.t.Context(), http.MethodPost, r.server.URL+path, strings.NewReader("body"))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, r.server.URL+path, strings.NewReader("body"))
 	if err != nil {
 		r.t.Fatal(err)
 	}
