crashes, gateway, control: parts of prompts that end endpoints are blamed by what several ends have in common

No two of the requests that ended them were alike.

Cause: ends were counted by the hash of a whole request, a bound on a cause kept on something finer than the cause. Ruled out: late news (nothing was counted at all) and repeats of one client (the log has none). What blame goes by was written down first, in the postmortem: an end makes suspects of the shared parts of the requests that had not begun to be answered, an answer clears its parts, and three processes without an answer since are enough. What is blamed is passed on along the gateways' links, and kept in the store for gateways that start after all others have ended. Logs name the parts and how long an answer had been under way.

--- a/internal/app/feed.go
+++ b/internal/app/feed.go
@@ -82,8 +82,8 @@
 		return feedOwn
 	case now.Sub(confirmed) <= maxFeedAge || now.Sub(f.started) <= feedStartDelay:
 		return feedHub
-	case f.replica.Table() == platform.GatewayTable:
-		// The list of gateways changes rarely; a later hub brings what is missing.
+	case f.replica.Table() == platform.GatewayTable || f.replica.Table() == platform.BlamedPartTable:
+		// These tables change rarely; a later hub brings what is missing.
 		return feedHub
 	}
 	return feedFallback
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -59,8 +59,10 @@
 		},
 		func() hubs.Gateway { return selfGateway(s) },
 		newDirectory,
+		newBlamedParts,
 		newSiteTables,
 		crashes.New,
+		func(f *fleet.Fleet) *crashes.Parts { return crashes.NewParts(f.MayHaveEnded) },
 		streams.New,
 		control.NewFacts,
 		func(o control.Options, f *fleet.Fleet, facts *control.Facts, t siteTables, l *slog.Logger) *control.Hub {
@@ -116,18 +118,19 @@
 }
 
 // siteTables are a gateway's copies of the tables of the store that describe the site.
-type siteTables struct{ config, endpoints, gateways *watch.Replica }
+type siteTables struct{ config, endpoints, gateways, blamedParts *watch.Replica }
 
-func newSiteTables(s *siteSync, d *directory) siteTables {
+func newSiteTables(s *siteSync, d *directory, b *blamedParts) siteTables {
 	return siteTables{
-		config:    watch.NewReplica(platform.OperatorTable, configSink{s}),
-		endpoints: watch.NewReplica(platform.EndpointTable, endpointSink{s}),
-		gateways:  d.replica,
+		config:      watch.NewReplica(platform.OperatorTable, configSink{s}),
+		endpoints:   watch.NewReplica(platform.EndpointTable, endpointSink{s}),
+		gateways:    d.replica,
+		blamedParts: b.replica,
 	}
 }
 
 func (t siteTables) all() []*watch.Replica {
-	return []*watch.Replica{t.config, t.endpoints, t.gateways}
+	return []*watch.Replica{t.config, t.endpoints, t.gateways, t.blamedParts}
 }
 
 func linkOptions(c settings.ControlLinks) control.Options {
@@ -147,12 +150,13 @@
 // would stay open and be probed.
 const idleConnTimeout = 4 * time.Second
 
-func newGateway(s *settings.Gateway, f *fleet.Fleet, p *control.Peers, c *crashes.Tracker, st *streams.Registry, l *slog.Logger, m *gateway.Metrics) *gateway.Gateway {
+func newGateway(s *settings.Gateway, f *fleet.Fleet, p *control.Peers, c *crashes.Tracker, parts *crashes.Parts, st *streams.Registry, l *slog.Logger, m *gateway.Metrics) *gateway.Gateway {
 	options := gateway.Options{
 		Seed:         rand.Uint64(),
 		Budget:       retryBudget(s.Retries),
 		GatewayCount: func() int { return max(p.GatewayCount(), minGateways) },
 		Crashes:      c,
+		Parts:        parts,
 		Streams:      st,
 		InContact:    func() bool { return p.InContact(time.Now()) },
 	}
@@ -177,6 +181,7 @@
 	Sync         *siteSync
 	Tables       siteTables
 	Directory    *directory
+	BlamedParts  *blamedParts
 	Agents       *control.Agents
 	Hub          *control.Hub
 	Upstream     *control.Upstream
@@ -225,6 +230,7 @@
 func (r gatewayRole) startBackground(ctx context.Context, group *errgroup.Group, listeners gatewayListeners) {
 	store := platform.NewStore(string(r.Settings.Store.Address))
 	group.Go(func() error { r.Directory.register(ctx, store); return nil })
+	group.Go(func() error { r.BlamedParts.run(ctx, store); return nil })
 	for _, replica := range r.Tables.all() {
 		r.startFeed(ctx, group, store, replica)
 	}
@@ -273,14 +279,14 @@
 	serveHTTP(ctx, group, listeners.metrics, server, process.ServeOptions{Logger: r.Logger})
 }
 
-// directoryWait is the long-poll timeout of a watch of the list of gateways, which changes when hosts are added.
+// directoryWait is the long-poll timeout of a watch of a table that rarely changes.
 const directoryWait = 30 * time.Second
 
 func (r gatewayRole) startFeed(ctx context.Context, group *errgroup.Group, source watch.Source, replica *watch.Replica) {
 	s := r.Settings.Store
 	wait := func() time.Duration {
 		switch {
-		case replica == r.Tables.gateways:
+		case replica == r.Tables.gateways || replica == r.Tables.blamedParts:
 			return directoryWait
 		case r.Upstream.IsMesh():
 			return s.Wait
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -158,7 +158,7 @@
 	t.Helper()
 	_, portText, _ := net.SplitHostPort(a.listener.Addr().String())
 	port, _ := strconv.Atoi(portText)
-	g := &testGateway{address: listener.Addr().String(), fleet: fleet.New("here", 1), facts: NewFacts(crashes.New(), streams.New())}
+	g := &testGateway{address: listener.Addr().String(), fleet: fleet.New("here", 1), facts: NewFacts(crashes.New(), crashes.NewParts(mayHaveEnded), streams.New())}
 	options := testOptions(g.address)
 	if list != nil {
 		// A gateway sends its hub something each demandInterval; a shorter silence would end sound connections.
--- a/internal/control/facts.go
+++ b/internal/control/facts.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	// endsPerMessage and streamsPerMessage bound the facts in one message, which then takes some 60 KB; the rest follows in the
-	// next one.
+	// endsPerMessage, partsPerMessage and streamsPerMessage bound the facts in one message, which then takes some 80 KB; the rest
+	// follows in the next one.
 	endsPerMessage    = 512
+	partsPerMessage   = 256
 	streamsPerMessage = 4096
 	// contactTTL is the time without a message of another gateway after which this one counts as cut off.
 	contactTTL = 2 * time.Second
@@ -25,6 +26,7 @@
 // their gateways and to the coordinator, and the coordinator to the hubs, so that each link carries each fact once or twice.
 type Facts struct {
 	Crashes *crashes.Tracker
+	Parts   *crashes.Parts
 	Streams *streams.Registry
 
 	mu        sync.Mutex
@@ -34,9 +36,10 @@
 }
 
 // NewFacts returns what a gateway that has just started knows.
-func NewFacts(c *crashes.Tracker, s *streams.Registry) *Facts {
-	f := &Facts{Crashes: c, Streams: s, changed: make(chan struct{})}
+func NewFacts(c *crashes.Tracker, p *crashes.Parts, s *streams.Registry) *Facts {
+	f := &Facts{Crashes: c, Parts: p, Streams: s, changed: make(chan struct{})}
 	c.OnAdd(f.notify)
+	p.OnAdd(f.notify)
 	s.OnAdd(f.notify)
 	return f
 }
@@ -63,7 +66,10 @@
 }
 
 // factsCursor is how far a peer has been sent the facts on one stream.
-type factsCursor struct{ crashes, streams int64 }
+type factsCursor struct {
+	crashes, streams int64
+	parts            crashes.PartsPosition
+}
 
 // next returns the facts that a peer has not been sent yet; nil if there are none.
 func (f *Facts) next(now time.Time, c *factsCursor) *controlpb.SiteFacts {
@@ -76,18 +82,46 @@
 			AgeMs: now.Sub(e.Value).Milliseconds(), Attempt: e.Key.Attempt,
 		})
 	}
+	message.PartsEnded, message.PartsAnswered = f.nextParts(now, c)
 	begun, position := f.Streams.Since(now, c.streams, streamsPerMessage)
 	c.streams = position
 	message.Streams = encodeStreams(now, begun)
-	if len(message.Ended) == 0 && len(message.Streams) == 0 {
+	if len(message.Ended) == 0 && len(message.Streams) == 0 && len(message.PartsEnded) == 0 && len(message.PartsAnswered) == 0 {
 		return nil
 	}
 	return message
 }
 
+func (f *Facts) nextParts(now time.Time, c *factsCursor) ([]*controlpb.PartEnded, []*controlpb.PartAnswered) {
+	facts, position := f.Parts.Since(now, c.parts, partsPerMessage)
+	c.parts = position
+	var ended []*controlpb.PartEnded
+	for _, e := range facts.Ends {
+		ended = append(ended, encodePartEnd(now, e.Key, e.Value))
+	}
+	var answered []*controlpb.PartAnswered
+	for _, a := range facts.Answers {
+		answered = append(answered, &controlpb.PartAnswered{Part: uint64(a.Key.Part), AgeMs: now.Sub(a.Value).Milliseconds(), Attempt: a.Key.Attempt})
+	}
+	return ended, answered
+}
+
+func encodePartEnd(now time.Time, e crashes.PartEnd, at time.Time) *controlpb.PartEnded {
+	return &controlpb.PartEnded{
+		Part: uint64(e.Part), Content: uint64(e.Content), EndpointId: e.Process.EndpointID, EndpointStarted: e.Process.Started,
+		AgeMs: now.Sub(at).Milliseconds(), Attempt: e.Attempt,
+	}
+}
+
+func decodePartEnd(e *controlpb.PartEnded) (end crashes.PartEnd, age time.Duration) {
+	process := crashes.Process{EndpointID: e.EndpointId, Started: e.EndpointStarted}
+	end = crashes.PartEnd{Part: crashes.Part(e.Part), Process: process, Content: crashes.Content(e.Content), Attempt: e.Attempt}
+	return end, time.Duration(e.AgeMs) * time.Millisecond
+}
+
 // end returns the cursor of a peer that needs none of the facts that are known.
 func (f *Facts) end() factsCursor {
-	return factsCursor{crashes: f.Crashes.End(), streams: f.Streams.End()}
+	return factsCursor{crashes: f.Crashes.End(), streams: f.Streams.End(), parts: f.Parts.End()}
 }
 
 // apply takes in the facts in a message of another gateway; nil is a message without any.
@@ -100,6 +134,14 @@
 		process := crashes.Process{EndpointID: e.EndpointId, Started: e.EndpointStarted}
 		f.Crashes.Add(now, crashes.End{Content: crashes.Content(e.Content), Process: process, Attempt: e.Attempt}, at)
 	}
+	for _, e := range message.GetPartsEnded() {
+		end, age := decodePartEnd(e)
+		f.Parts.AddEnd(now, end, now.Add(-age))
+	}
+	for _, a := range message.GetPartsAnswered() {
+		answer := crashes.PartAnswer{Part: crashes.Part(a.Part), Attempt: a.Attempt}
+		f.Parts.AddAnswer(now, answer, now.Add(-time.Duration(a.AgeMs)*time.Millisecond))
+	}
 	for _, group := range message.GetStreams() {
 		expires := now.Add(time.Duration(group.ExpiresInMs) * time.Millisecond)
 		for _, key := range group.Streams {
--- a/internal/control/facts_test.go
+++ b/internal/control/facts_test.go
@@ -11,6 +11,12 @@
 
 func mayHaveEnded(time.Time, crashes.Process, time.Time) bool { return true }
 
+// blames reports whether a gateway blames a part for the end of endpoints.
+func (g *testGateway) blames(part crashes.Part) bool {
+	_, blamed := g.facts.Parts.Blame(time.Now(), []crashes.Part{part})
+	return blamed
+}
+
 // endedUnder returns the number of endpoints that have ended under a request as far as a gateway knows.
 func (g *testGateway) endedUnder(c crashes.Content) int {
 	now := time.Now()
@@ -18,16 +24,16 @@
 }
 
 // startSiteInContact starts a site and waits until each gateway has heard from another.
-func startSiteInContact(t *testing.T, n int) []*testGateway {
+func startSiteInContact(t *testing.T, n int) (gateways []*testGateway, agent *fakeAgent) {
 	t.Helper()
-	gateways, agent := startSite(t, n)
+	gateways, agent = startSite(t, n)
 	if n < 8 {
 		agent.setGateways(gateways)
 	}
 	for i, g := range gateways {
 		eventually(t, fmt.Sprintf("gateway %d is in contact", i), func() bool { return g.peers.InContact(time.Now()) })
 	}
-	return gateways
+	return gateways, agent
 }
 
 // Guards against gateways that each count only the ends that they have seen, as a mesh and behind hubs: a client comes back some
@@ -36,7 +42,7 @@
 	const request crashes.Content = 7
 	for _, n := range []int{4, 10} {
 		t.Run(fmt.Sprintf("%d gateways", n), func(t *testing.T) {
-			gateways := startSiteInContact(t, n)
+			gateways, _ := startSiteInContact(t, n)
 			for i, g := range gateways[:3] {
 				now := time.Now()
 				g.facts.Crashes.Add(now, crashes.End{Content: request, Process: crashes.Process{EndpointID: fmt.Sprint("e", i%2), Started: int64(i)}}, now)
@@ -68,12 +74,39 @@
 	}
 }
 
+// Guards against gateways that blame a part only for the ends that they have seen, or go on when another has got an answer on it, as a
+// mesh, behind hubs, and where they have started since.
+func TestBlamedPartsAreKnownToAllGateways(t *testing.T) {
+	const part, sound crashes.Part = 7, 8
+	for _, n := range []int{4, 10} {
+		t.Run(fmt.Sprintf("%d gateways", n), func(t *testing.T) {
+			gateways, agent := startSiteInContact(t, n)
+			for i, g := range gateways[:crashes.MaxEnded] {
+				g.facts.Parts.Ended(time.Now(), []crashes.Part{part, sound}, crashes.Process{EndpointID: fmt.Sprint("e", i)}, crashes.Content(i))
+			}
+			time.Sleep(10 * time.Millisecond)
+			for i, g := range gateways {
+				eventuallyWithin(t, time.Second, fmt.Sprintf("gateway %d knows of all ends", i), func() bool { return g.facts.Parts.Suspects() == 2 })
+			}
+			gateways[0].facts.Parts.Answered(time.Now(), []crashes.Part{sound})
+			for i, g := range gateways {
+				eventuallyWithin(t, time.Second, fmt.Sprintf("gateway %d blames one part", i), func() bool { return g.blames(part) && !g.blames(sound) })
+			}
+			newcomer := startNewcomer(t, gateways, agent)
+			eventually(t, "a new gateway blames the part", func() bool { return newcomer.blames(part) })
+			if newcomer.blames(sound) {
+				t.Error("a new gateway blames a part on which there was an answer")
+			}
+		})
+	}
+}
+
 // Guards against a gateway that does not know which version began a stream that its client takes up there, as a mesh, behind hubs,
 // and where it has started since.
 func TestStreamsAreKnownToAllGateways(t *testing.T) {
 	for _, n := range []int{4, 10} {
 		t.Run(fmt.Sprintf("%d gateways", n), func(t *testing.T) {
-			gateways := startSiteInContact(t, n)
+			gateways, _ := startSiteInContact(t, n)
 			now := time.Now()
 			for i, g := range gateways {
 				g.facts.Streams.Add(now, streams.KeyOf(fmt.Sprint("request", i)), fmt.Sprint("v", i%2), now.Add(time.Minute))
@@ -96,7 +129,7 @@
 // Guards against streams that are forgotten on their way through the gateways before their clients can no longer come back.
 func TestStreamsKeepTheirExpiry(t *testing.T) {
 	now := time.Unix(1000, 0)
-	from, to := NewFacts(crashes.New(), streams.New()), NewFacts(crashes.New(), streams.New())
+	from, to := NewFacts(crashes.New(), crashes.NewParts(mayHaveEnded), streams.New()), NewFacts(crashes.New(), crashes.NewParts(mayHaveEnded), streams.New())
 	for i, life := range []time.Duration{time.Second, 30 * time.Second} {
 		from.Streams.Add(now, streams.Key(i), "v1", now.Add(life))
 	}
--- a/internal/control/hub_test.go
+++ b/internal/control/hub_test.go
@@ -287,7 +287,7 @@
 func TestUseEndsWithTheStream(t *testing.T) {
 	f := fleet.New("here", 1)
 	f.SetEndpoints([]catalog.Endpoint{{ID: "e", Service: "s", Revision: 1}})
-	h := NewHub(testOptions("hub"), f, NewFacts(crashes.New(), streams.New()), nil, discardLogger)
+	h := NewHub(testOptions("hub"), f, NewFacts(crashes.New(), crashes.NewParts(mayHaveEnded), streams.New()), nil, discardLogger)
 	first, second := &subscriber{name: "g#1"}, &subscriber{name: "g#2"}
 	used := map[string][]fleet.Adapter{"e": {{Model: "m", Name: "a"}}}
 	f.SetRelayedUse(first.name, used)
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -22,6 +22,7 @@
 		gauge("hub_word_seconds", "Age of the hub's last message; 0 on a gateway that is its own hub.", func() float64 { return u.fleet.RelayAge(time.Now()).Seconds() }),
 		gauge("subscribers", "Gateways that use this one as their hub.", func() float64 { return float64(h.Subscribers()) }),
 		gauge("streams_known", "Streams whose software version is known, because a client may come back for them.", func() float64 { return float64(p.facts.Streams.Len()) }),
+		gauge("suspect_parts", "Parts of prompts under which an endpoint may have ended, without an answer since.", func() float64 { return float64(p.facts.Parts.Suspects()) }),
 		gauge("ends_known", "Endpoints that may have ended under a request, in the last minute.", func() float64 { return float64(p.facts.Crashes.Len()) }),
 		gauge("coordinates", "1 while this gateway decides on placement.", func() float64 { return boolValue(p.IsCoordinator(time.Now())) }),
 	} {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -42,7 +42,7 @@
 func (g *Gateway) attempt(parent context.Context, out *response, q *request, choice fleet.Choice) verdict {
 	began := time.Now()
 	q.attempts++
-	q.endpoint, q.endpointVersion = choice.ID, choice.Version
+	q.endpoint, q.endpointVersion, q.progress = choice.ID, choice.Version, answerProgress{}
 	q.fleetRequest.Tried = append(q.fleetRequest.Tried, choice.ID)
 	g.fleet.Running(q.fleetRequest.Target, 1)
 	defer func() {
@@ -181,8 +181,8 @@
 		q.mayHaveRun = q.mayHaveRun || maybeSent
 		return failed
 	}
-	g.requestLog.write(time.Now(), true, "attempt failed", "event", "attempt_failed", "request", q.call.ID, "content", q.contentText(), "endpoint", choice.ID,
-		"endpoint_started", choice.Started, "sending", q.attempts, "maybe_sent", maybeSent, "error", err, "left", time.Until(q.deadline))
+	g.requestLog.write(time.Now(), true, "attempt failed", "event", "attempt_failed", "request", q.call.ID, "content", q.contentText(), "parts", q.call.SharedParts,
+		"answering", q.progress.lasted(), "endpoint", choice.ID, "endpoint_started", choice.Started, "sending", q.attempts, "maybe_sent", maybeSent, "error", err, "left", time.Until(q.deadline))
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		g.fleet.Refused(time.Now(), choice.ID)
 	}
@@ -271,6 +271,9 @@
 		outcome = routing.OutcomeUnknown
 	}
 	g.observe(q, choice, outcome, firstByte)
+	if resp.StatusCode == http.StatusOK {
+		g.options.Parts.Answered(time.Now(), q.parts)
+	}
 	out.writeBody(resp, body)
 	g.metrics.countAttempt("answered")
 	g.metrics.countAnswer(resp.StatusCode, q)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -21,6 +21,8 @@
 	PromptTokens int
 	// Prompt identifies the prompt; it is the same in all tries of a client.
 	Prompt string
+	// SharedParts are the IDs of the parts of the prompt that other requests may have too, in their order.
+	SharedParts []string
 	// Timeout is the client's timeout; 0 if the client gave none.
 	Timeout time.Duration
 	// LastEventID is the last event that the client has, if it resumes a stream, and Resumes the ID of the request that
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -34,14 +34,19 @@
 	return crashes.Content(h.Sum64())
 }
 
-// recordEnd records that an endpoint has left a request without a whole answer, and so may have ended.
+// recordEnd records that an endpoint has left a request without a whole answer, and so may have ended. The parts of its prompt are
+// suspects only if the answer was not under way: something else has ended the endpoint then.
 func (g *Gateway) recordEnd(q *request, choice fleet.Choice) {
 	now := time.Now()
+	if !q.progress.underWay() {
+		g.options.Parts.Ended(now, q.parts, processOf(choice), q.content)
+	}
 	g.options.Crashes.Add(now, endOf(q, choice), now)
 }
 
 // recordLaterEnd records that an endpoint has ended under a request that its client, or the deadline, took from it at about the same
-// time: an end that has come before shows only after a while.
+// time: an end that has come before shows only after a while. The parts of the prompt are no suspects, as most such requests had
+// nothing to do with the end.
 func (g *Gateway) recordLaterEnd(q *request, choice fleet.Choice) {
 	end, at := endOf(q, choice), time.Now()
 	time.AfterFunc(fleet.EndDetectionTime, func() {
@@ -59,9 +64,13 @@
 	return crashes.Process{EndpointID: c.ID, Started: c.Started}
 }
 
-// mustNotBeSent reports whether so many endpoints have ended under the request, in all tries of its client, that it is sent to no
-// other one.
+// mustNotBeSent reports whether so many endpoints have ended under the request, in all tries of its client, or under requests that
+// share a part of its prompt, that it is sent to no other one.
 func (g *Gateway) mustNotBeSent(now time.Time, q *request) bool {
+	return g.hasBlamedPart(now, q) || g.endsEndpoints(now, q)
+}
+
+func (g *Gateway) endsEndpoints(now time.Time, q *request) bool {
 	ended := g.options.Crashes.Ended(now, q.content, g.fleet.MayHaveEnded)
 	limit, alone := crashes.MaxEnded, !g.options.InContact()
 	if alone {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,8 @@
 	GatewayCount func() int
 	// Crashes holds the endpoints that have ended under requests, as the gateways of the site have seen it.
 	Crashes *crashes.Tracker
+	// Parts holds the parts of prompts under which endpoints have ended, as the gateways of the site have seen it.
+	Parts *crashes.Parts
 	// Streams holds the versions that have begun streams, as the gateways of the site have seen it.
 	Streams *streams.Registry
 	// InContact reports whether this gateway hears from the others, or is the only one.
@@ -187,8 +189,10 @@
 
 // request is the state of one request while the gateway serves it.
 type request struct {
-	call         Call
-	content      crashes.Content
+	call    Call
+	content crashes.Content
+	// parts are the parts of the prompt that other requests may share.
+	parts        []crashes.Part
 	route        *catalog.Route
 	version      int64
 	fleetRequest fleet.Request
@@ -221,6 +225,8 @@
 	// endpoint is where the request was sent last, and endpointVersion the version of its software.
 	endpoint, endpointVersion string
 	firstEvent                time.Duration
+	// progress is that of the answer to the current attempt.
+	progress answerProgress
 	// longestGap is the longest pause between two parts of a stream.
 	longestGap time.Duration
 }
@@ -240,6 +246,7 @@
 	return &request{
 		call:    call,
 		content: contentOf(r, call, body),
+		parts:   partsOf(call),
 		route:   route,
 		version: config.Version,
 		fleetRequest: fleet.Request{
@@ -356,6 +363,7 @@
 	reasonModelTooLate   refusalReason = "the model comes too late for this try"
 	reasonPlaceTooLate   refusalReason = "the engines of the model have no place in time"
 	reasonEndsEndpoints  refusalReason = "endpoints have ended under this request"
+	reasonPartEnds       refusalReason = "endpoints have ended under requests with a part of its prompt"
 	reasonUnknownVersion refusalReason = "the version that began the stream is not known"
 	reasonOtherVersions  refusalReason = "the version that began the stream does not serve its model"
 	reasonRetryBudget    refusalReason = "the retry budget allows no further attempt in time"
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -28,7 +28,11 @@
 func (testCodec) ReadCall(r *http.Request) (Call, error) {
 	ms, _ := strconv.Atoi(r.Header.Get("Timeout"))
 	model, adapter, _ := strings.Cut(r.Header.Get("Model"), "/")
-	return Call{ID: r.Header.Get("Id"), Model: model, Adapter: adapter, Timeout: time.Duration(ms) * time.Millisecond,
+	var parts []string
+	if text := r.Header.Get("Parts"); text != "" {
+		parts = strings.Split(text, ",")
+	}
+	return Call{ID: r.Header.Get("Id"), SharedParts: parts, Prompt: r.Header.Get("Parts"), Model: model, Adapter: adapter, Timeout: time.Duration(ms) * time.Millisecond,
 		LastEventID: r.Header.Get("Last"), Resumes: r.Header.Get("Resumes")}, nil
 }
 
@@ -40,6 +44,7 @@
 	request.ContentLength = int64(len(body))
 	request.Header.Set("Id", r.Header.Get("Id"))
 	request.Header.Set("Endpoint", a.EndpointID)
+	request.Header.Set("Parts", r.Header.Get("Parts"))
 	request.Header.Set("Left", strconv.FormatInt(a.Timeout.Milliseconds(), 10))
 	request.Header.Set("After", a.LastEventID)
 	return request
@@ -103,7 +108,7 @@
 	r.fleet.SetConfig(testConfig())
 	r.fleet.SetEndpoints(list)
 	r.gateways = 1
-	options := Options{Budget: routing.BudgetOptions{Burst: 100}, GatewayCount: func() int { return r.gateways }, Crashes: crashes.New(), Streams: streams.New(), InContact: func() bool { return true }}
+	options := Options{Budget: routing.BudgetOptions{Burst: 100}, GatewayCount: func() int { return r.gateways }, Crashes: crashes.New(), Parts: crashes.NewParts(r.fleet.MayHaveEnded), Streams: streams.New(), InContact: func() bool { return true }}
 	r.gateway = New(options, testCodec{}, r.fleet, &http.Transport{}, slog.New(slog.DiscardHandler), metrics)
 	r.server = httptest.NewServer(r.gateway)
 	t.Cleanup(r.server.Close)
@@ -188,6 +193,11 @@
 // send sends a request to the gateway as a client would.
 func (r *rig) send(id, path, model string) answer { return r.takeUp(id, path, model, "", "") }
 
+// sendParts sends a request for the model m whose prompt has the given parts, separated by commas.
+func (r *rig) sendParts(id, parts string) answer {
+	return r.sendTo("/resumable/"+id, http.Header{"Id": {id}, "Model": {"m"}, "Parts": {parts}}, io.Discard)
+}
+
 // takeUp sends a request that goes on after an event of the stream that another request began.
 func (r *rig) takeUp(id, path, model, lastEvent, resumes string) answer {
 	r.t.Helper()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -44,6 +44,7 @@
 // serve sends a request to endpoints until the client has an answer.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, q *request) {
 	g.creditRetryBudget(q.fleetRequest.Service)
+	g.options.Parts.Arrived(q.parts)
 	g.fleet.Arrived(q.arrived, q.fleetRequest.Target, q.route.Target)
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline.Add(deadlineSlack))
 	defer cancel()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -76,6 +76,7 @@
 				q.longestGap = max(q.longestGap, time.Since(lastData))
 			}
 			lastData = time.Now()
+			g.noteAnswering(q, lastData)
 			g.resetWatchdog(q, watchdog)
 			if err := out.writeEvents(result.Response, data); err != nil {
 				result.Discard()
@@ -87,6 +88,7 @@
 			}
 		}
 		if err == io.EOF && out.started {
+			g.options.Parts.Answered(time.Now(), q.parts)
 			g.metrics.countAttempt("answered")
 			g.metrics.countAnswer(result.Response.StatusCode, q)
 			g.logEnd(q, "answered", result.Response.StatusCode)
