control, fleet: endpoints' limits are divided by where clients' requests arrive

The coordinator divides the limits by the arrivals at each hub, a fifth evenly, so that a hub to which clients have just moved can serve some. A smaller share is used at once, a larger one half a second later, so that all together stay within the limit.

TestLimitFollowsTheClients failed before with 4 and 10 gateways. Looked at besides: permits are given out by need, the retry budget's ratio grows with a gateway's own requests.

--- a/internal/control/limits_test.go
+++ b/internal/control/limits_test.go
@@ -41,6 +41,7 @@
 			for time.Now().Before(until) {
 				now := time.Now()
 				r := &fleet.Request{Target: fleet.Target{Service: "s", Model: "m"}}
+				g.fleet.Arrived(now, r.Target, 0)
 				if c, _, ok := g.fleet.Choose(now, r); ok {
 					s.add(now)
 					g.fleet.Done(c, r)
@@ -53,23 +54,30 @@
 	return s
 }
 
+// startLimitedSite starts a site whose engine names a limit to one gateway, and waits until all know it.
+func startLimitedSite(t *testing.T, n int, limit fleet.RateLimit) []*testGateway {
+	t.Helper()
+	gateways, agent := startSite(t, n)
+	if n < 8 {
+		agent.setGateways(gateways)
+	}
+	for i, g := range gateways {
+		eventually(t, fmt.Sprintf("gateway %d knows the engine's state", i), g.engineReported)
+	}
+	gateways[1].fleet.ObserveLimit(time.Now(), time.Now(), "e1", limit)
+	for i, g := range gateways {
+		eventuallyWithin(t, 2*time.Second, fmt.Sprintf("gateway %d knows the limit", i), func() bool { return g.fleet.LimitedEndpoints() == 1 })
+	}
+	return gateways
+}
+
 // Guards against gateways that each keep an engine's limit for themselves alone: one of them hears of it, and all together
 // stay within it, as a mesh and behind hubs.
 func TestLimitHoldsOverAllGateways(t *testing.T) {
 	for _, n := range []int{4, 10} {
 		t.Run(fmt.Sprintf("%d gateways", n), func(t *testing.T) {
-			gateways, agent := startSite(t, n)
-			if n < 8 {
-				agent.setGateways(gateways)
-			}
-			for i, g := range gateways {
-				eventually(t, fmt.Sprintf("gateway %d knows the engine's state", i), g.engineReported)
-			}
 			limit := fleet.RateLimit{Named: true, PerSecond: 10}
-			gateways[1].fleet.ObserveLimit(time.Now(), time.Now(), "e1", limit)
-			for i, g := range gateways {
-				eventuallyWithin(t, 2*time.Second, fmt.Sprintf("gateway %d knows the limit", i), func() bool { return g.fleet.LimitedEndpoints() == 1 })
-			}
+			gateways := startLimitedSite(t, n, limit)
 			const window = 2 * time.Second
 			sent := press(gateways, 2*window)
 			allowed := int(limit.PerSecond*window.Seconds()) + n
@@ -88,6 +96,28 @@
 	}
 }
 
+// Guards against equal shares of an engine's limit: while most clients connect to one gateway, it would have to refuse most of what
+// the engine takes, as a mesh and behind hubs.
+func TestLimitFollowsTheClients(t *testing.T) {
+	for _, n := range []int{4, 10} {
+		t.Run(fmt.Sprintf("%d gateways", n), func(t *testing.T) {
+			limit := fleet.RateLimit{Named: true, PerSecond: 20}
+			gateways := startLimitedSite(t, n, limit)
+			const window = 2 * time.Second
+			even := press(gateways, window).most(window)
+			// The clients move to one gateway; the shares have three seconds to follow.
+			press(gateways[2:3], 3*time.Second)
+			skewed := press(gateways[2:3], window).most(window)
+			if skewed < even*3/4 {
+				t.Errorf("%d requests in %v while all clients are at one gateway, %d before", skewed, window, even)
+			}
+			if allowed := int(limit.PerSecond*window.Seconds()) + n; skewed > allowed {
+				t.Errorf("%d requests in %v, want at most %d", skewed, window, allowed)
+			}
+		})
+	}
+}
+
 // Guards against a gateway that has just come to a hub and does not hear of the limits that the hub knows.
 func TestNewSubscriberHearsOfLimits(t *testing.T) {
 	gateways, agent := startSite(t, 10)
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"net"
 	"slices"
 	"sync"
@@ -50,6 +51,10 @@
 	// electedAt is when this gateway was elected coordinator; zero while it is not. active is set once it acts as one.
 	electedAt time.Time
 	active    bool
+	// rates holds the arrivals at the gateways that this one is the hub of, and hubRates, on the coordinator, those at the other hubs.
+	rates, hubRates *arrivalRates
+	// share is this gateway's share of the limits that endpoints name.
+	share limitShare
 	// coordinatorWakeup wakes the link to the coordinator; nil while this gateway has none.
 	coordinatorWakeup chan struct{}
 	// gatewayCount is the number of gateways, this one included, that are registered or that agents report.
@@ -71,6 +76,8 @@
 		local:    demand.NewBoard(),
 		others:   demand.NewBoard(),
 		waiting:  make(chan struct{}, 1),
+		rates:    newArrivalRates(),
+		hubRates: newArrivalRates(),
 	}
 	f.OnWaiting(func() { go p.signalWaiting() })
 	f.OnLimitChange(func() { go p.signalLimit() })
@@ -83,6 +90,7 @@
 func (p *Peers) handleUpdate(gateway string, message *controlpb.GatewayUpdate, first bool) {
 	m := decodeDemand(message.Demand)
 	m.Changes, m.First = true, first
+	p.rates.set(time.Now(), gateway, message.ArrivalsPerSecond)
 	p.mu.Lock()
 	increased := p.local.Apply(time.Now(), gateway, m)
 	p.mu.Unlock()
@@ -92,6 +100,7 @@
 }
 
 func (p *Peers) handleLeave(gateway string) {
+	p.rates.forget(gateway)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.local.Remove(gateway)
@@ -158,7 +167,7 @@
 		p.gatewayCount.Store(int64(max(len(peers), p.upstream.Gateways())))
 		if p.upstream.IsOwnHub() {
 			next = p.elect(peers)
-			p.fleet.SetLimitShares(now, p.hubCount(now, peers))
+			p.fleet.SetLimitShare(now, p.limitShare(now, next, p.hubCount(now, peers)))
 		}
 		if next != current {
 			p.logger.Info("coordinator elected", "event", "coordinator", "before", current, "now", next)
@@ -174,6 +183,48 @@
 	}
 }
 
+// arrivals returns the rate at which requests arrive at this gateway and those that it is the hub of.
+func (p *Peers) arrivals(now time.Time) float64 {
+	behind, _ := p.rates.total(now, "")
+	return behind + p.fleet.TotalArrivalRate(now)
+}
+
+// limitShare returns this gateway's share of the limits that endpoints name, among a number of hubs. The coordinator divides them by
+// where clients' requests arrive; without its word they are divided evenly.
+func (p *Peers) limitShare(now time.Time, coordinator string, hubs int) float64 {
+	wanted := shareOf(0, 0, hubs)
+	if coordinator == p.options.Self {
+		own := p.arrivals(now)
+		others, _ := p.hubRates.total(now, "")
+		wanted = shareOf(own, own+others, hubs)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if coordinator != p.options.Self && now.Sub(p.share.givenAt) <= shareTTL {
+		wanted = p.share.given
+	}
+	return p.share.next(now, wanted)
+}
+
+// shareFor returns another hub's share of the limits in shareUnits; 0 while no endpoint names one.
+func (p *Peers) shareFor(now time.Time, hub string) uint32 {
+	if p.fleet.LimitedEndpoints() == 0 {
+		return 0
+	}
+	others, one := p.hubRates.total(now, hub)
+	return uint32(shareUnit * shareOf(one, others+p.arrivals(now), p.hubCount(now, p.agents.Peers(now))))
+}
+
+// setGivenShare records the coordinator's word on this gateway's share.
+func (p *Peers) setGivenShare(now time.Time, share uint32) {
+	if share == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.share.given, p.share.givenAt = float64(share)/shareUnit, now
+}
+
 // wakeOnFacts passes new facts on at once, until ctx is done.
 func (p *Peers) wakeOnFacts(ctx context.Context) {
 	for {
@@ -217,7 +268,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	options := p.options
 	options.Interval = demandInterval
-	out := &demandSender{facts: p.facts}
+	out := &demandSender{facts: p.facts, arrivals: p.reportedArrivals}
 	l := &link{
 		address: coordinator,
 		kind:    wirepb.StreamKind_CONTROL,
@@ -233,6 +284,7 @@
 			out.takesChanges.Store(reply.TakesChanges)
 			now := time.Now()
 			p.fleet.ApplyLimits(now, decodeLimits(now, reply.Limits))
+			p.setGivenShare(now, reply.LimitShare)
 			if err == nil {
 				p.facts.apply(now, reply.Facts)
 			}
@@ -251,6 +303,7 @@
 type demandSender struct {
 	differ       demand.Differ
 	facts        *Facts
+	arrivals     func(now time.Time) uint32
 	cursor       factsCursor
 	sender       *sender
 	takesChanges atomic.Bool
@@ -272,11 +325,19 @@
 	} else {
 		message = encodeDemand(all, false)
 	}
-	message.Limits = limits
+	message.Limits, message.ArrivalsPerSecond = limits, d.arrivals(now)
 	message.Facts = d.facts.next(now, &d.cursor)
 	return s.send(now, message, heartbeat)
 }
 
+// reportedArrivals is what this gateway tells the coordinator of arrivals: nothing while no endpoint names a limit.
+func (p *Peers) reportedArrivals(now time.Time) uint32 {
+	if p.fleet.LimitedEndpoints() == 0 {
+		return 0
+	}
+	return uint32(math.Round(p.arrivals(now)))
+}
+
 // localDemand returns the demand of this gateway and of those that it is the hub of.
 func (p *Peers) localDemand(now time.Time) []demand.Model {
 	own := p.fleet.Demand(now)
@@ -298,7 +359,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	reply := p.replier(stream)
+	reply := p.replier(stream, header.Entry)
 	var writer sync.WaitGroup
 	defer writer.Wait()
 	defer cancel()
@@ -320,6 +381,7 @@
 			wake(p.waiting)
 		}
 		p.fleet.ApplyLimits(now, decodeLimits(now, message.Limits))
+		p.hubRates.set(now, header.Entry, message.ArrivalsPerSecond)
 		p.facts.apply(now, message.Facts)
 		// The reply keeps the peer's silence limit from expiring.
 		if err := reply(); err != nil {
@@ -329,14 +391,14 @@
 }
 
 // replier returns a function that sends a hub what the coordinator knows, if there is something new or the heartbeat is due.
-func (p *Peers) replier(stream *wire.Stream) func() error {
+func (p *Peers) replier(stream *wire.Stream, hub string) func() error {
 	var mu sync.Mutex
 	s, cursor := &sender{stream: stream}, &factsCursor{}
 	return func() error {
 		mu.Lock()
 		defer mu.Unlock()
 		now := time.Now()
-		reply := &controlpb.Demand{TakesChanges: true, Limits: encodeLimits(now, p.fleet.Limits(now)), Facts: p.facts.next(now, cursor)}
+		reply := &controlpb.Demand{TakesChanges: true, Limits: encodeLimits(now, p.fleet.Limits(now)), Facts: p.facts.next(now, cursor), LimitShare: p.shareFor(now, hub)}
 		return s.send(now, reply, p.options.Heartbeat)
 	}
 }
--- a/internal/control/upstream.go
+++ b/internal/control/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"sync"
 	"time"
 
@@ -370,6 +371,9 @@
 	message.Used = encodeAdapters(u.fleet.UsedAdapters())
 	message.Limits = encodeLimits(now, u.fleet.Limits(now))
 	message.WantedPermits = u.fleet.WantedPermits()
+	if u.fleet.LimitedEndpoints() > 0 {
+		message.ArrivalsPerSecond = uint32(math.Round(u.fleet.TotalArrivalRate(now)))
+	}
 	message.Facts = u.facts.next(now, &s.facts)
 	if len(message.Demand.Models) > 0 || len(message.Wanted) > 0 || len(message.WantedPermits) > 0 {
 		// Two equal lists of changes are two changes.
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -44,6 +44,7 @@
 	d := f.demandOf(t)
 	d.arrived++
 	d.arrivals.add(now)
+	f.lastArrivals.add(now)
 	if target > 0 && (d.target == 0 || target < d.target) {
 		d.target = target
 	}
@@ -62,6 +63,16 @@
 	return total
 }
 
+// arrivalsWindow is short enough to follow clients that move to another gateway within the second.
+const arrivalsWindow = time.Second
+
+// TotalArrivalRate returns the rate, in 1/s, at which requests have arrived in the last second.
+func (f *Fleet) TotalArrivalRate(now time.Time) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lastArrivals.rate(now)
+}
+
 // Running adjusts the number of requests that are at an engine.
 func (f *Fleet) Running(t Target, change int) {
 	if t.Model == "" {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -115,6 +115,8 @@
 	endpoints      map[string]*endpoint
 	router         *routing.Router
 	demand         map[Target]*demand
+	// lastArrivals is the rate of all requests over a window that is shorter than those of demand.
+	lastArrivals rateMeter
 	// stores holds what was observed of each service's weight store.
 	stores map[string]*storeTracker
 	// answerTime is the moving average of the answer times per service.
@@ -127,9 +129,9 @@
 	relaying   bool
 	unlisted   map[string]unlistedEngine
 	relayedUse map[string]map[string][]Adapter
-	// limitShares is the number of gateways among which the limits of endpoints are divided, and wantedPermits the endpoints
+	// limitShare is this gateway's share of the limits of endpoints, and wantedPermits the endpoints
 	// to which requests wait for the hub's permit to send one.
-	limitShares     int
+	limitShare      float64
 	wantedPermits   map[string]bool
 	onPermitWanted  func()
 	onLimitChange   func()
@@ -158,12 +160,13 @@
 		endpoints:      make(map[string]*endpoint),
 		router:         routing.NewRouter(routing.Options{Seed: seed, FailureDomain: domain}),
 		demand:         make(map[Target]*demand),
+		lastArrivals:   rateMeter{window: arrivalsWindow},
 		stores:         make(map[string]*storeTracker),
 		answerTime:     make(map[string]time.Duration),
 		wantedAdapters: make(map[string]map[Adapter]bool),
 		unlisted:       make(map[string]unlistedEngine),
 		relayedUse:     make(map[string]map[string][]Adapter),
-		limitShares:    initialLimitShares,
+		limitShare:     initialLimitShare,
 		wantedPermits:  make(map[string]bool),
 		changed:        make(chan struct{}),
 	}
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// initialLimitShares is the number of shares into which limits are divided before the number of hubs is known: the most
-	// gateways of a full mesh.
-	initialLimitShares = 8
+	// initialLimitShare is this gateway's share of the limits before the number of hubs is known: there are eight gateways at most in
+	// a full mesh.
+	initialLimitShare = 1.0 / 8
 	// limitRecheckInterval is the time without an answer of an endpoint after which it may get a request although others have
 	// room, to see whether it still names its limit.
 	limitRecheckInterval = 5 * time.Second
@@ -114,14 +114,14 @@
 	return true
 }
 
-// SetLimitShares sets into how many shares the limits of endpoints are divided: the number of gateways that are hubs.
-func (f *Fleet) SetLimitShares(now time.Time, n int) {
+// SetLimitShare sets this gateway's share of the limits of endpoints, which are divided among the gateways that are hubs.
+func (f *Fleet) SetLimitShare(now time.Time, share float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if n = max(n, 1); n == f.limitShares {
+	if share == f.limitShare {
 		return
 	}
-	f.limitShares = n
+	f.limitShare = share
 	for _, e := range f.endpoints {
 		f.divideLimit(now, e)
 	}
@@ -141,7 +141,7 @@
 		e.limit.bucket, e.limit.permits = nil, 0
 		return
 	}
-	share := rate.Limit(e.limit.PerSecond / float64(f.limitShares))
+	share := rate.Limit(e.limit.PerSecond * f.limitShare)
 	if e.limit.bucket == nil {
 		e.limit.bucket = rate.NewLimiter(share, 1)
 		e.limit.spendReserve(now)
--- a/internal/fleet/queue.go
+++ b/internal/fleet/queue.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -14,6 +15,8 @@
 
 // rateMeter is an exponentially decaying rate of events.
 type rateMeter struct {
+	// window is the time over which the rate is averaged; 0 means rateWindow.
+	window time.Duration
 	// decayed is the sum of the events, each decayed since it occurred, as of at.
 	decayed   float64
 	since, at time.Time
@@ -23,24 +26,24 @@
 	if m.since.IsZero() {
 		m.since = now
 	}
-	m.decayed = m.decayed*decay(now.Sub(m.at)) + 1
+	m.decayed = m.decayed*m.decay(now.Sub(m.at)) + 1
 	m.at = now
 }
 
-// rate returns the events per second, averaged over rateWindow or since the first event if that is less.
+// rate returns the events per second, averaged over the window or since the first event if that is less.
 func (m *rateMeter) rate(now time.Time) float64 {
 	if m.since.IsZero() {
 		return 0
 	}
-	window := rateWindow.Seconds() * (1 - decay(max(now.Sub(m.since), minRateWindow)))
-	return m.decayed * decay(now.Sub(m.at)) / window
+	window := cmp.Or(m.window, rateWindow).Seconds() * (1 - m.decay(max(now.Sub(m.since), minRateWindow)))
+	return m.decayed * m.decay(now.Sub(m.at)) / window
 }
 
 // minRateWindow is the shortest time over which a rate is averaged.
 const minRateWindow = 300 * time.Millisecond
 
-func decay(elapsed time.Duration) float64 {
-	return math.Exp(-max(0, elapsed).Seconds() / rateWindow.Seconds())
+func (m *rateMeter) decay(elapsed time.Duration) float64 {
+	return math.Exp(-max(0, elapsed).Seconds() / cmp.Or(m.window, rateWindow).Seconds())
 }
 
 // placeWaiter is a request that waits for a place in an engine's batch.
