control: the link to an agent belongs to the process that started last at its address

The order of the writes decided. The start of the processes does now, where both state it; TestLinkBelongsToTheLatestProcess failed before.

--- a/internal/control/agents.go
+++ b/internal/control/agents.go
@@ -115,7 +115,11 @@
 		if !a.active || config.EngineClass(e.Service) == nil {
 			continue
 		}
-		if address, ok := a.agentAddress(e.Address); ok && e.Revision >= newest[address].Revision {
+		address, ok := a.agentAddress(e.Address)
+		if !ok {
+			continue
+		}
+		if known, listed := newest[address]; !listed || replaces(e, known) {
 			newest[address] = e
 		}
 	}
@@ -142,6 +146,15 @@
 	}
 }
 
+// replaces reports whether an endpoint has taken the place of another at its address. A write of the earlier process may reach the
+// store after those of the later one, so the order of the writes decides only between processes that do not both state their start.
+func replaces(e, other catalog.Endpoint) bool {
+	if e.Started != 0 && other.Started != 0 && e.Started != other.Started {
+		return e.Started > other.Started
+	}
+	return e.Revision >= other.Revision
+}
+
 func (a *Agents) agentAddress(endpoint string) (string, bool) {
 	host, _, err := net.SplitHostPort(endpoint)
 	if err != nil {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -339,3 +339,37 @@
 		t.Errorf("a connection attempt may take %v, want a quarter of the kernel's second at most", o.DialTimeout)
 	}
 }
+
+// Guards against an engine that gets no loads because the registration of the process before it at its address was written last.
+func TestLinkBelongsToTheLatestProcess(t *testing.T) {
+	const address = "127.0.0.1:9"
+	for _, c := range []struct {
+		name string
+		list []catalog.Endpoint
+		want string
+	}{
+		{"the earlier process wrote last", []catalog.Endpoint{{ID: "later", Started: 200, Revision: 2}, {ID: "earlier", Started: 100, Revision: 3}}, "later"},
+		{"the later process wrote last", []catalog.Endpoint{{ID: "later", Started: 200, Revision: 3}, {ID: "earlier", Started: 100, Revision: 2}}, "later"},
+		{"one does not state its start", []catalog.Endpoint{{ID: "unstated", Revision: 3}, {ID: "earlier", Started: 100, Revision: 2}}, "unstated"},
+		{"neither states its start", []catalog.Endpoint{{ID: "first", Revision: 2}, {ID: "last", Revision: 3}}, "last"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := startGateway(t, listenLoopback(t), startAgent(t))
+			for i := range c.list {
+				c.list[i].Service, c.list[i].Address = "s", address
+			}
+			for _, list := range [][]catalog.Endpoint{c.list, {c.list[1], c.list[0]}} {
+				g.agents.SetEndpoints(list)
+				if !g.agents.hasLink(c.want) {
+					t.Errorf("the agent's link does not belong to %s", c.want)
+				}
+			}
+		})
+	}
+}
+
+func (a *Agents) hasLink(endpointID string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.byID[endpointID] != nil
+}
