agent: a stream that ends inside an event has been broken off

Either is what an answer without length or chunks looks like when it is broken off. Each of TestWrongAnswers' new cases with a cut failed before.

--- a/internal/agent/exchange_test.go
+++ b/internal/agent/exchange_test.go
@@ -428,6 +428,11 @@
 		{"the end marker far before the end", stream, events("data: [DONE]\n\n", strings.Repeat("data: 1\n\n", 20)), false, "WRONG_ANSWER unclear"},
 		{"an empty stream", stream, events(), false, "WRONG_ANSWER unclear"},
 		{"a plain service's stream without an end marker", nil, events("data: 1\n\n"), false, endTrailer},
+		{"a stream that ends inside its last event", stream, events("data: 1\n\n", "data: [DONE]\n"), false, "WRONG_ANSWER unclear"},
+		{"a plain service's stream that ends inside an event", nil, events("data: 1\n\n", "data: 2"), false, "WRONG_ANSWER unclear"},
+		{"a plain service's stream that ends before the blank line", nil, events("data: 1\n\n", "data: 2\n"), false, "WRONG_ANSWER unclear"},
+		{"a plain service's stream with other line ends", nil, events("data: 1\r\n\r\n"), false, endTrailer},
+		{"a plain service's stream without events", nil, events(), false, endTrailer},
 		{"cut within its length", nil, func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Length", "100")
 			_, _ = io.WriteString(w, "short")
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -25,8 +25,8 @@
 	streamTailBytes = 64
 )
 
-// errNoStreamEnd is returned when a streamed response ended without its last event.
-var errNoStreamEnd = errors.New("agent: streamed response ended without its last event")
+// errNoStreamEnd is returned when a streamed response ended without its last event or inside an event.
+var errNoStreamEnd = errors.New("agent: streamed response ended without its last event or inside an event")
 
 // deadlineTimer cancels a call whose response has not started or, if it is not streamed, not ended by the deadline.
 type deadlineTimer struct {
@@ -171,16 +171,19 @@
 	return nil
 }
 
-// streamEndCheck verifies that a streamed chat completion ends with its last event: an engine that shuts down
-// gracefully in the middle of a response ends the body without an error.
+// streamEndCheck verifies that a stream does not end inside an event and, if it is a chat completion, that it ends with its last
+// event: an endpoint that shuts down in the middle of a response, or one whose response ends with its connection, ends the body
+// without an error.
 type streamEndCheck struct {
 	enabled bool
-	tail    []byte
+	// completion is set for a chat completion.
+	completion bool
+	tail       []byte
 }
 
 func newStreamEndCheck(response *http.Response, model bool) *streamEndCheck {
 	streamed := strings.HasPrefix(response.Header.Get("Content-Type"), eventStream)
-	return &streamEndCheck{enabled: model && streamed && response.StatusCode == http.StatusOK}
+	return &streamEndCheck{enabled: streamed && response.StatusCode == http.StatusOK, completion: model}
 }
 
 func (c *streamEndCheck) add(data []byte) {
@@ -194,7 +197,9 @@
 }
 
 func (c *streamEndCheck) err() error {
-	if !c.enabled || bytes.Contains(c.tail, []byte(streamEnd)) {
+	whole := len(c.tail) == 0 || bytes.HasSuffix(c.tail, []byte("\n\n")) || bytes.HasSuffix(c.tail, []byte("\r\n\r\n"))
+	ended := !c.completion || bytes.Contains(c.tail, []byte(streamEnd))
+	if !c.enabled || whole && ended {
 		return nil
 	}
 	return errNoStreamEnd
