--- a/internal/load/answer.go
+++ b/internal/load/answer.go
@@ -69,6 +69,9 @@
 		}
 		data = bytes.TrimSpace(data)
 		if string(data) == doneEvent {
+			if !scanner.Scan() || len(scanner.Bytes()) > 0 {
+				return errors.Wrap(errTruncated, "the stream ended inside its final event")
+			}
 			return drain(body)
 		}
 		var event completion
