--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -265,6 +265,13 @@
 	}
 }
 
+// resetAfterReading resets a connection once the other side has had the time to read what was sent.
+func resetAfterReading(conn net.Conn) {
+	time.Sleep(20 * time.Millisecond)
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	_ = conn.Close()
+}
+
 // events sends a stream of numbered events; if breaks is set, it then resets the connection in the middle of the next
 // event.
 func events(from, to int, breaks bool) endpointScript {
