control, wire: arriving bytes are progress, not whole messages only

The silence limit and a stream's write timeout had the same fault for one message of over a second. Arriving bytes extend the wait, and the write timeout bounds 16 KB. A peer that sends nothing is left as soon as before.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -67,6 +67,8 @@
 	sendUpdate func(now time.Time, s *sender) error
 	// receive reads and handles one message.
 	receive func(stream *wire.Stream) error
+	// onProgress, if set, is called when bytes of a message have arrived.
+	onProgress func()
 	// onDisconnect, if set, is called with the error when a connection attempt fails or the connection is lost.
 	onDisconnect func(err error)
 }
@@ -108,11 +110,28 @@
 	defer stream.Close()
 	*connected = true
 	l.logger.Info("connected to peer", "event", "link_made", "peer", l.address)
+	stream.OnProgress(l.extendDeadline(stream))
 	failed := make(chan error, 1)
 	go func() { failed <- l.read(stream) }()
 	return l.write(ctx, stream, failed)
 }
 
+// extendDeadline returns the function to call when bytes have arrived. A long message takes longer than the silence limit on a small
+// link, whose peer is not silent meanwhile.
+func (l *link) extendDeadline(stream *wire.Stream) func() {
+	var extendedAt time.Time
+	return func() {
+		if now := time.Now(); now.Sub(extendedAt) > l.options.SilenceLimit/8 {
+			extendedAt = now
+			// A stream that is closed fails the read.
+			_ = stream.SetReadDeadline(now.Add(l.options.SilenceLimit))
+		}
+		if l.onProgress != nil {
+			l.onProgress()
+		}
+	}
+}
+
 func (l *link) read(stream *wire.Stream) error {
 	for {
 		if err := stream.SetReadDeadline(time.Now().Add(l.options.SilenceLimit)); err != nil {
--- a/internal/control/hub_test.go
+++ b/internal/control/hub_test.go
@@ -226,11 +226,15 @@
 		tableBytes     = 400 << 10
 	)
 	for _, c := range []struct {
-		name   string
-		models int
+		name           string
+		models         int
+		bytesPerSecond int
 	}{
-		{"longer than a connection attempt", 16},
-		{"longer than a message", 30},
+		{"longer than a connection attempt", 16, bytesPerSecond},
+		{"longer than a message", 30, bytesPerSecond},
+		{"longer than a connection attempt, half as fast", 16, bytesPerSecond / 2},
+		{"longer than a message, half as fast", 30, bytesPerSecond / 2},
+		{"one message longer than the silence limit", 1, bytesPerSecond / 4},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var endpoints []catalog.Endpoint
@@ -242,7 +246,9 @@
 				onDisk[fmt.Sprintf("model-of-a-usual-name-%d", i)] = true
 			}
 			agent := startAgent(t)
-			hub := startGateway(t, listenLoopback(t), agent)
+			hubListener := listenLoopback(t)
+			hubSelf := hubs.Gateway{Address: hubListener.Addr().String(), FailureDomain: "here", Processor: 9}
+			hub := startRegisteredGateway(t, hubListener, agent, hubSelf, []hubs.Gateway{hubSelf})
 			hub.fleet.SetEndpoints(endpoints)
 			for _, e := range endpoints {
 				hub.fleet.SetState(e.ID, &fleet.EngineState{EndpointID: e.ID, OnDisk: onDisk}, 0, 0, time.Now())
@@ -255,7 +261,7 @@
 				t.Fatal(err)
 			}
 			defer link.Close()
-			link.SetThrottle(faultlink.Throttle{BytesPerSecond: bytesPerSecond})
+			link.SetThrottle(faultlink.Throttle{BytesPerSecond: c.bytesPerSecond})
 			// Eight more gateways that do not run keep the site from being a mesh.
 			list := []hubs.Gateway{{Address: link.Address(), FailureDomain: "here", Processor: 9}}
 			for i := range 8 {
--- a/internal/control/upstream.go
+++ b/internal/control/upstream.go
@@ -19,8 +19,8 @@
 const (
 	// hubSilenceLimit is the time without a message after which a gateway leaves its hub: four heartbeats of 250 ms.
 	hubSilenceLimit = time.Second
-	// hubDialTimeout bounds the time from the connection attempt to a hub to its first message, and from there to each one
-	// before the gateway knows what the hub knows. A frozen host's kernel accepts the connection, and nothing follows.
+	// hubDialTimeout bounds the time from the connection attempt to a hub to the first bytes, and from there to the next ones before
+	// the gateway knows what the hub knows. A frozen host's kernel accepts the connection, and nothing follows.
 	hubDialTimeout = 700 * time.Millisecond
 	// hubTrialTime is the time after which a hub that serves counts as sound again.
 	hubTrialTime = 10 * time.Second
@@ -341,6 +341,7 @@
 		wakeup:     make(chan struct{}, 1),
 		sendUpdate: func(now time.Time, out *sender) error { return u.sendUpdate(s, now, out) },
 		receive:    func(stream *wire.Stream) error { return u.receive(s, stream) },
+		onProgress: s.extendFirst,
 	}
 	s.progress = time.AfterFunc(hubDialTimeout, cancel)
 	go func() {
@@ -382,6 +383,15 @@
 	return out.send(now, message, u.options.Heartbeat)
 }
 
+// extendFirst gives the hub more time for what it sends first, because a part of it has arrived.
+func (s *subscription) extendFirst() {
+	select {
+	case <-s.ready:
+	default:
+		s.progress.Reset(hubDialTimeout)
+	}
+}
+
 // receive reads and handles one message of a hub.
 func (u *Upstream) receive(s *subscription, stream *wire.Stream) error {
 	message := &controlpb.SiteUpdate{}
@@ -399,7 +409,6 @@
 	}
 	s.first = append(s.first, arrived)
 	if message.More {
-		s.progress.Reset(hubDialTimeout)
 		return nil
 	}
 	s.progress.Stop()
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,9 @@
 const (
 	// acceptBacklog bounds the streams that a peer has opened and that have not been accepted yet.
 	acceptBacklog = 1024
+	// writeBytes is the number of bytes that are passed to the connection at once: WriteTimeout bounds how long they take, and a long
+	// message may take longer on a small link.
+	writeBytes = 16 << 10
 	// streamWindowBytes is the flow-control window of a stream: the unread bytes that a peer may have sent.
 	streamWindowBytes = 256 << 10
 )
@@ -122,18 +126,37 @@
 	limit atomic.Int64
 	// writeErr is the error of the first failed write.
 	writeErr error
+	// onProgress is called when bytes have arrived; nil for nothing.
+	onProgress func()
 }
 
 // pastDeadline is a deadline in the past; setting it unblocks pending reads or writes.
 var pastDeadline = time.Unix(1, 0)
 
 func newStream(raw *yamux.Stream, limit int64, open *streamSet) *Stream {
-	s := &Stream{conn: raw, reader: NewFrameReader(raw, limit), open: open}
+	s := &Stream{conn: raw, open: open}
+	s.reader = NewFrameReader(progressReader{s}, limit)
 	s.limit.Store(limit)
 	open.add(s)
 	return s
 }
 
+// progressReader reads from a stream's connection and reports each arrival of bytes.
+type progressReader struct{ stream *Stream }
+
+// Read implements io.Reader.
+func (r progressReader) Read(p []byte) (int, error) {
+	n, err := r.stream.conn.Read(p)
+	if n > 0 && r.stream.onProgress != nil {
+		r.stream.onProgress()
+	}
+	return n, err
+}
+
+// OnProgress sets a function that Read calls whenever bytes have arrived, also those of a message that is not whole yet. Call
+// OnProgress before the first Read.
+func (s *Stream) OnProgress(call func()) { s.onProgress = call }
+
 // expire makes pending and later reads fail because the session closes.
 func (s *Stream) expire() {
 	s.expired.Store(true)
@@ -169,10 +192,26 @@
 	if int64(size) > s.limit.Load() {
 		return errors.Wrapf(ErrFrame, "message of %d bytes exceeds the limit of %d bytes", size, s.limit.Load())
 	}
-	s.writeErr = writeFrame(s.conn, m, size)
+	s.writeErr = writeFrame(portionWriter{s.conn}, m, size)
 	return s.writeErr
 }
 
+// portionWriter passes bytes on in portions of writeBytes.
+type portionWriter struct{ writer io.Writer }
+
+// Write implements io.Writer.
+func (w portionWriter) Write(p []byte) (int, error) {
+	written := 0
+	for portion := range slices.Chunk(p, writeBytes) {
+		n, err := w.writer.Write(portion)
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
 // AbortWrites makes a Write that is blocked on a full window fail, and later ones that would block.
 func (s *Stream) AbortWrites() { _ = s.conn.SetWriteDeadline(pastDeadline) }
 
