process: a stop whose last request has been answered in time is a clean one

Serve counts the requests itself. TestRequestThatEndsBeforeTheDrainTimeout failed before. Open: whether a stopping gateway should take requests whose deadline it cannot wait for.

--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -198,6 +198,32 @@
 	return string(body), response.Close, err
 }
 
+// Guards against a stop that counts as one with aborted requests although the last one has been answered in time: http.Server looks
+// for idle connections only every half second.
+func TestRequestThatEndsBeforeTheDrainTimeout(t *testing.T) {
+	const drainTimeout = 900 * time.Millisecond
+	entered := make(chan struct{})
+	handler := func(w http.ResponseWriter, _ *http.Request) {
+		close(entered)
+		time.Sleep(drainTimeout - 100*time.Millisecond)
+		_, _ = io.WriteString(w, "whole")
+	}
+	s := startServer(t, handler, ServeOptions{DrainTimeout: drainTimeout})
+	answered := make(chan string, 1)
+	go func() {
+		body, _, _ := fetch(newClient(t), s.url)
+		answered <- body
+	}()
+	<-entered
+	s.stop()
+	if err := <-s.done; err != nil {
+		t.Errorf("Serve returned %v", err)
+	}
+	if body := <-answered; body != "whole" {
+		t.Errorf("the client got %q", body)
+	}
+}
+
 // A request never completes. Shutdown must stop waiting for it after DrainTimeout and report ErrDrainTimeout.
 func TestDrainIsBounded(t *testing.T) {
 	started := make(chan struct{})
--- a/internal/process/serve.go
+++ b/internal/process/serve.go
@@ -51,8 +51,8 @@
 // returns nil after a clean shutdown, ErrDrainTimeout if requests had to be aborted, or an error that wraps ErrServe.
 func Serve(ctx context.Context, listener net.Listener, handler http.Handler, options ServeOptions) error {
 	options = options.withDefaults()
-	stopping := &atomic.Bool{}
-	server := newHTTPServer(withConnectionClose(stopping, handler), options)
+	stopping, inFlight := &atomic.Bool{}, &atomic.Int64{}
+	server := newHTTPServer(counted(inFlight, withConnectionClose(stopping, handler)), options)
 
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
@@ -69,7 +69,7 @@
 	if err := lameDuck(options.LameDuck, failed); err != nil {
 		return err
 	}
-	return drain(server, options.DrainTimeout)
+	return drain(server, inFlight, options.DrainTimeout)
 }
 
 func (o ServeOptions) withDefaults() ServeOptions {
@@ -130,18 +130,32 @@
 	}
 }
 
+// counted counts the requests that a handler works on.
+func counted(inFlight *atomic.Int64, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		inFlight.Add(1)
+		defer inFlight.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
 // drain waits for running requests and aborts those that remain after the timeout.
-func drain(server *http.Server, timeout time.Duration) error {
+func drain(server *http.Server, inFlight *atomic.Int64, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	err := server.Shutdown(ctx)
 	if err == nil {
 		return nil
 	}
+	remaining := inFlight.Load()
 	if closeErr := server.Close(); closeErr != nil {
 		return errors.Wrap(ErrServe, closeErr.Error())
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
+		// Shutdown looks for idle connections every half second, and so may have missed that the last request has ended.
+		if remaining == 0 {
+			return nil
+		}
 		return ErrDrainTimeout
 	}
 	return errors.Wrap(ErrServe, err.Error())
