placement: a load for streams of one version may evict models in less use

Such a load evicts models of which fewer requests run than streams wait. TestStreamsOfOneVersionDisplaceModelsInLessUse failed before.

--- a/internal/placement/eviction.go
+++ b/internal/placement/eviction.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
@@ -11,18 +12,29 @@
 	cost  float64
 }
 
-// chooseEvictions returns the models to unload to make room for another one, cheapest first, and their total cost.
-// Without urgent, it doesn't evict replicas that cost avoidEvictCost or more.
-func (p *plan) chooseEvictions(c *candidate, model string, urgent bool) (unload []string, cost float64, ok bool) {
+// useLimit bounds which replicas in use a load may evict: those of models of which fewer requests run.
+type useLimit int
+
+const (
+	noneInUse useLimit = 0
+	anyInUse  useLimit = math.MaxInt
+)
+
+// chooseEvictions returns the models to unload to make room for another one, cheapest first, and their total cost. A replica that
+// costs avoidEvictCost or more is in use.
+func (p *plan) chooseEvictions(c *candidate, model string, limit useLimit) (unload []string, cost float64, ok bool) {
 	free := c.freeMemory
 	need := p.Class.Models[model].SizeMB
 	if free >= need {
 		return nil, 0, true
 	}
 	for _, e := range p.evictions(c) {
-		if e.cost >= neverEvictCost || !urgent && e.cost >= avoidEvictCost {
+		if e.cost >= neverEvictCost {
 			return nil, 0, false
 		}
+		if e.cost >= avoidEvictCost && p.Demand[e.model].Running >= int(limit) {
+			continue
+		}
 		unload, cost, free = append(unload, e.model), cost+e.cost, free+p.Class.Models[e.model].SizeMB
 		if free >= need {
 			return unload, cost, true
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -295,12 +295,13 @@
 	for _, m := range p.models(func(m string) bool { return p.replicas[m] > 0 && excess(m) > 0 }, func(a, b string) int {
 		return cmp.Compare(excess(b), excess(a))
 	}) {
-		p.load(m, "overloaded", FromStore, false)
+		p.load(m, "overloaded", FromStore, noneInUse)
 	}
 }
 
 // loadForStreams loads models for streams that may go on at one software version only, where no engine of that version has or
-// loads the model. It does not take such a load from the store while the model serves elsewhere: the clients would not wait.
+// loads the model. While the model serves elsewhere, it loads it from a copy only, as the clients would not wait longer, and evicts
+// models in use only if fewer requests run of them than streams wait.
 func (p *plan) loadForStreams() {
 	for _, m := range p.models(func(m string) bool { return len(p.Demand[m].WaitingAt) > 0 }, func(a, b string) int {
 		return cmp.Compare(p.Demand[b].urgency(), p.Demand[a].urgency())
@@ -309,11 +310,11 @@
 			if p.heldAt(m, version) {
 				continue
 			}
-			slowest := FromDisk
 			if p.replicas[m] == 0 {
-				slowest = FromStore
+				p.loadAt(m, version, "streams go on", FromStore, anyInUse)
+				continue
 			}
-			p.loadAt(m, version, "streams go on", slowest, p.replicas[m] == 0)
+			p.loadAt(m, version, "streams go on", FromDisk, useLimit(p.Demand[m].WaitingAt[version]))
 		}
 	}
 }
@@ -330,7 +331,7 @@
 	for _, m := range p.models(func(m string) bool { return p.Demand[m].Waiting > 0 && p.replicas[m] == 0 }, func(a, b string) int {
 		return cmp.Compare(p.Demand[b].urgency(), p.Demand[a].urgency())
 	}) {
-		p.load(m, "requests wait", FromStore, true)
+		p.load(m, "requests wait", FromStore, anyInUse)
 	}
 }
 
@@ -348,7 +349,7 @@
 			if missing(m, storeScaleOutShare) > 0 {
 				slowest = FromStore
 			}
-			if !p.load(m, "busy", slowest, false) {
+			if !p.load(m, "busy", slowest, noneInUse) {
 				break
 			}
 		}
@@ -414,7 +415,7 @@
 		p.Engines[i].addCopiesTo(copied)
 	}
 	for _, m := range p.models(func(m string) bool { return p.replicas[m] == 0 && !copied[m] }, p.compareValue) {
-		if p.StoreLoads <= reserved || !p.load(m, "fetch ahead", FromStore, false) {
+		if p.StoreLoads <= reserved || !p.load(m, "fetch ahead", FromStore, noneInUse) {
 			return
 		}
 	}
@@ -438,18 +439,18 @@
 	return list
 }
 
-// load adds a command that loads a model on the best free engine, from a source no slower than the given one. Only an
-// urgent load evicts replicas that cost avoidEvictCost or more. It reports whether an engine was found.
-func (p *plan) load(model, reason string, slowest Source, urgent bool) bool {
-	return p.loadAt(model, "", reason, slowest, urgent)
+// load adds a command that loads a model on the best free engine, from a source no slower than the given one. It evicts replicas in
+// use as far as the limit allows. It reports whether an engine was found.
+func (p *plan) load(model, reason string, slowest Source, limit useLimit) bool {
+	return p.loadAt(model, "", reason, slowest, limit)
 }
 
 // loadAt is load on the engines of one software version; an empty version allows all.
-func (p *plan) loadAt(model, version, reason string, slowest Source, urgent bool) bool {
-	best := p.bestEngine(p.copies[model], model, version, slowest, urgent)
+func (p *plan) loadAt(model, version, reason string, slowest Source, limit useLimit) bool {
+	best := p.bestEngine(p.copies[model], model, version, slowest, limit)
 	if slowest == FromStore && p.StoreLoads > 0 && (best.engine == nil || best.cost > p.loadTime(model, FromStore).Seconds()) {
 		// Hosts without a copy are considered only here: they are most of the engines.
-		best = p.bestEngine(p.candidates, model, version, slowest, urgent)
+		best = p.bestEngine(p.candidates, model, version, slowest, limit)
 	}
 	if best.engine == nil || best.engine.SourceOf(model) == FromStore && p.copyAvailableSooner(model, version) {
 		return false
@@ -466,7 +467,7 @@
 }
 
 // bestEngine returns the cheapest free engine of a list for a load; its engine is nil if there is none.
-func (p *plan) bestEngine(list []*candidate, model, version string, slowest Source, urgent bool) choice {
+func (p *plan) bestEngine(list []*candidate, model, version string, slowest Source, limit useLimit) choice {
 	best := choice{cost: math.Inf(1)}
 	versions := p.versionsOf(model)
 	for _, c := range list {
@@ -477,10 +478,10 @@
 		if !c.free || c.Loaded[model] || source > slowest || source == FromStore && p.StoreLoads <= 0 {
 			continue
 		}
-		if c.Limited && !(urgent && c.takes(p.Demand[model]) && c.RateLimit > 0) {
+		if c.Limited && !(limit > noneInUse && c.takes(p.Demand[model]) && c.RateLimit > 0) {
 			continue
 		}
-		unload, evictCost, ok := p.chooseEvictions(c, model, urgent)
+		unload, evictCost, ok := p.chooseEvictions(c, model, limit)
 		if !ok {
 			continue
 		}
--- a/internal/placement/streams_test.go
+++ b/internal/placement/streams_test.go
@@ -47,6 +47,31 @@
 	}
 }
 
+// Guards against streams of one version that are refused as long as any request runs of the models in their engines' memory, and
+// against evicting a model for them that more requests use.
+func TestStreamsOfOneVersionDisplaceModelsInLessUse(t *testing.T) {
+	running := func(n int) Demand { return Demand{Running: n, Peak: n, LastArrival: time.Unix(int64(n), 0)} }
+	for _, c := range []struct {
+		name    string
+		a, b, d int
+		want    []string
+	}{
+		{"fewer requests run of one model", 5, 1, 5, []string{"1:-[b]+c disk"}},
+		{"as many run of each", 3, 3, 3, nil},
+		{"more run of each", 5, 4, 5, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			in := Input{Class: testClass(), Engines: versioned([]Engine{testEngine("1", "abd", "c"), testEngine("2", "c", "")}, "v1", "v2"), Demand: map[string]Demand{
+				"a": running(c.a), "b": running(c.b), "d": running(c.d),
+				"c": {Waiting: 3, Peak: 3, OldestWait: time.Second, WaitingAt: map[string]int{"v1": 3}},
+			}}
+			if got := formatCommands(Decide(in)); !reflect.DeepEqual(got, c.want) {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
 // Guards against a second replica at another software version, which is of no use to the streams of the first when it ends.
 func TestSecondReplicaHasTheSameVersion(t *testing.T) {
 	engines := versioned([]Engine{testEngine("1", "c", ""), testEngine("2", "", "c"), testEngine("3", "", "c")}, "v1", "v2", "v1")
