--- a/internal/faultlink/endlesstest/endlesstest.go
+++ b/internal/faultlink/endlesstest/endlesstest.go
@@ -2,6 +2,7 @@
 package endlesstest
 
 import (
+	"runtime"
 	"testing"
 	"time"
 
@@ -15,12 +16,18 @@
 	Bytes int64
 }
 
+// callsAtOnce bounds the calls at a time. A server that writes without end and its caller keep two processors busy; more of them
+// delay the callers' time limits.
+var callsAtOnce = make(chan struct{}, max(1, runtime.NumCPU()/2))
+
 // Run makes one call to each kind of server, whose address it gets, and checks the bounds. A call that keeps its connection open
 // hangs the test.
 func Run(t *testing.T, b Bounds, call func(t *testing.T, address string)) {
 	for kind, answer := range faultlink.EndlessAnswers("") {
 		t.Run(kind, func(t *testing.T) {
 			t.Parallel()
+			callsAtOnce <- struct{}{}
+			defer func() { <-callsAtOnce }()
 			if err := answer.Start(); err != nil {
 				t.Fatal(err)
 			}
