--- a/internal/childprocess/childprocess.go
+++ b/internal/childprocess/childprocess.go
@@ -32,6 +32,8 @@
 	cmd     *exec.Cmd
 	exited  chan struct{}
 	exitErr error
+	// logSize is the size of the log in bytes at the last start.
+	logSize int64
 }
 
 // starter returns a channel of functions that run on one OS thread, which lives as long as the program. All processes are
@@ -56,6 +58,11 @@
 	if err != nil {
 		return errors.Wrap(err, p.Name)
 	}
+	before, err := log.Stat()
+	if err != nil {
+		_ = log.Close()
+		return errors.Wrap(err, p.Name)
+	}
 	cmd := exec.Command(p.Path, p.Args...)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -67,7 +74,7 @@
 	}
 	exited := make(chan struct{})
 	p.mu.Lock()
-	p.cmd, p.exited = cmd, exited
+	p.cmd, p.exited, p.logSize = cmd, exited, before.Size()
 	p.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
@@ -109,6 +116,19 @@
 	return p.exitErr
 }
 
+// EndedBeforeOutput reports whether a signal has ended the process that was started last before it had written anything.
+func (p *Process) EndedBeforeOutput(s syscall.Signal) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var exit *exec.ExitError
+	if !errors.As(p.exitErr, &exit) {
+		return false
+	}
+	status, ok := exit.Sys().(syscall.WaitStatus)
+	log, err := os.Stat(p.Log)
+	return ok && status.Signaled() && status.Signal() == s && err == nil && log.Size() == p.logSize
+}
+
 // Kill sends SIGKILL and waits until the process has exited.
 func (p *Process) Kill() {
 	if p.Signal(syscall.SIGKILL) {
--- a/soak/answers.go
+++ b/soak/answers.go
@@ -23,6 +23,7 @@
 	defer c.mu.Unlock()
 	r.status = e.status
 	c.countOutcome(r, e)
+	c.countShare(r, e)
 	switch {
 	case e.cancelled:
 	case e.status == 0:
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -49,13 +51,14 @@
 
 // client sends requests to one gateway, over connections that are kept alive.
 type client struct {
-	site    *site
-	gateway *host
-	random  *rand.Rand
-	http    *sendonce.Client
-	close   func()
-	n       int
-	name    string
+	site *site
+	// gateway is the one in use, and home the one that the client has been given.
+	gateway, home *host
+	random        *rand.Rand
+	http          *sendonce.Client
+	close         func()
+	n             int
+	name          string
 }
 
 func newClient(s *site, h *host, n int) *client {
@@ -64,8 +67,8 @@
 		DisableCompression: true,
 	}
 	return &client{
-		site: s, gateway: h, name: fmt.Sprintf("%s-c%d", h.name, n),
-		random: rand.New(rand.NewPCG(s.seed, uint64(n)<<8+uint64(len(h.name)))),
+		site: s, gateway: h, home: h, name: fmt.Sprintf("%s-c%d", h.name, n),
+		random: rand.New(rand.NewPCG(s.seed, uint64(n)<<8+uint64(slices.Index(s.gateways, h)))),
 		http:   sendonce.New(transport), close: transport.CloseIdleConnections,
 	}
 }
@@ -74,6 +77,7 @@
 func (c *client) run(ctx context.Context) {
 	defer c.close()
 	for ctx.Err() == nil {
+		c.reconnect()
 		if !c.send(c.nextRequest()) {
 			clock.Pause(ctx, reconnectPause)
 		}
@@ -81,6 +85,18 @@
 	}
 }
 
+// reconnect leaves for the gateway that most new connections go to, and comes back once they are spread.
+func (c *client) reconnect() {
+	gateway := c.home
+	if to := c.site.skewed.Load(); to != nil && c.random.Float64() < skewedShare {
+		gateway = to
+	}
+	if gateway != c.gateway {
+		c.close()
+		c.gateway = gateway
+	}
+}
+
 // nextRequest returns a random request.
 func (c *client) nextRequest() *record {
 	c.n++
@@ -101,6 +117,7 @@
 		r.call.Body = []byte("layer 3 is loose")
 		r.call.Events = 1 + c.random.IntN(maxEvents)
 		r.call.Model = c.pickModel()
+		r.call.Parts = promptOf(c.random.IntN(commonParts), fmt.Sprintf("%x", c.random.Uint32()))
 	}
 	return r
 }
@@ -129,6 +146,16 @@
 	took                time.Duration
 }
 
+// retryAfter returns the time for which a client with the given time left stays away after a refusal: the platform's clients wait as
+// long as it names, up to a third of the time that they have left.
+func (e outcome) retryAfter(left time.Duration) time.Duration {
+	seconds, err := strconv.ParseFloat(e.header.Get("Retry-After"), 64)
+	if err != nil || !standin.NotRun(e.status) {
+		return 0
+	}
+	return max(0, min(time.Duration(seconds*float64(time.Second)), left/3))
+}
+
 // send sends a request and checks its outcome. It returns false if no response was received.
 func (c *client) send(r *record) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), r.call.Timeout+responseSlack)
@@ -159,7 +186,8 @@
 }
 
 const (
-	// takeUpTries is how often a client comes back for the rest of a stream that broke off, takeUpPause the mean time before each.
+	// takeUpTries is how often a client comes back for the rest of a stream that broke off, takeUpPause the mean time before each
+	// beyond the one that a refusal names.
 	takeUpTries = 3
 	takeUpPause = 60 * time.Millisecond
 )
@@ -172,7 +200,7 @@
 		if e.err == nil && e.status == http.StatusOK || e.cancelled || last == 0 || last >= first.call.Events {
 			return
 		}
-		time.Sleep(time.Duration(c.random.ExpFloat64() * float64(takeUpPause)))
+		time.Sleep(e.retryAfter(first.call.Timeout-time.Since(first.sentAt)) + time.Duration(c.random.ExpFloat64()*float64(takeUpPause)))
 		other := newClient(c.site, c.site.gateways[c.random.IntN(len(c.site.gateways))], c.n)
 		r := &record{kind: chat, gateway: other.gateway.name, call: first.call}
 		r.call.ID, r.call.Resumes, r.call.LastEvent = fmt.Sprintf("%s-again%d", first.call.ID, try), first.call.ID, last
--- a/soak/ending.go
+++ b/soak/ending.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"balsamsail/platform/standin"
@@ -25,6 +26,11 @@
 // endsUnder returns the function by which an endpoint ends under such a request.
 func (s *site) endsUnder(p *endpointHost) func(standin.Arrival) bool {
 	return func(a standin.Arrival) bool {
+		if part, bad := badPartOf(a.Prompt); bad {
+			s.checker.recordBadEnd(part, a.Incarnation)
+			s.end(p)
+			return true
+		}
 		name, ends := bytes.CutPrefix(a.Body, endingMark)
 		if !ends {
 			return false
@@ -33,32 +39,37 @@
 		began := s.endings[string(name)]
 		s.mu.Unlock()
 		s.checker.recordEndedUnder(string(name), a.Incarnation, began, s.gateways)
-		go func() {
-			start := s.crash(p)
-			time.Sleep(endedPause)
-			start()
-		}()
+		s.end(p)
 		return true
 	}
 }
 
+// end ends an endpoint, which starts again after endedPause.
+func (s *site) end(p *endpointHost) {
+	go func() {
+		start := s.crash(p)
+		time.Sleep(endedPause)
+		start()
+	}()
+}
+
 // sendEnding sends a request that ends endpoints, again and again as a client would that gets no answer: a read, or a stream that
-// may be resumed.
+// may be resumed. Two clients may send the same one.
 func (s *site) sendEnding(pick uint64) {
-	name := fmt.Sprint("ending-", pick)
+	client := s.endingClients.Add(1)
+	name := endingName(pick)
 	s.mu.Lock()
-	s.endings[name] = time.Now()
+	if s.endings[name].IsZero() {
+		s.endings[name] = time.Now()
+	}
 	s.mu.Unlock()
 	go func() {
 		for try := range uint64(endingTries) {
 			gateway := s.gateway(pick + try)
 			c := newClient(s, gateway, 2000)
-			r := &record{kind: read, gateway: gateway.name, call: standin.Call{
-				ID: fmt.Sprintf("%s-%d", name, try), Host: siteHost, Method: http.MethodGet, Path: prefixRead + "ending", Body: append(endingMark, name...),
-				Timeout: 1500 * ms,
-			}}
-			if pick%2 == 1 {
-				r.kind, r.call.Method, r.call.Path, r.call.Model, r.call.Events = chat, http.MethodPost, prefixChat+"ending", s.models[pick/2%3], 5
+			r := &record{kind: read, gateway: gateway.name, call: endingCall(pick, client, try, s.models)}
+			if r.call.Model != "" {
+				r.kind = chat
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), r.call.Timeout+responseSlack)
 			c.attempt(ctx, r)
@@ -68,3 +79,18 @@
 		}
 	}()
 }
+
+func endingName(pick uint64) string { return fmt.Sprint("ending-", pick) }
+
+// endingCall returns a client's try of a request that ends endpoints. All tries of all its clients differ only in their IDs.
+func endingCall(pick uint64, client int64, try uint64, models []string) standin.Call {
+	name := endingName(pick)
+	call := standin.Call{
+		ID: fmt.Sprintf("%s-c%d-%d", name, client, try), Host: siteHost, Method: http.MethodGet, Path: prefixRead + "ending", Body: slices.Concat(endingMark, []byte(name)),
+		Timeout: 1500 * ms,
+	}
+	if pick%2 == 1 {
+		call.Method, call.Path, call.Model, call.Events = http.MethodPost, prefixChat+"ending", models[pick/2%3], 5
+	}
+	return call
+}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -121,6 +121,10 @@
 		return s.nameLimit(s.endpoint(pick), float64(1+pick/11%4))
 	}},
 	{"request that ends endpoints", 3, 0, 0, func(s *site, pick uint64, _ time.Duration) func() { s.sendEnding(pick); return nil }},
+	{"requests with a part that ends endpoints", 3, 12 * second, 18 * second, func(s *site, pick uint64, _ time.Duration) func() { return s.sendBadParts(pick) }},
+	{"connections skewed", 3, 4 * second, 8 * second, func(s *site, pick uint64, _ time.Duration) func() { return s.skew(pick) }},
+	{"endpoint ends answers with their connection", 3, second, 5 * second, endpointFault(func(f *standin.EndpointFaults) { f.Unframed = 0.7 })},
+	{"endpoint ends answers with their connection, some of them early", 2, second, 4 * second, endpointFault(func(f *standin.EndpointFaults) { f.Unframed, f.Truncates = 0.7, 0.4 })},
 	{"orders late", 3, second, 5 * second, endpointFault(func(f *standin.EndpointFaults) { f.LateOrders = 0.5 })},
 
 	{"configuration changed", 5, 0, 0, func(s *site, pick uint64, _ time.Duration) func() { s.reconfigure(pick); return nil }},
@@ -154,9 +158,7 @@
 		h.process.Signal(syscall.SIGTERM)
 		select {
 		case <-h.process.Exited():
-			if err := h.process.ExitError(); err != nil && !s.killedDuringRestart(h) {
-				s.checker.addViolation("clean stop", "%s exited with %v after SIGTERM", h.name, err)
-			}
+			s.checkCleanStop(h)
 		case <-time.After(grace):
 			s.checker.beginFault(h.name)()
 			h.process.Kill()
@@ -165,6 +167,16 @@
 	}()
 }
 
+// checkCleanStop checks how a process has ended that was told to stop. The signal itself ends one that does not handle signals yet;
+// it does not listen then, which is the first thing that it reports.
+func (s *site) checkCleanStop(h *host) {
+	err := h.process.ExitError()
+	if err == nil || s.killedDuringRestart(h) || h.process.EndedBeforeOutput(syscall.SIGTERM) {
+		return
+	}
+	s.checker.addViolation("clean stop", "%s exited with %v after SIGTERM", h.name, err)
+}
+
 // kill kills processes and starts them again.
 func (s *site) kill(hosts ...*host) {
 	for _, h := range hosts {
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -88,13 +88,16 @@
 	newestRoutes map[string]newestRoute
 	// endedUnder holds the endpoints that have ended under each request that ends endpoints, and current is the incarnation that
 	// each host runs.
-	endedUnder        map[string]map[string]bool
-	current           map[string]string
-	lateArrivals      int
-	unexplainedCloses int
-	violations        []string
-	counts            map[string]int
-	usage             []resources
+	endedUnder map[string]map[string]bool
+	current    map[string]string
+	badParts   map[string]*badPart
+	// The requests beside bad parts and while connections were skewed, and the others, of gateways without a fault.
+	besideBad, notBesideBad, skewed, even tally
+	lateArrivals                          int
+	unexplainedCloses                     int
+	violations                            []string
+	counts                                map[string]int
+	usage                                 []resources
 }
 
 // span is a period of time; its end is zero while it lasts.
@@ -121,7 +124,7 @@
 	return &checker{
 		began: time.Now(), requests: map[string]*record{}, endpoints: map[string]*incarnation{}, faultPeriods: map[string][]span{},
 		arrivals: map[string][]time.Time{}, retries: map[string][]time.Time{}, routes: map[string]*routeLifetime{}, newestRoutes: map[string]newestRoute{}, counts: map[string]int{},
-		endedUnder: map[string]map[string]bool{}, current: map[string]string{},
+		endedUnder: map[string]map[string]bool{}, current: map[string]string{}, badParts: map[string]*badPart{},
 	}
 }
 
@@ -180,6 +183,9 @@
 func (c *checker) recordSent(r *record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.requests[r.call.ID] != nil {
+		c.addViolationLocked("one ID", "the soak has sent two requests under the ID %s", r.call.ID)
+	}
 	c.requests[r.call.ID] = r
 	c.counts["requests"]++
 }
@@ -264,6 +270,7 @@
 		c.addViolationLocked("asked", "request %s carries %v, which its client set", a.RequestID, a.ReservedHeaders)
 	}
 	c.checkLimit(a, r.gateway)
+	c.recordBadArrival(a, r)
 	host := c.endpoints[a.Incarnation].host
 	if !r.cancelledAt.IsZero() && a.At.Sub(r.cancelledAt) > cancelSlack && c.faultFree(r.sentAt, a.At, r.gateway, host) {
 		c.lateArrivals++
--- a/soak/main.go
+++ b/soak/main.go
@@ -142,6 +142,7 @@
 	watchers.Wait()
 	s.checker.checkRetryBudget()
 	s.checker.checkTakenUp()
+	s.checker.checkShares()
 }
 
 // selectFaults returns the faults whose names contain one of the comma-separated texts.
--- a/soak/site.go
+++ b/soak/site.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -115,6 +116,12 @@
 	states map[string]*processState
 	// endings are the requests that end endpoints, with the time at which each was first sent.
 	endings map[string]time.Time
+	// endingClients is the number of clients that have sent such requests.
+	endingClients atomic.Int64
+	// skewed is the gateway that most new connections go to; it holds nil while they are spread.
+	skewed atomic.Pointer[host]
+	// badPartsSent is the number of parts that have ended endpoints so far, badPartsActive that of those still being sent.
+	badPartsSent, badPartsActive atomic.Int64
 }
 
 // ip returns a loopback address. Links listen on addresses of their own, apart from the hosts that they lead to.
@@ -131,11 +138,14 @@
 
 func hostPort(ip string, port int) string { return net.JoinHostPort(ip, fmt.Sprint(port)) }
 
+// addressRanges is the number of ranges of loopback addresses: runs at the same time need seeds with different remainders by it.
+const addressRanges = 200
+
 // newSite creates the stand-ins, the links and the processes' settings, and starts only the store and the links. Settings
 // templates are read from root.
 func newSite(seed uint64, sz size, dir, root, binary string, c *checker) (*site, error) {
 	s := &site{
-		seed: seed, octet: 20 + int(seed%200), dir: dir, store: standin.NewStore(), checker: c, states: map[string]*processState{}, endings: map[string]time.Time{},
+		seed: seed, octet: 20 + int(seed%addressRanges), dir: dir, store: standin.NewStore(), checker: c, states: map[string]*processState{}, endings: map[string]time.Time{},
 		weights: &standin.WeightStore{FullSpeed: fullSpeedLoads},
 	}
 	s.operator = standin.NewOperator(s.store)
