entry: a refusal waits for the confirmations that decide whether it is true

Its last attempt had ended, and the agent's answer to the withdrawal came 80 ms later. The confirmations that were in by the last refusal counted, later ones did not. They are awaited now, until the caller's deadline at most; nothing is awaited where one attempt may have run.

TestLateConfirmationOfAWithdrawalCounts/confirmed_after_the_last_attempt failed before.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -37,9 +37,10 @@
 	pending     chan execution
 	// withdrawn is set once the agent was asked to give the request back unless it has started.
 	withdrawn bool
-	// awaitsConfirmation is set if the attempt ended before the agent said whether the withdrawn request ran, and
-	// confirmedNotRun once the agent says afterwards that it did not.
+	// awaitsConfirmation is set if the attempt ended before the agent said whether the withdrawn request ran. confirmation is
+	// closed once it has, or will not any more, and confirmedNotRun is set before if it says that the request did not run.
 	awaitsConfirmation bool
+	confirmation       chan struct{}
 	confirmedNotRun    atomic.Bool
 	// noAlternative is set when no other endpoint can take the request; hasAlternative checks again.
 	noAlternative  bool
@@ -66,6 +67,8 @@
 		exchange:  atmostonce.NewExchange(!rq.idempotent),
 		startedAt: e.clock.Now(),
 		endAction: atmostonce.EndNotRun,
+
+		confirmation: make(chan struct{}),
 	}
 }
 
--- a/internal/entry/fate.go
+++ b/internal/entry/fate.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"context"
+
 	"balsamsail/internal/atmostonce"
 	"balsamsail/internal/wire/wirepb"
 )
@@ -54,15 +56,26 @@
 // Meanwhile the request is tried elsewhere; if no endpoint serves it, the confirmation decides what the caller is told.
 func (t *attempt) awaitConfirmation() {
 	defer func() { _ = t.stream.Close() }()
+	defer close(t.confirmation)
 	if refusal, _ := t.readConfirmation(t.rq.deadline); refusal != nil {
 		t.confirmedNotRun.Store(true)
 	}
 }
 
-// allConfirmedNotRun reports whether it is known by now of all these attempts, which ended without a definite outcome, that the
-// request did not run.
-func allConfirmedNotRun(attempts []*attempt) bool {
+// allConfirmedNotRun reports whether it is certain of all these attempts, which ended without a definite outcome, that the request
+// did not run. It waits for confirmations that may still come: until the caller's deadline at most, and as long as the caller stays.
+func allConfirmedNotRun(ctx context.Context, attempts []*attempt) bool {
 	for _, t := range attempts {
+		if !t.awaitsConfirmation {
+			return false
+		}
+	}
+	for _, t := range attempts {
+		select {
+		case <-t.confirmation:
+		case <-ctx.Done():
+			return false
+		}
 		if !t.confirmedNotRun.Load() {
 			return false
 		}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -50,7 +50,7 @@
 	for {
 		candidate, refusal := e.pick(ctx, rq, tried, state)
 		if refusal != nil {
-			return e.noEndpointResult(unknown, refusal)
+			return e.noEndpointResult(ctx, unknown, refusal)
 		}
 		tried = append(tried, candidate.Endpoint)
 		t := newAttempt(e, rq, candidate, out)
@@ -81,7 +81,7 @@
 		case routing.VerdictRefuse:
 			return result{err: rq.bodyErrorOr(refusalError(verdict.Reason, verdict.RetryAfter)), execution: executionNotRun}
 		case routing.VerdictUnknown:
-			if allConfirmedNotRun(unknown) {
+			if allConfirmedNotRun(ctx, unknown) {
 				return result{err: rq.bodyErrorOr(refusalError(verdict.Reason, ended.attempt.RetryAfter)), execution: executionNotRun}
 			}
 			return result{err: rq.bodyErrorOr(e.unknownOutcomeError(rq)), pending: t.pending}
@@ -104,8 +104,8 @@
 }
 
 // noEndpointResult returns the result when no endpoint is left: "not run" only when no earlier attempt may have run.
-func (e *Entry) noEndpointResult(unknown []*attempt, refusal *apiError) result {
-	if !allConfirmedNotRun(unknown) {
+func (e *Entry) noEndpointResult(ctx context.Context, unknown []*attempt, refusal *apiError) result {
+	if !allConfirmedNotRun(ctx, unknown) {
 		return result{err: outcomeUnknown("the request may have run; no endpoint is left to try")}
 	}
 	return result{err: refusal, execution: executionNotRun}
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -202,6 +202,7 @@
 	}{
 		{"confirmed at once", confirm, 0, "503 no_capacity not_run"},
 		{"confirmed late", confirm, 2 * cancelConfirmTimeout, "503 no_capacity not_run"},
+		{"confirmed after the last attempt", confirm, 13 * cancelConfirmTimeout, "503 no_capacity not_run"},
 		{"it had begun to run", func(x *fakeStream) { x.failed(true) }, 2 * cancelConfirmTimeout, unknown},
 		{"the response has begun", func(x *fakeStream) { x.head(http.StatusOK); confirm(x) }, 2 * cancelConfirmTimeout, unknown},
 		{"for another request", func(x *fakeStream) { x.id = "other"; confirm(x) }, 2 * cancelConfirmTimeout, unknown},
