entry: a request is not withdrawn for the sake of an endpoint that has refused it

After a wait, all endpoints may be tried again, and those that had refused the request counted as an alternative once more: it was taken from an engine that was about to run it, to hear of the other again that it has no memory.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -45,6 +46,8 @@
 		Budget:      e.budget,
 	}
 	var tried []string
+	// refused holds the endpoints that have refused the request. It is not withdrawn from another for their sake.
+	var refused []string
 	// unknown holds the attempts that ended without a definite outcome.
 	var unknown []*attempt
 	for {
@@ -54,9 +57,12 @@
 		}
 		tried = append(tried, candidate.Endpoint)
 		t := newAttempt(e, rq, candidate, out)
-		t.hasAlternative = func() bool { return e.hasUntried(rq, tried) }
+		t.hasAlternative = func() bool { return e.hasUntried(rq, slices.Concat(tried, refused)) }
 		t.noAlternative = !t.hasAlternative()
 		ended := t.run(ctx)
+		if ended.attempt.Outcome == routing.OutcomeRefused {
+			refused = append(refused, candidate.Endpoint)
+		}
 		if ended.attempt.MayHaveRun(rq.idempotent) {
 			unknown = append(unknown, t)
 		}
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -262,6 +262,37 @@
 	}
 }
 
+// Guards against a request that is withdrawn from an endpoint which would serve it, for the sake of one that has just refused it.
+func TestRefusalIsNoAlternative(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, siteOptions{agents: 2, configure: func(o *Options) { o.MaxAttempts = 6 }})
+	var first atomic.Pointer[fakeAgent]
+	var withdrawn atomic.Int32
+	for _, a := range s.agents {
+		a.setScript(func(x *fakeStream) {
+			switch {
+			case first.CompareAndSwap(nil, a):
+				x.accepted()
+				x.failed(true)
+			case first.Load() != a:
+				x.refused(wirepb.RefusalReason_NO_MEMORY)
+			default:
+				x.accepted()
+				if !x.stallFor(acceptedTimeout + 500*time.Millisecond) {
+					withdrawn.Add(1)
+					x.refused(wirepb.RefusalReason_CANCELLED)
+					return
+				}
+				x.respond("served")
+			}
+		})
+	}
+	got := s.send(t.Context(), call{method: get, header: http.Header{headerDeadline: {"6000"}}})
+	if got.text() != "200 served" || withdrawn.Load() > 0 {
+		t.Errorf("got %s, withdrawn %d times, want the answer of the endpoint that had not refused", got.text(), withdrawn.Load())
+	}
+}
+
 // acceptedTimeout is how long an accepted request waits while another endpoint could take it: the minimum of
 // routing.StageTimeout, because the fake agents report no expected wait.
 const acceptedTimeout = time.Second
