agent: what the entry has sent goes before the queue's decision

Go picks either, so it started the request and aborted it a millisecond later, and the caller got outcome_unknown.

TestArrivedWithdrawalGoesBeforeTheTurn: 15 of 50 withdrawn requests ran before, none now.

--- a/internal/agent/exchange_test.go
+++ b/internal/agent/exchange_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"balsamsail/internal/admission"
+	"balsamsail/internal/atmostonce"
 	"balsamsail/internal/endpoint"
 	"balsamsail/internal/standin/control"
 	"balsamsail/internal/standin/service"
@@ -595,6 +597,35 @@
 	}
 }
 
+// Guards against starting a request whose withdrawal has arrived: its caller could not be told that it did not run.
+func TestArrivedWithdrawalGoesBeforeTheTurn(t *testing.T) {
+	var calls atomic.Int32
+	a := startAgent(t, agentSettings{url: newService(t, func(_ http.ResponseWriter, r *http.Request) {
+		// The agent's probes are no calls.
+		if r.Method == http.MethodPost {
+			calls.Add(1)
+		}
+	})})
+	entry := dialAgent(t, a)
+	for i := range 50 {
+		offer := &wirepb.ToAgent{RequestId: fmt.Sprint("request-", i), Frame: &wirepb.ToAgent_Offer{Offer: post(nil)}}
+		// What the exchange replies goes nowhere.
+		stream := entry.open(wirepb.StreamKind_REQUEST)
+		_ = stream.Close()
+		x := a.newExchange(stream, offer)
+		x.pending = newPendingRequest(admission.Request{ID: x.key, Target: x.target})
+		x.pending.deliver(decision{})
+		done := make(chan struct{})
+		go x.postEvent(done, atmostonce.GotWithdrawal)
+		time.Sleep(time.Millisecond)
+		x.runEvents()
+		close(done)
+	}
+	if n := calls.Load(); n > 0 {
+		t.Errorf("%d of 50 withdrawn requests ran", n)
+	}
+}
+
 // Two entries, or one entry twice, offer requests with the same identifier. Each exchange must get its own answer.
 func TestOneIdentifierTwice(t *testing.T) {
 	a := startAgent(t, agentSettings{options: Options{Capacity: 8}, url: newService(t, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -119,6 +119,14 @@
 		if x.commitTimer != nil {
 			commitTimeout = x.commitTimer.C()
 		}
+		// What the entry has sent comes before the queue's decision: on a slow host both are there by the time they are read, and a
+		// withdrawn request must not start.
+		select {
+		case e := <-x.events:
+			x.step(e)
+			continue
+		default:
+		}
 		select {
 		case d := <-decided:
 			decided = nil
