--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"balsamsail/internal/netconn"
 	"balsamsail/internal/wire/wirepb"
 )
 
@@ -135,22 +136,16 @@
 
 func newStream(raw *yamux.Stream, limit int64, open *streamSet) *Stream {
 	s := &Stream{conn: raw, open: open}
-	s.reader = NewFrameReader(progressReader{s}, limit)
+	s.reader = NewFrameReader(netconn.NotifyingReader{Reader: raw, OnBytes: s.noteProgress}, limit)
 	s.limit.Store(limit)
 	open.add(s)
 	return s
 }
 
-// progressReader reads from a stream's connection and reports each arrival of bytes.
-type progressReader struct{ stream *Stream }
-
-// Read implements io.Reader.
-func (r progressReader) Read(p []byte) (int, error) {
-	n, err := r.stream.conn.Read(p)
-	if n > 0 && r.stream.onProgress != nil {
-		r.stream.onProgress()
+func (s *Stream) noteProgress() {
+	if s.onProgress != nil {
+		s.onProgress()
 	}
-	return n, err
 }
 
 // OnProgress sets a function that Read calls whenever bytes have arrived, also those of a message that is not whole yet. Call
