--- a/tools/test.sh
+++ b/tools/test.sh
@@ -19,4 +19,13 @@
   fi
 fi
 # -count=1: a verdict from the cache says nothing of the machine that it is asked on.
-go test -count=1 -timeout 20m "${skip[@]}" "$@" ./...
+run=(go test -count=1 -timeout 20m "${skip[@]}" "$@")
+
+# The tests of these packages run many real processes against time limits. Each package has the machine to itself, and the others run
+# on half of it at a time.
+clusters=(balsamsail/soak balsamsail/test)
+others=$(go list ./... | grep -vxF "$(printf '%s\n' "${clusters[@]}")")
+status=0
+"${run[@]}" -p "$((($(nproc) + 1) / 2))" $others || status=$?
+"${run[@]}" -p 1 "${clusters[@]}" || status=$?
+exit $status
