--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -91,6 +91,8 @@
 	if err != nil {
 		return answer, errors.Wrap(errPeer, err.Error())
 	}
+	// Queries are rare.
+	request.Close = true
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return answer, errors.Wrap(errPeer, err.Error())
