crashes: a common part is blamed for longer with each trial that has failed

A part that a quarter of the arriving requests have was held for 5 s only, whatever it had ended, so that one which is sound is tried again soon.

Such a part is held for longer with each trial that has ended one more process while other requests were answered: were it sound, the trial would have been answered as well, and that clears it. Where nothing is answered it is tried every 5 s as before (TestPartOfMostRequestsIsTriedAgainInAnOutage).

--- a/internal/crashes/parts.go
+++ b/internal/crashes/parts.go
@@ -46,8 +46,9 @@
 
 // partHolds is how long a part is blamed after the last of MaxEnded ends, and after each one more. The first ones are short: if
 // the part is sound, no request that is refused can show it, and the next one that is sent does. A part is not blamed for longer than
-// the first while others were at its ends for which there is as much to say, or if it is common. Where several parts end endpoints
-// before anything is answered, all parts of the sound requests are at as many ends, and nothing would be served any more.
+// the first while others were at its ends for which there is as much to say. Where several parts end endpoints before anything is
+// answered, all parts of the sound requests are at as many ends, and nothing would be served any more. A common part is blamed for
+// longer only after trials that have failed.
 var partHolds = []time.Duration{5 * time.Second, 20 * time.Second, 5 * time.Minute, MaxPartHold}
 
 // Part identifies a part that prompts share by a hash of its ID.
@@ -94,15 +95,18 @@
 	// arrived is the number of requests that have arrived while there are suspects, and arrivedWith that of those with each suspect.
 	arrived     float64
 	arrivedWith map[Part]float64
-	// answered holds when this gateway last got an answer on each part, for answeredTTL.
-	answered map[Part]time.Time
+	// answered holds when this gateway last got an answer on each part, for answeredTTL, and latestAnswer is when there last was one on
+	// any part, as far as this gateway knows.
+	answered     map[Part]time.Time
+	latestAnswer time.Time
 }
 
 // suspectEnd is an end that counts. It is final once it is certain that the process has ended, and own if this gateway has seen it.
+// It is amidAnswers if answers were known from shortly before.
 type suspectEnd struct {
 	PartEnd
-	at         time.Time
-	final, own bool
+	at                      time.Time
+	final, own, amidAnswers bool
 }
 
 // partAnswer is the latest answer on a part. It is own if this gateway has got it.
@@ -213,7 +217,8 @@
 		return false
 	}
 	if at.After(t.lastAnswer[e.Part].at) {
-		t.suspects[e.Part] = append(t.suspects[e.Part], suspectEnd{PartEnd: e, at: at, own: own})
+		amidAnswers := now.Sub(t.latestAnswer) < answeredTTL
+		t.suspects[e.Part] = append(t.suspects[e.Part], suspectEnd{PartEnd: e, at: at, own: own, amidAnswers: amidAnswers})
 		clear(t.blames)
 	}
 	return true
@@ -243,7 +248,7 @@
 			}
 		}
 	}
-	t.answered[part] = now
+	t.answered[part], t.latestAnswer = now, now
 }
 
 // AddAnswer records an answer that another gateway has seen.
@@ -260,6 +265,9 @@
 	if !t.answers.Add(now, sitelog.Fact[PartAnswer, time.Time]{Key: a, Value: at, Expires: at.Add(MaxPartHold)}) {
 		return false
 	}
+	if at.After(t.latestAnswer) {
+		t.latestAnswer = at
+	}
 	if at.After(t.lastAnswer[a.Part].at) {
 		t.lastAnswer[a.Part] = partAnswer{a, at, own}
 		t.drop(a.Part, func(e suspectEnd) bool { return !e.at.After(at) })
@@ -368,14 +376,31 @@
 	if !isEnough(processes, contents) {
 		return Blame{}, false
 	}
-	hold := partHolds[min(len(processes)-MaxEnded, len(partHolds)-1)]
-	if t.isCommon(part, len(processes), len(contents)) || len(t.onlyAt(part, processes)) < MaxEnded {
-		hold = partHolds[0]
+	step := len(processes) - MaxEnded
+	switch {
+	case len(t.onlyAt(part, processes)) < MaxEnded:
+		step = 0
+	case t.isCommon(part, len(processes), len(contents)):
+		step = t.failedTrials(part)
 	}
-	b.Until = b.Last.Add(hold)
+	b.Until = b.Last.Add(partHolds[min(step, len(partHolds)-1)])
 	return b, true
 }
 
+// failedTrials returns how often a request with a part has ended a process after the first hold, while others were answered. If the
+// part were sound, that request would have been answered as well.
+func (t *Parts) failedTrials(part Part) int {
+	ends := slices.Clone(t.suspects[part])
+	slices.SortFunc(ends, func(a, b suspectEnd) int { return a.at.Compare(b.at) })
+	trials := 0
+	for i := 1; i < len(ends); i++ {
+		if ends[i].amidAnswers && ends[i].at.Sub(ends[i-1].at) >= partHolds[0] {
+			trials++
+		}
+	}
+	return trials
+}
+
 func isEnough(processes map[Process]struct{}, contents map[Content]struct{}) bool {
 	return len(processes) >= MaxEnded && len(contents) >= minContents
 }
--- a/internal/crashes/parts_test.go
+++ b/internal/crashes/parts_test.go
@@ -232,6 +232,45 @@
 	}
 }
 
+// Guards against the first part of most requests being blamed for long because trials of it fail where nothing else is answered either.
+func TestPartOfMostRequestsIsTriedAgainInAnOutage(t *testing.T) {
+	r := newPartsRig()
+	for i := range 6 {
+		r.pass(partHolds[0])
+		r.end([]Part{first, 20 + Part(2*i)}, []Part{first, 20 + Part(2*i+1)})
+	}
+	for range minArrivals {
+		r.parts.Arrived([]Part{first})
+	}
+	r.pass(partHolds[0])
+	if r.refuses(first) {
+		t.Errorf("refused %v after the last end", partHolds[0])
+	}
+}
+
+// Guards against a part that ends endpoints being tried again every few seconds because many of the arriving requests have it, while
+// sound ones with the same first part are answered.
+func TestBadPartOfManyRequestsIsNotTriedAgainSoon(t *testing.T) {
+	// Five ends until all know the part, and three requests more.
+	const mostEnded = 8
+	r := newPartsRig()
+	for i := range 120 {
+		if !r.refuses(first, bad) {
+			r.end([]Part{first, bad, 20 + Part(2*i)}, []Part{first, bad, 21 + Part(2*i)})
+		}
+		for range minArrivals {
+			r.parts.Arrived([]Part{first, bad})
+			r.parts.Arrived([]Part{first, common})
+			r.parts.Arrived([]Part{first, common})
+		}
+		r.answer(first, common)
+		r.pass(500 * time.Millisecond)
+	}
+	if r.ends > mostEnded {
+		t.Errorf("%d processes have ended under the part, want at most %d", r.ends, mostEnded)
+	}
+}
+
 // Guards against gateways that come to different conclusions because news reaches them in another order, or twice.
 func TestPartFactsArriveInAnyOrder(t *testing.T) {
 	for seed := range uint64(50) {
