Review: a client that leaves is sent a success that no server gave

When a request's context ends because its client has closed its side, the handler returns without an answer, and net/http completes it: 200 without a body for a plain request, the last chunk for a stream that was cut.

--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -19,6 +19,7 @@
 // cases are the cases by their names.
 var cases = map[string]func(*stage) error{
 	"late-rejection": playLateRejection,
+	"half-closed":    playHalfClosed,
 }
 
 func main() { os.Exit(run()) }
