Review: an encoded slash sends requests to a service of another route

Routes are matched against the decoded path. After a route is added whose prefix begins the decoded path only, requests go to its service, which no configuration allows.

--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(*stage) error{
 	"late-rejection": playLateRejection,
 	"half-closed":    playHalfClosed,
+	"encoded-slash":  playEncodedSlash,
 }
 
 func main() { os.Exit(run()) }
