--- a/soak/answers.go
+++ b/soak/answers.go
@@ -32,7 +32,7 @@
 		c.checkSuccess(r, e)
 	case standin.NotRun(e.status):
 		if len(r.runs) > 0 {
-			c.addViolationLocked("not run", "request %s was refused with %d after it had run at %v", r.call.ID, e.status, r.runs)
+			c.addViolationLocked("not run", "request %s was refused with %d after it had run at %v; copies sent before its answers: %q", r.call.ID, e.status, r.runs, r.copies)
 		}
 	case e.status < http.StatusInternalServerError:
 		c.addViolationLocked("denied", "request %s to %s, which is always allowed, got %d from %s", r.call.ID, r.call.Path, e.status, r.gateway)
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -67,6 +67,8 @@
 	// runs are the ids of the incarnations that ran the request. arrivals is how often it arrived at an endpoint.
 	runs     []string
 	arrivals int
+	// copies describe the copies of other answers that came where an answer to the request was due.
+	copies []string
 	// status is the status of the response; 0 before it.
 	status int
 	// version is the software version of the engine that was last to begin the stream.
@@ -295,10 +297,10 @@
 	}
 	c.checkVersion(r, a, e)
 	if len(r.runs) > 1 && !r.kind.repeatable() {
-		c.addViolationLocked("once", "request %s ran at %v", a.RequestID, r.runs)
+		c.addViolationLocked("once", "request %s ran at %v; copies sent before its answers: %q", a.RequestID, r.runs, r.copies)
 	}
 	if standin.NotRun(r.status) {
-		c.addViolationLocked("not run", "request %s was refused with %d and ran at %s afterwards", a.RequestID, r.status, a.Incarnation)
+		c.addViolationLocked("not run", "request %s was refused with %d and ran at %s afterwards; copies sent before its answers: %q", a.RequestID, r.status, a.Incarnation, r.copies)
 	}
 	if want := c.serviceOf(r); want != "" && want != e.service {
 		c.addViolationLocked("route", "request %s for %s ran at %s, an endpoint of %s", a.RequestID, want, a.Incarnation, e.service)
@@ -328,6 +330,26 @@
 	}
 }
 
+// Repeated implements standin.Observer.
+func (c *checker) Repeated(p standin.Repeat) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	answer, to := "answer", "another request"
+	if standin.NotRun(p.Status) {
+		answer = "rejection"
+	}
+	if p.DueID == p.RequestID && p.DueID != "" {
+		to = "the same request"
+	}
+	if p.Idle {
+		to += ", on an idle connection"
+	}
+	c.counts[fmt.Sprintf("copies: %s of %s", answer, to)]++
+	if r := c.requests[p.DueID]; r != nil {
+		r.copies = append(r.copies, fmt.Sprintf("%d of %s", p.Status, to))
+	}
+}
+
 // Ordered implements standin.Observer.
 func (c *checker) Ordered(o standin.OrderSeen) {
 	c.mu.Lock()
