soak: rejections that are repeated

Three faults: an endpoint sends copies on idle connections, an endpoint sheds half of its requests and repeats answers, and all engines do so at once. In the last one a rejected request returns to the engine that rejected it, because most models are loaded once, so that the copy of its own rejection comes where its second answer is due.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -116,6 +116,10 @@
 	{"endpoint slow", 3, second, 5 * second, endpointFault(func(f *standin.EndpointFaults) { f.Slow = 8 })},
 	{"endpoint truncates answers", 2, second, 4 * second, endpointFault(func(f *standin.EndpointFaults) { f.Truncates = 0.5 })},
 	{"endpoint repeats answers", 2, second, 4 * second, endpointFault(func(f *standin.EndpointFaults) { f.Repeats = 0.5 })},
+	{"endpoint repeats answers on idle connections", 2, second, 4 * second, endpointFault(func(f *standin.EndpointFaults) { f.RepeatsIdle = 0.5 })},
+	{"endpoint sheds and repeats answers", 3, second, 5 * second, endpointFault(func(f *standin.EndpointFaults) { f.Sheds, f.Repeats = 0.5, 0.5 })},
+	// The engines hold most models once only, so that a rejected request returns to the engine that rejected it.
+	{"every engine sheds and repeats answers", 2, 2 * second, 5 * second, engineFault(func(f *standin.EndpointFaults) { f.Sheds, f.Repeats = 0.5, 0.9 })},
 	{"endpoint sheds", 3, second, 5 * second, endpointFault(func(f *standin.EndpointFaults) { f.Sheds = 0.9 })},
 	{"endpoint names a limit", 4, limitGrace + limitWindow, limitGrace + 2*limitWindow, func(s *site, pick uint64, _ time.Duration) func() {
 		return s.nameLimit(s.endpoint(pick), float64(1+pick/11%4))
@@ -376,16 +380,30 @@
 
 // endpointFault returns a fault that makes an endpoint misbehave.
 func endpointFault(change func(*standin.EndpointFaults)) func(*site, uint64, time.Duration) func() {
-	return func(s *site, pick uint64, _ time.Duration) func() {
-		p := s.endpoint(pick)
-		end := s.checker.beginFault(p.name)
+	return func(s *site, pick uint64, _ time.Duration) func() { return s.misbehave(change, s.endpoint(pick)) }
+}
+
+// engineFault returns a fault that makes all engines misbehave.
+func engineFault(change func(*standin.EndpointFaults)) func(*site, uint64, time.Duration) func() {
+	return func(s *site, _ uint64, _ time.Duration) func() {
+		return s.misbehave(change, s.endpoints[:len(s.agents)]...)
+	}
+}
+
+// misbehave makes endpoints misbehave until the returned function is called.
+func (s *site) misbehave(change func(*standin.EndpointFaults), hosts ...*endpointHost) func() {
+	var ends []func()
+	for _, p := range hosts {
+		ends = append(ends, s.checker.beginFault(p.name))
 		p.withEndpoint(func(e *standin.Endpoint) { e.SetFaults(change) })
-		return func() {
+	}
+	return func() {
+		for i, p := range hosts {
 			p.withEndpoint(func(e *standin.Endpoint) {
 				// The limit ends with its own fault, by which the checker knows it.
 				e.SetFaults(func(f *standin.EndpointFaults) { *f = standin.EndpointFaults{Limit: f.Limit} })
 			})
-			end()
+			ends[i]()
 		}
 	}
 }
