--- a/soak/judge.go
+++ b/soak/judge.go
@@ -344,6 +344,9 @@
 	if p.Idle {
 		to += ", on an idle connection"
 	}
+	if p.Idle && p.DueID != "" {
+		to += ", crossed by a request"
+	}
 	c.counts[fmt.Sprintf("copies: %s of %s", answer, to)]++
 	if r := c.requests[p.DueID]; r != nil {
 		r.copies = append(r.copies, fmt.Sprintf("%d of %s", p.Status, to))
