gateway: the log shows whose answer a refusal is, and over which connection it came

A refusal that an engine ran all the same can be the rejection of another request, an earlier rejection of the same one, or a request wrongly counted as not sent. The log could not tell these apart. endpoint_refused now has the answer's request ID, the number of the connection and how many requests that had carried; attempt_failed has the connection and, for an answer with another ID, that ID.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -62,7 +62,7 @@
 		LastEventID: out.lastEventID,
 	}))
 	if err != nil {
-		return g.handleFailure(parent, q, choice, result.MaybeSent, err)
+		return g.handleFailure(parent, q, choice, result, err)
 	}
 	defer result.Response.Body.Close()
 	a := g.codec.ReadResponse(result.Response)
@@ -74,7 +74,7 @@
 	}
 	if err := g.validate(q, result.Response, a); err != nil {
 		result.Discard()
-		return g.handleFailure(parent, q, choice, true, err)
+		return g.handleFailure(parent, q, choice, result, err)
 	}
 	q.mayHaveRun = true
 	if result.Response.StatusCode >= http.StatusInternalServerError && q.repeatable() && g.canRetry(parent, q, true) {
@@ -152,7 +152,7 @@
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
 	switch {
 	case a.ID != "" && a.ID != q.call.ID:
-		return errors.Wrap(errInvalidResponse, "it has the ID of another request")
+		return errors.Wrapf(errInvalidResponse, "it has the ID of another request, %.40q", a.ID)
 	case success && a.ID != q.call.ID:
 		return errors.Wrap(errInvalidResponse, "it has no request ID")
 	case success && !a.Signed:
@@ -168,7 +168,8 @@
 }
 
 // handleFailure decides what follows an attempt that got no valid response.
-func (g *Gateway) handleFailure(parent context.Context, q *request, choice fleet.Choice, maybeSent bool, err error) verdict {
+func (g *Gateway) handleFailure(parent context.Context, q *request, choice fleet.Choice, result sendonce.Result, err error) verdict {
+	maybeSent := result.MaybeSent
 	g.metrics.countAttempt("unanswered")
 	switch {
 	case !maybeSent:
@@ -182,7 +183,8 @@
 		return failed
 	}
 	g.requestLog.write(time.Now(), true, "attempt failed", "event", "attempt_failed", "request", q.call.ID, "content", q.contentText(), "parts", q.call.SharedParts,
-		"answering", q.progress.lasted(), "endpoint", choice.ID, "endpoint_started", choice.Started, "sending", q.attempts, "maybe_sent", maybeSent, "error", err, "left", time.Until(q.deadline))
+		"answering", q.progress.lasted(), "endpoint", choice.ID, "endpoint_started", choice.Started, "sending", q.attempts, "maybe_sent", maybeSent, "connection", result.Connection.Number,
+		"carried", result.Connection.Carried, "error", err, "left", time.Until(q.deadline))
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		g.fleet.Refused(time.Now(), choice.ID)
 	}
@@ -211,7 +213,7 @@
 	}
 	g.drain(result)
 	g.requestLog.write(time.Now(), true, "endpoint refused", "event", "endpoint_refused", "request", q.call.ID, "endpoint", choice.ID, "status", status,
-		"model", q.fleetRequest.Model, "adapter", q.fleetRequest.Adapter, "sending", q.attempts)
+		"model", q.fleetRequest.Model, "adapter", q.fleetRequest.Adapter, "sending", q.attempts, "answer_id", a.ID, "connection", result.Connection.Number, "carried", result.Connection.Carried)
 	// The request has not run, so it can wait until the retry budget allows another attempt.
 	q.needsBudget = true
 	return retryOrFail(g.canRetry(q.inbound.Context(), q, false))
@@ -259,7 +261,7 @@
 	defer g.buffers.release(body)
 	if err != nil {
 		result.Discard()
-		return g.handleFailure(parent, q, choice, true, err)
+		return g.handleFailure(parent, q, choice, result, err)
 	}
 	if out.started {
 		// The attempt to resume a stream got a response that isn't a stream.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -96,7 +96,7 @@
 		}
 		if err != nil {
 			result.Discard()
-			return g.handleStreamFailure(parent, q, choice, err)
+			return g.handleStreamFailure(parent, q, choice, result, err)
 		}
 	}
 }
@@ -120,8 +120,8 @@
 }
 
 // handleStreamFailure decides what follows a stream that ended early.
-func (g *Gateway) handleStreamFailure(parent context.Context, q *request, choice fleet.Choice, err error) verdict {
-	v := g.handleFailure(parent, q, choice, true, err)
+func (g *Gateway) handleStreamFailure(parent context.Context, q *request, choice fleet.Choice, result sendonce.Result, err error) verdict {
+	v := g.handleFailure(parent, q, choice, result, err)
 	if v == retry && q.route.Resumable {
 		g.requestLog.write(time.Now(), true, "resuming the stream with another attempt", "event", "stream_resumed", "request", q.call.ID, "from", choice.ID)
 	}
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -56,7 +56,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countedConn{Conn: conn}, nil
+		return &countedConn{Conn: conn, number: connections.Add(1)}, nil
 	}
 	return &Client{transport: clone, traced: true}
 }
@@ -91,10 +91,20 @@
 	Response *http.Response
 	// MaybeSent is false only if it is certain that no byte of the request was sent.
 	MaybeSent bool
+	// Connection is the connection over which the request was sent last.
+	Connection Connection
 
 	attempt *attempt
 }
 
+// Connection describes a connection to an endpoint; it is zero if there was none, or if the transport does not report it.
+type Connection struct {
+	// Number identifies the connection in this process.
+	Number uint64
+	// Carried is the number of requests that the connection was used for before.
+	Carried int64
+}
+
 // Discard closes the response's connection, so that no later request can read the data left on it.
 func (r Result) Discard() {
 	if r.Response != nil {
@@ -118,10 +128,10 @@
 			err = cause
 		}
 		cancel(nil)
-		return Result{MaybeSent: sent, attempt: a}, err
+		return Result{MaybeSent: sent, Connection: a.connection(), attempt: a}, err
 	}
 	resp.Body = &cancelBody{ReadCloser: resp.Body, cancel: cancel}
-	return Result{Response: resp, MaybeSent: true, attempt: a}, nil
+	return Result{Response: resp, MaybeSent: true, Connection: a.connection(), attempt: a}, nil
 }
 
 // attempt tracks the connections that the transport obtains for one request.
@@ -131,6 +141,7 @@
 	mu            sync.Mutex
 	connRequested bool
 	conn          net.Conn
+	carriedBefore int64
 	writtenBefore int64
 }
 
@@ -151,7 +162,18 @@
 	a.conn = info.Conn
 	if counted, ok := info.Conn.(*countedConn); ok {
 		a.writtenBefore = counted.written.Load()
+		a.carriedBefore = counted.carried.Add(1) - 1
+	}
+}
+
+func (a *attempt) connection() Connection {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	counted, ok := a.conn.(*countedConn)
+	if !ok {
+		return Connection{}
 	}
+	return Connection{Number: counted.number, Carried: a.carriedBefore}
 }
 
 // wrote reports whether a byte may have been written to the connection. It first closes the connection, which prevents
@@ -179,9 +201,14 @@
 	}
 }
 
-// countedConn counts the bytes passed to Write.
+// connections counts the connections of this process.
+var connections atomic.Uint64
+
+// countedConn counts the bytes passed to Write and the requests that the connection is used for.
 type countedConn struct {
 	net.Conn
+	number  uint64
+	carried atomic.Int64
 	written atomic.Int64
 
 	mu     sync.RWMutex
