gateway: failing tests of late copies of rejections

An endpoint sends a rejection once more, where the answer to the next request on the connection is due.

--- /dev/null
+++ b/internal/gateway/late_test.go
@@ -0,0 +1,175 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"balsamsail/internal/catalog"
+)
+
+// lateEndpoint is an endpoint that sends some of its rejections once more, where the answer to the next request on the connection is due.
+type lateEndpoint struct {
+	listener net.Listener
+	// status is that of the rejections; body is what they hold.
+	status int
+	body   string
+	// rejects tells whether to reject a request that has been here a number of times before.
+	rejects func(id string, before int) bool
+	// repeatsBefore tells whether the rejection of a request is sent again before the answer to the next one.
+	repeatsBefore func(rejected, next string) bool
+
+	mu       sync.Mutex
+	arrivals map[string]int
+	runs     map[string]int
+}
+
+// listLateEndpoints starts endpoints and lists them, and no others.
+func (r *rig) listLateEndpoints(endpoints ...*lateEndpoint) {
+	r.t.Helper()
+	var list []catalog.Endpoint
+	for n, e := range endpoints {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		e.listener, e.arrivals, e.runs = listener, make(map[string]int), make(map[string]int)
+		r.t.Cleanup(func() { _ = listener.Close() })
+		go e.accept()
+		address := listener.Addr().String()
+		list = append(list,
+			catalog.Endpoint{ID: fmt.Sprintf("plain-%d", n), Service: "plain", Address: address, Revision: 1},
+			catalog.Endpoint{ID: fmt.Sprintf("engine-%d", n), Service: "engine", Address: address, Models: []string{"m"}, Revision: 1})
+	}
+	r.fleet.SetEndpoints(list)
+}
+
+func (e *lateEndpoint) accept() {
+	for {
+		conn, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		go e.serve(conn)
+	}
+}
+
+// serve answers the requests of a connection one after the other.
+func (e *lateEndpoint) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	var rejection, rejected string
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		id := request.Header.Get("Id")
+		if rejection != "" && e.repeatsBefore(rejected, id) {
+			_, _ = io.WriteString(conn, rejection)
+			rejection = ""
+		}
+		e.mu.Lock()
+		rejects := e.rejects(id, e.arrivals[id])
+		e.arrivals[id]++
+		if !rejects {
+			e.runs[id]++
+		}
+		e.mu.Unlock()
+		if rejects {
+			rejected, rejection = id, e.rejection(id)
+			_, _ = io.WriteString(conn, rejection)
+			continue
+		}
+		time.Sleep(20 * time.Millisecond)
+		answer := "id: 1\ndata: 1\n\n"
+		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nContent-Length: %d\r\n\r\n%s", id, len(answer), answer); err != nil {
+			return
+		}
+	}
+}
+
+func (e *lateEndpoint) rejection(id string) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\nId: %s\r\nNot-Run: yes\r\nContent-Length: %d\r\n\r\n%s", e.status, http.StatusText(e.status), id, len(e.body), e.body)
+}
+
+// judgeLate checks that a request that may run once has not run twice, nor at all if its answer says so.
+func judgeLate(t *testing.T, id string, got answer, endpoints ...*lateEndpoint) {
+	t.Helper()
+	runs := 0
+	for _, e := range endpoints {
+		e.mu.Lock()
+		runs += e.runs[id]
+		e.mu.Unlock()
+	}
+	if runs > 1 {
+		t.Errorf("request %s, answered %d, ran %d times, want at most once", id, got.status, runs)
+	}
+	if runs > 0 && (got.status == http.StatusServiceUnavailable || got.status == http.StatusMisdirectedRequest) {
+		t.Errorf("request %s ran and was answered %d, which says that it did not", id, got.status)
+	}
+}
+
+// noRetries is the number of gateways with which none has a retry left.
+const noRetries = 10_000
+
+// Guards against a late copy of the rejection of one request being taken for the answer to the next one on the connection.
+func TestLateRejectionOfAnotherRequest(t *testing.T) {
+	for _, c := range []struct {
+		name, path, model, body string
+		status, gateways        int
+	}{
+		{"plain", "/plain/", "", "", 503, 1},
+		{"plain, no retry left", "/plain/", "", "", 503, noRetries},
+		{"plain, rejection with a body", "/plain/", "", "full", 503, 1},
+		{"stream", "/chat/", "m", "", 503, 1},
+		{"stream, no retry left", "/chat/", "m", "", 503, noRetries},
+		{"stream, another incarnation", "/chat/", "m", "", 421, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			late := func() *lateEndpoint {
+				return &lateEndpoint{
+					status: c.status, body: c.body,
+					rejects:       func(id string, before int) bool { return strings.HasPrefix(id, "full") && before == 0 },
+					repeatsBefore: func(rejected, next string) bool { return next != rejected },
+				}
+			}
+			one, two := late(), late()
+			r.listLateEndpoints(one, two)
+			_ = r.send("full-1", c.path, c.model)
+			r.gateways = c.gateways
+			for n := range 6 {
+				id := fmt.Sprintf("next-%d", n)
+				judgeLate(t, id, r.send(id, c.path, c.model), one, two)
+			}
+		})
+	}
+}
+
+// Guards against a late copy of a rejection being taken for the answer to the same request, which was sent to the endpoint again.
+func TestLateRejectionOfTheSameRequest(t *testing.T) {
+	for _, rejections := range []int{1, 2, 3} {
+		t.Run(fmt.Sprintf("%d rejections", rejections), func(t *testing.T) {
+			r := newRig(t, nil)
+			only := &lateEndpoint{
+				status:        http.StatusServiceUnavailable,
+				rejects:       func(_ string, before int) bool { return before < rejections },
+				repeatsBefore: func(rejected, next string) bool { return next == rejected },
+			}
+			r.listLateEndpoints(only)
+			got := r.send("a", "/chat/", "m")
+			judgeLate(t, "a", got, only)
+			if got.status != http.StatusOK {
+				t.Errorf("status %d, want the engine's answer", got.status)
+			}
+		})
+	}
+}
