gateway: a response is matched to its request before anything that it says is believed

Callers were answered 503 or 421, which promise that a request has not run, for requests that engines ran, and some of these ran a second time at another engine (REFUSED, TWICE). Cause: Gateway.attempt looked at "not run", load and answer time before validate compared the request ID. An endpoint may send its response to an earlier request once more where the next one is due; a rejection that came so was taken for the answer to a request that the endpoint was running.

match now comes first. A response with another request's ID is no answer: the outcome of the request is unknown. One without an ID counts only on a connection that has carried no other request. A request without an ID, whose answer nothing could tell from another, is refused as 400, as engines do; TestClientLeaves therefore sends one.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -66,6 +66,10 @@
 	}
 	defer result.Response.Body.Close()
 	a := g.codec.ReadResponse(result.Response)
+	if err := q.match(result.Connection, a); err != nil {
+		result.Discard()
+		return g.handleFailure(parent, q, choice, result, err)
+	}
 	g.fleet.ObserveResponse(time.Now(), choice.ID, time.Since(began))
 	g.recordLoad(q, choice, a)
 	g.recordLimit(q, choice, a, began)
@@ -133,8 +137,7 @@
 
 // recordLimit passes on what an answer of the chosen endpoint, to an attempt that began at sentAt, says of its limit.
 func (g *Gateway) recordLimit(q *request, choice fleet.Choice, a Response, sentAt time.Time) {
-	ofRequest := a.ID == q.call.ID || a.ID == "" && a.NotRun
-	if a.LimitInvalid || !ofRequest || a.Incarnation != "" && a.Incarnation != choice.ID {
+	if a.LimitInvalid || a.Incarnation != "" && a.Incarnation != choice.ID {
 		return
 	}
 	if g.fleet.ObserveLimit(time.Now(), sentAt, choice.ID, a.Limit) {
@@ -143,16 +146,25 @@
 	}
 }
 
-// validate returns an error if a response can't be the one to this request.
+// match returns an error unless a response is known to be the one to this request. Nothing else that it says is believed before.
 //
-// An endpoint may send a second response to an earlier request on a kept-alive connection, where it would be read as
-// the next response; the request ID detects that. Bytes from another process that listens at the address are detected
-// by the missing signature.
-func (g *Gateway) validate(q *request, resp *http.Response, a Response) error {
-	success := resp.StatusCode >= 200 && resp.StatusCode < 300
+// An endpoint may send a response to an earlier request once more, where the next one on the connection is due; the request ID tells
+// them apart. A response without an ID is the one to this request only if its connection has carried no other.
+func (q *request) match(c sendonce.Connection, a Response) error {
 	switch {
+	case a.ID == "" && c.Carried > 0:
+		return errors.Wrap(errInvalidResponse, "it has no request ID, and its connection has carried other requests")
 	case a.ID != "" && a.ID != q.call.ID:
 		return errors.Wrapf(errInvalidResponse, "it has the ID of another request, %.40q", a.ID)
+	}
+	return nil
+}
+
+// validate returns an error if a response to this request can't be forwarded. Bytes from another process that listens at the address
+// are detected by the missing signature.
+func (g *Gateway) validate(q *request, resp *http.Response, a Response) error {
+	success := resp.StatusCode >= 200 && resp.StatusCode < 300
+	switch {
 	case success && a.ID != q.call.ID:
 		return errors.Wrap(errInvalidResponse, "it has no request ID")
 	case success && !a.Signed:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,6 +144,11 @@
 		g.refuse(w, r, refusal{status: http.StatusNotFound, reason: reasonNoRoute, id: call.ID, version: config.Version})
 		return
 	}
+	if call.ID == "" {
+		// Nothing would tell an endpoint's response to this request from one to another.
+		g.refuse(w, r, refusal{status: http.StatusBadRequest, reason: reasonNoID, version: config.Version})
+		return
+	}
 	body, refused := g.readBody(w, r, config.Limits, arrived, call.Timeout)
 	if refused != nil {
 		refused.id = call.ID
@@ -355,6 +360,7 @@
 const (
 	reasonNoConfig       refusalReason = "no configuration yet"
 	reasonBadHeader      refusalReason = "a header field has an impossible value"
+	reasonNoID           refusalReason = "the request has no ID"
 	reasonNoRoute        refusalReason = "no route matches host and path"
 	reasonBodyTooLarge   refusalReason = "the body is longer than the limit"
 	reasonBodyIncomplete refusalReason = "the body did not arrive whole"
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -229,6 +229,7 @@
 		t.Fatal(err)
 	}
 	request.Host = "site"
+	request.Header.Set("Id", "a")
 	if _, err := http.DefaultTransport.RoundTrip(request); err == nil {
 		t.Fatal("got a response, want a timeout")
 	}
--- a/internal/gateway/late_test.go
+++ b/internal/gateway/late_test.go
@@ -173,3 +173,27 @@
 		})
 	}
 }
+
+// Guards against a rejection that names no request being taken for that of this request, on a connection that has carried others.
+func TestRejectionWithoutRequestID(t *testing.T) {
+	unnamed := func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Id") == "first" {
+			good(w, r)
+			return
+		}
+		w.Header().Set("Not-Run", "yes")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	r := newRig(t, map[string]endpointScript{"plain-1": unnamed})
+	if got := r.send("a", "/plain/", ""); got.status != http.StatusServiceUnavailable {
+		t.Errorf("on a new connection: status %d, want 503", got.status)
+	}
+	r = newRig(t, map[string]endpointScript{"plain-1": unnamed})
+	_ = r.send("first", "/plain/", "")
+	if got := r.send("b", "/plain/", ""); got.status != http.StatusBadGateway {
+		t.Errorf("on a connection that has carried another request: status %d, want 502", got.status)
+	}
+	if got := r.send("", "/plain/", ""); got.status != http.StatusBadRequest || r.attempts("") > 0 {
+		t.Errorf("a request without an ID: status %d, %d attempts, want 400 and none", got.status, r.attempts(""))
+	}
+}
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -244,13 +244,15 @@
 }
 
 // refuses confirms that the request did not run.
-func refuses(w http.ResponseWriter, _ *http.Request) {
+func refuses(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Id", r.Header.Get("Id"))
 	w.Header().Set("Not-Run", "yes")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 // otherIncarnation refuses the request as another incarnation than the listed one.
-func otherIncarnation(w http.ResponseWriter, _ *http.Request) {
+func otherIncarnation(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Id", r.Header.Get("Id"))
 	w.Header().Set("Not-Run", "yes")
 	w.Header().Set("Incarnation", "another")
 	w.WriteHeader(http.StatusMisdirectedRequest)
