sendonce: a connection carries a message once

Callers were answered 503 for requests that engines ran, and such requests ran twice, though every response had been compared by its ID: a request that an engine has refused is sent to the same engine again, because most models are on one engine only, and over the connection that became idle last, which is that of the refusal. If the engine sends the refusal once more there, where the answer to the second sending is due, its ID is the right one.

DoMatched keeps the connections that a message was sent over and does not use them for it again; an idle one that the transport offers all the same is closed before a byte is written, and the transport asked for another. So of two sendings of a request no response to the first can arrive where one to the second is awaited, and the ID tells all others apart.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -54,22 +54,23 @@
 	g.fleet.NotifyRestart(choice, func() { cancel(errRestarted) })
 	watchdog := g.startWatchdog(q, cancel)
 	defer watchdog.Stop()
-	result, err := g.client.Do(g.codec.NewRequest(ctx, q.inbound, q.body, Attempt{
-		Address:     choice.Address,
-		EndpointID:  choice.ID,
-		Timeout:     time.Until(q.deadline),
-		Priority:    q.route.Priority,
-		LastEventID: out.lastEventID,
-	}))
+	var a Response
+	result, err := g.client.DoMatched(func() *http.Request {
+		return g.codec.NewRequest(ctx, q.inbound, q.body, Attempt{
+			Address:     choice.Address,
+			EndpointID:  choice.ID,
+			Timeout:     time.Until(q.deadline),
+			Priority:    q.route.Priority,
+			LastEventID: out.lastEventID,
+		})
+	}, &q.sent, func(response *http.Response, c sendonce.Connection) error {
+		a = g.codec.ReadResponse(response)
+		return q.match(c, a)
+	})
 	if err != nil {
 		return g.handleFailure(parent, q, choice, result, err)
 	}
 	defer result.Response.Body.Close()
-	a := g.codec.ReadResponse(result.Response)
-	if err := q.match(result.Connection, a); err != nil {
-		result.Discard()
-		return g.handleFailure(parent, q, choice, result, err)
-	}
 	g.fleet.ObserveResponse(time.Now(), choice.ID, time.Since(began))
 	g.recordLoad(q, choice, a)
 	g.recordLimit(q, choice, a, began)
@@ -149,7 +150,7 @@
 // match returns an error unless a response is known to be the one to this request. Nothing else that it says is believed before.
 //
 // An endpoint may send a response to an earlier request once more, where the next one on the connection is due; the request ID tells
-// them apart. A response without an ID is the one to this request only if its connection has carried no other.
+// them apart, because no connection carries the same request twice. A response without an ID is the one to this request only if its connection has carried no other.
 func (q *request) match(c sendonce.Connection, a Response) error {
 	switch {
 	case a.ID == "" && c.Carried > 0:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -210,6 +210,8 @@
 	silentSince time.Time
 
 	attempts int
+	// sent holds the connections that the attempts used.
+	sent sendonce.Sent
 	// mismatches counts the attempts that reached another incarnation than the listed one.
 	mismatches int
 	// begunBy is the version that began the stream, once the client has its first event.
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,6 +16,9 @@
 // ErrRepeated is the error of a request that net/http tried to send a second time.
 var ErrRepeated = errors.New("sendonce: the connection failed after part of the request was written; the request is not sent again")
 
+// errUnusable is the error of a request for which the transport chose a connection that must not carry it.
+var errUnusable = errors.New("sendonce: the connection has carried the message before")
+
 // Client sends each request at most once.
 //
 // http.Transport retries a request on its own if a reused connection fails before the first byte of the response and
@@ -56,7 +58,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countedConn{Conn: conn, number: connections.Add(1)}, nil
+		return newConn(conn), nil
 	}
 	return &Client{transport: clone, traced: true}
 }
@@ -115,28 +117,58 @@
 
 // Do sends the request at most once. The response's body must be closed.
 func (c *Client) Do(req *http.Request) (Result, error) {
+	return c.do(req, nil, func(*http.Response, Connection) error { return nil })
+}
+
+// Sent holds the connections over which a message was sent.
+type Sent struct{ conns []*countedConn }
+
+// DoMatched sends a message, which may have been sent before, at most once more, and returns the response only if match accepts it;
+// otherwise it closes the connection and returns the error of match. newRequest is called again if no byte of the earlier request was
+// sent.
+//
+// A peer may send a response a second time, where the next one on the connection is due. match can tell it from the response to this
+// message by what it holds, unless it is a response to the same message; so a connection that has carried the message does not carry
+// it again.
+func (c *Client) DoMatched(newRequest func() *http.Request, sent *Sent, match func(*http.Response, Connection) error) (Result, error) {
+	for {
+		result, err := c.do(newRequest(), sent, match)
+		// The connection is closed, so that each of the idle ones is met once at most.
+		if !errors.Is(err, errUnusable) || result.MaybeSent {
+			return result, err
+		}
+	}
+}
+
+func (c *Client) do(req *http.Request, sent *Sent, match func(*http.Response, Connection) error) (Result, error) {
 	if err := req.Context().Err(); err != nil {
 		return Result{attempt: &attempt{}}, err
 	}
 	ctx, cancel := context.WithCancelCause(req.Context())
-	a := &attempt{cancel: cancel}
+	a := &attempt{cancel: cancel, sent: sent}
 	trace := &httptrace.ClientTrace{GetConn: a.getConn, GotConn: a.gotConn}
 	resp, err := c.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		sent := a.maybeSent(c.traced)
+		maybeSent := a.maybeSent(c.traced)
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
 		cancel(nil)
-		return Result{MaybeSent: sent, Connection: a.connection(), attempt: a}, err
+		return Result{MaybeSent: maybeSent, Connection: a.connection(), attempt: a}, err
 	}
 	resp.Body = &cancelBody{ReadCloser: resp.Body, cancel: cancel}
-	return Result{Response: resp, MaybeSent: true, Connection: a.connection(), attempt: a}, nil
+	result := Result{Response: resp, MaybeSent: true, Connection: a.connection(), attempt: a}
+	if err := match(resp, result.Connection); err != nil {
+		result.Discard()
+		return result, err
+	}
+	return result, nil
 }
 
 // attempt tracks the connections that the transport obtains for one request.
 type attempt struct {
 	cancel context.CancelCauseFunc
+	sent   *Sent
 
 	mu            sync.Mutex
 	connRequested bool
@@ -154,18 +186,29 @@
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.conn != nil && a.wrote() {
-		a.cancel(ErrRepeated)
-		info.Conn.Close()
+	counted, ok := info.Conn.(*countedConn)
+	switch {
+	case a.conn != nil && a.wrote():
+		a.refuse(info.Conn, ErrRepeated)
+		return
+	case ok && a.sent.holds(counted):
+		a.refuse(info.Conn, errUnusable)
 		return
 	}
 	a.conn = info.Conn
-	if counted, ok := info.Conn.(*countedConn); ok {
+	if ok {
 		a.writtenBefore = counted.written.Load()
 		a.carriedBefore = counted.carried.Add(1) - 1
+		a.sent.add(counted)
 	}
 }
 
+// refuse keeps the transport from sending the request over a connection.
+func (a *attempt) refuse(conn net.Conn, cause error) {
+	a.cancel(cause)
+	conn.Close()
+}
+
 func (a *attempt) connection() Connection {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -201,42 +244,6 @@
 	}
 }
 
-// connections counts the connections of this process.
-var connections atomic.Uint64
-
-// countedConn counts the bytes passed to Write and the requests that the connection is used for.
-type countedConn struct {
-	net.Conn
-	number  uint64
-	carried atomic.Int64
-	written atomic.Int64
-
-	mu     sync.RWMutex
-	closed bool
-}
-
-// Write implements net.Conn. It counts before it writes, because a failed write may have sent some of the bytes.
-func (c *countedConn) Write(p []byte) (int, error) {
-	c.mu.RLock()
-	closed := c.closed
-	if !closed {
-		c.written.Add(int64(len(p)))
-	}
-	c.mu.RUnlock()
-	if closed {
-		return 0, net.ErrClosed
-	}
-	return c.Conn.Write(p)
-}
-
-// Close implements net.Conn.
-func (c *countedConn) Close() error {
-	c.mu.Lock()
-	c.closed = true
-	c.mu.Unlock()
-	return c.Conn.Close()
-}
-
 // cancelBody cancels the request's context when the body is closed.
 type cancelBody struct {
 	io.ReadCloser
--- a/internal/sendonce/sendonce_test.go
+++ b/internal/sendonce/sendonce_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/http/httptrace"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -273,3 +275,58 @@
 		t.Error("a discarded connection was reused")
 	}
 }
+
+// repeatServer answers each request with a body that names the request's path, or with none if the path ends with "/empty", and counts
+// the connections.
+func newRepeatServer(t *testing.T) (url string, connections func(path string) []string) {
+	t.Helper()
+	var mu sync.Mutex
+	over := make(map[string][]string)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		over[r.URL.Path] = append(over[r.URL.Path], r.RemoteAddr)
+		mu.Unlock()
+		w.Header().Set("Path", r.URL.Path)
+		if !strings.HasSuffix(r.URL.Path, "/empty") {
+			_, _ = io.WriteString(w, r.URL.Path)
+		}
+	}))
+	t.Cleanup(server.Close)
+	return server.URL, func(path string) []string {
+		mu.Lock()
+		defer mu.Unlock()
+		return slices.Clone(over[path])
+	}
+}
+
+// Guards against a response to an earlier sending of a message being taken for that to a later one on the same connection.
+func TestConnectionCarriesAMessageOnce(t *testing.T) {
+	url, connections := newRepeatServer(t)
+	client := New(nil)
+	defer client.transport.(*http.Transport).CloseIdleConnections()
+	var sent Sent
+	for range 3 {
+		for _, path := range []string{"/message", "/other"} {
+			history := &sent
+			if path == "/other" {
+				history = &Sent{}
+			}
+			result, err := client.DoMatched(func() *http.Request {
+				return newRequest(t, http.MethodPost, url+path, "notice", "")
+			}, history, func(*http.Response, Connection) error { return nil })
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, result.Response.Body)
+			_ = result.Response.Body.Close()
+		}
+	}
+	used := connections("/message")
+	slices.Sort(used)
+	if len(slices.Compact(used)) != 3 {
+		t.Errorf("the message was sent over %v, want three connections", used)
+	}
+	if got := len(connections("/other")); got != 3 {
+		t.Errorf("the other requests arrived %d times, want 3", got)
+	}
+}
