sendonce: a connection is free only once its last response was accepted

Callers of sound engines got 502: net/http puts a connection whose response has no body back among the idle ones before its caller has seen the response. Another request could be written there before the first was found to have got a copy of an earlier rejection; then the connection was closed under it, or the response still to come was read in its place (lost, not mixed, as its ID is another). A request now waits for a connection until its last response is accepted, and takes another one if that is not.

Evidence: with the wait taken out, TestConnectionIsFreeOnlyAfterTheMatch fails in both cases (the next request was sent before the response was matched, over a connection whose response was not accepted).

--- a/internal/sendonce/conn.go
+++ b/internal/sendonce/conn.go
@@ -1,6 +1,7 @@
 package sendonce
 
 import (
+	"context"
 	"net"
 	"slices"
 	"sync"
@@ -16,13 +17,42 @@
 	number  uint64
 	carried atomic.Int64
 	written atomic.Int64
+	// free holds one element while no request uses the connection: none was sent yet, or the last response was accepted.
+	free chan struct{}
 
 	mu     sync.RWMutex
 	closed bool
 }
 
 func newConn(conn net.Conn) *countedConn {
-	return &countedConn{Conn: conn, number: connections.Add(1)}
+	c := &countedConn{Conn: conn, number: connections.Add(1), free: make(chan struct{}, 1)}
+	c.release()
+	return c
+}
+
+// acquire waits until no other request uses the connection. It returns false if the connection was closed, or ctx is done, before.
+func (c *countedConn) acquire(ctx context.Context) bool {
+	select {
+	case <-c.free:
+	case <-ctx.Done():
+		return false
+	}
+	c.mu.RLock()
+	closed := c.closed
+	c.mu.RUnlock()
+	if closed {
+		// Others that wait must not wait longer.
+		c.release()
+	}
+	return !closed
+}
+
+// release ends the use of the connection by a request.
+func (c *countedConn) release() {
+	select {
+	case c.free <- struct{}{}:
+	default:
+	}
 }
 
 // Write implements net.Conn. It counts before it writes, because a failed write may have sent some of the bytes.
@@ -44,6 +74,8 @@
 	c.mu.Lock()
 	c.closed = true
 	c.mu.Unlock()
+	// A request that waits for the connection finds it closed.
+	c.release()
 	return c.Conn.Close()
 }
 
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -17,7 +17,7 @@
 var ErrRepeated = errors.New("sendonce: the connection failed after part of the request was written; the request is not sent again")
 
 // errUnusable is the error of a request for which the transport chose a connection that must not carry it.
-var errUnusable = errors.New("sendonce: the connection has carried the message before")
+var errUnusable = errors.New("sendonce: the connection has carried the message before, or its last response was not accepted")
 
 // Client sends each request at most once.
 //
@@ -129,7 +129,7 @@
 //
 // A peer may send a response a second time, where the next one on the connection is due. match can tell it from the response to this
 // message by what it holds, unless it is a response to the same message; so a connection that has carried the message does not carry
-// it again.
+// it again. A response without a body frees its connection before it is matched; another request waits until it is accepted.
 func (c *Client) DoMatched(newRequest func() *http.Request, sent *Sent, match func(*http.Response, Connection) error) (Result, error) {
 	for {
 		result, err := c.do(newRequest(), sent, match)
@@ -145,7 +145,7 @@
 		return Result{attempt: &attempt{}}, err
 	}
 	ctx, cancel := context.WithCancelCause(req.Context())
-	a := &attempt{cancel: cancel, sent: sent}
+	a := &attempt{ctx: ctx, cancel: cancel, sent: sent}
 	trace := &httptrace.ClientTrace{GetConn: a.getConn, GotConn: a.gotConn}
 	resp, err := c.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
@@ -162,11 +162,13 @@
 		result.Discard()
 		return result, err
 	}
+	a.release()
 	return result, nil
 }
 
 // attempt tracks the connections that the transport obtains for one request.
 type attempt struct {
+	ctx    context.Context
 	cancel context.CancelCauseFunc
 	sent   *Sent
 
@@ -191,7 +193,7 @@
 	case a.conn != nil && a.wrote():
 		a.refuse(info.Conn, ErrRepeated)
 		return
-	case ok && a.sent.holds(counted):
+	case ok && (a.sent.holds(counted) || !counted.acquire(a.ctx)):
 		a.refuse(info.Conn, errUnusable)
 		return
 	}
@@ -209,6 +211,15 @@
 	conn.Close()
 }
 
+// release lets another request use the connection.
+func (a *attempt) release() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if counted, ok := a.conn.(*countedConn); ok {
+		counted.release()
+	}
+}
+
 func (a *attempt) connection() Connection {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/sendonce/sendonce_test.go
+++ b/internal/sendonce/sendonce_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -330,3 +331,47 @@
 		t.Errorf("the other requests arrived %d times, want 3", got)
 	}
 }
+
+// Guards against a connection being used for the next request before its last response, which has no body, is known to be the one that
+// was awaited: the next request would be lost with the connection, or get the response that is still to come.
+func TestConnectionIsFreeOnlyAfterTheMatch(t *testing.T) {
+	for _, accepted := range []bool{true, false} {
+		t.Run(fmt.Sprintf("accepted %t", accepted), func(t *testing.T) {
+			url, connections := newRepeatServer(t)
+			client := New(nil)
+			defer client.transport.(*http.Transport).CloseIdleConnections()
+			next := make(chan error, 1)
+			errNotMatched := errors.New("not matched")
+			send := func(path string, match func(*http.Response, Connection) error) error {
+				result, err := client.DoMatched(func() *http.Request {
+					return newRequest(t, http.MethodPost, url+path, "notice", "")
+				}, &Sent{}, match)
+				if err == nil {
+					_, _ = io.Copy(io.Discard, result.Response.Body)
+					_ = result.Response.Body.Close()
+				}
+				return err
+			}
+			err := send("/first/empty", func(*http.Response, Connection) error {
+				go func() { next <- send("/next", func(*http.Response, Connection) error { return nil }) }()
+				time.Sleep(50 * time.Millisecond)
+				if len(connections("/next")) > 0 {
+					t.Error("the next request was sent before the response was matched")
+				}
+				if accepted {
+					return nil
+				}
+				return errNotMatched
+			})
+			if accepted != (err == nil) || !accepted && !errors.Is(err, errNotMatched) {
+				t.Errorf("error %v for the first request", err)
+			}
+			if err := <-next; err != nil {
+				t.Errorf("error %v for the next request", err)
+			}
+			if same := connections("/next")[0] == connections("/first/empty")[0]; same != accepted {
+				t.Errorf("the next request used the same connection: %t, want %t", same, accepted)
+			}
+		})
+	}
+}
