gateway: kept connections are closed when an endpoint has restarted

A request could be sent over a kept connection to the earlier process of an endpoint that has restarted behind a cut link, and waited there until its time was over. newGateway asked its transport to close the idle connections, but sendonce.New had cloned the transport, so nothing was closed. The gateway now asks the client that has them.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -166,8 +166,6 @@
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 	}
-	// Kept connections to an endpoint that has restarted lead to its earlier process.
-	f.OnRestart(func() { go transport.CloseIdleConnections() })
 	return gateway.New(options, platform.Codec{}, f, transport, l, m)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,7 +84,7 @@
 // New returns a gateway that sends requests through the given transport.
 func New(options Options, codec Codec, f *fleet.Fleet, transport http.RoundTripper, logger *slog.Logger, metrics *Metrics) *Gateway {
 	abortCtx, abort := context.WithCancel(context.Background())
-	return &Gateway{
+	g := &Gateway{
 		abortCtx:   abortCtx,
 		abort:      abort,
 		options:    options,
@@ -97,6 +97,9 @@
 		random:     rand.New(rand.NewPCG(options.Seed, 0)),
 		budgets:    make(map[string]*routing.RetryBudget),
 	}
+	// Kept connections to an endpoint that has restarted lead to its earlier process.
+	f.OnRestart(func() { go g.client.CloseIdleConnections() })
+	return g
 }
 
 // Active returns the number of requests in flight.
--- a/internal/gateway/late_test.go
+++ b/internal/gateway/late_test.go
@@ -197,3 +197,27 @@
 		t.Errorf("a request without an ID: status %d, %d attempts, want 400 and none", got.status, r.attempts(""))
 	}
 }
+
+// Guards against a request being sent over a connection to the earlier process of an endpoint that has restarted under its ID.
+func TestRestartClosesKeptConnections(t *testing.T) {
+	var mu sync.Mutex
+	var connections []string
+	r := newRig(t, map[string]endpointScript{"plain-1": func(w http.ResponseWriter, request *http.Request) {
+		mu.Lock()
+		connections = append(connections, request.RemoteAddr)
+		mu.Unlock()
+		good(w, request)
+	}})
+	// The endpoint states the start of its process from now on.
+	r.restart()
+	_ = r.send("a", "/plain/", "")
+	_ = r.send("b", "/plain/", "")
+	r.restart()
+	time.Sleep(50 * time.Millisecond)
+	_ = r.send("c", "/plain/", "")
+	mu.Lock()
+	defer mu.Unlock()
+	if len(connections) != 3 || connections[0] != connections[1] || connections[1] == connections[2] {
+		t.Errorf("connections %v, want the first one twice and then another", connections)
+	}
+}
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -63,6 +63,13 @@
 	return &Client{transport: clone, traced: true}
 }
 
+// CloseIdleConnections closes the connections that no request uses.
+func (c *Client) CloseIdleConnections() {
+	if t, ok := c.transport.(interface{ CloseIdleConnections() }); ok {
+		t.CloseIdleConnections()
+	}
+}
+
 // MaxHeaderBytes bounds the head of a response; those of endpoints have some 500 bytes. The default of net/http, 10 MB, is more
 // than a process can hold for each of its calls when an endpoint sends bytes without end.
 const MaxHeaderBytes = 32 << 10
