engineagent: the state of an engine does not change while it is sent

What gateways saw: now and then a state whose command had begun just now, though it had been under way for seconds, from which they estimate the rest of a load. The bytes could also have been no message, since the length was another before.

Cause: the comparison with the published state set that state's age of the command for a moment, under a lock that the streams' writers do not hold while they encode it.

The comparison now writes to the new state only, which nobody else has.

--- a/internal/engineagent/agent.go
+++ b/internal/engineagent/agent.go
@@ -148,14 +148,11 @@
 	if state == nil {
 		return
 	}
-	age := state.CommandAgeMs
-	state.CommandAgeMs = 0
 	gateways := a.core.Gateways(now)
 	slices.Sort(gateways)
 	running, queued := a.core.requestCounts()
 	loadChanged := abs(running-a.running)+abs(queued-a.queued) >= loadChangeThreshold
 	stateChanged := a.state == nil || !equalExceptAge(a.state, state) || !slices.Equal(gateways, a.gateways)
-	state.CommandAgeMs = age
 	if !stateChanged && !loadChanged {
 		return
 	}
@@ -167,12 +164,13 @@
 	a.changed = make(chan struct{})
 }
 
-func equalExceptAge(a, b *controlpb.EngineState) bool {
-	age := a.CommandAgeMs
-	a.CommandAgeMs = b.CommandAgeMs
-	equal := proto.Equal(a, b)
-	a.CommandAgeMs = age
-	return equal
+// equalExceptAge reports whether two states are equal but for the age of the command. It does not write to the published one, which the
+// streams' writers encode meanwhile.
+func equalExceptAge(published, next *controlpb.EngineState) bool {
+	age := next.CommandAgeMs
+	next.CommandAgeMs = published.CommandAgeMs
+	defer func() { next.CommandAgeMs = age }()
+	return proto.Equal(published, next)
 }
 
 func abs(n int) int { return max(n, -n) }
