engineagent: a late report is no restart and ends no command

What happens: an engine may send an earlier report once more where the next one is due. One with fewer orders counted as a restart, so that the command, the wanted adapters and the orders without an answer were dropped; one from before a load, not busy and without the model, dropped the command as failed while the engine loaded. The coordinator then loads the model elsewhere as well.

Cause: a report was taken for the engine's state at the time of its call. What the engine is known to have reached, by its last report and by the orders that it has accepted since, was not compared.

The fix: a report that counts fewer orders than that, of the same process as far as it says, is not used. The report is read again over a new connection, on which only that call can be answered; what it says holds, a restart too. An order that the engine answers as already fulfilled promises no count, so that is a result of its own. Reports that come late within the same count are up to one interval older, and the count in each order makes the engine refuse an order that is based on them.

--- a/internal/engineagent/agent.go
+++ b/internal/engineagent/agent.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"balsamsail/internal/control/controlpb"
@@ -15,10 +16,10 @@
 	"balsamsail/internal/wire/wirepb"
 )
 
-// Engine is a client of the engine's control API.
+// Engine is a client of the engine's control API. An engine may send an answer once more where the next one on the connection is due.
 type Engine interface {
-	// Report reads the engine's report.
-	Report(ctx context.Context) (*Report, error)
+	// Report reads the engine's report over a connection that is kept; it may be an earlier one. With newConnection it is not.
+	Report(ctx context.Context, newConnection bool) (*Report, error)
 	// Order sends an order. The error says why the result is Unknown or Rejected.
 	Order(ctx context.Context, o Order) (Result, error)
 }
@@ -76,7 +77,7 @@
 		a.mu.Unlock()
 		switch {
 		case action.Read:
-			a.readReport(ctx)
+			a.readReport(ctx, action.NewConnection)
 		case action.Order != nil:
 			a.sendOrder(ctx, *action.Order)
 		default:
@@ -95,10 +96,10 @@
 	}
 }
 
-func (a *Agent) readReport(ctx context.Context) {
+func (a *Agent) readReport(ctx context.Context, newConnection bool) {
 	ctx, cancel := context.WithTimeout(ctx, a.options.Timeout)
 	defer cancel()
-	report, err := a.engine.Report(ctx)
+	report, err := a.engine.Report(ctx, newConnection)
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -109,6 +110,10 @@
 	} else {
 		err = a.core.HandleReport(now, report)
 	}
+	if errors.Is(err, ErrUnproven) {
+		a.logger.Info("engine report is read again", "event", "report_unproven", "error", err)
+		return
+	}
 	if err != nil {
 		if !a.engineLost {
 			a.engineLost = true
--- a/internal/engineagent/core.go
+++ b/internal/engineagent/core.go
@@ -87,8 +87,10 @@
 
 // The results of an order.
 const (
-	// Accepted means that the engine has carried out the order, will do so, or is already in the requested state.
+	// Accepted means that the engine carries out the order and counts it in its sequence.
 	Accepted Result = iota
+	// Unchanged means that the engine is already in the requested state, or has reached it at once.
+	Unchanged
 	// Conflict means that another order is in progress or the sequence does not match.
 	Conflict
 	// WrongEndpoint means that a different incarnation is listening at the address.
@@ -100,7 +102,7 @@
 )
 
 func (r Result) String() string {
-	return [...]string{"accepted", "conflict", "wrong_endpoint", "rejected", "unknown"}[r]
+	return [...]string{"accepted", "unchanged", "conflict", "wrong_endpoint", "rejected", "unknown"}[r]
 }
 
 // Command requests a change of the loaded models: unload those in Unload, then load Load. The coordinator sends it to the
@@ -147,6 +149,11 @@
 	// lateOrders are the orders to earlier processes of the engine that may still be carried out by the current one, and
 	// unansweredOrders those to the current process whose outcome is unknown.
 	lateOrders, unansweredOrders []unansweredOrder
+	// leastSequence is the least sequence that the current process can report: the last one it reported, or one more than that of an
+	// order it has accepted since.
+	leastSequence int64
+	// unproven is set when a report was less than that, and proving while it is read over a new connection.
+	unproven, proving bool
 	// stale is set when an order has been sent since the report was read; no further order may be based on that report.
 	stale bool
 	// down is set while the engine does not respond.
@@ -232,17 +239,25 @@
 // that did.
 var ErrEarlierProcess = errors.New("engineagent: report of an earlier engine process")
 
-// HandleReport handles a report of the engine. It returns ErrEarlierProcess for one that is not used; it counts as a failed
-// read.
+// ErrUnproven means that a report is older than what is known of the engine, unless the engine has restarted. The engine may have sent
+// an earlier report once more; the report that is read next shows which it is.
+var ErrUnproven = errors.New("engineagent: report is older than what is known of the engine")
+
+// HandleReport handles a report of the engine. It returns ErrEarlierProcess for one that is not used and counts as a failed read, and
+// ErrUnproven for one that is not used and is read again.
 func (c *Core) HandleReport(now time.Time, r *Report) error {
 	if r.Started < c.started {
 		c.HandleReportFailure(now)
 		return errors.Wrapf(ErrEarlierProcess, "started %d, known %d", r.Started, c.started)
 	}
+	if c.report != nil && r.Started == c.started && r.Sequence < c.leastSequence && !c.proving {
+		c.callInFlight, c.unproven = false, true
+		return errors.Wrapf(ErrUnproven, "sequence %d, known %d", r.Sequence, c.leastSequence)
+	}
 	if c.report != nil && (c.started != 0 && r.Started > c.started || r.Sequence < c.report.Sequence) {
 		c.handleRestart(now)
 	}
-	c.started = r.Started
+	c.started, c.leastSequence = r.Started, r.Sequence
 	c.report, c.reportAt, c.stale, c.callInFlight, c.down = r, now, false, false, false
 	c.clearFinishedCommand(now)
 	return nil
@@ -291,7 +306,10 @@
 	c.callInFlight, c.stale = false, true
 	c.reportAt = time.Time{}
 	switch result {
-	case Accepted:
+	case Accepted, Unchanged:
+		if result == Accepted {
+			c.leastSequence = max(c.leastSequence, o.Sequence+1)
+		}
 		if o.Adapter == "" && o.Kind == Load {
 			c.loading = true
 		}
@@ -317,6 +335,8 @@
 	// Read requests a read of the engine's report, Order the sending of an order; at most one of them is set.
 	Read  bool
 	Order *Order
+	// NewConnection is set if the report has to be read over a new connection, on which no earlier report can come.
+	NewConnection bool
 	// At is when to call Next again, if no event occurs earlier.
 	At time.Time
 }
@@ -326,9 +346,9 @@
 	if c.callInFlight {
 		return Action{At: now.Add(c.reportInterval)}
 	}
-	if !c.down && (c.report == nil || c.stale) || now.Sub(c.reportAt) >= c.interval() {
-		c.callInFlight = true
-		return Action{Read: true}
+	if c.unproven || !c.down && (c.report == nil || c.stale) || now.Sub(c.reportAt) >= c.interval() {
+		c.callInFlight, c.proving, c.unproven = true, c.unproven, false
+		return Action{Read: true, NewConnection: c.proving}
 	}
 	if order := c.nextOrder(now); order != nil {
 		c.callInFlight = true
