app: a gateway counts as registered once the list has it

What would happen: a gateway that took the answer of another call for that to its registration stayed out of the list of gateways for as long as it ran, so that it was nobody's hub and the others did not count it.

Cause: the status of the answer alone was believed, though the list is read right afterwards. The store promises linearizable answers, so a list without the gateway shows that the registration was not written.

The gateway now tries again, with the pauses of a failed registration. TestRegistrationCountsOnceItIsListed failed before:

rows [], error <nil> after 1 writes, want one row

--- a/internal/app/directory.go
+++ b/internal/app/directory.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"balsamsail/internal/clock"
 	"balsamsail/internal/hubs"
 	"balsamsail/internal/watch"
@@ -19,6 +21,9 @@
 	registerBackoff = time.Second
 )
 
+// errNotListed means that the list of gateways does not have this one after its registration.
+var errNotListed = errors.New("the list of gateways does not have this one")
+
 // directory is the list of gateways in the store, and this gateway's entry in it.
 type directory struct {
 	self    hubs.Gateway
@@ -64,7 +69,9 @@
 	}
 	d.logger.Info("gateway registered", "event", "registered", "address", d.self.Address, "processor", d.self.Processor)
 	clock.Pause(ctx, settleDelay)
-	_, err = d.read(ctx, store, false)
+	if registered, err = d.read(ctx, store, false); err == nil && !registered {
+		err = errNotListed
+	}
 	return err
 }
 
--- a/internal/app/directory_test.go
+++ b/internal/app/directory_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,3 +74,26 @@
 		t.Fatal("the registration goes on after the end")
 	}
 }
+
+// Guards against a gateway that stays out of the list because it took another call's answer for that to its registration.
+func TestRegistrationCountsOnceItIsListed(t *testing.T) {
+	standIn := standin.NewStore()
+	var writes atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost && writes.Add(1) == 1 {
+			return
+		}
+		standIn.ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	store := platform.NewStore(server.Listener.Addr().String())
+	_, done := startDirectory(t, t.Context(), "a", store)
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the registration does not end")
+	}
+	if rows, _, err := store.List(t.Context(), platform.GatewayTable); err != nil || len(rows) != 1 {
+		t.Errorf("rows %v, error %v after %d writes, want one row", rows, err, writes.Load())
+	}
+}
