endpoint: an order or a read of an engine's state is not answered by a copy of an earlier answer

What would happen: on the product's own administration interface, a late copy of an earlier answer ended an order as carried out or refused, and a copy of a load report or of events counted as an engine that holds no models, whose memory is then given away.

Cause: all calls shared kept connections, and an answer names no call.

Each call now has a new connection; the engine is on the agent's own host.

--- a/internal/endpoint/engine.go
+++ b/internal/endpoint/engine.go
@@ -36,7 +36,8 @@
 	Events(ctx context.Context, after uint64) (CacheEvents, error)
 }
 
-// HTTPEngine is a client of an engine's HTTP administration interface. It implements Engine and EventSource.
+// HTTPEngine is a client of an engine's HTTP administration interface. It implements Engine and EventSource. Each call has a new
+// connection: nothing in an answer names its call, and a server may send an answer to an earlier call on the connection once more.
 type HTTPEngine struct {
 	base        string
 	credentials string
@@ -53,7 +54,9 @@
 	if timeouts.Read <= 0 {
 		timeouts.Read = defaultReadTimeout
 	}
-	return &HTTPEngine{base: baseURL, credentials: credentials, timeouts: timeouts, client: sendonce.New(nil)}
+	transport := sendonce.NewTransport()
+	transport.DisableKeepAlives = true
+	return &HTTPEngine{base: baseURL, credentials: credentials, timeouts: timeouts, client: sendonce.New(transport)}
 }
 
 // Do implements Engine. Only an answer with an error code is a definite refusal: a status without one may come from a
