endpoint: a request that is sent again is not answered by a copy of its refusal

What would happen: an endpoint of the product's own interface sends a refusal once more, where the next answer on the connection is due. Beside an endpoint that echoes identifiers the copy was found out, unless it was of the same request: the agent sends one again that an engine has refused, under the same identifier, and took the copy for the answer to the second sending. Beside an endpoint that does not echo them, any copy was believed. The entry sends the request to another replica while this one runs it.

Cause: the identifier tells requests apart, not two sendings of one, and without it nothing does.

A request whose last answer was a failure status gets a new connection when it is sent again; so does one without an identifier, and each call to an endpoint that does not echo them. The identifiers of the last 4,096 such requests are kept.

TestCallIsNotAnsweredByAnEarlierRefusal failed before in all 6 cases, e.g. echoes_true/503: status 503, want 200.

--- a/internal/endpoint/caller.go
+++ b/internal/endpoint/caller.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,7 +15,8 @@
 // CallerOptions are the settings of a Caller. Zero values select the defaults given in parentheses.
 type CallerOptions struct {
 	// EchoesRequestID means that the endpoint returns each request's HeaderRequestID. An answer with a different or no
-	// identifier is then rejected with ErrWrongAnswer.
+	// identifier is then rejected with ErrWrongAnswer. Without it, nothing shows which call an answer belongs to, and each
+	// call makes a new connection.
 	EchoesRequestID bool
 	// DialTimeout bounds connection setup (2 seconds).
 	DialTimeout time.Duration
@@ -30,6 +32,9 @@
 	base            *url.URL
 	echoesRequestID bool
 	client          *sendonce.Client
+	// single uses a new connection for each call, and refused holds the identifiers of requests that have to be sent so.
+	single  *sendonce.Client
+	refused recentIDs
 }
 
 // NewHTTPCaller returns a caller of the endpoint at a base URL. Redirects are returned like any other answer. It fails
@@ -49,13 +54,16 @@
 	if o.IdleTimeout > 0 {
 		transport.IdleConnTimeout = o.IdleTimeout
 	}
-	transport.DisableKeepAlives = o.FreshConnections
-	return &httpCaller{base: base, echoesRequestID: o.EchoesRequestID, client: sendonce.New(transport)}, nil
+	transport.DisableKeepAlives = o.FreshConnections || !o.EchoesRequestID
+	single := transport.Clone()
+	single.DisableKeepAlives = true
+	return &httpCaller{base: base, echoesRequestID: o.EchoesRequestID, client: sendonce.New(transport), single: sendonce.New(single)}, nil
 }
 
 // Call implements Caller. It also returns ErrUnreachable if a reused connection broke before a byte was sent. An answer
 // with another request's identifier is discarded together with its connection, so that it cannot reach the wrong
-// caller.
+// caller. A request that is sent again after a failure status has a new connection, since a late copy of that answer would
+// carry its identifier.
 func (c *httpCaller) Call(req *http.Request) (*http.Response, error) {
 	target := *req.URL
 	target.Scheme = c.base.Scheme
@@ -63,14 +71,53 @@
 	out := req.WithContext(req.Context())
 	out.URL = &target
 	out.RequestURI = ""
-	result, err := c.client.Do(out)
+	id := req.Header.Get(HeaderRequestID)
+	client := c.client
+	if id == "" || c.refused.contains(id) {
+		client = c.single
+	}
+	result, err := client.Do(out)
 	if err != nil {
 		return nil, callError(result, err)
 	}
-	id := req.Header.Get(HeaderRequestID)
 	if got := result.Response.Header.Get(HeaderRequestID); c.echoesRequestID && id != "" && got != id {
 		result.Discard()
 		return nil, wrapKind(ErrWrongAnswer, errors.Errorf("request %q was answered as %q", id, got))
 	}
+	if result.Response.StatusCode >= http.StatusBadRequest {
+		c.refused.add(id)
+	}
 	return result.Response, nil
 }
+
+// maxRecentIDs is the number of identifiers that are kept. It is far more than the requests that an endpoint refuses while one
+// of them may be sent again.
+const maxRecentIDs = 4096
+
+// recentIDs holds the identifiers that were added last. It may be used concurrently.
+type recentIDs struct {
+	mu   sync.Mutex
+	set  map[string]bool
+	ring [maxRecentIDs]string
+	next int
+}
+
+func (r *recentIDs) add(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.set[id] {
+		return
+	}
+	if r.set == nil {
+		r.set = make(map[string]bool)
+	}
+	delete(r.set, r.ring[r.next])
+	r.ring[r.next], r.set[id] = id, true
+	r.next = (r.next + 1) % maxRecentIDs
+}
+
+func (r *recentIDs) contains(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.set[id]
+}
--- a/internal/endpoint/repeated_test.go
+++ b/internal/endpoint/repeated_test.go
@@ -1,6 +1,8 @@
 package endpoint_test
 
 import (
+	"fmt"
+	"io"
 	"net/http"
 	"testing"
 
@@ -47,3 +49,37 @@
 	t.Helper()
 	return endpoint.NewHTTPEngine("http://"+repeattest.Start(t, answers...), "", endpoint.Timeouts{})
 }
+
+// Guards against a call that takes a late copy of an earlier refusal for its own answer and is sent to another replica while it runs.
+func TestCallIsNotAnsweredByAnEarlierRefusal(t *testing.T) {
+	for _, echoes := range []bool{false, true} {
+		for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusNotFound} {
+			t.Run(fmt.Sprintf("echoes %v/%d", echoes, status), func(t *testing.T) {
+				const id = endpoint.HeaderRequestID + ": r\r\n"
+				address := repeattest.Start(t, repeattest.Answer(status, id, "{}"), repeattest.Answer(http.StatusOK, id, "{}"))
+				caller, err := endpoint.NewHTTPCaller("http://"+address, endpoint.CallerOptions{EchoesRequestID: echoes})
+				if err != nil {
+					t.Fatal(err)
+				}
+				for _, want := range []int{status, http.StatusOK} {
+					request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "/x", http.NoBody)
+					if err != nil {
+						t.Fatal(err)
+					}
+					request.Header.Set(endpoint.HeaderRequestID, "r")
+					response, err := caller.Call(request)
+					if err != nil {
+						t.Fatal(err)
+					}
+					if _, err := io.Copy(io.Discard, response.Body); err != nil {
+						t.Error(err)
+					}
+					response.Body.Close()
+					if response.StatusCode != want {
+						t.Errorf("status %d, want %d", response.StatusCode, want)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -52,7 +52,7 @@
 	Labels           inifile.Labels `ini:"labels" optional:"true" doc:"Labels of the endpoint; declared ones go first."`
 	CredentialsFile  string         `ini:"credentials_file" optional:"true" doc:"File with the credentials that orders carry; none where left out."`
 	ChecksFencing    bool           `ini:"checks_fencing" default:"false" doc:"Whether the engine refuses an order with an old fencing number."`
-	EchoesRequestID  bool           `ini:"echo_request_id" default:"true" doc:"Whether the endpoint sends each request's identifier back; an answer without it is then refused."`
+	EchoesRequestID  bool           `ini:"echo_request_id" default:"true" doc:"Whether the endpoint sends each request's identifier back; an answer without it is then refused. Where it does not, each call makes a new connection."`
 	Memory           inifile.Bytes  `ini:"memory" optional:"true" min:"1B" max:"1024TiB" doc:"Accelerator memory that may be handed out; what the engine itself reports where left out."`
 	MaxConcurrency   int            `ini:"max_concurrency" default:"64" min:"1" max:"100000" doc:"Requests that run at once where nothing else is declared."`
 	DialTimeout      time.Duration  `ini:"dial_timeout" default:"2s" min:"10ms" max:"1m" doc:"Bound of the making of a connection."`
