engineagent: an earlier stream of a gateway does not replace the later one

What would happen: a gateway connects again while its agent's host is frozen or before the end of the old stream is noticed. Late messages of the old stream then replace the adapters that the gateway says are in use and bring back a command that it has given up, and the late end of the old stream removes the gateway: an adapter that requests use may be unloaded, and other gateways no longer count this one until its next message.

Cause: what a gateway says was kept by its name alone, whichever stream it came on.

The agent numbers the streams that it accepts, ignores messages of an earlier one than the gateway's last message, and removes a gateway only at the end of the stream that it spoke on last. The test failed before:

TestEarlierStreamDoesNotReplaceTheLaterOne: adapter "1" in use and command &{1 i1 0 [a] } after a late message, want 2 and none adapter "" in use, gateways [] after the late end of the earlier stream, want 2 and one

--- a/internal/engineagent/agent.go
+++ b/internal/engineagent/agent.go
@@ -54,6 +54,8 @@
 	changed    chan struct{}
 	wakeup     chan struct{}
 	engineLost bool
+	// streams is the number of gateways' streams so far.
+	streams uint64
 }
 
 // New returns the agent of an engine.
@@ -188,20 +190,24 @@
 func (a *Agent) serveStream(ctx context.Context, header *wirepb.StreamHeader, stream *wire.Stream) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	a.mu.Lock()
+	a.streams++
+	number := a.streams
+	a.mu.Unlock()
 	a.logger.Info("gateway connected", "event", "link_made", "peer", header.Entry)
 	var writer sync.WaitGroup
 	writer.Go(func() { a.write(ctx, stream) })
-	err := a.receive(header.Entry, stream)
+	err := a.receive(header.Entry, number, stream)
 	a.logger.Info("gateway disconnected", "event", "link_lost", "peer", header.Entry, "error", err)
 	cancel()
 	_ = stream.Close()
 	writer.Wait()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.core.RemoveGateway(header.Entry)
+	a.core.RemoveGateway(header.Entry, number)
 }
 
-func (a *Agent) receive(name string, stream *wire.Stream) error {
+func (a *Agent) receive(name string, number uint64, stream *wire.Stream) error {
 	for {
 		if err := stream.SetReadDeadline(time.Now().Add(a.options.SilenceLimit)); err != nil {
 			return err
@@ -210,8 +216,10 @@
 		if err := stream.Read(message); err != nil {
 			return err
 		}
+		decoded := decode(message)
+		decoded.Stream = number
 		a.mu.Lock()
-		a.core.HandleGatewayMessage(time.Now(), name, decode(message))
+		a.core.HandleGatewayMessage(time.Now(), name, decoded)
 		a.mu.Unlock()
 		select {
 		case a.wakeup <- struct{}{}:
--- a/internal/engineagent/core.go
+++ b/internal/engineagent/core.go
@@ -118,6 +118,8 @@
 
 // GatewayMessage is a message from a gateway.
 type GatewayMessage struct {
+	// Stream numbers the gateway's stream; a later one has a greater number.
+	Stream           uint64
 	EndpointID       string
 	EndpointRevision int64
 	Class            *EngineClass
@@ -127,6 +129,7 @@
 
 // gateway is the state of a connected gateway, from its last message.
 type gateway struct {
+	stream        uint64
 	lastMessageAt time.Time
 	used          []Adapter
 }
@@ -181,14 +184,17 @@
 	}
 }
 
-// HandleGatewayMessage handles a message from the named gateway.
+// HandleGatewayMessage handles a message from the named gateway. It ignores one of an earlier stream than the gateway's last message.
 func (c *Core) HandleGatewayMessage(now time.Time, name string, m GatewayMessage) {
 	g := c.gateways[name]
 	if g == nil {
 		g = &gateway{}
 		c.gateways[name] = g
 	}
-	g.lastMessageAt, g.used = now, m.Used
+	if m.Stream < g.stream {
+		return
+	}
+	g.stream, g.lastMessageAt, g.used = m.Stream, now, m.Used
 	for _, a := range m.Used {
 		c.lastUsed[a] = now
 	}
@@ -221,8 +227,12 @@
 	c.command, c.commandStartedAt, c.loading, c.lastCommandID = command, now, false, command.ID
 }
 
-// RemoveGateway removes a gateway whose link was closed.
-func (c *Core) RemoveGateway(name string) { delete(c.gateways, name) }
+// RemoveGateway removes a gateway whose stream has ended, unless it has spoken on a later one.
+func (c *Core) RemoveGateway(name string, stream uint64) {
+	if g := c.gateways[name]; g != nil && g.stream == stream {
+		delete(c.gateways, name)
+	}
+}
 
 // Gateways returns the names of the connected gateways.
 func (c *Core) Gateways(now time.Time) []string {
--- a/internal/engineagent/stale_test.go
+++ b/internal/engineagent/stale_test.go
@@ -106,3 +106,31 @@
 		}
 	}
 }
+
+// Guards against an earlier stream of a gateway whose late messages, or whose late end, replace what the gateway says on a later one.
+func TestEarlierStreamDoesNotReplaceTheLaterOne(t *testing.T) {
+	c := NewCore(100 * time.Millisecond)
+	say := func(stream uint64, adapter string, command *Command) {
+		sendGatewayMessage(c, start, GatewayMessage{Stream: stream, Used: []Adapter{{"a", adapter}}, Command: command})
+	}
+	uses := func() string {
+		if g := c.gateways["gateway"]; g != nil {
+			return g.used[0].Name
+		}
+		return ""
+	}
+	say(1, "1", nil)
+	say(2, "2", nil)
+	say(1, "1", &Command{ID: 1, EndpointID: "i1", Unload: []string{"a"}})
+	if uses() != "2" || c.command != nil {
+		t.Errorf("adapter %q in use and command %v after a late message, want 2 and none", uses(), c.command)
+	}
+	c.RemoveGateway("gateway", 1)
+	if uses() != "2" || len(c.Gateways(start)) != 1 {
+		t.Errorf("adapter %q in use, gateways %v after the late end of the earlier stream, want 2 and one", uses(), c.Gateways(start))
+	}
+	c.RemoveGateway("gateway", 2)
+	if len(c.Gateways(start)) != 0 {
+		t.Error("the gateway stays after the end of its last stream")
+	}
+}
