gateway: abort the connection of a client that has left instead of completing its answer

Cause: giveUp returned once the request's context had ended, before it looked at whether a response had begun; refuse wrote nothing then; forwardStream returned when an event could not be written. When a handler returns, net/http completes what was written, with a 200 if that is nothing.

Now every path of the handler writes an answer or aborts the connection: giveUp and forwardStream abort it, refuse always writes its status.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -124,30 +124,31 @@
 	return deadline != 0 && now.UnixNano() >= deadline
 }
 
-// ServeHTTP implements http.Handler.
+// ServeHTTP implements http.Handler. It writes an answer or aborts the connection: when a handler returns, net/http completes
+// whatever was written, and sends a 200 if that is nothing.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	arrived := time.Now()
 	config := g.fleet.Config()
 	if config == nil {
-		g.refuse(w, r, refusal{status: http.StatusServiceUnavailable, reason: reasonNoConfig, retryAfter: retryAfterNoConfig})
+		g.refuse(w, refusal{status: http.StatusServiceUnavailable, reason: reasonNoConfig, retryAfter: retryAfterNoConfig})
 		return
 	}
 	call, err := g.codec.ReadCall(r)
 	if err != nil {
-		g.refuse(w, r, refusal{status: http.StatusBadRequest, reason: reasonBadHeader, detail: err.Error()})
+		g.refuse(w, refusal{status: http.StatusBadRequest, reason: reasonBadHeader, detail: err.Error()})
 		return
 	}
 	route, ok := config.Match(r.Host, r.URL.Path)
 	if !ok {
-		g.refuse(w, r, refusal{status: http.StatusNotFound, reason: reasonNoRoute, id: call.ID, version: config.Version})
+		g.refuse(w, refusal{status: http.StatusNotFound, reason: reasonNoRoute, id: call.ID, version: config.Version})
 		return
 	}
 	body, refused := g.readBody(w, r, config.Limits, arrived, call.Timeout)
 	if refused != nil {
 		refused.id = call.ID
-		g.refuse(w, r, *refused)
+		g.refuse(w, *refused)
 		return
 	}
 	g.serve(w, r, g.newRequest(r, call, route, config, body, arrived))
@@ -385,17 +386,15 @@
 	closeConn bool
 }
 
-func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, f refusal) {
-	if r.Context().Err() == nil || f.closeConn {
-		if f.retryAfter > 0 {
-			g.codec.SetRetryAfter(w.Header(), f.retryAfter)
-		}
-		if f.closeConn {
-			w.Header().Set("Connection", "close")
-		}
-		w.Header().Set("Content-Length", "0")
-		w.WriteHeader(f.status)
+func (g *Gateway) refuse(w http.ResponseWriter, f refusal) {
+	if f.retryAfter > 0 {
+		g.codec.SetRetryAfter(w.Header(), f.retryAfter)
 	}
+	if f.closeConn {
+		w.Header().Set("Connection", "close")
+	}
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(f.status)
 	g.metrics.countRefusal(f)
 	g.requestLog.write(time.Now(), true, "request refused", "event", "refused", "request", f.id, "status", f.status, "reason", string(f.reason),
 		"detail", f.detail, "retry_after", f.retryAfter, "config", f.version)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -33,7 +33,7 @@
 type verdict int
 
 const (
-	// done: the client has its response or has disconnected.
+	// done: the client has its response.
 	done verdict = iota
 	// retry: the request may be sent to another endpoint.
 	retry
@@ -161,7 +161,8 @@
 func (g *Gateway) giveUp(out *response, r *http.Request, q *request) {
 	if r.Context().Err() != nil {
 		g.logEnd(q, "client_gone", 0)
-		return
+		// A client that has closed only its side of the connection still reads.
+		panic(http.ErrAbortHandler)
 	}
 	if out.started {
 		g.logEnd(q, "cut", 0)
@@ -182,7 +183,7 @@
 	default:
 		f.status, f.reason, f.retryAfter = http.StatusServiceUnavailable, reasonNoEndpoint, randomRetryAfter()
 	}
-	g.refuse(out.writer, r, f)
+	g.refuse(out.writer, f)
 	g.logEnd(q, "refused", f.status)
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -81,7 +81,7 @@
 			if err := out.writeEvents(result.Response, data); err != nil {
 				result.Discard()
 				g.logEnd(q, "client_gone", 0)
-				return done
+				panic(http.ErrAbortHandler)
 			}
 			if lastID != "" {
 				out.lastEventID = lastID
