operator: abort a response that cannot be encoded instead of ending it empty

What callers saw: a declaration that is no JSON gave "200 OK" with an empty body; the status and the head were written before the body was encoded.

writeJSON encodes first and aborts the connection on an error: for an edit any status would state an outcome. Responses carry their length, so that one that cannot be written whole is not completed by net/http.

Before: incomplete_test.go:23: got unexpected end of JSON input: operator: invalid response, want a broken connection. After: ./internal/operator passes.

--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -78,8 +79,9 @@
 	query := r.URL.Query()
 	objects, err := h.backend.Objects(r.Context(), ObjectQuery{Kind: query.Get(paramKind), Name: query.Get(paramName)})
 	if err == nil && query.Get(paramFormat) == formatINI {
-		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-		_ = WriteINI(w, objects) // An error means that the client disconnected.
+		var text bytes.Buffer
+		_ = WriteINI(&text, objects) // Writes to a buffer never fail.
+		writeBody(w, http.StatusOK, "text/plain; charset=utf-8", text.Bytes())
 		return
 	}
 	writeResponse(w, objects, err)
@@ -130,9 +132,21 @@
 	writeJSON(w, http.StatusOK, answer)
 }
 
+// writeJSON writes a response whole. If it cannot be encoded, it aborts the connection: the status of an edit's response says
+// whether the edit was applied.
 func writeJSON(w http.ResponseWriter, status int, answer any) {
-	w.Header().Set("Content-Type", "application/json")
+	data, err := json.Marshal(answer)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Cache-Control", "no-store")
+	writeBody(w, status, "application/json", append(data, '\n'))
+}
+
+// writeBody writes a response with its length, so that net/http does not complete it if the body cannot be written.
+func writeBody(w http.ResponseWriter, status int, contentType string, body []byte) {
+	w.Header().Set("Content-Type", contentType)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(answer) // An error means that the client disconnected.
+	_, _ = w.Write(body) // An error means that the client disconnected.
 }
