timeline: abort a response of which lines could not be written

The handler returned after a failed write, and net/http completes a response whose handler returns. A reader would take the lines for all and move its cursor past the missing ones. On the connections of net/http a write error is sticky, so no caller was seen to get such a response.

Before: incomplete_test.go:35: 0 lines: the handler ended with <nil>, not by aborting the connection. After: ./internal/timeline passes.

--- a/internal/timeline/http.go
+++ b/internal/timeline/http.go
@@ -54,22 +54,26 @@
 	head, events := h.recorder.Read(start, after)
 	w.Header().Set("Content-Type", ContentType)
 	w.Header().Set("Cache-Control", "no-store")
-	writeBatch(json.NewEncoder(w), head, events, parseFilter(query))
+	if err := writeBatch(json.NewEncoder(w), head, events, parseFilter(query)); err != nil {
+		// Lines are missing, and net/http would complete the response.
+		panic(http.ErrAbortHandler)
+	}
 }
 
-// writeBatch writes the lines of one response. It stops at the first error, which means that the client disconnected.
-func writeBatch(encoder *json.Encoder, head Head, events []Event, filter Filter) {
-	if encoder.Encode(head) != nil {
-		return
+// writeBatch writes the lines of one response. It stops at the first error.
+func writeBatch(encoder *json.Encoder, head Head, events []Event, filter Filter) error {
+	if err := encoder.Encode(head); err != nil {
+		return err
 	}
 	for i := range events {
 		if !filter.Match(&events[i]) {
 			continue
 		}
-		if encoder.Encode(&events[i]) != nil {
-			return
+		if err := encoder.Encode(&events[i]); err != nil {
+			return err
 		}
 	}
+	return nil
 }
 
 func optionalUint(s string) (uint64, error) {
