endpoint, entry: a JSON answer that is cut after its document is no success

What callers saw: the reads of an engine's state, load and events, and an entry's query of another entry, took an answer for whole whose chunks broke off, or whose connection was reset, right after the last brace; a refusal of an order that was cut there counted as definite. A json.Decoder stops at the end of the value and never sees how the body ends.

The body is read to its end and then decoded.

Before: TestAnswersThatAreCut and TestPeerAnswersThatAreCut report 250 cuts, for example: an answer that ends after "...7\r\n{\"revis\r\n8\r\nion\":17}" is a success. TestRefusalThatIsCut: got endpoint: order fenced off: status 409, want an unknown outcome. After: these tests pass in both packages.

--- a/internal/endpoint/engine.go
+++ b/internal/endpoint/engine.go
@@ -125,17 +125,28 @@
 	if result.Response.StatusCode != http.StatusOK {
 		return wrapKind(ErrUnavailable, errors.Errorf("status %d", result.Response.StatusCode))
 	}
-	if err := json.NewDecoder(io.LimitReader(result.Response.Body, maxAnswerBytes)).Decode(into); err != nil {
+	if err := decodeWhole(result.Response, into); err != nil {
 		return wrapKind(ErrUnavailable, err)
 	}
 	return nil
 }
 
+// decodeWhole decodes the JSON document of a response. It reads to the end, because only there does a cut show.
+func decodeWhole(resp *http.Response, into any) error {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(body, into)
+}
+
 // refusalError returns the error for an order that was not answered with success.
 func refusalError(resp *http.Response) error {
 	var document ErrorDocument
-	// An answer that is not an error document has no code and leaves the outcome unknown.
-	_ = json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(&document)
+	if err := decodeWhole(resp, &document); err != nil {
+		// An answer that is not a whole error document has no code and leaves the outcome unknown.
+		document = ErrorDocument{}
+	}
 	cause := errors.Errorf("status %d %s", resp.StatusCode, document.Error.Message)
 	// Credentials are checked before an order is processed, often by a proxy that does not use the error codes.
 	if resp.StatusCode == http.StatusUnauthorized || resp.StatusCode == http.StatusForbidden {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -101,7 +101,11 @@
 	if response.StatusCode != http.StatusOK {
 		return answer, errors.Wrap(errPeer, response.Status)
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxPeerResponse)).Decode(&answer); err != nil {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxPeerResponse))
+	if err != nil {
+		return answer, errors.Wrap(errPeer, err.Error())
+	}
+	if err := json.Unmarshal(body, &answer); err != nil {
 		return answer, errors.Wrap(errPeer, err.Error())
 	}
 	return answer, nil
