--- a/internal/app/site_test.go
+++ b/internal/app/site_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"log/slog"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -12,8 +14,95 @@
 	"balsamsail/internal/control"
 	"balsamsail/internal/fleet"
 	"balsamsail/internal/watch"
+	"balsamsail/platform/standin"
 )
 
+// siteRig is a gateway's view of a site with two endpoints, a and b, which writes the rows of the store itself.
+type siteRig struct {
+	t        *testing.T
+	fleet    *fleet.Fleet
+	sync     *siteSync
+	sink     endpointSink
+	log      *bytes.Buffer
+	revision int64
+}
+
+// startSiteRig starts a rig. The function that it returns stops it; the log is complete then.
+func startSiteRig(t *testing.T) (r *siteRig, stop func()) {
+	log := &bytes.Buffer{}
+	logger := slog.New(slog.NewJSONHandler(log, nil))
+	f := fleet.New("z", 1)
+	f.SetConfig(catalog.NewConfig(1, catalog.ClientLimits{}, nil, nil))
+	s := newSiteSync(f, control.NewAgents(control.Options{}, 1, f, logger), logger)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); s.run(ctx) }()
+	r = &siteRig{t: t, fleet: f, sync: s, sink: endpointSink{s}, log: log}
+	r.sink.Replace([]watch.Row{r.registration("a"), r.registration("b")})
+	return r, func() { cancel(); <-done }
+}
+
+func (r *siteRig) row(key string, value []byte) watch.Row {
+	r.revision++
+	return watch.Row{Key: key, Value: value, Revision: r.revision}
+}
+
+// registration returns the row of an endpoint; both are of the same process and address each time.
+func (r *siteRig) registration(key string) watch.Row {
+	return r.row(key, fmt.Appendf(nil, `{"service":"s","address":"10.0.0.%d:80","zone":"z","slots":4,"state":"ready","born":1764800000000}`, key[0]-'a'+1))
+}
+
+// serving returns the addresses of the endpoints that requests get.
+func (r *siteRig) serving() string {
+	// An update is applied once the next one is accepted.
+	r.sync.updates <- func() {}
+	request := &fleet.Request{Target: fleet.Target{Service: "s"}}
+	var got []string
+	for range 10 {
+		// A request in flight keeps the next one from the same endpoint.
+		if e, _, ok := r.fleet.Choose(time.Now(), request); ok {
+			defer r.fleet.Done(e, request)
+			got = append(got, e.Address)
+		}
+	}
+	slices.Sort(got)
+	return strings.Join(slices.Compact(got), " ")
+}
+
+// Guards against an odd row that stops the following of the table, takes other endpoints along, or keeps the endpoint whose row it
+// overwrote out of use when that registers again.
+func TestEachForeignRowLeavesTheOthers(t *testing.T) {
+	for _, foreign := range standin.ForeignRegistrations("s", "10.0.0.9:80") {
+		r, stop := startSiteRig(t)
+		r.sink.Apply([]watch.Row{r.row("a", foreign.Value), r.row("new", foreign.Value)})
+		if got := r.serving(); got != "10.0.0.2:80" {
+			t.Errorf("%s: requests go to %q, want b", foreign.Name, got)
+		}
+		r.sink.Apply([]watch.Row{r.registration("a")})
+		if got := r.serving(); got != "10.0.0.1:80 10.0.0.2:80" {
+			t.Errorf("%s: requests go to %q after the registration returned, want a and b", foreign.Name, got)
+		}
+		r.sink.Replace([]watch.Row{r.row("a", foreign.Value), r.registration("b")})
+		r.sink.Replace([]watch.Row{r.registration("a"), r.registration("b"), r.row("new", foreign.Value)})
+		if got := r.serving(); got != "10.0.0.1:80 10.0.0.2:80" {
+			t.Errorf("%s: requests go to %q after the table was read again, want a and b", foreign.Name, got)
+		}
+		stop()
+		lines := 0
+		for line := range strings.Lines(r.log.String()) {
+			if strings.Contains(line, `"event":"bad_endpoint"`) {
+				lines++
+			}
+			if len(line) > 700 {
+				t.Errorf("%s: a line of %d bytes", foreign.Name, len(line))
+			}
+		}
+		if lines == 0 || lines > 3 {
+			t.Errorf("%s: %d lines on bad rows", foreign.Name, lines)
+		}
+	}
+}
+
 // Another writer puts rows into the table of registrations and overwrites one again and again. The other endpoints stay,
 // the overwritten one returns with its next registration, and each bad row is logged once.
 func TestForeignRowsAreSkipped(t *testing.T) {
