control: times in messages of other builds are bounded

Ages and times in messages and stored rows were multiplied by a million without a check. A negative one, as from a build with another clock, lay in the future; one of more than 292 years wrapped around. A copy of a table that is confirmed in the future counts as recent for ever, so that the gateway no longer reads the store when its hub falls silent; an end in the future counts against a part for as long, and a stored one was read that way too.

A stored row with a negative age is refused, as before, and so is one written before 1970.

--- a/internal/control/blamedrow.go
+++ b/internal/control/blamedrow.go
@@ -33,11 +33,14 @@
 	if err := proto.Unmarshal(value, row); err != nil {
 		return nil, errors.Wrapf(ErrBlamedRow, "%q: %v", key, err)
 	}
-	written := time.Duration(max(0, now.UnixMilli()-row.WrittenUnixMs)) * time.Millisecond
+	if row.WrittenUnixMs < 0 {
+		return nil, errors.Wrapf(ErrBlamedRow, "%q: written at %d", key, row.WrittenUnixMs)
+	}
+	written := milliseconds(now.UnixMilli() - row.WrittenUnixMs)
 	var ends []crashes.TimedEnd
 	for _, e := range row.Ends {
 		end, age := decodePartEnd(e)
-		if BlamedKey(end.Part) != key || age < 0 {
+		if BlamedKey(end.Part) != key || e.AgeMs < 0 {
 			return nil, errors.Wrapf(ErrBlamedRow, "%q: an end of another part, or in the future", key)
 		}
 		ends = append(ends, crashes.TimedEnd{PartEnd: end, At: now.Add(-age - written)})
--- a/internal/control/convert.go
+++ b/internal/control/convert.go
@@ -12,6 +12,14 @@
 	"balsamsail/internal/watch"
 )
 
+// maxMilliseconds bounds times in messages, in milliseconds; sums and small multiples of a year do not overflow a duration.
+const maxMilliseconds = 365 * 24 * 60 * 60 * 1000
+
+// milliseconds converts an age or another time in a message of another build, which is at least zero and at most a year.
+func milliseconds(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), maxMilliseconds)) * time.Millisecond
+}
+
 func decodeState(s *controlpb.EngineState) *fleet.EngineState {
 	if s == nil {
 		return nil
@@ -26,7 +34,7 @@
 		InMemory:   nameset.Of(s.InMemory),
 		OnDisk:     nameset.Of(s.OnDisk),
 		Command:    s.Command,
-		CommandAge: time.Duration(s.CommandAgeMs) * time.Millisecond,
+		CommandAge: milliseconds(s.CommandAgeMs),
 		Started:    s.StartedMs,
 	}
 	for _, r := range s.Replicas {
@@ -88,7 +96,7 @@
 func decodeTable(now time.Time, c *controlpb.TableChange) watch.Change {
 	change := watch.Change{
 		Table: c.Table, Replace: c.Replace, Base: c.Base, Revision: c.Revision,
-		ConfirmedAt: now.Add(-time.Duration(c.ConfirmedAgeMs) * time.Millisecond), Unavailable: c.Unavailable,
+		ConfirmedAt: now.Add(-milliseconds(c.ConfirmedAgeMs)), Unavailable: c.Unavailable,
 	}
 	for _, r := range c.Rows {
 		change.Rows = append(change.Rows, watch.Row{Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted})
@@ -112,8 +120,8 @@
 	for _, d := range message.GetModels() {
 		m.Models = append(m.Models, demand.Model{
 			Target:  demand.Target{Service: d.Service, Model: d.Model, Version: d.Version},
-			Waiting: int(d.Waiting), OldestWait: time.Duration(d.OldestWaitMs) * time.Millisecond,
-			Running: int(d.Running), Arrived: d.Arrived, FirstEventTarget: time.Duration(d.TargetMs) * time.Millisecond,
+			Waiting: int(d.Waiting), OldestWait: milliseconds(d.OldestWaitMs),
+			Running: int(d.Running), Arrived: d.Arrived, FirstEventTarget: milliseconds(d.TargetMs),
 		})
 	}
 	return m
@@ -135,7 +143,7 @@
 		decoded = append(decoded, fleet.ObservedLimit{
 			EndpointID: l.EndpointId,
 			RateLimit:  fleet.RateLimit{Named: l.Named, PerSecond: l.PerSecond},
-			ObservedAt: now.Add(-time.Duration(l.AgeMs) * time.Millisecond),
+			ObservedAt: now.Add(-milliseconds(l.AgeMs)),
 		})
 	}
 	return decoded
--- a/internal/control/facts.go
+++ b/internal/control/facts.go
@@ -116,7 +116,7 @@
 func decodePartEnd(e *controlpb.PartEnded) (end crashes.PartEnd, age time.Duration) {
 	process := crashes.Process{EndpointID: e.EndpointId, Started: e.EndpointStarted}
 	end = crashes.PartEnd{Part: crashes.Part(e.Part), Process: process, Content: crashes.Content(e.Content), Attempt: e.Attempt}
-	return end, time.Duration(e.AgeMs) * time.Millisecond
+	return end, milliseconds(e.AgeMs)
 }
 
 // end returns the cursor of a peer that needs none of the facts that are known.
@@ -130,7 +130,7 @@
 	f.contactAt = now
 	f.mu.Unlock()
 	for _, e := range message.GetEnded() {
-		at := now.Add(-time.Duration(e.AgeMs) * time.Millisecond)
+		at := now.Add(-milliseconds(e.AgeMs))
 		process := crashes.Process{EndpointID: e.EndpointId, Started: e.EndpointStarted}
 		f.Crashes.Add(now, crashes.End{Content: crashes.Content(e.Content), Process: process, Attempt: e.Attempt}, at)
 	}
@@ -140,10 +140,10 @@
 	}
 	for _, a := range message.GetPartsAnswered() {
 		answer := crashes.PartAnswer{Part: crashes.Part(a.Part), Attempt: a.Attempt}
-		f.Parts.AddAnswer(now, answer, now.Add(-time.Duration(a.AgeMs)*time.Millisecond))
+		f.Parts.AddAnswer(now, answer, now.Add(-milliseconds(a.AgeMs)))
 	}
 	for _, group := range message.GetStreams() {
-		expires := now.Add(time.Duration(group.ExpiresInMs) * time.Millisecond)
+		expires := now.Add(milliseconds(group.ExpiresInMs))
 		for _, key := range group.Streams {
 			f.Streams.Add(now, streams.Key(key), group.Version, expires)
 		}
--- /dev/null
+++ b/internal/control/odd_test.go
@@ -0,0 +1,71 @@
+package control
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"balsamsail/internal/control/controlpb"
+	"balsamsail/internal/crashes"
+	"balsamsail/internal/streams"
+)
+
+// oddMilliseconds are times that no build sends.
+var oddMilliseconds = []int64{-1, math.MinInt64, -9_300_000_000_000, 9_300_000_000_000, math.MaxInt64 / 1000, math.MaxInt64}
+
+// Guards against an odd time of another build that lies in the future or is negative once it is converted: a copy of a table that is
+// confirmed for ever, an end that counts for ever.
+func TestOddTimesInMessagesAreBounded(t *testing.T) {
+	now := time.Now()
+	past := func(name string, ms int64, at time.Time) {
+		t.Helper()
+		if at.After(now) || now.Sub(at) > 3*365*24*time.Hour {
+			t.Errorf("%s of %d ms: %v from now", name, ms, at.Sub(now))
+		}
+	}
+	for _, ms := range oddMilliseconds {
+		past("confirmation", ms, decodeTable(now, &controlpb.TableChange{ConfirmedAgeMs: ms}).ConfirmedAt)
+		past("limit", ms, decodeLimits(now, []*controlpb.EndpointLimit{{AgeMs: ms}})[0].ObservedAt)
+		m := decodeDemand(&controlpb.Demand{Models: []*controlpb.ModelDemand{{OldestWaitMs: ms, TargetMs: ms}}}).Models[0]
+		past("oldest wait", ms, now.Add(-m.OldestWait))
+		past("target", ms, now.Add(-m.FirstEventTarget))
+		past("command", ms, now.Add(-decodeState(&controlpb.EngineState{CommandAgeMs: ms}).CommandAge))
+
+		f := NewFacts(crashes.New(), crashes.NewParts(mayHaveEnded), streams.New())
+		f.apply(now, &controlpb.SiteFacts{
+			Ended:         []*controlpb.EndedUnder{{Content: 1, AgeMs: ms}},
+			PartsEnded:    []*controlpb.PartEnded{{Part: 1, AgeMs: ms}},
+			PartsAnswered: []*controlpb.PartAnswered{{Part: 1, AgeMs: ms}},
+			Streams:       []*controlpb.StreamsBegun{{ExpiresInMs: ms, Streams: []uint64{1}}},
+		})
+		ended, _ := f.Crashes.Since(now, 0, 9)
+		for _, e := range ended {
+			past("end", ms, e.Value)
+		}
+		parts, _ := f.Parts.Since(now, crashes.PartsPosition{}, 9)
+		for _, e := range parts.Ends {
+			past("end of a part", ms, e.Value)
+		}
+		for _, a := range parts.Answers {
+			past("answer on a part", ms, a.Value)
+		}
+		begun, _ := f.Streams.Since(now, 0, 9)
+		for _, s := range begun {
+			if s.Expires.Sub(now) > 3*365*24*time.Hour {
+				t.Errorf("a stream of %d ms expires in %v", ms, s.Expires.Sub(now))
+			}
+		}
+		for _, written := range append(oddMilliseconds, now.UnixMilli()) {
+			value, err := proto.Marshal(&controlpb.BlamedPart{WrittenUnixMs: written, Ends: []*controlpb.PartEnded{{Part: 1, AgeMs: ms}}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			ends, _ := DecodeBlamedRow(now, BlamedKey(1), value)
+			for _, e := range ends {
+				past("stored end", ms, e.At)
+			}
+		}
+	}
+}
