control: a limit that is not a number of requests is dropped

Endpoints' limits are checked where a gateway reads them from an endpoint, not where another gateway's are taken over. A limit of NaN differs from itself, so each message with it counted as a change, which is passed on at once.

TestOddLimitsInMessagesAreDropped failed before: a limit of NaN: [{EndpointID:e RateLimit:{Named:true PerSecond:NaN} ...}] No build is known to send one; the loop itself was not played.

--- a/internal/control/convert.go
+++ b/internal/control/convert.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -140,6 +141,9 @@
 func decodeLimits(now time.Time, list []*controlpb.EndpointLimit) []fleet.ObservedLimit {
 	decoded := make([]fleet.ObservedLimit, 0, len(list))
 	for _, l := range list {
+		if !(l.PerSecond >= 0) || math.IsInf(l.PerSecond, 1) {
+			continue
+		}
 		decoded = append(decoded, fleet.ObservedLimit{
 			EndpointID: l.EndpointId,
 			RateLimit:  fleet.RateLimit{Named: l.Named, PerSecond: l.PerSecond},
--- a/internal/control/odd_test.go
+++ b/internal/control/odd_test.go
@@ -69,3 +69,12 @@
 		}
 	}
 }
+
+// Guards against a limit that equals nothing, not even itself, and so counts as changed in every message.
+func TestOddLimitsInMessagesAreDropped(t *testing.T) {
+	for _, perSecond := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1} {
+		if l := decodeLimits(time.Now(), []*controlpb.EndpointLimit{{EndpointId: "e", Named: true, PerSecond: perSecond}}); len(l) > 0 {
+			t.Errorf("a limit of %v: %+v", perSecond, l)
+		}
+	}
+}
