watch: odd rows of a table are counted, and logged once

A row that is no registration was logged once until a good one came under its key, so a row that another writer and an endpoint overwrite in turns gave a line each time; rows of the lists of gateways and of blamed parts gave one each time that they were read, whole tables included. None was counted, and the keys of rows that had vanished meanwhile were remembered for good: after 1,000 of them no odd row was logged any more.

Every row is counted in balsamsail_odd_rows_total. Tests pass no metrics to the three constructors; nothing else changes in them.

--- a/internal/app/blamedparts.go
+++ b/internal/app/blamedparts.go
@@ -35,6 +35,7 @@
 	// removeAfter is how long this gateway has known a row when it removes it. The row's own times are of other hosts' clocks, which
 	// may step.
 	removeAfter time.Duration
+	oddRows     *watch.OddRows
 
 	mu sync.Mutex
 	// stored holds the rows in the store, by their keys.
@@ -48,11 +49,12 @@
 	since time.Time
 }
 
-func newBlamedParts(parts *crashes.Parts, logger *slog.Logger) *blamedParts {
+func newBlamedParts(parts *crashes.Parts, m *watch.Metrics, logger *slog.Logger) *blamedParts {
 	b := &blamedParts{
 		parts:       parts,
 		logger:      logger,
 		removeAfter: crashes.MaxPartHold + rand.N(removalSpread),
+		oddRows:     watch.NewOddRows(platform.BlamedPartTable, "bad_blamed_part", m, logger),
 		stored:      make(map[string]storedRow),
 	}
 	b.replica = watch.NewReplica(platform.BlamedPartTable, b)
@@ -81,7 +83,7 @@
 		}
 		ends, err := control.DecodeBlamedRow(now, row.Key, row.Value)
 		if err != nil {
-			b.logger.Warn("row names no blamed part", "event", "bad_blamed_part", "revision", row.Revision, "error", err)
+			b.oddRows.Record(now, row, err)
 			continue
 		}
 		if len(ends) > 0 {
--- a/internal/app/blamedparts_test.go
+++ b/internal/app/blamedparts_test.go
@@ -21,7 +21,7 @@
 func startBlamedParts(t *testing.T, store *platform.Store) (*crashes.Parts, context.CancelFunc) {
 	t.Helper()
 	parts := crashes.NewParts(mayHaveEnded)
-	b := newBlamedParts(parts, slog.New(slog.DiscardHandler))
+	b := newBlamedParts(parts, nil, slog.New(slog.DiscardHandler))
 	ctx, cancel := context.WithCancel(t.Context())
 	go b.run(ctx, store)
 	go watch.Run(ctx, store, b.replica, watch.Options{Wait: func() time.Duration { return 20 * time.Second }, MinBackoff: 10 * time.Millisecond, MaxBackoff: 20 * time.Millisecond}, b.logger)
@@ -104,7 +104,7 @@
 // Guards against a foreign or damaged row that stops a gateway, or makes it blame a part.
 func TestForeignRowsOfBlamedPartsAreIgnored(t *testing.T) {
 	parts := crashes.NewParts(mayHaveEnded)
-	b := newBlamedParts(parts, slog.New(slog.DiscardHandler))
+	b := newBlamedParts(parts, nil, slog.New(slog.DiscardHandler))
 	b.Replace([]watch.Row{{Key: "7", Value: []byte("text")}, {Key: "", Value: nil}, {Key: "zz", Value: []byte{0xff}}})
 	if n := parts.Suspects(); n != 0 {
 		t.Errorf("%d parts are suspects", n)
@@ -127,7 +127,7 @@
 	if err := store.Put(t.Context(), platform.BlamedPartTable, control.BlamedKey(part), value); err != nil {
 		t.Fatal(err)
 	}
-	b := newBlamedParts(crashes.NewParts(mayHaveEnded), slog.New(slog.DiscardHandler))
+	b := newBlamedParts(crashes.NewParts(mayHaveEnded), nil, slog.New(slog.DiscardHandler))
 	if b.removeAfter < crashes.MaxPartHold {
 		t.Errorf("rows are removed after %v, before their ends cease to count", b.removeAfter)
 	}
--- a/internal/app/directory.go
+++ b/internal/app/directory.go
@@ -27,8 +27,8 @@
 	logger  *slog.Logger
 }
 
-func newDirectory(self hubs.Gateway, logger *slog.Logger) *directory {
-	sink := &directorySink{rows: make(map[string]hubs.Gateway), logger: logger}
+func newDirectory(self hubs.Gateway, m *watch.Metrics, logger *slog.Logger) *directory {
+	sink := &directorySink{rows: make(map[string]hubs.Gateway), oddRows: watch.NewOddRows(platform.GatewayTable, "bad_gateway", m, logger)}
 	return &directory{self: self, replica: watch.NewReplica(platform.GatewayTable, sink), sink: sink, logger: logger}
 }
 
@@ -92,7 +92,7 @@
 	rows map[string]hubs.Gateway
 	// onChange is called with each new list.
 	onChange func([]hubs.Gateway)
-	logger   *slog.Logger
+	oddRows  *watch.OddRows
 }
 
 // Replace implements watch.Sink.
@@ -110,7 +110,7 @@
 		}
 		g, err := hubs.DecodeRow(row.Key, row.Value)
 		if err != nil {
-			s.logger.Warn("row names no gateway", "event", "bad_gateway", "revision", row.Revision, "error", err)
+			s.oddRows.Record(time.Now(), row, err)
 			continue
 		}
 		s.rows[row.Key] = g
--- a/internal/app/directory_test.go
+++ b/internal/app/directory_test.go
@@ -15,7 +15,7 @@
 // startDirectory registers a gateway in a store, and returns the lists of gateways that it has read.
 func startDirectory(t *testing.T, ctx context.Context, address string, store *platform.Store) (<-chan []hubs.Gateway, <-chan struct{}) {
 	t.Helper()
-	d := newDirectory(hubs.Gateway{Address: address, FailureDomain: "here", Processor: 0.5}, slog.New(slog.DiscardHandler))
+	d := newDirectory(hubs.Gateway{Address: address, FailureDomain: "here", Processor: 0.5}, nil, slog.New(slog.DiscardHandler))
 	lists, done := make(chan []hubs.Gateway, 16), make(chan struct{})
 	d.sink.onChange = func(list []hubs.Gateway) { lists <- list }
 	go func() { defer close(done); d.register(ctx, store) }()
--- a/internal/app/site.go
+++ b/internal/app/site.go
@@ -26,14 +26,18 @@
 	// stopped is closed when run has returned; updates are dropped from then on.
 	stopped   chan struct{}
 	endpoints *catalog.Endpoints
-	// invalidRows holds the keys of the rows that are not registrations.
-	invalidRows map[string]bool
+	// oddRows records the rows that are not registrations, and oddConfigs the configurations that cannot be decoded.
+	oddRows, oddConfigs *watch.OddRows
 	// ignoredStarts holds the process starts of ignored registrations of earlier processes, by ID.
 	ignoredStarts map[string]int64
 }
 
-func newSiteSync(f *fleet.Fleet, a *control.Agents, l *slog.Logger) *siteSync {
-	return &siteSync{fleet: f, agents: a, logger: l, updates: make(chan func()), stopped: make(chan struct{}), endpoints: catalog.NewEndpoints(), invalidRows: make(map[string]bool), ignoredStarts: make(map[string]int64)}
+func newSiteSync(f *fleet.Fleet, a *control.Agents, m *watch.Metrics, l *slog.Logger) *siteSync {
+	return &siteSync{
+		fleet: f, agents: a, logger: l, updates: make(chan func()), stopped: make(chan struct{}), endpoints: catalog.NewEndpoints(), ignoredStarts: make(map[string]int64),
+		oddRows:    watch.NewOddRows(platform.EndpointTable, "bad_endpoint", m, l),
+		oddConfigs: watch.NewOddRows(platform.OperatorTable, "bad_config", m, l),
+	}
 }
 
 // run applies updates from the watches one at a time until ctx ends.
@@ -90,7 +94,7 @@
 		}
 		config, err := platform.DecodeConfig(row.Value)
 		if err != nil {
-			s.logger.Error("cannot decode the configuration; keeping the current one", "event", "bad_config", "revision", row.Revision, "error", err)
+			s.oddConfigs.Record(time.Now(), row, err)
 			continue
 		}
 		if s.fleet.SetConfig(config) {
@@ -137,7 +141,6 @@
 // the other rows are not affected.
 func (s endpointSink) applyRow(row watch.Row) {
 	if row.Deleted {
-		delete(s.invalidRows, row.Key)
 		delete(s.ignoredStarts, row.Key)
 		s.endpoints.Remove(row.Key, time.Now())
 		return
@@ -152,25 +155,20 @@
 	}
 }
 
-// maxInvalidRows bounds the keys of invalid rows that are remembered so that each is logged once.
-const maxInvalidRows = 1000
-
 func (s endpointSink) decode(row watch.Row) (catalog.Endpoint, bool) {
 	e, err := platform.DecodeEndpoint(row.Key, row.Value, row.Revision)
-	if err == nil {
-		delete(s.invalidRows, row.Key)
-		return e, true
+	if err != nil {
+		s.oddRows.Record(time.Now(), row, err)
 	}
-	if !s.invalidRows[row.Key] && len(s.invalidRows) < maxInvalidRows {
-		s.invalidRows[row.Key] = true
-		s.logger.Error("row is not an endpoint registration; it names no endpoint", "event", "bad_endpoint", "endpoint", row.Key, "revision", row.Revision, "error", err)
-	}
-	return catalog.Endpoint{}, false
+	return e, err == nil
 }
 
+// maxIgnoredStarts bounds the ignored process starts that are remembered so that each is logged once.
+const maxIgnoredStarts = 1000
+
 // logEarlierProcess logs an ignored registration, once for each process.
 func (s endpointSink) logEarlierProcess(e catalog.Endpoint) {
-	if known, ok := s.ignoredStarts[e.ID]; ok && known == e.Started || len(s.ignoredStarts) >= maxInvalidRows {
+	if known, ok := s.ignoredStarts[e.ID]; ok && known == e.Started || len(s.ignoredStarts) >= maxIgnoredStarts {
 		return
 	}
 	s.ignoredStarts[e.ID] = e.Started
--- a/internal/app/site_test.go
+++ b/internal/app/site_test.go
@@ -33,7 +33,7 @@
 	logger := slog.New(slog.NewJSONHandler(log, nil))
 	f := fleet.New("z", 1)
 	f.SetConfig(catalog.NewConfig(1, catalog.ClientLimits{}, nil, nil))
-	s := newSiteSync(f, control.NewAgents(control.Options{}, 1, f, logger), logger)
+	s := newSiteSync(f, control.NewAgents(control.Options{}, 1, f, logger), nil, logger)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { defer close(done); s.run(ctx) }()
@@ -103,6 +103,22 @@
 	}
 }
 
+// Guards against a log that grows with each time that another writer and an endpoint overwrite each other's row.
+func TestRowThatComesBackIsLoggedOnce(t *testing.T) {
+	r, stop := startSiteRig(t)
+	for range 50 {
+		r.sink.Apply([]watch.Row{r.row("a", []byte(`{"service":7}`))})
+		r.sink.Apply([]watch.Row{r.registration("a")})
+	}
+	if got := r.serving(); got != "10.0.0.1:80 10.0.0.2:80" {
+		t.Errorf("requests go to %q, want a and b", got)
+	}
+	stop()
+	if n := strings.Count(r.log.String(), `"event":"bad_endpoint"`); n != 1 {
+		t.Errorf("%d lines on the row, want 1", n)
+	}
+}
+
 // Another writer puts rows into the table of registrations and overwrites one again and again. The other endpoints stay,
 // the overwritten one returns with its next registration, and each bad row is logged once.
 func TestForeignRowsAreSkipped(t *testing.T) {
@@ -110,7 +126,7 @@
 	logger := slog.New(slog.NewTextHandler(&log, nil))
 	f := fleet.New("z", 1)
 	f.SetConfig(catalog.NewConfig(1, catalog.ClientLimits{}, nil, nil))
-	s := newSiteSync(f, control.NewAgents(control.Options{}, 1, f, logger), logger)
+	s := newSiteSync(f, control.NewAgents(control.Options{}, 1, f, logger), nil, logger)
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { defer close(done); s.run(ctx) }()
--- a/internal/watch/metrics.go
+++ b/internal/watch/metrics.go
@@ -12,6 +12,7 @@
 	calls        *prometheus.CounterVec
 	listDuration *prometheus.HistogramVec
 	silence      *prometheus.GaugeVec
+	oddRows      *prometheus.CounterVec
 	mu           sync.Mutex
 	answeredAt   map[string]time.Time
 }
@@ -24,9 +25,10 @@
 			Name: "balsamsail_store_list_seconds", Help: "Time of the calls that read a whole table.", Buckets: []float64{.005, .02, .05, .1, .25, .5, 1, 2},
 		}, []string{"table"}),
 		silence:    prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "balsamsail_store_silence_seconds", Help: "Time since the store answered a watch last, by table, when it last failed or answered."}, []string{"table"}),
+		oddRows:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "balsamsail_odd_rows_total", Help: "Rows read that cannot be used, by table."}, []string{"table"}),
 		answeredAt: make(map[string]time.Time),
 	}
-	for _, c := range []prometheus.Collector{m.calls, m.listDuration, m.silence} {
+	for _, c := range []prometheus.Collector{m.calls, m.listDuration, m.silence, m.oddRows} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
@@ -61,3 +63,9 @@
 		m.listDuration.WithLabelValues(table).Observe(took.Seconds())
 	}
 }
+
+func (m *Metrics) recordOddRow(table string) {
+	if m != nil {
+		m.oddRows.WithLabelValues(table).Inc()
+	}
+}
