watch: long rows that cannot be used are not passed on

A hub sends a gateway each table as one message of at most 1 MB. Rows of another writer may have 64 KB each; sixteen of them make every message with the table of registrations too long. The hub then loses all its gateways, which cannot use it again while the rows are there; each would become its own hub and connect to all agents.

Of others, values of more than 1 KB still reach the process that reads the store, which logs them, but are neither kept nor passed on: the row arrives without a value, which names nothing either.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -121,12 +121,23 @@
 type siteTables struct{ config, endpoints, gateways, blamedParts *watch.Replica }
 
 func newSiteTables(s *siteSync, d *directory, b *blamedParts) siteTables {
-	return siteTables{
+	t := siteTables{
 		config:      watch.NewReplica(platform.OperatorTable, configSink{s}),
 		endpoints:   watch.NewReplica(platform.EndpointTable, endpointSink{s}),
 		gateways:    d.replica,
 		blamedParts: b.replica,
 	}
+	t.config.OmitUnusable(func(r watch.Row) bool { return r.Key == platform.ConfigKey })
+	t.endpoints.OmitUnusable(func(r watch.Row) bool {
+		_, err := platform.DecodeEndpoint(r.Key, r.Value, r.Revision)
+		return err == nil
+	})
+	t.gateways.OmitUnusable(func(r watch.Row) bool { _, err := hubs.DecodeRow(r.Key, r.Value); return err == nil })
+	t.blamedParts.OmitUnusable(func(r watch.Row) bool {
+		_, err := control.DecodeBlamedRow(time.Now(), r.Key, r.Value)
+		return err == nil
+	})
+	return t
 }
 
 func (t siteTables) all() []*watch.Replica {
--- a/internal/watch/replica.go
+++ b/internal/watch/replica.go
@@ -26,8 +26,14 @@
 	confirmedAt time.Time
 	down        bool
 	onChange    func(Change)
+	// isUsable reports whether a row can be used; nil if all can.
+	isUsable func(Row) bool
 }
 
+// maxUnusableBytes is the length up to which the values of rows that cannot be used are kept and passed on. The rows of a table go to
+// other processes in one message, whose length is bounded.
+const maxUnusableBytes = 1 << 10
+
 // Change is a change of a replica, to be applied to replicas in other processes.
 type Change struct {
 	Table string
@@ -53,6 +59,21 @@
 // OnChange sets a function that is called, with the lock held, with each change. Call OnChange before the first change.
 func (r *Replica) OnChange(call func(Change)) { r.onChange = call }
 
+// OmitUnusable sets a function that reports whether a row can be used. The long values of others reach the sink, but are neither kept nor
+// passed on. Call OmitUnusable before the first change.
+func (r *Replica) OmitUnusable(isUsable func(Row) bool) { r.isUsable = isUsable }
+
+// kept returns rows as they are kept and passed on.
+func (r *Replica) kept(rows []Row) []Row {
+	list := slices.Clone(rows)
+	for i, row := range list {
+		if r.isUsable != nil && len(row.Value) > maxUnusableBytes && !r.isUsable(row) {
+			list[i].Value = nil
+		}
+	}
+	return list
+}
+
 // Snapshot returns the whole table as a change, and whether it is known.
 func (r *Replica) Snapshot() (Change, bool) {
 	r.mu.Lock()
@@ -119,11 +140,12 @@
 	r.known, r.revision, r.rowsRevision = true, c.Revision, c.Revision
 	r.confirmedAt = later(r.confirmedAt, c.ConfirmedAt)
 	clear(r.rows)
-	for _, row := range c.Rows {
+	rows := r.kept(c.Rows)
+	for _, row := range rows {
 		r.rows[row.Key] = row
 	}
 	r.sink.Replace(c.Rows)
-	r.notify(r.change(true, c.Rows, 0))
+	r.notify(r.change(true, rows, 0))
 }
 
 func (r *Replica) applyRows(c Change) {
@@ -137,6 +159,9 @@
 			continue
 		}
 		rows = append(rows, row)
+	}
+	kept := r.kept(rows)
+	for _, row := range kept {
 		if row.Deleted {
 			delete(r.rows, row.Key)
 		} else {
@@ -147,7 +172,7 @@
 	if len(rows) > 0 {
 		r.rowsRevision = r.revision
 		r.sink.Apply(rows)
-		r.notify(r.change(false, newestVersions(rows), rowsBase))
+		r.notify(r.change(false, newestVersions(kept), rowsBase))
 	}
 }
 
