app: the row of a blamed part is written again after another writer has overwritten it

A gateway took such a row for one with as many ends as it had before, and so never wrote it again: gateways that started later did not know that the part ends endpoints.

The gateways that know the ends write it at their next check, twice a second at most.

--- a/internal/app/blamedparts.go
+++ b/internal/app/blamedparts.go
@@ -84,6 +84,7 @@
 		ends, err := control.DecodeBlamedRow(now, row.Key, row.Value)
 		if err != nil {
 			b.oddRows.Record(now, row, err)
+			b.forgetStored(row.Key)
 			continue
 		}
 		if len(ends) > 0 {
--- a/internal/app/blamedparts_test.go
+++ b/internal/app/blamedparts_test.go
@@ -111,6 +111,24 @@
 	}
 }
 
+// Guards against a row that another writer overwrites and that is lost for the gateways that start later, although others know the ends.
+func TestOverwrittenRowOfABlamedPartIsWrittenAgain(t *testing.T) {
+	const part crashes.Part = 7
+	standIn := standin.NewStore()
+	server := httptest.NewServer(standIn)
+	defer server.Close()
+	store := platform.NewStore(server.Listener.Addr().String())
+	first, end := startBlamedParts(t, store)
+	defer end()
+	endUnder(first, part, 0, crashes.MaxEnded)
+	awaitRows(t, store, 1)
+	time.Sleep(blameCheckInterval)
+	standIn.PutBytes(platform.BlamedPartTable, control.BlamedKey(part), []byte("\xff"))
+	next, endNext := startBlamedParts(t, store)
+	defer endNext()
+	awaitBlame(t, "a gateway that starts after the row was overwritten blames the part", next, part, true)
+}
+
 // Guards against rows of parts that nobody asks for any more, which would fill the store. Neither a new listing nor the clock of the
 // host that wrote the row changes when that is.
 func TestRowsWhoseEndsCountNoLongerAreRemoved(t *testing.T) {
