hubs: a row whose key is no address names no gateway

Any key and any processor share up to 1e308 cores were taken from the list of gateways. Hubs are chosen by the largest share, so a row of another writer could be each gateway's preferred hub, to which none can connect; it also counts where the site's size decides whether there are hubs at all.

Nested values were refused before. The tests of the directory named their gateways by letters; they use addresses now and check the same.

--- a/internal/app/directory_test.go
+++ b/internal/app/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http/httptest"
 	"testing"
@@ -22,6 +23,8 @@
 	return lists, done
 }
 
+func gatewayAddress(i int) string { return fmt.Sprintf("10.0.0.%d:80", i+1) }
+
 // All gateways of a site start together, while the store is down. Each must know all others from its first list on: a list of
 // those that registered first would make several hubs. One that restarts finds its registration and writes nothing.
 func TestGatewaysThatStartTogetherKnowEachOther(t *testing.T) {
@@ -33,7 +36,7 @@
 	const n = 12
 	var lists []<-chan []hubs.Gateway
 	for i := range n {
-		l, _ := startDirectory(t, t.Context(), string(rune('a'+i)), store)
+		l, _ := startDirectory(t, t.Context(), gatewayAddress(i), store)
 		lists = append(lists, l)
 	}
 	time.Sleep(200 * time.Millisecond)
@@ -49,7 +52,7 @@
 		}
 	}
 	before := standIn.Calls()
-	l, done := startDirectory(t, t.Context(), "a", store)
+	l, done := startDirectory(t, t.Context(), gatewayAddress(0), store)
 	<-done
 	if list := <-l; len(list) != n || standIn.Calls() != before+1 {
 		t.Errorf("restart: %d gateways after %d calls, want %d after one", len(list), standIn.Calls()-before, n)
@@ -63,7 +66,7 @@
 	defer server.Close()
 	standIn.SetFaults(func(f *standin.StoreFaults) { f.Down = true })
 	ctx, cancel := context.WithCancel(t.Context())
-	_, done := startDirectory(t, ctx, "a", platform.NewStore(server.Listener.Addr().String()))
+	_, done := startDirectory(t, ctx, gatewayAddress(0), platform.NewStore(server.Listener.Addr().String()))
 	time.Sleep(50 * time.Millisecond)
 	cancel()
 	select {
--- a/internal/hubs/hubs_test.go
+++ b/internal/hubs/hubs_test.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"balsamsail/platform/standin"
 )
 
 var start = time.Unix(1000, 0)
@@ -135,8 +138,30 @@
 		t.Errorf("decoded %+v, %v, want %+v", got, err, g)
 	}
 	for _, bad := range []string{"", "\xff", "[]", `{"processor":1}`, `{"failure_domain":7}`, `{"failure_domain":"d","processor":-1}`} {
-		if got, err := DecodeRow("a", []byte(bad)); !errors.Is(err, ErrRow) {
+		if got, err := DecodeRow(g.Address, []byte(bad)); !errors.Is(err, ErrRow) {
 			t.Errorf("row %q: %+v, %v, want ErrRow", bad, got, err)
 		}
 	}
 }
+
+// Guards against odd rows that end the process, and against a key to which no gateway can connect and that is preferred as hub for its
+// large host.
+func TestOddRowsNameNoGateway(t *testing.T) {
+	good := `{"failure_domain":"d","processor":64}`
+	for _, key := range []string{
+		"", "a", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:-1", "10.0.0.1:65536", "10.0.0.1:http", ":80", "host:80", "0.0.0.0:80", "[::]:80", "224.0.0.1:80", "10.0.0.1:80\x00", strings.Repeat("1", 100_000) + ":80",
+	} {
+		if _, err := DecodeRow(key, []byte(good)); !errors.Is(err, ErrRow) || len(err.Error()) > 400 {
+			t.Errorf("key %.40q: %.100v, want a short ErrRow", key, err)
+		}
+	}
+	for _, value := range []string{
+		standin.NestedArrays(100), standin.NestedObjects(10_000), standin.NestedArrays(1_000_000), `{"failure_domain":` + standin.NestedArrays(1_000_000) + `}`,
+		`{"failure_domain":"d","processor":1e400}`, `{"failure_domain":"d","processor":1e300}`, `{"failure_domain":"d","processor":"1"}`, `{"failure_domain":null,"processor":1}`,
+		`{"failure_domain":"` + strings.Repeat("d", 100_000) + `","processor":1}`, `{"failure_domain":"d","processor":` + strings.Repeat("9", 100_000) + `}`,
+	} {
+		if _, err := DecodeRow("10.0.0.1:80", []byte(value)); !errors.Is(err, ErrRow) || len(err.Error()) > 400 {
+			t.Errorf("row %.60q: %.100v, want a short ErrRow", value, err)
+		}
+	}
+}
--- a/internal/hubs/row.go
+++ b/internal/hubs/row.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/netip"
 
 	"github.com/pkg/errors"
 )
@@ -21,14 +22,25 @@
 	return value, errors.Wrap(err, "hubs: encoding a registration")
 }
 
-// DecodeRow decodes a row.
+const (
+	// maxDomainBytes bounds the name of a failure domain.
+	maxDomainBytes = 1024
+	// maxProcessor bounds the processor time that a host may give a gateway, in cores.
+	maxProcessor = 1 << 16
+)
+
+// DecodeRow decodes a row. It returns ErrRow for one that no gateway writes.
 func DecodeRow(key string, value []byte) (Gateway, error) {
 	var r registration
 	if err := json.Unmarshal(value, &r); err != nil {
-		return Gateway{}, errors.Wrapf(ErrRow, "%q: %v", key, err)
+		return Gateway{}, errors.Wrapf(ErrRow, "%.60q: %.200s in %.40q", key, err, value)
+	}
+	address, err := netip.ParseAddrPort(key)
+	if err != nil || address.Port() == 0 || address.Addr().IsUnspecified() || address.Addr().IsMulticast() {
+		return Gateway{}, errors.Wrapf(ErrRow, "%.60q is not the address of a gateway", key)
 	}
-	if key == "" || r.FailureDomain == "" || r.Processor < 0 {
-		return Gateway{}, errors.Wrapf(ErrRow, "%q: a field is missing or out of range", key)
+	if r.FailureDomain == "" || len(r.FailureDomain) > maxDomainBytes || r.Processor < 0 || r.Processor > maxProcessor {
+		return Gateway{}, errors.Wrapf(ErrRow, "%.60q: a field is missing or out of range: %.40q, %g", key, r.FailureDomain, r.Processor)
 	}
 	return Gateway{Address: key, FailureDomain: r.FailureDomain, Processor: r.Processor}, nil
 }
