control: test of deeply nested messages and stored rows

Unknown groups of up to 1,000,000 levels in a blamed part's row and in the five messages of the links: refused or ignored, by the recursion limit of the protobuf library.

--- a/internal/control/odd_test.go
+++ b/internal/control/odd_test.go
@@ -1,10 +1,12 @@
 package control
 
 import (
+	"bytes"
 	"math"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"balsamsail/internal/control/controlpb"
@@ -70,6 +72,26 @@
 	}
 }
 
+// Guards against a stored row or a message of another build that ends the process because it is nested too deeply.
+func TestNestedMessagesAreRefusedOrIgnored(t *testing.T) {
+	const unknownField = 1000
+	for _, levels := range []int{100, 10_000, 1_000_000} {
+		start := protowire.AppendTag(nil, unknownField, protowire.StartGroupType)
+		end := protowire.AppendTag(nil, unknownField, protowire.EndGroupType)
+		nested := append(bytes.Repeat(start, levels), bytes.Repeat(end, levels)...)
+		for _, value := range [][]byte{nested, nested[:len(nested)/2], nested[len(nested)/2:]} {
+			if ends, _ := DecodeBlamedRow(time.Now(), BlamedKey(1), value); len(ends) > 0 {
+				t.Errorf("%d levels: ends %v", levels, ends)
+			}
+			for _, m := range []proto.Message{&controlpb.SiteUpdate{}, &controlpb.GatewayUpdate{}, &controlpb.Demand{}, &controlpb.FromAgent{}, &controlpb.ToAgent{}} {
+				if err := proto.Unmarshal(value, m); err == nil && levels > 10_000 {
+					t.Errorf("%d levels in %T: no error", levels, m)
+				}
+			}
+		}
+	}
+}
+
 // Guards against a limit that equals nothing, not even itself, and so counts as changed in every message.
 func TestOddLimitsInMessagesAreDropped(t *testing.T) {
 	for _, perSecond := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1} {
