app: test of a watch of a table with odd rows

All rows of the stand-in's list of up to 64 KB, and good registrations under keys that are no IDs, lie in the table when it is first read, and overwrite an endpoint's row one after the other: the others are used, later changes are applied, and the store is not called in a loop.

--- a/internal/app/site_test.go
+++ b/internal/app/site_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"testing"
@@ -14,6 +15,7 @@
 	"balsamsail/internal/control"
 	"balsamsail/internal/fleet"
 	"balsamsail/internal/watch"
+	"balsamsail/platform"
 	"balsamsail/platform/standin"
 )
 
@@ -103,6 +105,58 @@
 	}
 }
 
+// Guards against a watch of the store that stops, or reads the table again and again, because of odd rows in it.
+func TestTableWithForeignRowsIsFollowed(t *testing.T) {
+	// maxRowBytes is the length of a value that the platform's store takes.
+	const maxRowBytes = 64 << 10
+	standIn := standin.NewStore()
+	server := httptest.NewServer(standIn)
+	defer server.Close()
+	r, stop := startSiteRig(t)
+	defer stop()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	good := func(key string) {
+		standIn.PutBytes(platform.EndpointTable, key, r.registration(key).Value)
+	}
+	await := func(what, want string) {
+		t.Helper()
+		const limit = 5 * time.Second
+		for deadline := time.Now().Add(limit); r.serving() != want; time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("not within %v: %s; requests go to %q", limit, what, r.serving())
+			}
+		}
+	}
+	good("c")
+	for i, foreign := range standin.ForeignRegistrations("s", "10.0.0.9:80") {
+		if len(foreign.Value) <= maxRowBytes {
+			standIn.PutBytes(platform.EndpointTable, fmt.Sprintf("foreign-%d", i), foreign.Value)
+		}
+	}
+	for _, key := range standin.ForeignKeys {
+		standIn.PutBytes(platform.EndpointTable, key, r.registration("i").Value)
+	}
+	replica := watch.NewReplica(platform.EndpointTable, r.sink)
+	options := watch.Options{Wait: func() time.Duration { return time.Second }, MinBackoff: 10 * time.Millisecond, MaxBackoff: 20 * time.Millisecond}
+	go watch.Run(ctx, platform.NewStore(server.Listener.Addr().String()), replica, options, slog.New(slog.DiscardHandler))
+	await("the table with odd rows is read", "10.0.0.3:80")
+	calls := standIn.Calls()
+	good("d")
+	await("a later endpoint is used", "10.0.0.3:80 10.0.0.4:80")
+	for i, foreign := range standin.ForeignRegistrations("s", "10.0.0.9:80") {
+		if len(foreign.Value) <= maxRowBytes && i%3 == 0 {
+			standIn.PutBytes(platform.EndpointTable, "d", foreign.Value)
+		}
+	}
+	await("the overwritten endpoint is out of use", "10.0.0.3:80")
+	good("d")
+	await("the overwritten endpoint is used again", "10.0.0.3:80 10.0.0.4:80")
+	if n := standIn.Calls() - calls; n > 200 {
+		t.Errorf("%d calls of the store for some 60 changes", n)
+	}
+}
+
 // Guards against a log that grows with each time that another writer and an endpoint overwrite each other's row.
 func TestRowThatComesBackIsLoggedOnce(t *testing.T) {
 	r, stop := startSiteRig(t)
