--- a/internal/app/directory_test.go
+++ b/internal/app/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -17,13 +18,15 @@
 // startDirectory registers a gateway in a store, and returns the lists of gateways that it has read.
 func startDirectory(t *testing.T, ctx context.Context, address string, store *platform.Store) (<-chan []hubs.Gateway, <-chan struct{}) {
 	t.Helper()
-	d := newDirectory(hubs.Gateway{Address: address, FailureDomain: "here", Processor: 0.5}, slog.New(slog.DiscardHandler))
+	d := newDirectory(hubs.Gateway{Address: address, FailureDomain: "here", Processor: 0.5}, nil, slog.New(slog.DiscardHandler))
 	lists, done := make(chan []hubs.Gateway, 16), make(chan struct{})
 	d.sink.onChange = func(list []hubs.Gateway) { lists <- list }
 	go func() { defer close(done); d.register(ctx, store) }()
 	return lists, done
 }
 
+func gatewayAddress(i int) string { return fmt.Sprintf("10.0.0.%d:80", i+1) }
+
 // All gateways of a site start together, while the store is down. Each must know all others from its first list on: a list of
 // those that registered first would make several hubs. One that restarts finds its registration and writes nothing.
 func TestGatewaysThatStartTogetherKnowEachOther(t *testing.T) {
@@ -35,7 +38,7 @@
 	const n = 12
 	var lists []<-chan []hubs.Gateway
 	for i := range n {
-		l, _ := startDirectory(t, t.Context(), string(rune('a'+i)), store)
+		l, _ := startDirectory(t, t.Context(), gatewayAddress(i), store)
 		lists = append(lists, l)
 	}
 	time.Sleep(200 * time.Millisecond)
@@ -51,7 +54,7 @@
 		}
 	}
 	before := standIn.Calls()
-	l, done := startDirectory(t, t.Context(), "a", store)
+	l, done := startDirectory(t, t.Context(), gatewayAddress(0), store)
 	<-done
 	if list := <-l; len(list) != n || standIn.Calls() != before+1 {
 		t.Errorf("restart: %d gateways after %d calls, want %d after one", len(list), standIn.Calls()-before, n)
@@ -65,7 +68,7 @@
 	defer server.Close()
 	standIn.SetFaults(func(f *standin.StoreFaults) { f.Down = true })
 	ctx, cancel := context.WithCancel(t.Context())
-	_, done := startDirectory(t, ctx, "a", platform.NewStore(server.Listener.Addr().String()))
+	_, done := startDirectory(t, ctx, gatewayAddress(0), platform.NewStore(server.Listener.Addr().String()))
 	time.Sleep(50 * time.Millisecond)
 	cancel()
 	select {
