app: a gateway whose row was overwritten registers again

A gateway wrote its row in the list of gateways at its start only. When another writer overwrote or removed the row, no other gateway knew of it any more: it is neither chosen as hub nor counted, until it starts again.

A row that vanishes between two readings of the whole table is not noticed.

--- a/internal/app/directory.go
+++ b/internal/app/directory.go
@@ -28,7 +28,7 @@
 }
 
 func newDirectory(self hubs.Gateway, m *watch.Metrics, logger *slog.Logger) *directory {
-	sink := &directorySink{rows: make(map[string]hubs.Gateway), oddRows: watch.NewOddRows(platform.GatewayTable, "bad_gateway", m, logger)}
+	sink := &directorySink{self: self.Address, ownRowLost: make(chan struct{}, 1), rows: make(map[string]hubs.Gateway), oddRows: watch.NewOddRows(platform.GatewayTable, "bad_gateway", m, logger)}
 	return &directory{self: self, replica: watch.NewReplica(platform.GatewayTable, sink), sink: sink, logger: logger}
 }
 
@@ -46,6 +46,19 @@
 	}
 }
 
+// keepRegistered registers this gateway again when its row has been overwritten or removed, until ctx ends.
+func (d *directory) keepRegistered(ctx context.Context, store *platform.Store) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.sink.ownRowLost:
+		}
+		d.register(ctx, store)
+		clock.Pause(ctx, registerBackoff)
+	}
+}
+
 func (d *directory) tryRegister(ctx context.Context, store *platform.Store) error {
 	registered, err := d.read(ctx, store, true)
 	if err != nil || registered {
@@ -89,7 +102,10 @@
 
 // directorySink receives the rows of the list of gateways.
 type directorySink struct {
-	rows map[string]hubs.Gateway
+	// self is the key of this gateway's row, and ownRowLost is signaled when the row has been overwritten or removed.
+	self       string
+	ownRowLost chan struct{}
+	rows       map[string]hubs.Gateway
 	// onChange is called with each new list.
 	onChange func([]hubs.Gateway)
 	oddRows  *watch.OddRows
@@ -104,16 +120,13 @@
 // Apply implements watch.Sink.
 func (s *directorySink) Apply(rows []watch.Row) {
 	for _, row := range rows {
-		delete(s.rows, row.Key)
-		if row.Deleted {
-			continue
-		}
-		g, err := hubs.DecodeRow(row.Key, row.Value)
-		if err != nil {
-			s.oddRows.Record(time.Now(), row, err)
-			continue
+		s.apply(row)
+		if _, listed := s.rows[row.Key]; row.Key == s.self && !listed {
+			select {
+			case s.ownRowLost <- struct{}{}:
+			default:
+			}
 		}
-		s.rows[row.Key] = g
 	}
 	list := make([]hubs.Gateway, 0, len(s.rows))
 	for _, g := range s.rows {
@@ -122,6 +135,20 @@
 	s.onChange(list)
 }
 
+// apply applies one row to the list.
+func (s *directorySink) apply(row watch.Row) {
+	delete(s.rows, row.Key)
+	if row.Deleted {
+		return
+	}
+	g, err := hubs.DecodeRow(row.Key, row.Value)
+	if err != nil {
+		s.oddRows.Record(time.Now(), row, err)
+		return
+	}
+	s.rows[row.Key] = g
+}
+
 // Unavailable implements watch.Sink.
 func (s *directorySink) Unavailable(error) {}
 
--- a/internal/app/directory_test.go
+++ b/internal/app/directory_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"balsamsail/internal/hubs"
+	"balsamsail/internal/watch"
 	"balsamsail/platform"
 	"balsamsail/platform/standin"
 )
@@ -75,3 +76,47 @@
 		t.Fatal("the registration goes on after the end")
 	}
 }
+
+// Guards against a gateway that the others no longer know because its row was overwritten or removed: it was written at the start only.
+func TestOverwrittenRowOfAGatewayIsWrittenAgain(t *testing.T) {
+	standIn := standin.NewStore()
+	server := httptest.NewServer(standIn)
+	defer server.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	store := platform.NewStore(server.Listener.Addr().String())
+	self := hubs.Gateway{Address: gatewayAddress(0), FailureDomain: "here", Processor: 0.5}
+	d := newDirectory(self, nil, slog.New(slog.DiscardHandler))
+	d.sink.onChange = func([]hubs.Gateway) {}
+	d.register(ctx, store)
+	go d.keepRegistered(ctx, store)
+	go watch.Run(ctx, store, d.replica, watch.Options{Wait: func() time.Duration { return 20 * time.Second }, MinBackoff: 10 * time.Millisecond, MaxBackoff: 20 * time.Millisecond}, d.logger)
+	for _, overwrite := range []func(){
+		func() { standIn.PutBytes(platform.GatewayTable, self.Address, []byte("\xff")) },
+		func() { standIn.Remove(platform.GatewayTable, self.Address) },
+		func() { standIn.PutBytes(platform.GatewayTable, self.Address, []byte(standin.NestedArrays(10_000))) },
+	} {
+		overwrite()
+		const limit = 5 * time.Second
+		for deadline := time.Now().Add(limit); ; time.Sleep(10 * time.Millisecond) {
+			rows, _, err := store.List(t.Context(), platform.GatewayTable)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(rows) == 1 {
+				if g, err := hubs.DecodeRow(rows[0].Key, rows[0].Value); err == nil && g == self {
+					break
+				}
+			}
+			if time.Now().After(deadline) {
+				t.Fatalf("not registered again within %v: %+v", limit, rows)
+			}
+		}
+	}
+	time.Sleep(2 * registerBackoff)
+	before := standIn.Calls()
+	time.Sleep(2 * registerBackoff)
+	if n := standIn.Calls() - before; n > 1 {
+		t.Errorf("%d calls of the store in %v after that", n, 2*registerBackoff)
+	}
+}
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -240,7 +240,7 @@
 // the coordinator. They run until ctx ends.
 func (r gatewayRole) startBackground(ctx context.Context, group *errgroup.Group, listeners gatewayListeners) {
 	store := platform.NewStore(string(r.Settings.Store.Address))
-	group.Go(func() error { r.Directory.register(ctx, store); return nil })
+	group.Go(func() error { r.Directory.register(ctx, store); r.Directory.keepRegistered(ctx, store); return nil })
 	group.Go(func() error { r.BlamedParts.run(ctx, store); return nil })
 	for _, replica := range r.Tables.all() {
 		r.startFeed(ctx, group, store, replica)
