sendonce: discarding a response leaves its connection to the request that uses it since

What callers saw: 502 for a request that runs once, because another client left. A stream whose whole answer had been read frees its connection, and another request is sent over it; when the write to the first client then fails, Gateway.forwardStream discards the response, which closed the connection under the other request while its endpoint was at work. The same holds for a stream that ends within an event, for a response without a body that validate rejects, and for the timer of drain on a machine that is held up.

Cause: Result.Discard closed the connection that the attempt had used, also after net/http had handed it to another request.

Evidence, on: --- FAIL: TestDiscardLeavesAConnectionThatIsUsedAgain the next request on the connection failed: read tcp 127.0.0.1:33646->127.0.0.1:45985: use of closed network connection --- FAIL: TestClientThatLeavesCutsNoOtherRequest status 502 for the other client, want 200

Why it works: a connection counts its requests under the lock under which it is closed. Discard closes it only while the attempt's is the last one. A response that was not read to its end keeps the connection from being handed on, so nothing of it can be left behind.

--- a/internal/app/directory_test.go
+++ b/internal/app/directory_test.go
@@ -91,7 +91,7 @@
 	}))
 	defer server.Close()
 	store := platform.NewStore(server.Listener.Addr().String())
-	_, done := startDirectory(t, t.Context(), "a", store)
+	_, done := startDirectory(t, t.Context(), gatewayAddress(0), store)
 	select {
 	case <-done:
 	case <-time.After(10 * time.Second):
--- a/internal/gateway/late_test.go
+++ b/internal/gateway/late_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -221,3 +222,49 @@
 		t.Errorf("connections %v, want the first one twice and then another", connections)
 	}
 }
+
+// leavingWriter is the connection of a client that leaves while the gateway writes to it.
+type leavingWriter struct {
+	http.ResponseWriter
+	leaves func()
+}
+
+func (w leavingWriter) Write([]byte) (int, error) {
+	w.leaves()
+	return 0, io.ErrClosedPipe
+}
+
+// Guards against the request of one client being cut because another one leaves, whose whole stream came over the same connection.
+func TestClientThatLeavesCutsNoOtherRequest(t *testing.T) {
+	arrived, proceed := make(chan struct{}), make(chan struct{})
+	r := newRig(t, map[string]endpointScript{"engine-1": func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Id") == "next" {
+			close(arrived)
+			<-proceed
+		}
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Signed", "yes")
+		_, _ = io.WriteString(w, "id: 1\ndata: 1\n\n")
+	}})
+	next := make(chan answer, 1)
+	leaving, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://site/chat/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	leaving.Header = http.Header{"Id": {"leaving"}, "Model": {"m"}}
+	func() {
+		defer func() {
+			if aborted := recover(); aborted != http.ErrAbortHandler {
+				t.Errorf("the handler ended with %v, want that it aborts the connection", aborted)
+			}
+		}()
+		r.gateway.ServeHTTP(leavingWriter{httptest.NewRecorder(), func() {
+			go func() { next <- r.send("next", "/chat/", "m") }()
+			<-arrived
+		}}, leaving)
+	}()
+	close(proceed)
+	if got := <-next; got.status != http.StatusOK {
+		t.Errorf("status %d for the other client, want 200", got.status)
+	}
+}
--- a/internal/sendonce/conn.go
+++ b/internal/sendonce/conn.go
@@ -15,13 +15,14 @@
 type countedConn struct {
 	net.Conn
 	number  uint64
-	carried atomic.Int64
 	written atomic.Int64
 	// free holds one element while no request uses the connection: none was sent yet, or the last response was accepted.
 	free chan struct{}
 
 	mu     sync.RWMutex
 	closed bool
+	// carried is the number of requests that have used the connection.
+	carried int64
 }
 
 func newConn(conn net.Conn) *countedConn {
@@ -30,21 +31,23 @@
 	return c
 }
 
-// acquire waits until no other request uses the connection. It returns false if the connection was closed, or ctx is done, before.
-func (c *countedConn) acquire(ctx context.Context) bool {
+// acquire waits until no other request uses the connection, and returns how many have used it before. ok is false if the connection was
+// closed, or ctx is done, before.
+func (c *countedConn) acquire(ctx context.Context) (carried int64, ok bool) {
 	select {
 	case <-c.free:
 	case <-ctx.Done():
-		return false
+		return 0, false
 	}
-	c.mu.RLock()
-	closed := c.closed
-	c.mu.RUnlock()
-	if closed {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
 		// Others that wait must not wait longer.
 		c.release()
+		return 0, false
 	}
-	return !closed
+	c.carried++
+	return c.carried - 1, true
 }
 
 // release ends the use of the connection by a request.
@@ -69,6 +72,17 @@
 	return c.Conn.Write(p)
 }
 
+// closeAfter closes the connection for a request before which it carried a number of others, unless it has carried a later one.
+func (c *countedConn) closeAfter(carried int64) {
+	c.mu.Lock()
+	last := c.carried == carried+1
+	c.closed = c.closed || last
+	c.mu.Unlock()
+	if last {
+		_ = c.Close()
+	}
+}
+
 // Close implements net.Conn.
 func (c *countedConn) Close() error {
 	c.mu.Lock()
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -114,7 +114,8 @@
 	Carried int64
 }
 
-// Discard closes the response's connection, so that no later request can read the data left on it.
+// Discard closes the response's connection, so that no later request can read the data left on it. If the response was read to its end
+// and another request uses the connection already, it stays open.
 func (r Result) Discard() {
 	if r.Response != nil {
 		r.Response.Body.Close()
@@ -195,21 +196,28 @@
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	counted, ok := info.Conn.(*countedConn)
-	switch {
-	case a.conn != nil && a.wrote():
+	if a.conn != nil && a.wrote() {
 		a.refuse(info.Conn, ErrRepeated)
 		return
-	case ok && (a.sent.holds(counted) || !counted.acquire(a.ctx)):
+	}
+	if counted, ok := info.Conn.(*countedConn); ok && !a.use(counted) {
 		a.refuse(info.Conn, errUnusable)
 		return
 	}
 	a.conn = info.Conn
+}
+
+// use makes the attempt the user of a connection, unless it must not carry the request.
+func (a *attempt) use(c *countedConn) bool {
+	if a.sent.holds(c) {
+		return false
+	}
+	carried, ok := c.acquire(a.ctx)
 	if ok {
-		a.writtenBefore = counted.written.Load()
-		a.carriedBefore = counted.carried.Add(1) - 1
-		a.sent.add(counted)
+		a.writtenBefore, a.carriedBefore = c.written.Load(), carried
+		a.sent.add(c)
 	}
+	return ok
 }
 
 // refuse keeps the transport from sending the request over a connection.
@@ -257,8 +265,12 @@
 func (a *attempt) closeConn() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.conn != nil {
-		a.conn.Close()
+	switch conn := a.conn.(type) {
+	case nil:
+	case *countedConn:
+		conn.closeAfter(a.carriedBefore)
+	default:
+		conn.Close()
 	}
 }
 
--- a/internal/sendonce/sendonce_test.go
+++ b/internal/sendonce/sendonce_test.go
@@ -375,3 +375,40 @@
 		})
 	}
 }
+
+// Guards against a request losing its connection to an earlier one that used it, whose response had been read to its end.
+func TestDiscardLeavesAConnectionThatIsUsedAgain(t *testing.T) {
+	arrived, proceed := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/next" {
+			close(arrived)
+			<-proceed
+		}
+		_, _ = io.WriteString(w, r.RemoteAddr)
+	}))
+	defer server.Close()
+	client := New(nil)
+	defer client.transport.(*http.Transport).CloseIdleConnections()
+	first, err := client.Do(newRequest(t, http.MethodPost, server.URL+"/first", "", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, first.Response.Body); err != nil {
+		t.Fatal(err)
+	}
+	next := make(chan error, 1)
+	go func() {
+		result, err := client.Do(newRequest(t, http.MethodPost, server.URL+"/next", "", ""))
+		if err == nil {
+			_, err = io.Copy(io.Discard, result.Response.Body)
+			_ = result.Response.Body.Close()
+		}
+		next <- err
+	}()
+	<-arrived
+	first.Discard()
+	close(proceed)
+	if err := <-next; err != nil {
+		t.Errorf("the next request on the connection failed: %v", err)
+	}
+}
