soak: clients that leave a gateway close their connections

A client's close closed the kept connections of a transport that it did not use: sendonce.New uses a copy, which keeps others. So clients that went to another gateway, or ended, kept their connections.

--- a/soak/clients.go
+++ b/soak/clients.go
@@ -66,10 +66,11 @@
 		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		DisableCompression: true,
 	}
+	sender := sendonce.New(transport)
 	return &client{
 		site: s, gateway: h, home: h, name: fmt.Sprintf("%s-c%d", h.name, n),
 		random: rand.New(rand.NewPCG(s.seed, uint64(n)<<8+uint64(slices.Index(s.gateways, h)))),
-		http:   sendonce.New(transport), close: transport.CloseIdleConnections,
+		http:   sender, close: sender.CloseIdleConnections,
 	}
 }
 
