gateway: match routes against the path as it was sent

Cause: routes were matched against the decoded path, in which an encoded slash is one, while the path is forwarded as it was sent.

Now the path as sent decides. The hash of a request's content is already taken from it; the gateway has no paths of its own at the clients' address, and those at the other addresses are matched undecoded by chi.

--- a/internal/catalog/config.go
+++ b/internal/catalog/config.go
@@ -129,7 +129,8 @@
 	return c
 }
 
-// Match returns the route of a request: of the routes for its host, the one with the longest matching path prefix.
+// Match returns the route of a request: of the routes for its host, the one with the longest prefix of its path. Path and prefixes
+// are compared as they are written, without decoding.
 func (c *Config) Match(host, path string) (*Route, bool) {
 	var best *Route
 	for _, r := range c.routes[host] {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -140,7 +141,7 @@
 		g.refuse(w, refusal{status: http.StatusBadRequest, reason: reasonBadHeader, detail: err.Error()})
 		return
 	}
-	route, ok := config.Match(r.Host, r.URL.Path)
+	route, ok := config.Match(r.Host, sentPath(r))
 	if !ok {
 		g.refuse(w, refusal{status: http.StatusNotFound, reason: reasonNoRoute, id: call.ID, version: config.Version})
 		return
@@ -154,6 +155,15 @@
 	g.serve(w, r, g.newRequest(r, call, route, config, body, arrived))
 }
 
+// sentPath returns the path of a request as its client sent it, which is also what the endpoint gets. In the decoded path, an
+// encoded slash would count as one that ends a prefix.
+func sentPath(r *http.Request) string {
+	if path, _, _ := strings.Cut(r.RequestURI, "?"); strings.HasPrefix(path, "/") {
+		return path
+	}
+	return r.URL.EscapedPath()
+}
+
 // readBody reads the whole request body, so that the request can be sent again.
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, limits catalog.ClientLimits, arrived time.Time, timeout time.Duration) ([]byte, *refusal) {
 	if r.Body == nil || r.Body == http.NoBody {
