entry: an encoded slash ends no prefix of a service

What callers saw: a call of /ledger/admin%2F17 went to the service with the prefix /ledger/admin/ instead of the one with /ledger/, as at the gateway; and where the caller had encoded a character of the prefix, the rest of the path was decoded and encoded anew, so that a%2Fb reached the service as a/b.

The service is found by a path in which slashes remain encoded, and the prefix is removed by its segments from the path as it was written.

--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -186,12 +186,25 @@
 	return strconv.FormatUint(h.Sum64(), 36)
 }
 
-// servicePath returns the path and query to send to the plain service: the declared prefix is removed and the rest is
-// left as the caller wrote it. If the caller percent-encoded the prefix itself, the rest is encoded again.
+// slashKept encodes the percent sign of encoded slashes, which so remain encoded when a path is decoded.
+var slashKept = strings.NewReplacer("%2F", "%252F", "%2f", "%252F")
+
+// routedPath returns the path by which a call's service is found: decoded except for slashes, because an encoded one belongs to a
+// segment and ends no prefix.
+func routedPath(r *http.Request) string {
+	path, err := url.PathUnescape(slashKept.Replace(r.URL.EscapedPath()))
+	if err != nil {
+		return r.URL.EscapedPath()
+	}
+	return path
+}
+
+// servicePath returns the path and query to send to the plain service: the segments of the declared prefix are removed and the rest
+// is left as the caller wrote it.
 func servicePath(r *http.Request, prefix string) string {
-	rest, found := strings.CutPrefix(r.URL.EscapedPath(), prefix)
-	if !found {
-		rest = (&url.URL{Path: strings.TrimPrefix(r.URL.Path, prefix)}).EscapedPath()
+	rest := r.URL.EscapedPath()
+	for range strings.Count(prefix, "/") {
+		_, rest, _ = strings.Cut(rest, "/")
 	}
 	path := "/" + rest
 	if r.URL.RawQuery != "" {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -16,7 +16,7 @@
 	now := e.clock.Now()
 	body, w := newCallerBody(w, r)
 	defer body.finish()
-	service, ok := e.store.Current().ServiceFor(r.URL.Path)
+	service, ok := e.store.Current().ServiceFor(routedPath(r))
 	if !ok && !e.canRoute() {
 		e.writeError(w, id, refusalError(wirepb.RefusalReason_NOT_READY, minRetryAfter))
 		return
