--- a/internal/engineagent/agent.go
+++ b/internal/engineagent/agent.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"balsamsail/internal/control/controlpb"
@@ -15,10 +16,10 @@
 	"balsamsail/internal/wire/wirepb"
 )
 
-// Engine is a client of the engine's control API.
+// Engine is a client of the engine's control API. An engine may send an answer once more where the next one on the connection is due.
 type Engine interface {
-	// Report reads the engine's report.
-	Report(ctx context.Context) (*Report, error)
+	// Report reads the engine's report over a connection that is kept; it may be an earlier one. With newConnection it is not.
+	Report(ctx context.Context, newConnection bool) (*Report, error)
 	// Order sends an order. The error says why the result is Unknown or Rejected.
 	Order(ctx context.Context, o Order) (Result, error)
 }
@@ -53,6 +54,8 @@
 	changed    chan struct{}
 	wakeup     chan struct{}
 	engineLost bool
+	// streams is the number of gateways' streams so far.
+	streams uint64
 }
 
 // New returns the agent of an engine.
@@ -76,7 +79,7 @@
 		a.mu.Unlock()
 		switch {
 		case action.Read:
-			a.readReport(ctx)
+			a.readReport(ctx, action.NewConnection)
 		case action.Order != nil:
 			a.sendOrder(ctx, *action.Order)
 		default:
@@ -95,10 +98,10 @@
 	}
 }
 
-func (a *Agent) readReport(ctx context.Context) {
+func (a *Agent) readReport(ctx context.Context, newConnection bool) {
 	ctx, cancel := context.WithTimeout(ctx, a.options.Timeout)
 	defer cancel()
-	report, err := a.engine.Report(ctx)
+	report, err := a.engine.Report(ctx, newConnection)
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -109,6 +112,10 @@
 	} else {
 		err = a.core.HandleReport(now, report)
 	}
+	if errors.Is(err, ErrUnproven) {
+		a.logger.Info("engine report is read again", "event", "report_unproven", "error", err)
+		return
+	}
 	if err != nil {
 		if !a.engineLost {
 			a.engineLost = true
@@ -148,14 +155,11 @@
 	if state == nil {
 		return
 	}
-	age := state.CommandAgeMs
-	state.CommandAgeMs = 0
 	gateways := a.core.Gateways(now)
 	slices.Sort(gateways)
 	running, queued := a.core.requestCounts()
 	loadChanged := abs(running-a.running)+abs(queued-a.queued) >= loadChangeThreshold
 	stateChanged := a.state == nil || !equalExceptAge(a.state, state) || !slices.Equal(gateways, a.gateways)
-	state.CommandAgeMs = age
 	if !stateChanged && !loadChanged {
 		return
 	}
@@ -167,12 +171,13 @@
 	a.changed = make(chan struct{})
 }
 
-func equalExceptAge(a, b *controlpb.EngineState) bool {
-	age := a.CommandAgeMs
-	a.CommandAgeMs = b.CommandAgeMs
-	equal := proto.Equal(a, b)
-	a.CommandAgeMs = age
-	return equal
+// equalExceptAge reports whether two states are equal but for the age of the command. It does not write to the published one, which the
+// streams' writers encode meanwhile.
+func equalExceptAge(published, next *controlpb.EngineState) bool {
+	age := next.CommandAgeMs
+	next.CommandAgeMs = published.CommandAgeMs
+	defer func() { next.CommandAgeMs = age }()
+	return proto.Equal(published, next)
 }
 
 func abs(n int) int { return max(n, -n) }
@@ -185,20 +190,24 @@
 func (a *Agent) serveStream(ctx context.Context, header *wirepb.StreamHeader, stream *wire.Stream) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	a.mu.Lock()
+	a.streams++
+	number := a.streams
+	a.mu.Unlock()
 	a.logger.Info("gateway connected", "event", "link_made", "peer", header.Entry)
 	var writer sync.WaitGroup
 	writer.Go(func() { a.write(ctx, stream) })
-	err := a.receive(header.Entry, stream)
+	err := a.receive(header.Entry, number, stream)
 	a.logger.Info("gateway disconnected", "event", "link_lost", "peer", header.Entry, "error", err)
 	cancel()
 	_ = stream.Close()
 	writer.Wait()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.core.RemoveGateway(header.Entry)
+	a.core.RemoveGateway(header.Entry, number)
 }
 
-func (a *Agent) receive(name string, stream *wire.Stream) error {
+func (a *Agent) receive(name string, number uint64, stream *wire.Stream) error {
 	for {
 		if err := stream.SetReadDeadline(time.Now().Add(a.options.SilenceLimit)); err != nil {
 			return err
@@ -207,8 +216,10 @@
 		if err := stream.Read(message); err != nil {
 			return err
 		}
+		decoded := decode(message)
+		decoded.Stream = number
 		a.mu.Lock()
-		a.core.HandleGatewayMessage(time.Now(), name, decode(message))
+		a.core.HandleGatewayMessage(time.Now(), name, decoded)
 		a.mu.Unlock()
 		select {
 		case a.wakeup <- struct{}{}:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,7 +85,7 @@
 // New returns a gateway that sends requests through the given transport.
 func New(options Options, codec Codec, f *fleet.Fleet, transport http.RoundTripper, logger *slog.Logger, metrics *Metrics) *Gateway {
 	abortCtx, abort := context.WithCancel(context.Background())
-	return &Gateway{
+	g := &Gateway{
 		abortCtx:   abortCtx,
 		abort:      abort,
 		options:    options,
@@ -98,6 +98,9 @@
 		random:     rand.New(rand.NewPCG(options.Seed, 0)),
 		budgets:    make(map[string]*routing.RetryBudget),
 	}
+	// Kept connections to an endpoint that has restarted lead to its earlier process.
+	f.OnRestart(func() { go g.client.CloseIdleConnections() })
+	return g
 }
 
 // Active returns the number of requests in flight.
@@ -146,6 +149,11 @@
 		g.refuse(w, refusal{status: http.StatusNotFound, reason: reasonNoRoute, id: call.ID, version: config.Version})
 		return
 	}
+	if call.ID == "" {
+		// Nothing would tell an endpoint's response to this request from one to another.
+		g.refuse(w, refusal{status: http.StatusBadRequest, reason: reasonNoID, version: config.Version})
+		return
+	}
 	body, refused := g.readBody(w, r, config.Limits, arrived, call.Timeout)
 	if refused != nil {
 		refused.id = call.ID
@@ -216,6 +224,8 @@
 	silentSince time.Time
 
 	attempts int
+	// sent holds the connections that the attempts used.
+	sent sendonce.Sent
 	// mismatches counts the attempts that reached another incarnation than the listed one.
 	mismatches int
 	// begunBy is the version that began the stream, once the client has its first event.
@@ -366,6 +376,7 @@
 const (
 	reasonNoConfig       refusalReason = "no configuration yet"
 	reasonBadHeader      refusalReason = "a header field has an impossible value"
+	reasonNoID           refusalReason = "the request has no ID"
 	reasonNoRoute        refusalReason = "no route matches host and path"
 	reasonBodyTooLarge   refusalReason = "the body is longer than the limit"
 	reasonBodyIncomplete refusalReason = "the body did not arrive whole"
