--- a/internal/app/directory_test.go
+++ b/internal/app/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -10,6 +11,7 @@
 	"time"
 
 	"balsamsail/internal/hubs"
+	"balsamsail/internal/watch"
 	"balsamsail/platform"
 	"balsamsail/platform/standin"
 )
@@ -17,13 +19,15 @@
 // startDirectory registers a gateway in a store, and returns the lists of gateways that it has read.
 func startDirectory(t *testing.T, ctx context.Context, address string, store *platform.Store) (<-chan []hubs.Gateway, <-chan struct{}) {
 	t.Helper()
-	d := newDirectory(hubs.Gateway{Address: address, FailureDomain: "here", Processor: 0.5}, slog.New(slog.DiscardHandler))
+	d := newDirectory(hubs.Gateway{Address: address, FailureDomain: "here", Processor: 0.5}, nil, slog.New(slog.DiscardHandler))
 	lists, done := make(chan []hubs.Gateway, 16), make(chan struct{})
 	d.sink.onChange = func(list []hubs.Gateway) { lists <- list }
 	go func() { defer close(done); d.register(ctx, store) }()
 	return lists, done
 }
 
+func gatewayAddress(i int) string { return fmt.Sprintf("10.0.0.%d:80", i+1) }
+
 // All gateways of a site start together, while the store is down. Each must know all others from its first list on: a list of
 // those that registered first would make several hubs. One that restarts finds its registration and writes nothing.
 func TestGatewaysThatStartTogetherKnowEachOther(t *testing.T) {
@@ -35,7 +39,7 @@
 	const n = 12
 	var lists []<-chan []hubs.Gateway
 	for i := range n {
-		l, _ := startDirectory(t, t.Context(), string(rune('a'+i)), store)
+		l, _ := startDirectory(t, t.Context(), gatewayAddress(i), store)
 		lists = append(lists, l)
 	}
 	time.Sleep(200 * time.Millisecond)
@@ -51,7 +55,7 @@
 		}
 	}
 	before := standIn.Calls()
-	l, done := startDirectory(t, t.Context(), "a", store)
+	l, done := startDirectory(t, t.Context(), gatewayAddress(0), store)
 	<-done
 	if list := <-l; len(list) != n || standIn.Calls() != before+1 {
 		t.Errorf("restart: %d gateways after %d calls, want %d after one", len(list), standIn.Calls()-before, n)
@@ -65,7 +69,7 @@
 	defer server.Close()
 	standIn.SetFaults(func(f *standin.StoreFaults) { f.Down = true })
 	ctx, cancel := context.WithCancel(t.Context())
-	_, done := startDirectory(t, ctx, "a", platform.NewStore(server.Listener.Addr().String()))
+	_, done := startDirectory(t, ctx, gatewayAddress(0), platform.NewStore(server.Listener.Addr().String()))
 	time.Sleep(50 * time.Millisecond)
 	cancel()
 	select {
@@ -87,7 +91,7 @@
 	}))
 	defer server.Close()
 	store := platform.NewStore(server.Listener.Addr().String())
-	_, done := startDirectory(t, t.Context(), "a", store)
+	_, done := startDirectory(t, t.Context(), gatewayAddress(0), store)
 	select {
 	case <-done:
 	case <-time.After(10 * time.Second):
@@ -97,3 +101,47 @@
 		t.Errorf("rows %v, error %v after %d writes, want one row", rows, err, writes.Load())
 	}
 }
+
+// Guards against a gateway that the others no longer know because its row was overwritten or removed: it was written at the start only.
+func TestOverwrittenRowOfAGatewayIsWrittenAgain(t *testing.T) {
+	standIn := standin.NewStore()
+	server := httptest.NewServer(standIn)
+	defer server.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	store := platform.NewStore(server.Listener.Addr().String())
+	self := hubs.Gateway{Address: gatewayAddress(0), FailureDomain: "here", Processor: 0.5}
+	d := newDirectory(self, nil, slog.New(slog.DiscardHandler))
+	d.sink.onChange = func([]hubs.Gateway) {}
+	d.register(ctx, store)
+	go d.keepRegistered(ctx, store)
+	go watch.Run(ctx, store, d.replica, watch.Options{Wait: func() time.Duration { return 20 * time.Second }, MinBackoff: 10 * time.Millisecond, MaxBackoff: 20 * time.Millisecond}, d.logger)
+	for _, overwrite := range []func(){
+		func() { standIn.PutBytes(platform.GatewayTable, self.Address, []byte("\xff")) },
+		func() { standIn.Remove(platform.GatewayTable, self.Address) },
+		func() { standIn.PutBytes(platform.GatewayTable, self.Address, []byte(standin.NestedArrays(10_000))) },
+	} {
+		overwrite()
+		const limit = 5 * time.Second
+		for deadline := time.Now().Add(limit); ; time.Sleep(10 * time.Millisecond) {
+			rows, _, err := store.List(t.Context(), platform.GatewayTable)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(rows) == 1 {
+				if g, err := hubs.DecodeRow(rows[0].Key, rows[0].Value); err == nil && g == self {
+					break
+				}
+			}
+			if time.Now().After(deadline) {
+				t.Fatalf("not registered again within %v: %+v", limit, rows)
+			}
+		}
+	}
+	time.Sleep(2 * registerBackoff)
+	before := standIn.Calls()
+	time.Sleep(2 * registerBackoff)
+	if n := standIn.Calls() - before; n > 1 {
+		t.Errorf("%d calls of the store in %v after that", n, 2*registerBackoff)
+	}
+}
