--- a/internal/gateway/halfclose_test.go
+++ b/internal/gateway/halfclose_test.go
@@ -107,6 +107,7 @@
 	for path, want := range map[string]int{"/none/": http.StatusNotFound, "/plain/": 0} {
 		request := httptest.NewRequestWithContext(ctx, http.MethodPost, path, strings.NewReader("body"))
 		request.Host = "site"
+		request.Header.Set("Id", "a")
 		w := httptest.NewRecorder()
 		w.Code = 0
 		func() {
