gateway, faultlink/cuttest: tests of cut answers allow for a busy machine

Beside a load of 45 on 8 processors, TestAnswerThatIsCut failed in 2 of 5 runs: once in the group of a silent endpoint on /resumable/ (message not kept; the client's whole time was 0.3 s), once because a second request came on a new connection, as the kept one was not free yet (2 of some 8,000 exchanges).

--- a/internal/faultlink/cuttest/cuttest.go
+++ b/internal/faultlink/cuttest/cuttest.go
@@ -110,7 +110,8 @@
 }
 
 // complete reports whether an answer of which a number of bytes are sent is whole, or may be: where the body ends with the
-// connection, nothing tells that it was cut, and the bytes of a reset connection may arrive or not.
+// connection, nothing tells that it was cut, the bytes of a reset connection may arrive or not, and the time for those of a silent
+// server is short.
 func (f framing) complete(cut int, end ending) (complete, mayBe bool) {
 	all := cut == len(f.head)+len(f.body)
 	switch {
@@ -119,7 +120,7 @@
 	case f.ends:
 		return false, false
 	}
-	return all && end != resets, all
+	return all && end == closes, all
 }
 
 // silentCuts is the number of places in an answer after which a server falls silent: these calls take long.
