control: demand of a hub's earlier stream is not added to that of the later one

What would happen: a hub connects again while the coordinator's host is frozen. Once it thaws, the messages of both streams are read side by side, and a late change of the earlier stream adds requests that no longer wait. On the later stream only changes are sent, so that they stay until that model's demand changes: the coordinator keeps or loads a model that nobody asks for.

Cause: the demand was kept by the hub's name alone, whichever stream it came on.

The coordinator numbers the streams, takes in a message only if the hub has not spoken on a later one, and ends the earlier. TestDemandOfAnEarlierStreamIsNotAdded failed before: 1 requests wait after a late message of the earlier stream, want none.

--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -48,6 +48,9 @@
 	mu sync.Mutex
 	// local is the demand of this gateway and of those that it is the hub of, others that of the other hubs.
 	local, others *demand.Board
+	// streams is the number of hubs' streams so far, and lastStream the number of the latest one on which each hub has spoken.
+	streams    uint64
+	lastStream map[string]uint64
 	// electedAt is when this gateway was elected coordinator; zero while it is not. active is set once it acts as one.
 	electedAt time.Time
 	active    bool
@@ -75,9 +78,11 @@
 		logger:   logger,
 		local:    demand.NewBoard(),
 		others:   demand.NewBoard(),
-		waiting:  make(chan struct{}, 1),
-		rates:    newArrivalRates(),
-		hubRates: newArrivalRates(),
+
+		lastStream: make(map[string]uint64),
+		waiting:    make(chan struct{}, 1),
+		rates:      newArrivalRates(),
+		hubRates:   newArrivalRates(),
 	}
 	f.OnWaiting(func() { go p.signalWaiting() })
 	f.OnLimitChange(func() { go p.signalLimit() })
@@ -358,6 +363,10 @@
 		p.hub.serveStream(ctx, header, stream)
 		return
 	}
+	p.mu.Lock()
+	p.streams++
+	number := p.streams
+	p.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	reply := p.replier(stream, header.Entry)
 	var writer sync.WaitGroup
@@ -374,9 +383,11 @@
 			return
 		}
 		now := time.Now()
-		p.mu.Lock()
-		increased := p.others.Apply(now, header.Entry, decodeDemand(message))
-		p.mu.Unlock()
+		increased, ok := p.applyDemand(now, header.Entry, number, message)
+		if !ok {
+			p.logger.Debug("demand stream of peer is not its latest", "peer", header.Entry)
+			return
+		}
 		if increased {
 			wake(p.waiting)
 		}
@@ -390,6 +401,18 @@
 	}
 }
 
+// applyDemand takes in the demand of a hub, unless it has spoken on a later stream. It reports whether requests wait for more models than
+// before, and whether the message was taken in.
+func (p *Peers) applyDemand(now time.Time, hub string, stream uint64, message *controlpb.Demand) (increased, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if stream < p.lastStream[hub] {
+		return false, false
+	}
+	p.lastStream[hub] = stream
+	return p.others.Apply(now, hub, decodeDemand(message)), true
+}
+
 // replier returns a function that sends a hub what the coordinator knows, if there is something new or the heartbeat is due.
 func (p *Peers) replier(stream *wire.Stream, hub string) func() error {
 	var mu sync.Mutex
