control: messages of two connections to one peer are not handled side by side

What would happen: a connection fails while a message of it is being handled, and the link connects again; the message takes effect after the first ones of the new connection. An agent's earlier state then replaces its later one until the next change, or a coordinator's reply to the earlier connection makes a hub send changes before the list that they change.

Cause: the reader of a connection was left behind when its writer had failed.

A connection now ends with its reader. TestConnectionsMessagesAreNotHandledSideBySide failed before: a message is handled while one of the earlier connection is.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -98,6 +99,9 @@
 func (l *link) runConnection(ctx context.Context, connected *bool) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	// A message of this connection must not be handled after those of the next one.
+	var reader sync.WaitGroup
+	defer reader.Wait()
 	session, err := wire.Dial(ctx, l.address, WireOptions(l.options.SilenceLimit), l.logger)
 	if err != nil {
 		return err
@@ -112,7 +116,7 @@
 	l.logger.Info("connected to peer", "event", "link_made", "peer", l.address)
 	stream.OnProgress(l.extendDeadline(stream))
 	failed := make(chan error, 1)
-	go func() { failed <- l.read(stream) }()
+	reader.Go(func() { failed <- l.read(stream) })
 	return l.write(ctx, stream, failed)
 }
 
