control: the earlier hub's last message is not applied after what the new hub knows

What would happen: while a message of the hub in use is being applied, another hub becomes the one in use and everything that it knows is applied; the rest of the earlier message follows. The new hub sends only changes from then on, so the gateway keeps the earlier state of an engine, sends requests to models that it no longer holds, and leaves out those that it does.

Cause: whether a message is of the hub in use was checked before it was applied, not until it was.

Messages are now applied one at a time, with the check.

--- a/internal/control/upstream.go
+++ b/internal/control/upstream.go
@@ -46,6 +46,9 @@
 	replicas map[string]*watch.Replica
 	logger   *slog.Logger
 
+	// applyMu is held while a message is applied, so that none of an earlier hub is applied after those of the next.
+	applyMu sync.Mutex
+
 	mu       sync.Mutex
 	selector *hubs.Selector
 	listed   bool
@@ -398,18 +401,25 @@
 	if err := stream.Read(message); err != nil {
 		return err
 	}
-	arrived := arrivedUpdate{at: time.Now(), message: message}
+	u.handle(s, arrivedUpdate{at: time.Now(), message: message})
+	return nil
+}
+
+// handle applies a message of the hub in use, or keeps it until the hub has sent everything that it knows.
+func (u *Upstream) handle(s *subscription, arrived arrivedUpdate) {
+	u.applyMu.Lock()
+	defer u.applyMu.Unlock()
 	select {
 	case <-s.ready:
 		if u.connection() == s {
 			u.apply(arrived)
 		}
-		return nil
+		return
 	default:
 	}
 	s.first = append(s.first, arrived)
-	if message.More {
-		return nil
+	if arrived.message.More {
+		return
 	}
 	s.progress.Stop()
 	u.useHub(s, arrived.at)
@@ -419,7 +429,6 @@
 	s.first = nil
 	close(s.ready)
 	wake(s.link.wakeup)
-	return nil
 }
 
 // apply applies a message of the hub in use.
