control: a command that was given up is not sent when the agent comes back

What would happen: the coordinator sends a command while the link to the engine's agent is down. It gives the command up after a second and decides anew, but the command stayed with the link and was sent at the next connection, however much later. The agent carries it out: it unloads a model that is asked for meanwhile, or loads one that another engine has.

Cause: nothing bound the time for which a command waits for a connection.

It is dropped after half of the time within which the coordinator awaits the agent's word.

--- a/internal/control/agents.go
+++ b/internal/control/agents.go
@@ -20,6 +20,10 @@
 // peerTTL is how long an agent's list of connected gateways, and the demand that a gateway has sent, stay valid.
 const peerTTL = 2 * time.Second
 
+// commandTTL is how long a command waits for a connection to the agent. It is half of the time after which the coordinator gives up a
+// command that the agent has not reported as accepted, and decides anew.
+const commandTTL = 500 * time.Millisecond
+
 // Agents maintains a gateway's links to the engine agents.
 type Agents struct {
 	options Options
@@ -49,6 +53,7 @@
 	// Guarded by Agents.mu.
 	endpoint      catalog.Endpoint
 	command       *controlpb.Command
+	commandAt     time.Time
 	peers         []string
 	lastMessageAt time.Time
 	// state is the last state that the agent has sent, at stateAt, and stateOf the endpoint to which it was applied.
@@ -203,7 +208,7 @@
 	if l == nil {
 		return
 	}
-	l.command = c
+	l.command, l.commandAt = c, time.Now()
 	wake(l.link.wakeup)
 }
 
@@ -214,6 +219,9 @@
 	}
 	a.mu.Lock()
 	id, service, command := l.endpoint.ID, l.endpoint.Service, l.command
+	if now.Sub(l.commandAt) > commandTTL {
+		command = nil
+	}
 	l.command = nil
 	a.mu.Unlock()
 	message := a.fleet.AgentMessage(id)
--- a/internal/control/link_test.go
+++ b/internal/control/link_test.go
@@ -58,3 +58,32 @@
 	running.Go(func() { l.run(ctx) })
 	eventually(t, "messages of three connections are handled", func() bool { return handled.Load() >= 3 })
 }
+
+// Guards against a command that is sent when an agent comes back, long after the coordinator has given it up and decided anew.
+func TestCommandThatWasGivenUpIsNotSent(t *testing.T) {
+	listener := listenLoopback(t)
+	reserved := listenLoopback(t)
+	address := reserved.Addr().String()
+	_ = reserved.Close()
+	agent := &fakeAgent{listener: reserved}
+	g := startGateway(t, listener, agent)
+	g.agents.SendCommand(&controlpb.Command{Id: 1, EndpointId: "e1", Load: "old"})
+	time.Sleep(commandTTL + 100*time.Millisecond)
+	returned, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	running.Go(func() { _ = wire.Serve(ctx, returned, WireOptions(time.Second), discardLogger, agent.serve) })
+	eventually(t, "the agent gets a message", func() bool { return agent.hasReceived(func(*controlpb.ToAgent) bool { return true }) })
+	g.agents.SendCommand(&controlpb.Command{Id: 2, EndpointId: "e1", Load: "new"})
+	eventually(t, "the agent gets the new command", func() bool {
+		return agent.hasReceived(func(m *controlpb.ToAgent) bool { return m.Command.GetId() == 2 })
+	})
+	if agent.hasReceived(func(m *controlpb.ToAgent) bool { return m.Command.GetId() == 1 }) {
+		t.Error("the agent got the command that was given up")
+	}
+}
