backing: an answer to another call of the table does not decide a commit

What would happen: on the product's own interface, the answer to an earlier commit, or to a read, counts as that to a commit. The caller then uses a claim or a grant that does not exist, or gives one up that does; or takes the rows of another prefix for those that it asked for.

Cause: an answer was taken for the call that was sent last on its connection. Revisions are global to the table and increase with each commit, and a conflict names the row; neither was compared with the call.

A commit's revision has to be higher than every revision that answers have named before the call, and than those of its conditions; a conflict has to name a row on which a condition failed. Otherwise the outcome counts as unknown, and callers read back. Reads are checked against the key, prefix and revision that were asked for. A status without a body, as of a refusal, still cannot be matched.

The tests failed before, e.g. a revision that a condition names: error <nil>, want an unknown outcome; conflict {"key":"other","revision":7}: error platform: conflict; another prefix: listing {Revision:9 Rows:[{Key:b/1 ...}]}, error <nil>.

--- a/internal/backing/table.go
+++ b/internal/backing/table.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -125,12 +127,25 @@
 // wrapError wraps both one of the package's errors and its cause; errors.Is finds both.
 func wrapError(kind, cause error) error { return fmt.Errorf("%w: %w", kind, cause) }
 
-type httpTable struct{ serviceClient }
+// httpTable is a client of the table service. An answer names no call; what the calls ask for and the revisions, which increase with
+// each commit, show that it may not be the one to a call.
+type httpTable struct {
+	serviceClient
+	// seen is the highest revision that an answer has named.
+	seen atomic.Uint64
+}
+
+// see records a revision that an answer has named.
+func (t *httpTable) see(revision uint64) {
+	for seen := t.seen.Load(); revision > seen && !t.seen.CompareAndSwap(seen, revision); {
+		seen = t.seen.Load()
+	}
+}
 
 // NewHTTPTable returns a client of the table service. Only the transport of the HTTP client is used; the client may be
 // nil. Commits are never retried and redirects are not followed.
 func NewHTTPTable(o Options, client *http.Client) Table {
-	return &httpTable{newServiceClient(o.TableURL, o, client)}
+	return &httpTable{serviceClient: newServiceClient(o.TableURL, o, client)}
 }
 
 // Get implements Table.
@@ -143,6 +158,10 @@
 	if err := json.Unmarshal(resp.body, &row); err != nil {
 		return Row{}, wrapError(ErrUnavailable, err)
 	}
+	if row.Key != key {
+		return Row{}, wrapError(ErrUnavailable, errors.Errorf("the response has row %.40q", row.Key))
+	}
+	t.see(row.Revision)
 	return row, nil
 }
 
@@ -157,21 +176,39 @@
 	if err := json.Unmarshal(resp.body, &listing); err != nil {
 		return Listing{}, wrapError(ErrUnavailable, err)
 	}
+	if err := listing.check(prefix, after); err != nil {
+		return Listing{}, wrapError(ErrUnavailable, err)
+	}
+	t.see(listing.Revision)
 	return listing, nil
 }
 
+// check returns an error if a listing cannot be the one of a prefix after a revision.
+func (l *Listing) check(prefix string, after uint64) error {
+	if l.Revision < after {
+		return errors.Errorf("the response is of revision %d", l.Revision)
+	}
+	for _, row := range l.Rows {
+		if !strings.HasPrefix(row.Key, prefix) || row.Revision <= after {
+			return errors.Errorf("the response has row %.40q of revision %d", row.Key, row.Revision)
+		}
+	}
+	return nil
+}
+
 // Commit implements Table.
 func (t *httpTable) Commit(ctx context.Context, txn Txn) (uint64, error) {
 	body, err := json.Marshal(txn)
 	if err != nil {
 		return 0, wrapError(ErrInvalid, err)
 	}
+	before := t.seen.Load()
 	resp, err := t.write(ctx, http.MethodPost, "/table/commit", body)
 	if err != nil {
 		return 0, err
 	}
 	if resp.status == http.StatusConflict {
-		return 0, parseConflict(resp)
+		return 0, parseConflict(resp, txn.Conditions)
 	}
 	if err := resp.err(); err != nil {
 		return 0, err
@@ -182,15 +219,27 @@
 	if err := json.Unmarshal(resp.body, &committed); err != nil || committed.Revision == 0 {
 		return 0, wrapError(ErrOutcomeUnknown, errors.New("commit response has no revision"))
 	}
+	for _, c := range txn.Conditions {
+		before = max(before, c.Revision)
+	}
+	if committed.Revision <= before {
+		return 0, wrapError(ErrOutcomeUnknown, errors.Errorf("commit response names revision %d, which was known before", committed.Revision))
+	}
+	t.see(committed.Revision)
 	return committed.Revision, nil
 }
 
-// parseConflict returns the error for a conflict response. A response that does not name a row may come from an
-// intermediary and proves nothing.
-func parseConflict(resp response) error {
+// parseConflict returns the error for a conflict response. A response that names no row whose condition may have failed may
+// come from an intermediary, or belong to another call, and proves nothing.
+func parseConflict(resp response, conditions []Condition) error {
 	var failed Condition
 	if err := json.Unmarshal(resp.body, &failed); err != nil || failed.Key == "" {
 		return wrapError(ErrOutcomeUnknown, errors.New("conflict response names no row"))
 	}
-	return &ConflictError{Key: failed.Key, Revision: failed.Revision}
+	for _, c := range conditions {
+		if c.Key == failed.Key && c.Revision != failed.Revision {
+			return &ConflictError{Key: failed.Key, Revision: failed.Revision}
+		}
+	}
+	return wrapError(ErrOutcomeUnknown, errors.Errorf("conflict response names row %.40q at revision %d, on which no condition failed", failed.Key, failed.Revision))
 }
