--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -54,18 +54,23 @@
 	g.fleet.NotifyRestart(choice, func() { cancel(errRestarted) })
 	watchdog := g.startWatchdog(q, cancel)
 	defer watchdog.Stop()
-	result, err := g.client.Do(g.codec.NewRequest(ctx, q.inbound, q.body, Attempt{
-		Address:     choice.Address,
-		EndpointID:  choice.ID,
-		Timeout:     time.Until(q.deadline),
-		Priority:    q.route.Priority,
-		LastEventID: out.lastEventID,
-	}))
+	var a Response
+	result, err := g.client.DoMatched(func() *http.Request {
+		return g.codec.NewRequest(ctx, q.inbound, q.body, Attempt{
+			Address:     choice.Address,
+			EndpointID:  choice.ID,
+			Timeout:     time.Until(q.deadline),
+			Priority:    q.route.Priority,
+			LastEventID: out.lastEventID,
+		})
+	}, &q.sent, func(response *http.Response, c sendonce.Connection) error {
+		a = g.codec.ReadResponse(response)
+		return q.match(c, a)
+	})
 	if err != nil {
-		return g.handleFailure(parent, q, choice, result.MaybeSent, err)
+		return g.handleFailure(parent, q, choice, result, err)
 	}
 	defer result.Response.Body.Close()
-	a := g.codec.ReadResponse(result.Response)
 	g.fleet.ObserveResponse(time.Now(), choice.ID, time.Since(began))
 	g.recordLoad(q, choice, a)
 	g.recordLimit(q, choice, a, began)
@@ -74,7 +79,7 @@
 	}
 	if err := g.validate(q, result.Response, a); err != nil {
 		result.Discard()
-		return g.handleFailure(parent, q, choice, true, err)
+		return g.handleFailure(parent, q, choice, result, err)
 	}
 	q.mayHaveRun = true
 	if result.Response.StatusCode >= http.StatusInternalServerError && q.repeatable() && g.canRetry(parent, q, true) {
@@ -133,8 +138,7 @@
 
 // recordLimit passes on what an answer of the chosen endpoint, to an attempt that began at sentAt, says of its limit.
 func (g *Gateway) recordLimit(q *request, choice fleet.Choice, a Response, sentAt time.Time) {
-	ofRequest := a.ID == q.call.ID || a.ID == "" && a.NotRun
-	if a.LimitInvalid || !ofRequest || a.Incarnation != "" && a.Incarnation != choice.ID {
+	if a.LimitInvalid || a.Incarnation != "" && a.Incarnation != choice.ID {
 		return
 	}
 	if g.fleet.ObserveLimit(time.Now(), sentAt, choice.ID, a.Limit) {
@@ -143,16 +147,25 @@
 	}
 }
 
-// validate returns an error if a response can't be the one to this request.
+// match returns an error unless a response is known to be the one to this request. Nothing else that it says is believed before.
 //
-// An endpoint may send a second response to an earlier request on a kept-alive connection, where it would be read as
-// the next response; the request ID detects that. Bytes from another process that listens at the address are detected
-// by the missing signature.
+// An endpoint may send a response to an earlier request once more, where the next one on the connection is due; the request ID tells
+// them apart, because no connection carries the same request twice. A response without an ID is the one to this request only if its connection has carried no other.
+func (q *request) match(c sendonce.Connection, a Response) error {
+	switch {
+	case a.ID == "" && c.Carried > 0:
+		return errors.Wrap(errInvalidResponse, "it has no request ID, and its connection has carried other requests")
+	case a.ID != "" && a.ID != q.call.ID:
+		return errors.Wrapf(errInvalidResponse, "it has the ID of another request, %.40q", a.ID)
+	}
+	return nil
+}
+
+// validate returns an error if a response to this request can't be forwarded. Bytes from another process that listens at the address
+// are detected by the missing signature.
 func (g *Gateway) validate(q *request, resp *http.Response, a Response) error {
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
 	switch {
-	case a.ID != "" && a.ID != q.call.ID:
-		return errors.Wrap(errInvalidResponse, "it has the ID of another request")
 	case success && a.ID != q.call.ID:
 		return errors.Wrap(errInvalidResponse, "it has no request ID")
 	case success && !a.Signed:
@@ -168,7 +181,8 @@
 }
 
 // handleFailure decides what follows an attempt that got no valid response.
-func (g *Gateway) handleFailure(parent context.Context, q *request, choice fleet.Choice, maybeSent bool, err error) verdict {
+func (g *Gateway) handleFailure(parent context.Context, q *request, choice fleet.Choice, result sendonce.Result, err error) verdict {
+	maybeSent := result.MaybeSent
 	g.metrics.countAttempt("unanswered")
 	switch {
 	case !maybeSent:
@@ -182,7 +196,8 @@
 		return failed
 	}
 	g.requestLog.write(time.Now(), true, "attempt failed", "event", "attempt_failed", "request", q.call.ID, "content", q.contentText(), "parts", q.call.SharedParts,
-		"answering", q.progress.lasted(), "endpoint", choice.ID, "endpoint_started", choice.Started, "sending", q.attempts, "maybe_sent", maybeSent, "error", err, "left", time.Until(q.deadline))
+		"answering", q.progress.lasted(), "endpoint", choice.ID, "endpoint_started", choice.Started, "sending", q.attempts, "maybe_sent", maybeSent, "connection", result.Connection.Number,
+		"carried", result.Connection.Carried, "error", err, "left", time.Until(q.deadline))
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		g.fleet.Refused(time.Now(), choice.ID)
 	}
@@ -211,7 +226,7 @@
 	}
 	g.drain(result)
 	g.requestLog.write(time.Now(), true, "endpoint refused", "event", "endpoint_refused", "request", q.call.ID, "endpoint", choice.ID, "status", status,
-		"model", q.fleetRequest.Model, "adapter", q.fleetRequest.Adapter, "sending", q.attempts)
+		"model", q.fleetRequest.Model, "adapter", q.fleetRequest.Adapter, "sending", q.attempts, "answer_id", a.ID, "connection", result.Connection.Number, "carried", result.Connection.Carried)
 	// The request has not run, so it can wait until the retry budget allows another attempt.
 	q.needsBudget = true
 	return retryOrFail(g.canRetry(q.inbound.Context(), q, false))
@@ -259,7 +274,7 @@
 	defer g.buffers.release(body)
 	if err != nil {
 		result.Discard()
-		return g.handleFailure(parent, q, choice, true, err)
+		return g.handleFailure(parent, q, choice, result, err)
 	}
 	if out.started {
 		// The attempt to resume a stream got a response that isn't a stream.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,7 +84,7 @@
 // New returns a gateway that sends requests through the given transport.
 func New(options Options, codec Codec, f *fleet.Fleet, transport http.RoundTripper, logger *slog.Logger, metrics *Metrics) *Gateway {
 	abortCtx, abort := context.WithCancel(context.Background())
-	return &Gateway{
+	g := &Gateway{
 		abortCtx:   abortCtx,
 		abort:      abort,
 		options:    options,
@@ -97,6 +97,9 @@
 		random:     rand.New(rand.NewPCG(options.Seed, 0)),
 		budgets:    make(map[string]*routing.RetryBudget),
 	}
+	// Kept connections to an endpoint that has restarted lead to its earlier process.
+	f.OnRestart(func() { go g.client.CloseIdleConnections() })
+	return g
 }
 
 // Active returns the number of requests in flight.
@@ -124,30 +127,36 @@
 	return deadline != 0 && now.UnixNano() >= deadline
 }
 
-// ServeHTTP implements http.Handler.
+// ServeHTTP implements http.Handler. It writes an answer or aborts the connection: when a handler returns, net/http completes
+// whatever was written, and sends a 200 if that is nothing.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	arrived := time.Now()
 	config := g.fleet.Config()
 	if config == nil {
-		g.refuse(w, r, refusal{status: http.StatusServiceUnavailable, reason: reasonNoConfig, retryAfter: retryAfterNoConfig})
+		g.refuse(w, refusal{status: http.StatusServiceUnavailable, reason: reasonNoConfig, retryAfter: retryAfterNoConfig})
 		return
 	}
 	call, err := g.codec.ReadCall(r)
 	if err != nil {
-		g.refuse(w, r, refusal{status: http.StatusBadRequest, reason: reasonBadHeader, detail: err.Error()})
+		g.refuse(w, refusal{status: http.StatusBadRequest, reason: reasonBadHeader, detail: err.Error()})
 		return
 	}
 	route, ok := config.Match(r.Host, r.URL.Path)
 	if !ok {
-		g.refuse(w, r, refusal{status: http.StatusNotFound, reason: reasonNoRoute, id: call.ID, version: config.Version})
+		g.refuse(w, refusal{status: http.StatusNotFound, reason: reasonNoRoute, id: call.ID, version: config.Version})
+		return
+	}
+	if call.ID == "" {
+		// Nothing would tell an endpoint's response to this request from one to another.
+		g.refuse(w, refusal{status: http.StatusBadRequest, reason: reasonNoID, version: config.Version})
 		return
 	}
 	body, refused := g.readBody(w, r, config.Limits, arrived, call.Timeout)
 	if refused != nil {
 		refused.id = call.ID
-		g.refuse(w, r, *refused)
+		g.refuse(w, *refused)
 		return
 	}
 	g.serve(w, r, g.newRequest(r, call, route, config, body, arrived))
@@ -205,6 +214,8 @@
 	silentSince time.Time
 
 	attempts int
+	// sent holds the connections that the attempts used.
+	sent sendonce.Sent
 	// mismatches counts the attempts that reached another incarnation than the listed one.
 	mismatches int
 	// begunBy is the version that began the stream, once the client has its first event.
@@ -355,6 +366,7 @@
 const (
 	reasonNoConfig       refusalReason = "no configuration yet"
 	reasonBadHeader      refusalReason = "a header field has an impossible value"
+	reasonNoID           refusalReason = "the request has no ID"
 	reasonNoRoute        refusalReason = "no route matches host and path"
 	reasonBodyTooLarge   refusalReason = "the body is longer than the limit"
 	reasonBodyIncomplete refusalReason = "the body did not arrive whole"
@@ -385,17 +397,15 @@
 	closeConn bool
 }
 
-func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, f refusal) {
-	if r.Context().Err() == nil || f.closeConn {
-		if f.retryAfter > 0 {
-			g.codec.SetRetryAfter(w.Header(), f.retryAfter)
-		}
-		if f.closeConn {
-			w.Header().Set("Connection", "close")
-		}
-		w.Header().Set("Content-Length", "0")
-		w.WriteHeader(f.status)
+func (g *Gateway) refuse(w http.ResponseWriter, f refusal) {
+	if f.retryAfter > 0 {
+		g.codec.SetRetryAfter(w.Header(), f.retryAfter)
+	}
+	if f.closeConn {
+		w.Header().Set("Connection", "close")
 	}
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(f.status)
 	g.metrics.countRefusal(f)
 	g.requestLog.write(time.Now(), true, "request refused", "event", "refused", "request", f.id, "status", f.status, "reason", string(f.reason),
 		"detail", f.detail, "retry_after", f.retryAfter, "config", f.version)
--- /dev/null
+++ b/internal/sendonce/conn.go
@@ -0,0 +1,102 @@
+package sendonce
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+)
+
+// connections counts the connections of this process.
+var connections atomic.Uint64
+
+// countedConn counts the bytes passed to Write and the requests that the connection is used for.
+type countedConn struct {
+	net.Conn
+	number  uint64
+	written atomic.Int64
+	// free holds one element while no request uses the connection: none was sent yet, or the last response was accepted.
+	free chan struct{}
+
+	mu     sync.RWMutex
+	closed bool
+	// carried is the number of requests that have used the connection.
+	carried int64
+}
+
+func newConn(conn net.Conn) *countedConn {
+	c := &countedConn{Conn: conn, number: connections.Add(1), free: make(chan struct{}, 1)}
+	c.release()
+	return c
+}
+
+// acquire waits until no other request uses the connection, and returns how many have used it before. ok is false if the connection was
+// closed, or ctx is done, before.
+func (c *countedConn) acquire(ctx context.Context) (carried int64, ok bool) {
+	select {
+	case <-c.free:
+	case <-ctx.Done():
+		return 0, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		// Others that wait must not wait longer.
+		c.release()
+		return 0, false
+	}
+	c.carried++
+	return c.carried - 1, true
+}
+
+// release ends the use of the connection by a request.
+func (c *countedConn) release() {
+	select {
+	case c.free <- struct{}{}:
+	default:
+	}
+}
+
+// Write implements net.Conn. It counts before it writes, because a failed write may have sent some of the bytes.
+func (c *countedConn) Write(p []byte) (int, error) {
+	c.mu.RLock()
+	closed := c.closed
+	if !closed {
+		c.written.Add(int64(len(p)))
+	}
+	c.mu.RUnlock()
+	if closed {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
+// closeAfter closes the connection for a request before which it carried a number of others, unless it has carried a later one.
+func (c *countedConn) closeAfter(carried int64) {
+	c.mu.Lock()
+	last := c.carried == carried+1
+	c.closed = c.closed || last
+	c.mu.Unlock()
+	if last {
+		_ = c.Close()
+	}
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	// A request that waits for the connection finds it closed.
+	c.release()
+	return c.Conn.Close()
+}
+
+func (s *Sent) holds(c *countedConn) bool { return s != nil && slices.Contains(s.conns, c) }
+
+func (s *Sent) add(c *countedConn) {
+	if s != nil {
+		s.conns = append(s.conns, c)
+	}
+}
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,6 +16,9 @@
 // ErrRepeated is the error of a request that net/http tried to send a second time.
 var ErrRepeated = errors.New("sendonce: the connection failed after part of the request was written; the request is not sent again")
 
+// errUnusable is the error of a request for which the transport chose a connection that must not carry it.
+var errUnusable = errors.New("sendonce: the connection has carried the message before, or its last response was not accepted")
+
 // Client sends each request at most once.
 //
 // http.Transport retries a request on its own if a reused connection fails before the first byte of the response and
@@ -56,11 +58,18 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countedConn{Conn: conn}, nil
+		return newConn(conn), nil
 	}
 	return &Client{transport: clone, traced: true}
 }
 
+// CloseIdleConnections closes the connections that no request uses.
+func (c *Client) CloseIdleConnections() {
+	if t, ok := c.transport.(interface{ CloseIdleConnections() }); ok {
+		t.CloseIdleConnections()
+	}
+}
+
 // MaxHeaderBytes bounds the head of a response; those of endpoints have some 500 bytes. The default of net/http, 10 MB, is more
 // than a process can hold for each of its calls when an endpoint sends bytes without end.
 const MaxHeaderBytes = 32 << 10
@@ -91,11 +100,22 @@
 	Response *http.Response
 	// MaybeSent is false only if it is certain that no byte of the request was sent.
 	MaybeSent bool
+	// Connection is the connection over which the request was sent last.
+	Connection Connection
 
 	attempt *attempt
 }
 
-// Discard closes the response's connection, so that no later request can read the data left on it.
+// Connection describes a connection to an endpoint; it is zero if there was none, or if the transport does not report it.
+type Connection struct {
+	// Number identifies the connection in this process.
+	Number uint64
+	// Carried is the number of requests that the connection was used for before.
+	Carried int64
+}
+
+// Discard closes the response's connection, so that no later request can read the data left on it. If the response was read to its end
+// and another request uses the connection already, it stays open.
 func (r Result) Discard() {
 	if r.Response != nil {
 		r.Response.Body.Close()
@@ -105,32 +125,65 @@
 
 // Do sends the request at most once. The response's body must be closed.
 func (c *Client) Do(req *http.Request) (Result, error) {
+	return c.do(req, nil, func(*http.Response, Connection) error { return nil })
+}
+
+// Sent holds the connections over which a message was sent.
+type Sent struct{ conns []*countedConn }
+
+// DoMatched sends a message, which may have been sent before, at most once more, and returns the response only if match accepts it;
+// otherwise it closes the connection and returns the error of match. newRequest is called again if no byte of the earlier request was
+// sent.
+//
+// A peer may send a response a second time, where the next one on the connection is due. match can tell it from the response to this
+// message by what it holds, unless it is a response to the same message; so a connection that has carried the message does not carry
+// it again. A response without a body frees its connection before it is matched; another request waits until it is accepted.
+func (c *Client) DoMatched(newRequest func() *http.Request, sent *Sent, match func(*http.Response, Connection) error) (Result, error) {
+	for {
+		result, err := c.do(newRequest(), sent, match)
+		// The connection is closed, so that each of the idle ones is met once at most.
+		if !errors.Is(err, errUnusable) || result.MaybeSent {
+			return result, err
+		}
+	}
+}
+
+func (c *Client) do(req *http.Request, sent *Sent, match func(*http.Response, Connection) error) (Result, error) {
 	if err := req.Context().Err(); err != nil {
 		return Result{attempt: &attempt{}}, err
 	}
 	ctx, cancel := context.WithCancelCause(req.Context())
-	a := &attempt{cancel: cancel}
+	a := &attempt{ctx: ctx, cancel: cancel, sent: sent}
 	trace := &httptrace.ClientTrace{GetConn: a.getConn, GotConn: a.gotConn}
 	resp, err := c.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		sent := a.maybeSent(c.traced)
+		maybeSent := a.maybeSent(c.traced)
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
 		cancel(nil)
-		return Result{MaybeSent: sent, attempt: a}, err
+		return Result{MaybeSent: maybeSent, Connection: a.connection(), attempt: a}, err
 	}
 	resp.Body = &cancelBody{ReadCloser: resp.Body, cancel: cancel}
-	return Result{Response: resp, MaybeSent: true, attempt: a}, nil
+	result := Result{Response: resp, MaybeSent: true, Connection: a.connection(), attempt: a}
+	if err := match(resp, result.Connection); err != nil {
+		result.Discard()
+		return result, err
+	}
+	a.release()
+	return result, nil
 }
 
 // attempt tracks the connections that the transport obtains for one request.
 type attempt struct {
+	ctx    context.Context
 	cancel context.CancelCauseFunc
+	sent   *Sent
 
 	mu            sync.Mutex
 	connRequested bool
 	conn          net.Conn
+	carriedBefore int64
 	writtenBefore int64
 }
 
@@ -144,14 +197,52 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.conn != nil && a.wrote() {
-		a.cancel(ErrRepeated)
-		info.Conn.Close()
+		a.refuse(info.Conn, ErrRepeated)
+		return
+	}
+	if counted, ok := info.Conn.(*countedConn); ok && !a.use(counted) {
+		a.refuse(info.Conn, errUnusable)
 		return
 	}
 	a.conn = info.Conn
-	if counted, ok := info.Conn.(*countedConn); ok {
-		a.writtenBefore = counted.written.Load()
+}
+
+// use makes the attempt the user of a connection, unless it must not carry the request.
+func (a *attempt) use(c *countedConn) bool {
+	if a.sent.holds(c) {
+		return false
+	}
+	carried, ok := c.acquire(a.ctx)
+	if ok {
+		a.writtenBefore, a.carriedBefore = c.written.Load(), carried
+		a.sent.add(c)
+	}
+	return ok
+}
+
+// refuse keeps the transport from sending the request over a connection.
+func (a *attempt) refuse(conn net.Conn, cause error) {
+	a.cancel(cause)
+	conn.Close()
+}
+
+// release lets another request use the connection.
+func (a *attempt) release() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if counted, ok := a.conn.(*countedConn); ok {
+		counted.release()
+	}
+}
+
+func (a *attempt) connection() Connection {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	counted, ok := a.conn.(*countedConn)
+	if !ok {
+		return Connection{}
 	}
+	return Connection{Number: counted.number, Carried: a.carriedBefore}
 }
 
 // wrote reports whether a byte may have been written to the connection. It first closes the connection, which prevents
@@ -174,42 +265,15 @@
 func (a *attempt) closeConn() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.conn != nil {
-		a.conn.Close()
+	switch conn := a.conn.(type) {
+	case nil:
+	case *countedConn:
+		conn.closeAfter(a.carriedBefore)
+	default:
+		conn.Close()
 	}
 }
 
-// countedConn counts the bytes passed to Write.
-type countedConn struct {
-	net.Conn
-	written atomic.Int64
-
-	mu     sync.RWMutex
-	closed bool
-}
-
-// Write implements net.Conn. It counts before it writes, because a failed write may have sent some of the bytes.
-func (c *countedConn) Write(p []byte) (int, error) {
-	c.mu.RLock()
-	closed := c.closed
-	if !closed {
-		c.written.Add(int64(len(p)))
-	}
-	c.mu.RUnlock()
-	if closed {
-		return 0, net.ErrClosed
-	}
-	return c.Conn.Write(p)
-}
-
-// Close implements net.Conn.
-func (c *countedConn) Close() error {
-	c.mu.Lock()
-	c.closed = true
-	c.mu.Unlock()
-	return c.Conn.Close()
-}
-
 // cancelBody cancels the request's context when the body is closed.
 type cancelBody struct {
 	io.ReadCloser
