engineagent: a gateway that connects during a load gets the command's present age

What would happen: a gateway that connects, or another hub, gets the state as it was published when the load began, with the age that the command had then, and takes that for its age now. It expects the load to end as much later as it has lasted, and refuses requests that could wait for it.

Cause: the state is sent when it changes, and a load does not change it for seconds; its age was not brought up to date.

The age is now that at the sending. TestStateOfANewStreamHasTheCommandsAge failed before: age of the command 100 ms after 3 s.

--- a/internal/engineagent/agent.go
+++ b/internal/engineagent/agent.go
@@ -45,15 +45,17 @@
 	logger  *slog.Logger
 	metrics *Metrics
 
-	mu         sync.Mutex
-	core       *Core
-	state      *controlpb.EngineState
-	running    int
-	queued     int
-	gateways   []string
-	changed    chan struct{}
-	wakeup     chan struct{}
-	engineLost bool
+	mu   sync.Mutex
+	core *Core
+	// state is the published state, as of publishedAt.
+	state       *controlpb.EngineState
+	publishedAt time.Time
+	running     int
+	queued      int
+	gateways    []string
+	changed     chan struct{}
+	wakeup      chan struct{}
+	engineLost  bool
 	// streams is the number of gateways' streams so far.
 	streams uint64
 }
@@ -165,7 +167,7 @@
 	}
 	a.running, a.queued = running, queued
 	if stateChanged {
-		a.state, a.gateways = state, gateways
+		a.state, a.publishedAt, a.gateways = state, now, gateways
 	}
 	close(a.changed)
 	a.changed = make(chan struct{})
@@ -228,6 +230,16 @@
 	}
 }
 
+// stateAsOf returns the published state with the age of its command at a time. The caller holds mu.
+func (a *Agent) stateAsOf(now time.Time) *controlpb.EngineState {
+	if a.state == nil || len(a.state.Unloading) == 0 && a.state.Loading == "" {
+		return a.state
+	}
+	state := proto.CloneOf(a.state)
+	state.CommandAgeMs += now.Sub(a.publishedAt).Milliseconds()
+	return state
+}
+
 // write sends a gateway the state whenever it changes and at each heartbeat.
 func (a *Agent) write(ctx context.Context, stream *wire.Stream) {
 	var sentState *controlpb.EngineState
@@ -239,7 +251,7 @@
 		changed := a.changed
 		message := &controlpb.FromAgent{Running: int32(a.running), Queued: int32(a.queued)}
 		if a.state != sentState {
-			message.State = a.state
+			message.State = a.stateAsOf(time.Now())
 		}
 		if sentGateways == nil || !slices.Equal(a.gateways, sentGateways) {
 			message.Gateways = &controlpb.GatewayList{Addresses: a.gateways}
--- a/internal/engineagent/agent_test.go
+++ b/internal/engineagent/agent_test.go
@@ -51,3 +51,14 @@
 	stop.Store(true)
 	reader.Wait()
 }
+
+// Guards against a gateway that connects during a load and takes the age that its command had when it was published for its present age.
+func TestStateOfANewStreamHasTheCommandsAge(t *testing.T) {
+	a := newTestAgent(t, nil)
+	a.core.HandleReport(start, &Report{Models: map[string]map[string]bool{"a": {}}})
+	sendGatewayMessage(a.core, start, GatewayMessage{Command: &Command{ID: 1, EndpointID: "i1", Load: "b"}})
+	a.publish(start.Add(100 * time.Millisecond))
+	if got := a.stateAsOf(start.Add(3 * time.Second)); got.CommandAgeMs != 3000 || a.state.CommandAgeMs != 100 {
+		t.Errorf("age of the command %d ms after 3 s, published as %d, want 3000 and 100", got.CommandAgeMs, a.state.CommandAgeMs)
+	}
+}
