backing: the commits of the test of cut answers name a new revision each

The server of that test gives each commit the same revision, 1, on one client. A revision increases with each commit, and a client takes one that it has seen for a copy of an earlier answer, so whole answers failed: commit response names revision 1, which was known before. The client's memory of revisions is cleared before each commit of this test; what is cut, and what has to fail or succeed, is as before.

--- a/internal/backing/cut_test.go
+++ b/internal/backing/cut_test.go
@@ -17,7 +17,12 @@
 	for name, client := range map[string]cuttest.Client{
 		"commit": {Body: `{"revision":1}`, New: func(_ *testing.T, address string) func(context.Context) error {
 			table := NewHTTPTable(options(address), &http.Client{})
-			return func(ctx context.Context) error { _, err := table.Commit(ctx, Txn{}); return err }
+			return func(ctx context.Context) error {
+				// All answers name one revision, which is new to each commit.
+				table.(*httpTable).seen.Store(0)
+				_, err := table.Commit(ctx, Txn{})
+				return err
+			}
 		}},
 		"list": {Body: `{"revision":1,"rows":[]}`, New: func(_ *testing.T, address string) func(context.Context) error {
 			table := NewHTTPTable(options(address), &http.Client{})
