placement: a large rate of loads is bounded before it becomes an integer

loads_per_s of 9e18 and more in the configuration, times the window, is beyond an integer. arm64 converts it to the largest one, x86-64 to the smallest, by which no load would ever start.

TestLargeRateOfLoadsAllowsLoads passes with and without the change here, on arm64; that it fails without it on x86-64 follows from the instruction's documented result and was not run.

--- a/internal/placement/storelimiter.go
+++ b/internal/placement/storelimiter.go
@@ -53,7 +53,9 @@
 	}
 	available := s.limit - len(s.running)
 	if perSecond > 0 {
-		available = min(available, int(perSecond*startWindow.Seconds()*startShare)-len(s.starts))
+		// The number is bounded before the conversion: what one that is out of range yields depends on the processor.
+		starts := min(perSecond*startWindow.Seconds()*startShare, float64(len(s.starts)+maxLimit))
+		available = min(available, int(starts)-len(s.starts))
 	}
 	return available
 }
