soak: another writer leaves many kinds of odd rows

The fault wrote ten rows; it now writes 40 at a time from the stand-in's list of odd registrations, as long as the store takes them, and one without the start of its process, as before; one of them over the row of an endpoint.

Run by hand with -for 20s -only "rows of another writer,configuration,gateway killed", two at once beside other load (load average 11 to 15 on 8 cores).

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"syscall"
 	"time"
 
@@ -280,26 +281,31 @@
 	}
 }
 
-// writeForeignRows writes rows that no endpoint writes: under keys of their own, and over the registration of an endpoint,
-// which writes it again at its next heartbeat.
+// maxRowBytes is the length of a value that the platform's store takes, and foreignRows the number of rows that another writer writes.
+const (
+	maxRowBytes = 64 << 10
+	foreignRows = 40
+)
+
+// writeForeignRows writes rows that no endpoint writes: under keys of their own, and over the registration of an endpoint, which writes
+// it again at its next heartbeat.
 func (s *site) writeForeignRows(p *endpointHost, pick uint64) func() {
-	rows := []any{
-		"text", 7, nil, []int{1}, map[string]any{},
-		map[string]any{"service": p.service, "address": p.listed, "zone": "domain-1", "slots": 8, "state": "unheard"},
-		map[string]any{"service": p.service, "address": p.listed, "zone": "domain-1", "slots": "8", "state": "ready", "born": 1},
-		map[string]any{"service": p.service, "address": p.listed, "zone": "domain-1", "slots": 8, "state": "ready", "born": 1.5},
-		map[string]any{"service": p.service, "zone": "domain-1", "slots": 8, "state": "ready", "born": 1},
-		map[string]any{"service": p.service, "address": p.listed, "zone": "domain-1", "slots": 8, "state": "ready"},
-	}
+	rows := slices.DeleteFunc(standin.ForeignRegistrations(p.service, p.listed), func(r standin.ForeignRow) bool { return len(r.Value) > maxRowBytes })
+	rows = append(rows, standin.RegistrationWithoutStart(p.service, p.listed))
+	keys := make([]string, 0, foreignRows)
 	end := s.checker.beginFault(p.name)
-	p.withEndpoint(func(e *standin.Endpoint) { s.store.Put(standin.EndpointTable, e.ID, rows[pick%uint64(len(rows))]) })
-	for i, row := range rows {
-		s.store.Put(standin.EndpointTable, fmt.Sprintf("foreign-%d", i), row)
+	p.withEndpoint(func(e *standin.Endpoint) {
+		s.store.PutBytes(standin.EndpointTable, e.ID, rows[pick%uint64(len(rows))].Value)
+	})
+	for i := range uint64(foreignRows) {
+		key := fmt.Sprintf("foreign-%d", i)
+		keys = append(keys, key)
+		s.store.PutBytes(standin.EndpointTable, key, rows[(pick+i)%uint64(len(rows))].Value)
 	}
 	return func() {
 		defer end()
-		for i := range rows {
-			s.store.Remove(standin.EndpointTable, fmt.Sprintf("foreign-%d", i))
+		for _, key := range keys {
+			s.store.Remove(standin.EndpointTable, key)
 		}
 	}
 }
