--- a/internal/hubs/hubs_test.go
+++ b/internal/hubs/hubs_test.go
@@ -149,7 +149,7 @@
 func TestOddRowsNameNoGateway(t *testing.T) {
 	good := `{"failure_domain":"d","processor":64}`
 	for _, key := range []string{
-		"", "a", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:-1", "10.0.0.1:65536", "10.0.0.1:http", ":80", "host:80", "0.0.0.0:80", "[::]:80", "224.0.0.1:80", "10.0.0.1:80\x00", strings.Repeat("1", 100_000) + ":80",
+		"", "a", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:-1", "10.0.0.1:65536", "10.0.0.1:http", ":80", "host:80", "0.0.0.0:80", "[::]:80", "[::ffff:0.0.0.0]:80", "224.0.0.1:80", "10.0.0.1:80\x00", strings.Repeat("1", 100_000) + ":80",
 	} {
 		if _, err := DecodeRow(key, []byte(good)); !errors.Is(err, ErrRow) || len(err.Error()) > 400 {
 			t.Errorf("key %.40q: %.100v, want a short ErrRow", key, err)
--- a/internal/hubs/row.go
+++ b/internal/hubs/row.go
@@ -36,7 +36,7 @@
 		return Gateway{}, errors.Wrapf(ErrRow, "%.60q: %.200s in %.40q", key, err, value)
 	}
 	address, err := netip.ParseAddrPort(key)
-	if err != nil || address.Port() == 0 || address.Addr().IsUnspecified() || address.Addr().IsMulticast() {
+	if err != nil || address.Port() == 0 || address.Addr().Unmap().IsUnspecified() || address.Addr().IsMulticast() {
 		return Gateway{}, errors.Wrapf(ErrRow, "%.60q is not the address of a gateway", key)
 	}
 	if r.FailureDomain == "" || len(r.FailureDomain) > maxDomainBytes || r.Processor < 0 || r.Processor > maxProcessor {
