soak: a process that the soak has killed has not ended by itself

The restart is now claimed first.

TestKilledProcessHasNotEndedByItself failed in 10 of 10 runs before ("a process that was killed counts as ended by itself") and passes in 20 of 20.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -185,9 +185,10 @@
 func (s *site) kill(hosts ...*host) {
 	for _, h := range hosts {
 		end := s.checker.beginFault(h.name)
+		claimed := s.claimRestart(h)
 		s.recordKill(h)
 		h.process.Kill()
-		if !s.claimRestart(h) {
+		if !claimed {
 			// A planned stop or another kill is in progress and will restart the process.
 			end()
 			continue
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -46,3 +49,43 @@
 		})
 	}
 }
+
+// Guards against a soak that takes a process which it has killed for one that ended by itself.
+func TestKilledProcessHasNotEndedByItself(t *testing.T) {
+	const processes = 50
+	s := &site{checker: newChecker(), states: map[string]*processState{}}
+	var hosts []*host
+	for i := range processes {
+		name := fmt.Sprint("p", i)
+		p := &childprocess.Process{Name: name, Path: "/bin/sleep", Args: []string{"60"}, Log: filepath.Join(t.TempDir(), "log")}
+		if err := p.Start(); err != nil {
+			t.Fatal(err)
+		}
+		hosts = append(hosts, &host{name: name, process: p})
+	}
+	unexpected := false
+	killed := make(chan struct{})
+	var watcher sync.WaitGroup
+	watcher.Go(func() {
+		for {
+			select {
+			case <-killed:
+				return
+			default:
+				unexpected = unexpected || slices.ContainsFunc(hosts, s.exitedUnexpectedly)
+			}
+		}
+	})
+	s.kill(hosts...)
+	close(killed)
+	watcher.Wait()
+	for _, h := range hosts {
+		for !s.claimRestart(h) {
+			time.Sleep(time.Millisecond)
+		}
+		h.process.Kill()
+	}
+	if unexpected {
+		t.Error("a process that was killed counts as ended by itself")
+	}
+}
