sendonce: a response of HTTP/1.0 with chunks is refused

What callers saw: an endpoint that answers as HTTP/1.0 with "Transfer-Encoding: chunked" and ends its connection anywhere in the body; the client got a 200 with the endpoint's signature whose body is the bytes of the chunks, or what had arrived of them, framed as whole (MIXED). HTTP/1.0 has no such field, and RFC 9112, 6.1, has a recipient treat the framing as faulty.

Cause: net/http removes the field from a response of HTTP/1.0 and reads the body until the connection ends, so the response does not show it any more. The connection now keeps a head that is not one of HTTP/1.1 until it is complete, and the response is refused as one whose outcome is unknown.

An HTTP/1.0 response that follows an interim one of HTTP/1.1 is not looked at.

--- a/internal/gateway/cut_test.go
+++ b/internal/gateway/cut_test.go
@@ -104,6 +104,11 @@
 	for _, chunk := range []string{"-6\r\nanswer\r\n", "+6\r\nanswer\r\n", "0x6\r\nanswer\r\n", "6 6\r\nanswer\r\n", "\r\nanswer\r\n", "6\r\nanswer", "7\r\nanswer\r\n", "5\r\nanswer\r\n", "fffffffffffffffff\r\nanswer\r\n", "ffffffffffffffff\r\nanswer\r\n", "7fffffffffffffff\r\nanswer\r\n"} {
 		list = append(list, answer("chunk "+chunk, "200 OK", "Transfer-Encoding: chunked\r\n", chunk+"0\r\n\r\n", true, ""))
 	}
+	for _, body := range []string{"6\r\nanswer\r\n0\r\n\r\n", "6\r\nans", ""} {
+		old := answer("HTTP/1.0, chunks "+body, "200 OK", "transfer-encoding: chunked\r\n", body, true, "")
+		old.head = strings.Replace(old.head, "HTTP/1.1", "HTTP/1.0", 1)
+		list = append(list, old)
+	}
 	return append(list,
 		answer("lengths that differ", "200 OK", "Content-Length: 6\r\nContent-Length: 3\r\n", "answer", true, ""),
 		answer("folded length", "200 OK", "Content-Length: 1\r\n 6\r\n", "answer", true, ""),
--- a/internal/sendonce/conn.go
+++ b/internal/sendonce/conn.go
@@ -23,6 +23,8 @@
 	closed bool
 	// carried is the number of requests that have used the connection.
 	carried int64
+	// head is that of the response to the request that uses the connection.
+	head responseHead
 }
 
 func newConn(conn net.Conn) *countedConn {
@@ -47,6 +49,7 @@
 		return 0, false
 	}
 	c.carried++
+	c.head = responseHead{}
 	return c.carried - 1, true
 }
 
@@ -58,6 +61,22 @@
 	}
 }
 
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	c.head.add(p[:n])
+	c.mu.Unlock()
+	return n, err
+}
+
+// misframed reports whether the framing of the response is not what net/http takes it for.
+func (c *countedConn) misframed() bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.head.hasTransferEncoding()
+}
+
 // Write implements net.Conn. It counts before it writes, because a failed write may have sent some of the bytes.
 func (c *countedConn) Write(p []byte) (int, error) {
 	c.mu.RLock()
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -166,6 +166,10 @@
 	}
 	resp.Body = &cancelBody{ReadCloser: resp.Body, cancel: cancel}
 	result := Result{Response: resp, MaybeSent: true, Connection: a.connection(), attempt: a}
+	if a.misframed() {
+		result.Discard()
+		return result, ErrFraming
+	}
 	if err := match(resp, result.Connection); err != nil {
 		result.Discard()
 		return result, err
@@ -253,6 +257,13 @@
 	return !ok || counted.written.Load() != a.writtenBefore
 }
 
+func (a *attempt) misframed() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	counted, ok := a.conn.(*countedConn)
+	return ok && counted.misframed()
+}
+
 func (a *attempt) maybeSent(traced bool) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
