--- a/internal/gateway/cut_test.go
+++ b/internal/gateway/cut_test.go
@@ -131,7 +131,9 @@
 // cutServer is the endpoint of all exchanges of a test. Each has a request ID of its own.
 type cutServer struct {
 	listener net.Listener
-	serving  sync.WaitGroup
+	// metrics are shared by the gateways, because each exchange has one of its own.
+	metrics *Metrics
+	serving sync.WaitGroup
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -155,7 +157,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &cutServer{listener: l, conns: make(map[net.Conn]bool), cases: make(map[string]*exchange)}
+	metrics, err := NewMetrics(prometheus.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &cutServer{listener: l, metrics: metrics, conns: make(map[net.Conn]bool), cases: make(map[string]*exchange)}
 	s.serving.Go(func() {
 		for {
 			conn, err := l.Accept()
@@ -316,6 +322,8 @@
 		_ = s.Serve(listener)
 	}()
 	_ = client.SetDeadline(time.Now().Add(10 * time.Second))
+	// A pipe keeps the timer of its deadline when it is closed.
+	defer func() { _ = client.SetDeadline(time.Time{}) }()
 	_, err := fmt.Fprintf(client, "POST %s HTTP/1.1\r\nHost: site\r\nId: %s\r\nModel: %s\r\nTimeout: %d\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody",
 		x.route.path+id, id, x.route.model, timeout.Milliseconds())
 	if err != nil {
@@ -397,24 +405,20 @@
 }
 
 // newGateway returns a gateway that knows only the server, as an endpoint of the route's service.
-func (x *exchange) newGateway(t *testing.T, s *cutServer) *Gateway {
-	metrics, err := NewMetrics(prometheus.NewRegistry())
-	if err != nil {
-		t.Fatal(err)
-	}
+func (x *exchange) newGateway(s *cutServer) *Gateway {
 	f := fleet.New("here", 1)
 	f.SetConfig(testConfig())
 	f.SetEndpoints([]catalog.Endpoint{{ID: x.route.service + "-1", Service: x.route.service, Address: s.listener.Addr().String(), Models: []string{"m"}, Revision: 1}})
 	options := Options{Budget: routing.BudgetOptions{Burst: 100}, GatewayCount: func() int { return 1 }, Crashes: crashes.New(), Parts: crashes.NewParts(f.MayHaveEnded), Streams: streams.New(), InContact: func() bool { return true }}
-	return New(options, testCodec{}, f, &http.Transport{DialContext: netconn.DialAbortive()}, slog.New(slog.DiscardHandler), metrics)
+	return New(options, testCodec{}, f, &http.Transport{DialContext: netconn.DialAbortive()}, slog.New(slog.DiscardHandler), s.metrics)
 }
 
 // errNewConnection is returned if a request came on a new connection, because the kept one was not free yet.
 var errNewConnection = errors.New("the connection was not used again")
 
 // run makes the exchange and returns what is wrong with it.
-func (x *exchange) run(t *testing.T, s *cutServer) error {
-	gateway := x.newGateway(t, s)
+func (x *exchange) run(s *cutServer) error {
+	gateway := x.newGateway(s)
 	if x.warm {
 		if _, err := x.send(gateway, warmUp+x.id, time.Second); err != nil {
 			return err
@@ -496,7 +500,7 @@
 			defer func() { <-slots }()
 			err := errNewConnection
 			for try := 0; try < maxTries && errors.Is(err, errNewConnection); try++ {
-				err = s.add(c).run(t, s)
+				err = s.add(c).run(s)
 			}
 			if err != nil {
 				t.Errorf("%v: %v", c, err)
