--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -54,19 +54,7 @@
 	g.fleet.NotifyRestart(choice, func() { cancel(errRestarted) })
 	watchdog := g.startWatchdog(q, cancel)
 	defer watchdog.Stop()
-	var a Response
-	result, err := g.client.DoMatched(func() *http.Request {
-		return g.codec.NewRequest(ctx, q.inbound, q.body, Attempt{
-			Address:     choice.Address,
-			EndpointID:  choice.ID,
-			Timeout:     time.Until(q.deadline),
-			Priority:    q.route.Priority,
-			LastEventID: out.lastEventID,
-		})
-	}, &q.sent, func(response *http.Response, c sendonce.Connection) error {
-		a = g.codec.ReadResponse(response)
-		return q.match(c, a)
-	})
+	result, a, err := g.send(ctx, out, q, choice)
 	if err != nil {
 		return g.handleFailure(parent, q, choice, result, err)
 	}
@@ -93,6 +81,24 @@
 	return g.forwardBuffered(parent, out, q, choice, result, began)
 }
 
+// send sends a request to an endpoint and returns the response once it is known to be the one to this request.
+func (g *Gateway) send(ctx context.Context, out *response, q *request, choice fleet.Choice) (result sendonce.Result, a Response, err error) {
+	newRequest := func() *http.Request {
+		return g.codec.NewRequest(ctx, q.inbound, q.body, Attempt{
+			Address:     choice.Address,
+			EndpointID:  choice.ID,
+			Timeout:     time.Until(q.deadline),
+			Priority:    q.route.Priority,
+			LastEventID: out.lastEventID,
+		})
+	}
+	result, err = g.client.DoMatched(newRequest, &q.sent, func(response *http.Response, c sendonce.Connection) error {
+		a = g.codec.ReadResponse(response)
+		return q.match(c, a)
+	})
+	return result, a, err
+}
+
 // watchdogRecheck is the interval at which an expired watchdog checks again for another endpoint.
 const watchdogRecheck = 200 * time.Millisecond
 
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -128,7 +128,7 @@
 	return c.do(req, nil, func(*http.Response, Connection) error { return nil })
 }
 
-// Sent holds the connections over which a message was sent.
+// Sent holds the connections over which a message was sent. It is not safe for concurrent use.
 type Sent struct{ conns []*countedConn }
 
 // DoMatched sends a message, which may have been sent before, at most once more, and returns the response only if match accepts it;
