--- a/internal/gateway/cut_test.go
+++ b/internal/gateway/cut_test.go
@@ -104,6 +104,11 @@
 	for _, chunk := range []string{"-6\r\nanswer\r\n", "+6\r\nanswer\r\n", "0x6\r\nanswer\r\n", "6 6\r\nanswer\r\n", "\r\nanswer\r\n", "6\r\nanswer", "7\r\nanswer\r\n", "5\r\nanswer\r\n", "fffffffffffffffff\r\nanswer\r\n", "ffffffffffffffff\r\nanswer\r\n", "7fffffffffffffff\r\nanswer\r\n"} {
 		list = append(list, answer("chunk "+chunk, "200 OK", "Transfer-Encoding: chunked\r\n", chunk+"0\r\n\r\n", true, ""))
 	}
+	for _, body := range []string{"6\r\nanswer\r\n0\r\n\r\n", "6\r\nans", ""} {
+		old := answer("HTTP/1.0, chunks "+body, "200 OK", "transfer-encoding: chunked\r\n", body, true, "")
+		old.head = strings.Replace(old.head, "HTTP/1.1", "HTTP/1.0", 1)
+		list = append(list, old)
+	}
 	return append(list,
 		answer("lengths that differ", "200 OK", "Content-Length: 6\r\nContent-Length: 3\r\n", "answer", true, ""),
 		answer("folded length", "200 OK", "Content-Length: 1\r\n 6\r\n", "answer", true, ""),
@@ -126,7 +131,9 @@
 // cutServer is the endpoint of all exchanges of a test. Each has a request ID of its own.
 type cutServer struct {
 	listener net.Listener
-	serving  sync.WaitGroup
+	// metrics are shared by the gateways, because each exchange has one of its own.
+	metrics *Metrics
+	serving sync.WaitGroup
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -150,7 +157,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &cutServer{listener: l, conns: make(map[net.Conn]bool), cases: make(map[string]*exchange)}
+	metrics, err := NewMetrics(prometheus.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &cutServer{listener: l, metrics: metrics, conns: make(map[net.Conn]bool), cases: make(map[string]*exchange)}
 	s.serving.Go(func() {
 		for {
 			conn, err := l.Accept()
@@ -311,6 +322,8 @@
 		_ = s.Serve(listener)
 	}()
 	_ = client.SetDeadline(time.Now().Add(10 * time.Second))
+	// A pipe keeps the timer of its deadline when it is closed.
+	defer func() { _ = client.SetDeadline(time.Time{}) }()
 	_, err := fmt.Fprintf(client, "POST %s HTTP/1.1\r\nHost: site\r\nId: %s\r\nModel: %s\r\nTimeout: %d\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody",
 		x.route.path+id, id, x.route.model, timeout.Milliseconds())
 	if err != nil {
@@ -392,24 +405,20 @@
 }
 
 // newGateway returns a gateway that knows only the server, as an endpoint of the route's service.
-func (x *exchange) newGateway(t *testing.T, s *cutServer) *Gateway {
-	metrics, err := NewMetrics(prometheus.NewRegistry())
-	if err != nil {
-		t.Fatal(err)
-	}
+func (x *exchange) newGateway(s *cutServer) *Gateway {
 	f := fleet.New("here", 1)
 	f.SetConfig(testConfig())
 	f.SetEndpoints([]catalog.Endpoint{{ID: x.route.service + "-1", Service: x.route.service, Address: s.listener.Addr().String(), Models: []string{"m"}, Revision: 1}})
 	options := Options{Budget: routing.BudgetOptions{Burst: 100}, GatewayCount: func() int { return 1 }, Crashes: crashes.New(), Parts: crashes.NewParts(f.MayHaveEnded), Streams: streams.New(), InContact: func() bool { return true }}
-	return New(options, testCodec{}, f, &http.Transport{DialContext: netconn.DialAbortive()}, slog.New(slog.DiscardHandler), metrics)
+	return New(options, testCodec{}, f, &http.Transport{DialContext: netconn.DialAbortive()}, slog.New(slog.DiscardHandler), s.metrics)
 }
 
 // errNewConnection is returned if a request came on a new connection, because the kept one was not free yet.
 var errNewConnection = errors.New("the connection was not used again")
 
 // run makes the exchange and returns what is wrong with it.
-func (x *exchange) run(t *testing.T, s *cutServer) error {
-	gateway := x.newGateway(t, s)
+func (x *exchange) run(s *cutServer) error {
+	gateway := x.newGateway(s)
 	if x.warm {
 		if _, err := x.send(gateway, warmUp+x.id, time.Second); err != nil {
 			return err
@@ -491,7 +500,7 @@
 			defer func() { <-slots }()
 			err := errNewConnection
 			for try := 0; try < maxTries && errors.Is(err, errNewConnection); try++ {
-				err = s.add(c).run(t, s)
+				err = s.add(c).run(s)
 			}
 			if err != nil {
 				t.Errorf("%v: %v", c, err)
