test: a revision is judged by the process that was asked for it

The monitor asks first for the readiness and then for the revision, and dates both before the first request. The agent was stopped and started again between the two: the earlier process was ready, the later one had nothing in force yet. An observation now has the time after its requests as well, and the downtime of a process is compared with all of it. A step back of a running process is found as before.

TestRevisionOfAProcessThatWasStartedAgain plays it, and fails with the former comparison.

--- a/test/declarations_test.go
+++ b/test/declarations_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"testing"
 	"time"
 
 	"balsamsail/internal/operator"
@@ -60,7 +61,7 @@
 // been accepted propagationLimit (plus tolerance) earlier. Processes that were down in that time are skipped.
 func checkInForce(v *violations, e *evidence, accepted []*edit) {
 	for _, seen := range e.observations {
-		if !seen.ready || e.cluster.wasDown(seen.process, seen.at.Add(-propagationLimit-propagationTolerance), seen.at) {
+		if !seen.ready || e.cluster.wasDown(seen.process, seen.at.Add(-propagationLimit-propagationTolerance), seen.until) {
 			continue
 		}
 		wanted := newestBefore(accepted, seen.at.Add(-propagationLimit-propagationTolerance))
@@ -92,7 +93,7 @@
 		if seen.regression != "" && seen.regression != before.regression {
 			v.add("%s went back %s", seen.process, seen.regression)
 		}
-		if !ok || e.cluster.wasDown(seen.process, before.at, seen.at) {
+		if !ok || e.cluster.wasDown(seen.process, before.at, seen.until) {
 			continue
 		}
 		if seen.revision < before.revision {
@@ -102,6 +103,37 @@
 	}
 }
 
+// Guards against a check that takes the first revision of a process that was started again for a step back, because the readiness was asked
+// of the process before it; and against one that excuses a step back of a running process.
+func TestRevisionOfAProcessThatWasStartedAgain(t *testing.T) {
+	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
+	for name, c := range map[string]struct {
+		down span
+		want int
+	}{
+		"runs":                          {span{}, 1},
+		"down between the observations": {span{at(120), at(150)}, 0},
+		"down within the second one":    {span{at(210), at(240)}, 0},
+		"down afterwards":               {span{at(300), at(350)}, 1},
+	} {
+		p := &process{name: "entry-1"}
+		if !c.down.begin.IsZero() {
+			p.downtime.spans = []span{c.down}
+		}
+		v := &violations{}
+		checkMonotonic(v, &evidence{
+			cluster: &cluster{entries: []*entryHost{{name: "entry-1", process: p}}},
+			observations: []observation{
+				{process: "entry-1", at: at(100), until: at(110), ready: true, revision: 27},
+				{process: "entry-1", at: at(200), until: at(250), ready: true},
+			},
+		})
+		if len(v.list) != c.want {
+			t.Errorf("%s: violations %v, want %d", name, v.list, c.want)
+		}
+	}
+}
+
 // checkFinalLabel checks that all entries show the label of the newest accepted edit of it within propagationLimit
 // (plus tolerance).
 func checkFinalLabel(v *violations, e *evidence, accepted []*edit) {
--- a/test/monitor_test.go
+++ b/test/monitor_test.go
@@ -16,9 +16,10 @@
 
 // observation is the revision of the declarations that a process had in force at a time.
 type observation struct {
-	process  string
-	at       time.Time
-	revision uint64
+	process string
+	// at is the time before the requests, and until that after them; another process may have answered the later ones.
+	at, until time.Time
+	revision  uint64
 	// regression describes the last change to a lower revision that the process reported, if any.
 	regression string
 	ready      bool
@@ -74,7 +75,7 @@
 	}
 }
 
-// pollOnce records one observation, with the time before its requests. It asks for the readiness before the revision,
+// pollOnce records one observation, with the times before and after its requests. It asks for the readiness before the revision,
 // so a process recorded as ready had the recorded revision in force at a time after it was ready.
 func (m *monitor) pollOnce(client *http.Client, process, readyURL string, read revisionReader) {
 	at := time.Now()
@@ -87,6 +88,7 @@
 	if read(client, &seen) != nil {
 		return
 	}
+	seen.until = time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.seen = append(m.seen, seen)
