--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -156,7 +156,8 @@
 // match returns an error unless a response is known to be the one to this request. Nothing else that it says is believed before.
 //
 // An endpoint may send a response to an earlier request once more, where the next one on the connection is due; the request ID tells
-// them apart, because no connection carries the same request twice. A response without an ID is the one to this request only if its connection has carried no other.
+// them apart, because no connection carries the same request twice. A response without an ID is the one to this request only if its
+// connection has carried no other.
 func (q *request) match(c sendonce.Connection, a Response) error {
 	switch {
 	case a.ID == "" && c.Carried > 0:
