fleet: what an endpoint's earlier process has done is not held against the next one

Cause: the view of endpoints kept what it learned of an endpoint by ID. An endpoint that restarts under its ID (its registration or its agent's report states a later start) got a new record in part only, and what arrived after that moment from requests to the earlier process was charged to the new one: all requests in flight fail when the restart is seen, and each counted as a failure of the new process, which was ejected after some of them; a late answer brought its load, limit, absent model or "another incarnation" with it, and the requests that had not ended yet counted as the new process's load.

Change: what is known of a process is one type, which a restart replaces; a choice remembers the process, and what it brings is dropped once another one has taken its place. Whether an endpoint responds is asked of the process as well, so that an end which a client's leaving hides is recorded at once if the process is gone.

Result: with the comparison of processes taken out, TestFactsOfAnEarlierProcess fails in 8 of 8 cases and TestMayHaveEnded in the new one.

--- a/internal/control/limits_test.go
+++ b/internal/control/limits_test.go
@@ -54,6 +54,19 @@
 	return s
 }
 
+// observeLimit has a gateway see a limit in an answer of the engine.
+func observeLimit(t *testing.T, g *testGateway, limit fleet.RateLimit) {
+	t.Helper()
+	r := &fleet.Request{Target: fleet.Target{Service: "s", Model: "m"}}
+	var c fleet.Choice
+	eventually(t, "the engine takes a request", func() (ok bool) {
+		c, _, ok = g.fleet.Choose(time.Now(), r)
+		return ok
+	})
+	g.fleet.ObserveLimit(time.Now(), time.Now(), c, limit)
+	g.fleet.Done(c, r)
+}
+
 // startLimitedSite starts a site whose engine names a limit to one gateway, and waits until all know it.
 func startLimitedSite(t *testing.T, n int, limit fleet.RateLimit) []*testGateway {
 	t.Helper()
@@ -64,7 +77,7 @@
 	for i, g := range gateways {
 		eventually(t, fmt.Sprintf("gateway %d knows the engine's state", i), g.engineReported)
 	}
-	gateways[1].fleet.ObserveLimit(time.Now(), time.Now(), "e1", limit)
+	observeLimit(t, gateways[1], limit)
 	for i, g := range gateways {
 		eventuallyWithin(t, 2*time.Second, fmt.Sprintf("gateway %d knows the limit", i), func() bool { return g.fleet.LimitedEndpoints() == 1 })
 	}
@@ -85,7 +98,7 @@
 				t.Errorf("%d requests in %v from %d gateways, want at most %d, and half of them at least", got, window, n, allowed)
 			}
 
-			gateways[2].fleet.ObserveLimit(time.Now(), time.Now(), "e1", fleet.RateLimit{})
+			observeLimit(t, gateways[2], fleet.RateLimit{})
 			for i, g := range gateways {
 				eventuallyWithin(t, 2*time.Second, fmt.Sprintf("gateway %d knows that there is no limit", i), func() bool { return g.fleet.LimitedEndpoints() == 0 })
 			}
@@ -123,7 +136,7 @@
 	gateways, agent := startSite(t, 10)
 	hub := gateways[9]
 	eventually(t, "all gateways use the hub", func() bool { return hub.hub.Subscribers() == 9 })
-	hub.fleet.ObserveLimit(time.Now(), time.Now(), "e1", fleet.RateLimit{Named: true, PerSecond: 3})
+	observeLimit(t, hub, fleet.RateLimit{Named: true, PerSecond: 3})
 	newcomer := startNewcomer(t, gateways, agent)
 	eventually(t, "the new gateway knows the limit", func() bool { return newcomer.fleet.LimitedEndpoints() == 1 })
 }
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -79,11 +79,12 @@
 	Started int64
 	// Version is the version of the endpoint's software.
 	Version string
+	process *process
 	// reservation is shared by the copies of a Choice.
 	reservation *reservation
 }
 
-// reservation is the load that one request adds to an endpoint's counters.
+// reservation is the load that one request adds to a process's counters.
 type reservation struct {
 	promptTokens int
 	// onRestart is called if the endpoint restarts.
@@ -126,7 +127,7 @@
 	}
 	r := &reservation{promptTokens: req.PromptTokens}
 	e.reservations[r] = struct{}{}
-	return Choice{ID: e.ID, Address: e.Address, Started: e.started, Version: e.Version, reservation: r}, reason, true
+	return Choice{ID: e.ID, Address: e.Address, Started: e.started, Version: e.Version, process: e.process, reservation: r}, reason, true
 }
 
 // picked is the candidate that was chosen for a request, or the reason why there is none.
@@ -168,7 +169,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c.reservation.onRestart = lost
-	if e := f.endpoints[c.ID]; e != nil && c.Started != 0 && c.Started != e.started {
+	if e := f.endpoints[c.ID]; e != nil && e.process != c.process {
 		lost()
 	}
 }
@@ -304,16 +305,13 @@
 func (f *Fleet) Done(c Choice, req *Request) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	e := f.endpoints[c.ID]
-	if e == nil {
-		return
-	}
-	e.inFlight--
-	delete(e.reservations, c.reservation)
-	e.responses.done(e.inFlight)
-	e.releasePrompt(c)
+	p := c.process
+	p.inFlight--
+	delete(p.reservations, c.reservation)
+	p.responses.done(p.inFlight)
+	p.releasePrompt(c)
 	if req.Adapter != "" {
-		decrement(e.adapters, req.adapter())
+		decrement(p.adapters, req.adapter())
 	}
 }
 
@@ -321,15 +319,15 @@
 func (f *Fleet) Prefilled(c Choice, req *Request) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if e := f.endpoints[c.ID]; e != nil && req.Model != "" && c.reservation.promptTokens > 0 {
-		e.releasePrompt(c)
+	if req.Model != "" && c.reservation.promptTokens > 0 {
+		c.process.releasePrompt(c)
 		f.notify()
 	}
 }
 
-// releasePrompt subtracts a request's prompt tokens from the endpoint's pending ones. Further calls have no effect.
-func (e *endpoint) releasePrompt(c Choice) {
-	e.pendingPromptTokens -= c.reservation.promptTokens
+// releasePrompt subtracts a request's prompt tokens from the process's pending ones. Further calls have no effect.
+func (p *process) releasePrompt(c Choice) {
+	p.pendingPromptTokens -= c.reservation.promptTokens
 	c.reservation.promptTokens = 0
 }
 
@@ -380,18 +378,20 @@
 	}
 }
 
-// Observe records the outcome of an attempt.
-func (f *Fleet) Observe(now time.Time, o routing.Observation) {
+// Observe records the outcome of an attempt at the chosen endpoint.
+func (f *Fleet) Observe(now time.Time, c Choice, outcome routing.Outcome, firstByte time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.router.Observe(now, o)
+	if e := f.chosen(c); e != nil {
+		f.router.Observe(now, routing.Observation{Endpoint: e.ID, Target: e.Service, Outcome: outcome, FirstByte: firstByte})
+	}
 }
 
-// Absent records that an endpoint rejected a request because the model or the adapter is not loaded.
-func (f *Fleet) Absent(now time.Time, id string, req *Request) {
+// Absent records that the chosen endpoint rejected a request because the model or the adapter is not loaded.
+func (f *Fleet) Absent(now time.Time, c Choice, req *Request) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	e := f.endpoints[id]
+	e := f.chosen(c)
 	if e == nil {
 		return
 	}
@@ -403,11 +403,11 @@
 	e.absent[Adapter{Model: req.Model}] = until
 }
 
-// Load records the load that an endpoint reported in a response header.
-func (f *Fleet) Load(now time.Time, id string, running, queued int) {
+// Load records the load that the chosen endpoint reported in a response header.
+func (f *Fleet) Load(now time.Time, c Choice, running, queued int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if e := f.endpoints[id]; e != nil {
+	if e := f.chosen(c); e != nil {
 		e.headerLoad, e.headerLoadAt = running+queued, now
 		e.sentSinceLoad = 0
 	}
--- a/internal/fleet/ended.go
+++ b/internal/fleet/ended.go
@@ -40,10 +40,10 @@
 	return e == nil || p.Started != 0 && p.Started != e.started || e.replaced || !e.responsive(now) || e.downAt.Add(EndDetectionTime).After(at)
 }
 
-// IsResponsive reports whether an endpoint is listed and, as far as is known, responds.
-func (f *Fleet) IsResponsive(now time.Time, id string) bool {
+// IsResponsive reports whether the chosen process is listed and, as far as is known, responds.
+func (f *Fleet) IsResponsive(now time.Time, c Choice) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	e := f.endpoints[id]
+	e := f.chosen(c)
 	return e != nil && e.responsive(now)
 }
--- a/internal/fleet/ended_test.go
+++ b/internal/fleet/ended_test.go
@@ -20,8 +20,12 @@
 	}{
 		{"nothing is heard of it", func(*Fleet, time.Time) {}, true},
 		{"it is gone", func(f *Fleet, _ time.Time) { f.SetEndpoints(nil) }, true},
-		{"it has answered since", func(f *Fleet, at time.Time) { f.ObserveResponse(at.Add(time.Millisecond), "e", time.Millisecond) }, false},
-		{"it had answered before", func(f *Fleet, at time.Time) { f.ObserveResponse(at.Add(-time.Millisecond), "e", time.Millisecond) }, true},
+		{"it has answered since", func(f *Fleet, at time.Time) {
+			f.ObserveResponse(at.Add(time.Millisecond), choiceOf(f, "e"), time.Millisecond)
+		}, false},
+		{"it had answered before", func(f *Fleet, at time.Time) {
+			f.ObserveResponse(at.Add(-time.Millisecond), choiceOf(f, "e"), time.Millisecond)
+		}, true},
 		{"its agent reports it at once", func(f *Fleet, at time.Time) { f.SetState("e", report(false), 0, 0, at.Add(100*time.Millisecond)) }, true},
 		{"its agent reports it a while later", func(f *Fleet, at time.Time) {
 			f.SetState("e", report(false), 0, 0, at.Add(EndDetectionTime+time.Millisecond))
@@ -33,11 +37,19 @@
 		{"it had restarted under its ID before this gateway started, and answers", func(f *Fleet, at time.Time) {
 			f.SetEndpoints(nil)
 			f.SetEndpoints([]catalog.Endpoint{{ID: "e", Service: "s", Started: started + 1, Revision: 2}})
-			f.ObserveResponse(at.Add(100*time.Millisecond), "e", time.Millisecond)
+			f.ObserveResponse(at.Add(100*time.Millisecond), choiceOf(f, "e"), time.Millisecond)
 		}, true},
 		{"it has restarted under its ID, and answers", func(f *Fleet, at time.Time) {
 			f.SetEndpoints([]catalog.Endpoint{{ID: "e", Service: "s", Started: started + 1, Revision: 2}})
-			f.ObserveResponse(at.Add(100*time.Millisecond), "e", time.Millisecond)
+			f.ObserveResponse(at.Add(100*time.Millisecond), choiceOf(f, "e"), time.Millisecond)
+		}, true},
+		{"an earlier process has answered since", func(f *Fleet, at time.Time) {
+			f.SetEndpoints(nil)
+			f.SetEndpoints([]catalog.Endpoint{{ID: "e", Service: "s", Started: started - 1, Revision: 1}})
+			earlier := choiceOf(f, "e")
+			f.SetEndpoints([]catalog.Endpoint{{ID: "e", Service: "s", Started: started, Revision: 2}})
+			f.endpoints["e"].downAt = time.Time{}
+			f.ObserveResponse(at.Add(time.Millisecond), earlier, time.Millisecond)
 		}, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -63,46 +63,57 @@
 // endpoint is the gateway's state of one endpoint.
 type endpoint struct {
 	catalog.Endpoint
-	// started is the start of the latest process known from a registration or a report; 0 before the first that states it.
-	started    int64
-	state      *EngineState
-	reportedAt time.Time
-	// fullReportAt is the time of the last report that had more than the load.
-	fullReportAt time.Time
-	// inFlight is the number of this gateway's requests at the endpoint, and reservations holds one entry for each.
+	*process
+	// connected is set while the connection to the agent is open.
+	connected bool
+	// relay is the hub that says of the engine, nil if the agent does; relayReported is set while the hub has a report.
+	relay         *relay
+	relayReported bool
+	// hostDown is set while the endpoint's host does not respond on the connection to its agent.
+	hostDown bool
+}
+
+// process is what the gateway knows of one process of an endpoint. An endpoint that restarts under its ID gets another one, so that
+// nothing is held against a process that an earlier one has done.
+type process struct {
+	// started is its start, as the latest of a registration or a report states it; 0 before the first that does.
+	started int64
+	// inFlight is the number of this gateway's requests at the process, and reservations holds one entry for each.
 	inFlight     int
 	reservations map[*reservation]struct{}
-	// pendingPromptTokens is the number of prompt tokens sent to the endpoint in requests whose first event has not
+	// pendingPromptTokens is the number of prompt tokens sent to the process in requests whose first event has not
 	// arrived.
 	pendingPromptTokens int
 	// adapters counts this gateway's requests in flight per adapter. absent holds the models and adapters that the
-	// endpoint reported as not loaded, each with the time until which it gets no requests for them.
+	// process reported as not loaded, each with the time until which it gets no requests for them.
 	adapters map[Adapter]int
 	absent   map[Adapter]time.Time
+	// state is the agent's last report, received at reportedAt. fullReportAt is the time of the last one that had more than the load.
+	state                    *EngineState
+	reportedAt, fullReportAt time.Time
+	// downAt is when the agent last reported that the process does not respond, or an earlier process was last seen.
+	downAt time.Time
 	// headerLoad is the number of running and queued requests in the last response header, received at headerLoadAt.
 	headerLoad   int
 	headerLoadAt time.Time
 	// sentSinceLoad is the number of requests sent since the load was last reported.
 	sentSinceLoad int
-	// connected is set while the connection to the agent is open.
-	connected bool
-	// refusedUntil is the time until which the endpoint gets no requests because it refused a connection.
+	// refusedUntil is the time until which the process gets no requests because it refused a connection.
 	refusedUntil time.Time
-	// relay is the hub that says of the engine, nil if the agent does; relayReported is set while the hub has a report.
-	relay         *relay
-	relayReported bool
 	// replaced is set when another incarnation responded at the address.
 	replaced bool
-	// hostDown is set while the endpoint's host does not respond on the connection to its agent.
-	hostDown bool
-	// downAt is when the agent last reported that the engine does not respond, or another process of the endpoint was last seen.
-	downAt time.Time
-	// responses tracks the endpoint's own responses.
+	// responses tracks the process's own responses.
 	responses responseTracker
-	// limit is the rate of requests that the endpoint names.
+	// limit is the rate of requests that the process names.
 	limit limitState
 }
 
+func newProcess(started int64) *process {
+	return &process{
+		started: started, reservations: make(map[*reservation]struct{}), adapters: make(map[Adapter]int), absent: make(map[Adapter]time.Time),
+	}
+}
+
 // Adapter identifies an adapter of a model; Name is empty for the model itself.
 type Adapter struct{ Model, Name string }
 
@@ -215,9 +226,7 @@
 		present[e.ID] = true
 		known := f.endpoints[e.ID]
 		if known == nil {
-			known = &endpoint{
-				adapters: make(map[Adapter]int), absent: make(map[Adapter]time.Time), reservations: make(map[*reservation]struct{}),
-			}
+			known = &endpoint{process: newProcess(0)}
 			f.endpoints[e.ID] = known
 			added = append(added, e)
 		}
@@ -250,19 +259,15 @@
 	if started <= e.started {
 		return
 	}
-	restarted := e.started != 0
-	e.started = started
-	if !restarted {
+	earlier := e.process
+	if earlier.started == 0 {
+		earlier.started = started
 		return
 	}
+	e.process, e.Models = newProcess(started), nil
 	e.downAt = time.Now()
-	e.state, e.Models = nil, nil
-	e.headerLoad, e.headerLoadAt = 0, time.Time{}
-	e.refusedUntil, e.replaced = time.Time{}, false
-	e.responses, e.limit = responseTracker{}, limitState{}
-	clear(e.absent)
 	f.router.Forget(e.ID)
-	for r := range e.reservations {
+	for r := range earlier.reservations {
 		if r.onRestart != nil {
 			r.onRestart()
 		}
@@ -272,6 +277,15 @@
 	}
 }
 
+// chosen returns the endpoint of a choice, or nil if it is no longer listed or another process has taken the place of the chosen one.
+func (f *Fleet) chosen(c Choice) *endpoint {
+	e := f.endpoints[c.ID]
+	if e == nil || e.process != c.process {
+		return nil
+	}
+	return e
+}
+
 // Ready reports whether the gateway has a configuration and a list of endpoints.
 func (f *Fleet) Ready() bool {
 	f.mu.Lock()
@@ -350,21 +364,21 @@
 	return e.hostDown || e.state != nil && e.connected && now.Sub(e.reportedAt) >= hostTimeout
 }
 
-// Refused records that an endpoint's host is up but nothing listens at the endpoint's address: the endpoint has
+// Refused records that the chosen endpoint's host is up but nothing listens at its address: the endpoint has
 // crashed. A restarted endpoint has another identifier; refusedBackoff covers one that is slow to listen.
-func (f *Fleet) Refused(now time.Time, id string) {
+func (f *Fleet) Refused(now time.Time, c Choice) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if e := f.endpoints[id]; e != nil {
+	if e := f.chosen(c); e != nil {
 		e.refusedUntil = now.Add(refusedBackoff)
 	}
 }
 
-// Replaced records that another incarnation responds at an endpoint's address.
-func (f *Fleet) Replaced(id string) {
+// Replaced records that another incarnation responds at the chosen endpoint's address.
+func (f *Fleet) Replaced(c Choice) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if e := f.endpoints[id]; e != nil {
+	if e := f.chosen(c); e != nil {
 		e.replaced = true
 	}
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -23,6 +23,26 @@
 	return f
 }
 
+// choiceOf returns a choice of an endpoint for which nothing is counted.
+func choiceOf(f *Fleet, id string) Choice {
+	return Choice{ID: id, process: f.endpoints[id].process}
+}
+
+// chooseMany chooses endpoints for a number of requests that are in flight at the same time, and returns how many each got.
+func chooseMany(f *Fleet, n int) map[string]int {
+	shares := make(map[string]int)
+	var choices []Choice
+	for range n {
+		choice, _, _ := f.Choose(start, modelRequest(0))
+		shares[choice.ID]++
+		choices = append(choices, choice)
+	}
+	for _, choice := range choices {
+		f.Done(choice, modelRequest(0))
+	}
+	return shares
+}
+
 func modelRequest(prompt int) *Request {
 	return &Request{Target: Target{Service: "s", Model: "m"}, PromptTokens: prompt, PacedUntil: start.Add(200 * time.Millisecond)}
 }
@@ -127,13 +147,13 @@
 // after absentTTL.
 func TestAbsentModelIsNotAskedAgain(t *testing.T) {
 	f := twoEngines()
-	f.Absent(start, "e1", modelRequest(0))
+	f.Absent(start, choiceOf(f, "e1"), modelRequest(0))
 	for range 5 {
 		if c, _, ok := f.Choose(start, modelRequest(0)); !ok || c.ID != "e2" {
 			t.Fatalf("chosen %v %s, want the other engine", ok, c.ID)
 		}
 	}
-	f.Absent(start, "e2", modelRequest(0))
+	f.Absent(start, choiceOf(f, "e2"), modelRequest(0))
 	if _, reason, ok := f.Choose(start, modelRequest(0)); ok || reason != ModelNotLoaded {
 		t.Errorf("chosen %v, reason %v, want the request to wait", ok, reason)
 	}
@@ -212,6 +232,56 @@
 	}
 }
 
+// Guards against what an endpoint's earlier process has answered, or failed to answer, being held against the process that has taken
+// its place.
+func TestFactsOfAnEarlierProcess(t *testing.T) {
+	registered := func(started int64) []catalog.Endpoint {
+		e := catalog.Endpoint{Service: "s", Models: []string{"m"}, Revision: started, Started: started}
+		one, two := e, e
+		one.ID, two.ID, two.Started = "e1", "e2", 100
+		return []catalog.Endpoint{one, two}
+	}
+	request := &Request{Target: Target{Service: "s", Model: "m"}}
+	for _, c := range []struct {
+		name string
+		tell func(f *Fleet, earlier Choice)
+	}{
+		{"requests that have not ended", func(*Fleet, Choice) {}},
+		{"load", func(f *Fleet, c Choice) { f.Load(start, c, 50, 10) }},
+		{"limit", func(f *Fleet, c Choice) { f.ObserveLimit(start, start, c, RateLimit{Named: true, PerSecond: 1}) }},
+		{"model not loaded", func(f *Fleet, c Choice) { f.Absent(start, c, request) }},
+		{"another incarnation at the address", func(f *Fleet, c Choice) { f.Replaced(c) }},
+		{"connection refused", func(f *Fleet, c Choice) { f.Refused(start, c) }},
+		{"slow answer", func(f *Fleet, c Choice) { f.Observe(start, c, routing.OutcomeServed, time.Minute) }},
+		{"failures", func(f *Fleet, c Choice) {
+			for range 20 {
+				f.Observe(start, c, routing.OutcomeUnknown, 0)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := New("here", 1)
+			f.SetEndpoints(registered(100))
+			f.Observe(start, choiceOf(f, "e2"), routing.OutcomeServed, time.Second)
+			var earlier Choice
+			for range 8 {
+				earlier, _, _ = f.Choose(start, &Request{Target: request.Target, Tried: []string{"e2"}})
+			}
+			if earlier.ID != "e1" {
+				t.Fatalf("chosen %q before the restart, want e1", earlier.ID)
+			}
+			f.SetEndpoints(registered(200))
+			c.tell(f, earlier)
+			if shares := chooseMany(f, 20); shares["e1"] < 8 {
+				t.Errorf("requests by endpoint: %v, want half of them for the new process of e1", shares)
+			}
+			if f.IsResponsive(start, earlier) {
+				t.Error("the earlier process counts as one that responds")
+			}
+		})
+	}
+}
+
 // Guards against choosing blindly among replicas behind a hub: it sends an engine's load only when that changes, and a load
 // that was not repeated for a while used to count for nothing.
 func TestRelayedLoadStaysInForce(t *testing.T) {
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -71,12 +71,12 @@
 // block. Call OnPermitWanted before the first request.
 func (f *Fleet) OnPermitWanted(call func()) { f.onPermitWanted = call }
 
-// ObserveLimit records what an answer of an endpoint, to a request sent at sentAt, says of its limit. It reports whether that
-// has changed.
-func (f *Fleet) ObserveLimit(now, sentAt time.Time, id string, limit RateLimit) bool {
+// ObserveLimit records what an answer of the chosen endpoint, to a request sent at sentAt, says of its limit. It reports whether
+// that has changed.
+func (f *Fleet) ObserveLimit(now, sentAt time.Time, c Choice, limit RateLimit) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	e := f.endpoints[id]
+	e := f.chosen(c)
 	if e == nil {
 		return false
 	}
--- a/internal/fleet/limits_test.go
+++ b/internal/fleet/limits_test.go
@@ -50,7 +50,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			f := c.fleet()
 			f.SetLimitShare(start, 1)
-			f.ObserveLimit(start, start, "e1", limit)
+			f.ObserveLimit(start, start, choiceOf(f, "e1"), limit)
 			const perSecond, d = 20, 10 * time.Second
 			sent := load(f, start, d, perSecond, c.request)
 			if got, allowed := peak.Within(sent["e1"], limitWindow), int(limit.PerSecond*limitWindow.Seconds())+1; got > allowed {
@@ -72,32 +72,32 @@
 func TestAnswerToAnEarlierRequestDoesNotEndALimit(t *testing.T) {
 	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
 	limit := RateLimit{Named: true, PerSecond: 2}
-	named := func(f *Fleet) { f.ObserveLimit(at(2), at(1.9), "e1", limit) }
+	named := func(f *Fleet) { f.ObserveLimit(at(2), at(1.9), choiceOf(f, "e1"), limit) }
 	for _, c := range []struct {
 		name    string
 		observe func(f *Fleet)
 		want    int
 	}{
-		{"sent before the limit was named", func(f *Fleet) { named(f); f.ObserveLimit(at(3), at(1), "e1", RateLimit{}) }, 1},
-		{"sent after the limit was named", func(f *Fleet) { named(f); f.ObserveLimit(at(3), at(2.1), "e1", RateLimit{}) }, 0},
+		{"sent before the limit was named", func(f *Fleet) { named(f); f.ObserveLimit(at(3), at(1), choiceOf(f, "e1"), RateLimit{}) }, 1},
+		{"sent after the limit was named", func(f *Fleet) { named(f); f.ObserveLimit(at(3), at(2.1), choiceOf(f, "e1"), RateLimit{}) }, 0},
 		{"sent before, by another gateway", func(f *Fleet) {
 			other := oneEngine()
-			other.ObserveLimit(at(1.5), at(1.4), "e1", limit)
-			other.ObserveLimit(at(3), at(1.6), "e1", RateLimit{})
+			other.ObserveLimit(at(1.5), at(1.4), choiceOf(other, "e1"), limit)
+			other.ObserveLimit(at(3), at(1.6), choiceOf(other, "e1"), RateLimit{})
 			named(f)
 			f.ApplyLimits(at(3.1), other.Limits(at(3.1)))
 		}, 1},
 		{"sent after, by another gateway", func(f *Fleet) {
 			other := oneEngine()
-			other.ObserveLimit(at(1.5), at(1.4), "e1", limit)
-			other.ObserveLimit(at(3), at(2.5), "e1", RateLimit{})
+			other.ObserveLimit(at(1.5), at(1.4), choiceOf(other, "e1"), limit)
+			other.ObserveLimit(at(3), at(2.5), choiceOf(other, "e1"), RateLimit{})
 			named(f)
 			f.ApplyLimits(at(3.1), other.Limits(at(3.1)))
 		}, 0},
 		{"sent before another gateway was told the limit", func(f *Fleet) {
 			other := oneEngine()
 			named(other)
-			f.ObserveLimit(at(3), at(1), "e1", RateLimit{})
+			f.ObserveLimit(at(3), at(1), choiceOf(f, "e1"), RateLimit{})
 			f.ApplyLimits(at(3.1), other.Limits(at(3.1)))
 		}, 1},
 	} {
@@ -131,7 +131,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			f := twoEngines()
 			f.SetLimitShare(start, 1)
-			f.ObserveLimit(start, start, "e1", limit)
+			f.ObserveLimit(start, start, choiceOf(f, "e1"), limit)
 			if c.behindHub {
 				f.StartRelay(start)
 			}
@@ -154,7 +154,7 @@
 					if now.Sub(start) >= c.endsAfter {
 						said = RateLimit{}
 					}
-					f.ObserveLimit(now, now, "e1", said)
+					f.ObserveLimit(now, now, choiceOf(f, "e1"), said)
 				}
 			}
 			if sent < c.least || sent > c.most {
@@ -168,7 +168,7 @@
 // that it holds and so nothing says that its need has ended.
 func TestPlacementForgetsALimitThatNothingConfirms(t *testing.T) {
 	f := oneEngine()
-	f.ObserveLimit(start, start, "e1", RateLimit{Named: true, PerSecond: 2})
+	f.ObserveLimit(start, start, choiceOf(f, "e1"), RateLimit{Named: true, PerSecond: 2})
 	for _, c := range []struct {
 		after time.Duration
 		want  bool
@@ -189,7 +189,7 @@
 func TestGatewayWithoutItsHubHasNothingInReserve(t *testing.T) {
 	f := oneEngine()
 	f.SetLimitShare(start, 1)
-	f.ObserveLimit(start, start, "e1", RateLimit{Named: true, PerSecond: 2})
+	f.ObserveLimit(start, start, choiceOf(f, "e1"), RateLimit{Named: true, PerSecond: 2})
 	f.StartRelay(start)
 	now := start.Add(time.Minute)
 	f.StopRelay(now)
@@ -208,7 +208,7 @@
 func TestRestOfAStreamAfterAllEnginesWereTried(t *testing.T) {
 	for _, limit := range []RateLimit{{}, {Named: true, PerSecond: 2}} {
 		f := oneEngine()
-		f.ObserveLimit(start, start, "e1", limit)
+		f.ObserveLimit(start, start, choiceOf(f, "e1"), limit)
 		r := &Request{Target: Target{Service: "s", Model: "m"}, Adapter: "a1", Resuming: true, Tried: []string{"e1"}}
 		if _, reason, ok := f.Choose(start, r); ok || reason != AllTried {
 			t.Errorf("limit %+v: chosen %t, reason %v; want AllTried", limit, ok, reason)
--- a/internal/fleet/queue_test.go
+++ b/internal/fleet/queue_test.go
@@ -121,7 +121,7 @@
 func TestReadyInOfARejectedModel(t *testing.T) {
 	f := oneEngine()
 	target := Target{Service: "s", Model: "m"}
-	f.Absent(start, "e1", requestDue(time.Second))
+	f.Absent(start, choiceOf(f, "e1"), requestDue(time.Second))
 	if _, reason, ok := f.Choose(start, requestDue(time.Second)); ok || reason != ModelNotLoaded {
 		t.Fatalf("chosen %v, reason %v; want ModelNotLoaded", ok, reason)
 	}
--- a/internal/fleet/responses.go
+++ b/internal/fleet/responses.go
@@ -64,11 +64,11 @@
 	return !r.waitingSince.IsZero() && now.Sub(r.waitingSince) > timeout
 }
 
-// ObserveResponse records an answer of an endpoint and the time that it took.
-func (f *Fleet) ObserveResponse(now time.Time, id string, took time.Duration) {
+// ObserveResponse records an answer of the chosen endpoint and the time that it took.
+func (f *Fleet) ObserveResponse(now time.Time, c Choice, took time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	e := f.endpoints[id]
+	e := f.chosen(c)
 	if e == nil {
 		return
 	}
--- a/internal/fleet/responses_test.go
+++ b/internal/fleet/responses_test.go
@@ -26,8 +26,8 @@
 // completeRequest ends a request with a complete answer.
 func completeRequest(f *Fleet, now time.Time, c Choice) {
 	const took = 100 * time.Millisecond
-	f.ObserveResponse(now, c.ID, took)
-	f.Observe(now, routing.Observation{Endpoint: c.ID, Target: "plain", Outcome: routing.OutcomeServed, FirstByte: took})
+	f.ObserveResponse(now, c, took)
+	f.Observe(now, c, routing.OutcomeServed, took)
 	f.Done(c, plainRequest(false))
 }
 
@@ -111,7 +111,7 @@
 func TestSlowServiceIsNotSilent(t *testing.T) {
 	f := threePlainEndpoints()
 	for i := range 100 {
-		f.ObserveResponse(start, []string{"p1", "p2", "p3"}[i%3], 2*time.Second)
+		f.ObserveResponse(start, choiceOf(f, []string{"p1", "p2", "p3"}[i%3]), 2*time.Second)
 	}
 	shares := map[string]int{}
 	for i := range 60 {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -59,7 +59,7 @@
 		return g.handleFailure(parent, q, choice, result, err)
 	}
 	defer result.Response.Body.Close()
-	g.fleet.ObserveResponse(time.Now(), choice.ID, time.Since(began))
+	g.fleet.ObserveResponse(time.Now(), choice, time.Since(began))
 	g.recordLoad(q, choice, a)
 	g.recordLimit(q, choice, a, began)
 	if a.NotRun {
@@ -71,7 +71,7 @@
 	}
 	q.mayHaveRun = true
 	if result.Response.StatusCode >= http.StatusInternalServerError && q.repeatable() && g.canRetry(parent, q, true) {
-		g.observe(q, choice, routing.OutcomeUnknown, 0)
+		g.fleet.Observe(time.Now(), choice, routing.OutcomeUnknown, 0)
 		g.drain(result)
 		return retry
 	}
@@ -138,7 +138,7 @@
 // recordLoad passes the load that a response reports on to the fleet.
 func (g *Gateway) recordLoad(q *request, choice fleet.Choice, a Response) {
 	if a.HasLoad {
-		g.fleet.Load(time.Now(), choice.ID, a.Running, a.Queued)
+		g.fleet.Load(time.Now(), choice, a.Running, a.Queued)
 	}
 }
 
@@ -147,7 +147,7 @@
 	if a.LimitInvalid || a.Incarnation != "" && a.Incarnation != choice.ID {
 		return
 	}
-	if g.fleet.ObserveLimit(time.Now(), sentAt, choice.ID, a.Limit) {
+	if g.fleet.ObserveLimit(time.Now(), sentAt, choice, a.Limit) {
 		g.logger.Info("endpoint has changed the limit that it names", "event", "limit", "endpoint", choice.ID, "service", q.fleetRequest.Service,
 			"named", a.Limit.Named, "per_second", a.Limit.PerSecond, "request", q.call.ID)
 	}
@@ -193,7 +193,7 @@
 	g.metrics.countAttempt("unanswered")
 	switch {
 	case !maybeSent:
-	case parent.Err() == nil || !g.fleet.IsResponsive(time.Now(), choice.ID):
+	case parent.Err() == nil || !g.fleet.IsResponsive(time.Now(), choice):
 		g.recordEnd(q, choice)
 	default:
 		g.recordLaterEnd(q, choice)
@@ -206,13 +206,13 @@
 		"answering", q.progress.lasted(), "endpoint", choice.ID, "endpoint_started", choice.Started, "sending", q.attempts, "maybe_sent", maybeSent, "connection", result.Connection.Number,
 		"carried", result.Connection.Carried, "error", err, "left", time.Until(q.deadline))
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		g.fleet.Refused(time.Now(), choice.ID)
+		g.fleet.Refused(time.Now(), choice)
 	}
 	if !maybeSent {
-		g.observe(q, choice, routing.OutcomeNotSent, 0)
+		g.fleet.Observe(time.Now(), choice, routing.OutcomeNotSent, 0)
 		return retryOrFail(g.canRetry(parent, q, false))
 	}
-	g.observe(q, choice, routing.OutcomeUnknown, 0)
+	g.fleet.Observe(time.Now(), choice, routing.OutcomeUnknown, 0)
 	q.mayHaveRun = true
 	// There is no answer to deliver, so the request waits until the retry budget allows another attempt.
 	q.needsBudget = true
@@ -223,13 +223,13 @@
 func (g *Gateway) handleRefusal(q *request, choice fleet.Choice, result sendonce.Result, a Response) verdict {
 	status := result.Response.StatusCode
 	g.metrics.countAttempt("refused")
-	g.observe(q, choice, routing.OutcomeRefused, 0)
+	g.fleet.Observe(time.Now(), choice, routing.OutcomeRefused, 0)
 	switch {
 	case a.Absent && a.Incarnation != "" && a.Incarnation != choice.ID:
-		g.fleet.Replaced(choice.ID)
+		g.fleet.Replaced(choice)
 		q.mismatches++
 	case a.Absent:
-		g.fleet.Absent(time.Now(), choice.ID, &q.fleetRequest)
+		g.fleet.Absent(time.Now(), choice, &q.fleetRequest)
 	}
 	g.drain(result)
 	g.requestLog.write(time.Now(), true, "endpoint refused", "event", "endpoint_refused", "request", q.call.ID, "endpoint", choice.ID, "status", status,
@@ -269,10 +269,6 @@
 	}
 }
 
-func (g *Gateway) observe(q *request, choice fleet.Choice, outcome routing.Outcome, firstByte time.Duration) {
-	g.fleet.Observe(time.Now(), routing.Observation{Endpoint: choice.ID, Target: q.fleetRequest.Service, Outcome: outcome, FirstByte: firstByte})
-}
-
 // forwardBuffered forwards a response after reading all of it, so that after an incomplete one the request can still be
 // retried or refused.
 func (g *Gateway) forwardBuffered(parent context.Context, out *response, q *request, choice fleet.Choice, result sendonce.Result, began time.Time) verdict {
@@ -292,7 +288,7 @@
 	if resp.StatusCode >= http.StatusInternalServerError {
 		outcome = routing.OutcomeUnknown
 	}
-	g.observe(q, choice, outcome, firstByte)
+	g.fleet.Observe(time.Now(), choice, outcome, firstByte)
 	if resp.StatusCode == http.StatusOK {
 		g.options.Parts.Answered(time.Now(), q.parts)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -102,7 +102,7 @@
 }
 
 func (g *Gateway) observeFirstEvent(q *request, choice fleet.Choice, resumed bool, took time.Duration) {
-	g.observe(q, choice, routing.OutcomeServed, took)
+	g.fleet.Observe(time.Now(), choice, routing.OutcomeServed, took)
 	g.fleet.Prefilled(choice, &q.fleetRequest)
 	if !resumed {
 		q.firstEvent = time.Since(q.arrived)
