fleet: an endpoint that is listed again keeps the requests that are in flight there

Cause: an endpoint whose registration lapses while the store is away is listed again a moment later, and goes on with its requests all the while.

Change: the process of an endpoint that is not listed any more is kept while requests of this gateway are in flight there, with their counters only, and is taken over when the endpoint is listed again. One that has restarted in between loses its requests, as one that stays listed does.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -307,6 +307,9 @@
 	defer f.mu.Unlock()
 	p := c.process
 	p.inFlight--
+	if p.inFlight == 0 && f.delisted[c.ID] == p {
+		delete(f.delisted, c.ID)
+	}
 	delete(p.reservations, c.reservation)
 	p.responses.done(p.inFlight)
 	p.releasePrompt(c)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -124,8 +124,10 @@
 	config         *catalog.Config
 	endpointsKnown bool
 	endpoints      map[string]*endpoint
-	router         *routing.Router
-	demand         map[Target]*demand
+	// delisted holds the processes of endpoints that are no longer listed, while this gateway has requests there.
+	delisted map[string]*process
+	router   *routing.Router
+	demand   map[Target]*demand
 	// lastArrivals is the rate of all requests over a window that is shorter than those of demand.
 	lastArrivals rateMeter
 	// stores holds what was observed of each service's weight store.
@@ -169,6 +171,7 @@
 	return &Fleet{
 		domain:         domain,
 		endpoints:      make(map[string]*endpoint),
+		delisted:       make(map[string]*process),
 		router:         routing.NewRouter(routing.Options{Seed: seed, FailureDomain: domain}),
 		demand:         make(map[Target]*demand),
 		lastArrivals:   rateMeter{window: arrivalsWindow},
@@ -226,7 +229,7 @@
 		present[e.ID] = true
 		known := f.endpoints[e.ID]
 		if known == nil {
-			known = &endpoint{process: newProcess(0)}
+			known = &endpoint{process: f.takeDelisted(e.ID)}
 			f.endpoints[e.ID] = known
 			added = append(added, e)
 		}
@@ -236,14 +239,37 @@
 	for id, e := range f.endpoints {
 		if !present[id] {
 			removed = append(removed, e.Endpoint)
-			delete(f.endpoints, id)
-			f.router.Forget(id)
+			f.delist(e)
 		}
 	}
 	f.notify()
 	return added, removed
 }
 
+// delist removes an endpoint from the list. Its process may go on with its requests, and be listed again: a registration can expire
+// while the store is unavailable.
+func (f *Fleet) delist(e *endpoint) {
+	delete(f.endpoints, e.ID)
+	f.router.Forget(e.ID)
+	if e.inFlight > 0 {
+		*e.process = process{
+			started: e.started, inFlight: e.inFlight, reservations: e.reservations, pendingPromptTokens: e.pendingPromptTokens,
+			adapters: e.adapters, absent: make(map[Adapter]time.Time),
+		}
+		f.delisted[e.ID] = e.process
+	}
+}
+
+// takeDelisted returns the process of an endpoint that is listed again, or a new one.
+func (f *Fleet) takeDelisted(id string) *process {
+	p := f.delisted[id]
+	if p == nil {
+		return newProcess(0)
+	}
+	delete(f.delisted, id)
+	return p
+}
+
 // setRegistration applies an endpoint's registration. What one of an earlier process says of models is out of date.
 func (f *Fleet) setRegistration(known *endpoint, e catalog.Endpoint) {
 	f.setStarted(known, e.Started)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -282,6 +282,73 @@
 	}
 }
 
+// Guards against an endpoint that counts as idle, or as less than idle, because it was listed again while requests were in flight there,
+// and against the adapters of those requests counting as unused.
+func TestEndpointListedAgainKeepsItsRequests(t *testing.T) {
+	f := twoEngines()
+	listed := []catalog.Endpoint{{ID: "e1", Service: "s", Address: "a1", Revision: 1}, {ID: "e2", Service: "s", Address: "a2", Revision: 1}}
+	report := func() {
+		f.SetState("e1", &EngineState{EndpointID: "e1", Models: map[string]map[string]bool{"m": {"a7": true}}}, 0, 0, start)
+	}
+	report()
+	request := &Request{Target: Target{Service: "s", Model: "m"}, Adapter: "a7", Tried: []string{"e2"}, PromptTokens: 100}
+	var inFlight []Choice
+	for range 8 {
+		choice, _, ok := f.Choose(start, request)
+		if !ok || choice.ID != "e1" {
+			t.Fatalf("chosen %t %s, want e1", ok, choice.ID)
+		}
+		inFlight = append(inFlight, choice)
+	}
+	f.SetEndpoints(listed[1:])
+	f.Done(inFlight[0], request)
+	f.SetEndpoints(listed)
+	report()
+	if shares := chooseMany(f, 7); shares["e1"] > 0 {
+		t.Errorf("requests by endpoint: %v, want all for the other than that with 7 requests", shares)
+	}
+	if used := f.AgentMessage("e1").Used; len(used) != 1 || used[0].Adapter != "a7" {
+		t.Errorf("adapters in use %v, want a7", used)
+	}
+	for _, choice := range inFlight[1:] {
+		f.Done(choice, request)
+	}
+	if shares := chooseMany(f, 20); shares["e1"] != 10 {
+		t.Errorf("requests by endpoint: %v after the requests have ended, want half for each", shares)
+	}
+	if used := f.AgentMessage("e1").Used; len(used) > 0 || len(f.delisted) > 0 {
+		t.Errorf("adapters in use %v, %d processes of endpoints that are not listed; want none", used, len(f.delisted))
+	}
+	if pending := f.endpoints["e1"].pendingPromptTokens; pending != 0 {
+		t.Errorf("%d prompt tokens pending, want none", pending)
+	}
+}
+
+// Guards against the requests to an endpoint that has restarted while it was not listed being awaited.
+func TestRestartWhileNotListed(t *testing.T) {
+	f := New("here", 1)
+	registered := func(started int64) []catalog.Endpoint {
+		return []catalog.Endpoint{{ID: "e1", Service: "s", Models: []string{"m"}, Revision: started, Started: started}}
+	}
+	f.SetEndpoints(registered(100))
+	request := modelRequest(0)
+	choice, _, _ := f.Choose(start, request)
+	lost := 0
+	f.NotifyRestart(choice, func() { lost++ })
+	f.SetEndpoints(nil)
+	if lost != 0 {
+		t.Error("a request counts as lost because its endpoint is not listed")
+	}
+	f.SetEndpoints(registered(200))
+	if lost != 1 {
+		t.Errorf("%d requests lost, want 1", lost)
+	}
+	f.Done(choice, request)
+	if next, _, ok := f.Choose(start, request); !ok || next.Started != 200 {
+		t.Errorf("chosen %t, process of %d; want that of 200", ok, next.Started)
+	}
+}
+
 // Guards against choosing blindly among replicas behind a hub: it sends an engine's load only when that changes, and a load
 // that was not repeated for a while used to count for nothing.
 func TestRelayedLoadStaysInForce(t *testing.T) {
