fleet, control: a limit that another gateway passes on is one of the same process

Cause: gateways pass on the limits that endpoints name by the endpoint's ID. One that had heard of a restart, and had dropped the limit of the earlier process, took it up again from a gateway that had not heard of it yet; only an answer of the endpoint, which gets few requests while others have room, ended it.

Change: the message has the start of the process, and a limit of another process is dropped. A message without it (another build, or an endpoint whose start is not known) counts as before.

Result: TestLimitOfAnEarlierProcess fails without the comparison (1 endpoint with a limit, want none).

--- a/internal/control/convert.go
+++ b/internal/control/convert.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"balsamsail/internal/control/controlpb"
+	"balsamsail/internal/crashes"
 	"balsamsail/internal/demand"
 	"balsamsail/internal/fleet"
 	"balsamsail/internal/nameset"
@@ -132,7 +133,7 @@
 	encoded := make([]*controlpb.EndpointLimit, 0, len(list))
 	for _, l := range list {
 		encoded = append(encoded, &controlpb.EndpointLimit{
-			EndpointId: l.EndpointID, Named: l.Named, PerSecond: l.PerSecond, AgeMs: now.Sub(l.ObservedAt).Milliseconds(),
+			EndpointId: l.EndpointID, Started: l.Started, Named: l.Named, PerSecond: l.PerSecond, AgeMs: now.Sub(l.ObservedAt).Milliseconds(),
 		})
 	}
 	return encoded
@@ -145,7 +146,7 @@
 			continue
 		}
 		decoded = append(decoded, fleet.ObservedLimit{
-			EndpointID: l.EndpointId,
+			Process:    crashes.Process{EndpointID: l.EndpointId, Started: l.Started},
 			RateLimit:  fleet.RateLimit{Named: l.Named, PerSecond: l.PerSecond},
 			ObservedAt: now.Add(-milliseconds(l.AgeMs)),
 		})
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/time/rate"
 
+	"balsamsail/internal/crashes"
 	"balsamsail/internal/routing"
 )
 
@@ -41,7 +42,7 @@
 
 // ObservedLimit is what an endpoint has said of its limit.
 type ObservedLimit struct {
-	EndpointID string
+	crashes.Process
 	RateLimit
 	// ObservedAt is when the answer arrived or, of an answer without a limit, when its request was sent.
 	ObservedAt time.Time
@@ -80,7 +81,7 @@
 	if e == nil {
 		return false
 	}
-	o := ObservedLimit{RateLimit: limit, ObservedAt: now}
+	o := ObservedLimit{Process: crashes.Process{EndpointID: e.ID, Started: e.started}, RateLimit: limit, ObservedAt: now}
 	if !limit.Named {
 		// The endpoint may have begun its answer as soon as it had the request, before it named a limit in another answer.
 		o.ObservedAt = sentAt
@@ -88,12 +89,16 @@
 	return !o.ObservedAt.Before(e.limit.observedAt) && f.setLimit(now, e, o)
 }
 
-// ApplyLimits applies what other gateways have observed, where it is later than what this one knows.
+// ApplyLimits applies what other gateways have observed, where it is later than what this one knows and not of another process.
 func (f *Fleet) ApplyLimits(now time.Time, list []ObservedLimit) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, o := range list {
-		if e := f.endpoints[o.EndpointID]; e != nil && o.ObservedAt.After(e.limit.observedAt.Add(limitSkew)) {
+		e := f.endpoints[o.EndpointID]
+		if e == nil || o.Started != 0 && e.started != 0 && o.Started != e.started {
+			continue
+		}
+		if o.ObservedAt.After(e.limit.observedAt.Add(limitSkew)) {
 			f.setLimit(now, e, o)
 		}
 	}
@@ -158,7 +163,9 @@
 	for id, e := range f.endpoints {
 		ended := !e.limit.Named && !e.limit.changedAt.IsZero() && now.Sub(e.limit.changedAt) < limitNewsTTL
 		if e.limit.Named || ended {
-			list = append(list, ObservedLimit{EndpointID: id, RateLimit: e.limit.RateLimit, ObservedAt: e.limit.observedAt})
+			list = append(list, ObservedLimit{
+				Process: crashes.Process{EndpointID: id, Started: e.started}, RateLimit: e.limit.RateLimit, ObservedAt: e.limit.observedAt,
+			})
 		}
 	}
 	return list
--- a/internal/fleet/limits_test.go
+++ b/internal/fleet/limits_test.go
@@ -111,6 +111,29 @@
 	}
 }
 
+// Guards against the limit that an endpoint's earlier process has named coming back from a gateway that has not heard of the restart.
+func TestLimitOfAnEarlierProcess(t *testing.T) {
+	registered := func(started int64) []catalog.Endpoint {
+		return []catalog.Endpoint{{ID: "e1", Service: "s", Revision: started, Started: started}}
+	}
+	f, other := New("here", 1), New("there", 1)
+	for _, gateway := range []*Fleet{f, other} {
+		gateway.SetEndpoints(registered(100))
+	}
+	other.ObserveLimit(start, start, choiceOf(other, "e1"), RateLimit{Named: true, PerSecond: 2})
+	f.SetEndpoints(registered(200))
+	f.ApplyLimits(start, other.Limits(start))
+	if n := f.LimitedEndpoints(); n != 0 {
+		t.Errorf("%d endpoints with a limit, want none: its process has ended", n)
+	}
+	other.SetEndpoints(registered(200))
+	other.ObserveLimit(start, start, choiceOf(other, "e1"), RateLimit{Named: true, PerSecond: 2})
+	f.ApplyLimits(start, other.Limits(start))
+	if n := f.LimitedEndpoints(); n != 1 {
+		t.Errorf("%d endpoints with a limit, want 1: the new process has named it", n)
+	}
+}
+
 // Guards against an endpoint that gets no requests for the rest of the day, though it is well again, because others have room
 // and only an answer of its own can say so. While it still names its limit, it is asked rarely.
 func TestLimitIsCheckedAgainWhileOthersHaveRoom(t *testing.T) {
