gateway: an answer of another incarnation says nothing of the endpoint that was asked

Cause: the load that an answer names, and that the endpoint responds, were charged to the endpoint that was asked, also when the answer names another incarnation, which has its address now; for the limit alone that was looked at. And only a 421 of another incarnation was taken for the end of the asked one: with a 503, requests went there again and again.

Change: an answer that names another incarnation shows that the asked one is gone, whatever its status, and nothing else.

Result: TestAnswerOfAnotherIncarnation failed before with a 503: 11 of 30 requests reached the other incarnation, want 1.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -59,9 +59,13 @@
 		return g.handleFailure(parent, q, choice, result, err)
 	}
 	defer result.Response.Body.Close()
-	g.fleet.ObserveResponse(time.Now(), choice, time.Since(began))
-	g.recordLoad(q, choice, a)
-	g.recordLimit(q, choice, a, began)
+	if a.isOfOther(choice) {
+		g.fleet.Replaced(choice)
+	} else {
+		g.fleet.ObserveResponse(time.Now(), choice, time.Since(began))
+		g.recordLoad(choice, a)
+		g.recordLimit(q, choice, a, began)
+	}
 	if a.NotRun {
 		return g.handleRefusal(q, choice, result, a)
 	}
@@ -136,7 +140,7 @@
 }
 
 // recordLoad passes the load that a response reports on to the fleet.
-func (g *Gateway) recordLoad(q *request, choice fleet.Choice, a Response) {
+func (g *Gateway) recordLoad(choice fleet.Choice, a Response) {
 	if a.HasLoad {
 		g.fleet.Load(time.Now(), choice, a.Running, a.Queued)
 	}
@@ -144,7 +148,7 @@
 
 // recordLimit passes on what an answer of the chosen endpoint, to an attempt that began at sentAt, says of its limit.
 func (g *Gateway) recordLimit(q *request, choice fleet.Choice, a Response, sentAt time.Time) {
-	if a.LimitInvalid || a.Incarnation != "" && a.Incarnation != choice.ID {
+	if a.LimitInvalid {
 		return
 	}
 	if g.fleet.ObserveLimit(time.Now(), sentAt, choice, a.Limit) {
@@ -225,8 +229,7 @@
 	g.metrics.countAttempt("refused")
 	g.fleet.Observe(time.Now(), choice, routing.OutcomeRefused, 0)
 	switch {
-	case a.Absent && a.Incarnation != "" && a.Incarnation != choice.ID:
-		g.fleet.Replaced(choice)
+	case a.isOfOther(choice):
 		q.mismatches++
 	case a.Absent:
 		g.fleet.Absent(time.Now(), choice, &q.fleetRequest)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -70,6 +70,12 @@
 	LimitInvalid bool
 }
 
+// isOfOther reports whether another incarnation than the chosen one has responded at its address. What such a response says of load and
+// limit is not of the chosen one, which is gone.
+func (r Response) isOfOther(choice fleet.Choice) bool {
+	return r.Incarnation != "" && r.Incarnation != choice.ID
+}
+
 // Codec translates between HTTP messages and the gateway's types.
 type Codec interface {
 	// ReadCall decodes a client's request.
--- a/internal/gateway/late_test.go
+++ b/internal/gateway/late_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -175,6 +176,31 @@
 	}
 }
 
+// Guards against what another incarnation at an endpoint's address says of itself being held against the endpoint, and against requests
+// being sent to an endpoint whose address another one has.
+func TestAnswerOfAnotherIncarnation(t *testing.T) {
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusMisdirectedRequest} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			var reached atomic.Int64
+			r := newRig(t, map[string]endpointScript{"plain-1": good, "plain-2": func(w http.ResponseWriter, r *http.Request) {
+				reached.Add(1)
+				for field, value := range map[string]string{"Id": r.Header.Get("Id"), "Not-Run": "yes", "Incarnation": "another", "Load": "0", "Limit": "1"} {
+					w.Header().Set(field, value)
+				}
+				w.WriteHeader(status)
+			}})
+			for n := range 30 {
+				if got := r.send(fmt.Sprintf("a%d", n), "/plain/", ""); got.status != http.StatusOK {
+					t.Fatalf("status %d, want the answer of the other endpoint", got.status)
+				}
+			}
+			if n, limited := reached.Load(), r.fleet.LimitedEndpoints(); n != 1 || limited > 0 {
+				t.Errorf("%d requests reached the other incarnation, want 1; %d endpoints name a limit, want none", n, limited)
+			}
+		})
+	}
+}
+
 // Guards against a rejection that names no request being taken for that of this request, on a connection that has carried others.
 func TestRejectionWithoutRequestID(t *testing.T) {
 	unnamed := func(w http.ResponseWriter, r *http.Request) {
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -52,7 +52,10 @@
 
 func (testCodec) ReadResponse(resp *http.Response) Response {
 	perSecond, err := strconv.ParseFloat(resp.Header.Get("Limit"), 64)
+	running, errLoad := strconv.Atoi(resp.Header.Get("Load"))
 	return Response{
+		Running:           running,
+		HasLoad:           errLoad == nil,
 		Limit:             fleet.RateLimit{Named: err == nil, PerSecond: perSecond},
 		ID:                resp.Header.Get("Id"),
 		Signed:            resp.Header.Get("Signed") != "",
