gateway: the answer to a HEAD names the endpoint's length

Cause: the gateway named the length of the body that it had read, which for a HEAD is always 0, in place of that of the body that a GET would get.

Change: the answer to a HEAD has the length that the endpoint's has, or none.

Result: TestLengthOfAnswerToHead failed before in 2 of 3 cases (length "0", want "4711" and none).

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -41,7 +41,14 @@
 	o.started = true
 	h := o.writer.Header()
 	o.codec.CopyHeader(h, resp.Header)
-	h.Set("Content-Length", strconv.Itoa(len(body)))
+	length := int64(len(body))
+	if resp.Request.Method == http.MethodHead {
+		// The response names the length of the body that a GET would get, if it does.
+		length = resp.ContentLength
+	}
+	if length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
 	o.writer.WriteHeader(resp.StatusCode)
 	// The write fails only if the client has disconnected.
 	_, _ = o.writer.Write(body)
