gateway: the answer to a HEAD on a route of streams is no cut stream

Cause: a 200 on a streaming route was always forwarded as events. That to a HEAD has none, so it counted as a stream that ends before its first event: 502, and for a stream that may be resumed a second run at another engine.

Change: the answer to a HEAD is forwarded as a whole.

Result: TestHeadOfAStream failed before in 2 of 2 cases (502 after one and after two attempts, want 200 after one).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -79,7 +79,7 @@
 		g.drain(result)
 		return retry
 	}
-	if q.route.Streaming && result.Response.StatusCode == http.StatusOK {
+	if q.route.Streaming && q.inbound.Method != http.MethodHead && result.Response.StatusCode == http.StatusOK {
 		return g.forwardStream(parent, out, q, choice, result, watchdog, began)
 	}
 	return g.forwardBuffered(parent, out, q, choice, result, began)
--- a/internal/gateway/head_test.go
+++ b/internal/gateway/head_test.go
@@ -45,3 +45,19 @@
 		})
 	}
 }
+
+// Guards against a HEAD on the route of streams being taken for a stream that ends before its first event, and sent on or answered 502.
+func TestHeadOfAStream(t *testing.T) {
+	for _, path := range []string{"/chat/", "/resumable/"} {
+		t.Run(path, func(t *testing.T) {
+			whole := func(w http.ResponseWriter, request *http.Request) {
+				w.Header().Set("Id", request.Header.Get("Id"))
+				w.Header().Set("Signed", "yes")
+			}
+			r := newRig(t, map[string]endpointScript{"engine-1": whole, "engine-2": whole})
+			if response := r.sendHead(path, "m"); response.StatusCode != http.StatusOK || r.attempts("a") != 1 {
+				t.Errorf("status %d after %d attempts, want 200 after one", response.StatusCode, r.attempts("a"))
+			}
+		})
+	}
+}
