sendonce, gateway: a request's own answer is awaited after late copies of others

What callers saw: where an endpoint sent an earlier answer once more, in the place of the next one, the next request was answered 502 and its run cut with the connection, though its own answer followed. An idempotent request, or a stream that may be resumed, ran a second time and took a retry out of the budget.

Cause: net/http reads one response for a request. One with another request's ID was known to be no answer, and all that was left was to close the connection.

Change: on a connection that has carried other requests, the first bytes that arrive for a request are looked at before net/http gets them. What is not a response, or is cut, goes to net/http unchanged, so that the connection is closed as before; so does a response on a connection that has carried no other request. The match after net/http stays: copies that arrive in one piece with the answer before them are found by it alone. `responses_skipped` is logged.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -96,10 +96,14 @@
 			LastEventID: out.lastEventID,
 		})
 	}
-	result, err = g.client.DoMatched(newRequest, &q.sent, func(response *http.Response, c sendonce.Connection) error {
+	result, err = g.client.DoMatched(newRequest, &q.message, func(response *http.Response, c sendonce.Connection) error {
 		a = g.codec.ReadResponse(response)
 		return q.match(c, a)
 	})
+	if skipped := result.Connection.Skipped; skipped > 0 {
+		g.requestLog.write(time.Now(), true, "endpoint sent responses to other requests first", "event", "responses_skipped", "request", q.call.ID, "endpoint", choice.ID,
+			"skipped", skipped, "connection", result.Connection.Number, "carried", result.Connection.Carried)
+	}
 	return result, a, err
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -224,8 +224,8 @@
 	silentSince time.Time
 
 	attempts int
-	// sent holds the connections that the attempts used.
-	sent sendonce.Sent
+	// message is what the attempts send.
+	message sendonce.Message
 	// mismatches counts the attempts that reached another incarnation than the listed one.
 	mismatches int
 	// begunBy is the version that began the stream, once the client has its first event.
@@ -265,7 +265,11 @@
 		target.Model = call.Model
 	}
 	return &request{
-		call:    call,
+		call: call,
+		message: sendonce.Message{ID: call.ID, IsOther: func(response *http.Response) bool {
+			a := g.codec.ReadResponse(response)
+			return a.ID != "" && a.ID != call.ID
+		}},
 		content: contentOf(r, call, body),
 		parts:   partsOf(call),
 		route:   route,
--- a/internal/gateway/late_test.go
+++ b/internal/gateway/late_test.go
@@ -16,7 +16,7 @@
 	"balsamsail/internal/catalog"
 )
 
-// lateEndpoint is an endpoint that sends some of its rejections once more, where the answer to the next request on the connection is due.
+// lateEndpoint is an endpoint that sends some of its answers once more, where the answer to the next request on the connection is due.
 type lateEndpoint struct {
 	listener net.Listener
 	// status is that of the rejections; body is what they hold.
@@ -26,6 +26,8 @@
 	rejects func(id string, before int) bool
 	// repeatsBefore tells whether the rejection of a request is sent again before the answer to the next one.
 	repeatsBefore func(rejected, next string) bool
+	// repeatsAnswers is set if each answer is sent again before the next one, be it a rejection or not. In chunks, if chunked is set.
+	repeatsAnswers, chunked bool
 
 	mu       sync.Mutex
 	arrivals map[string]int
@@ -66,7 +68,7 @@
 func (e *lateEndpoint) serve(conn net.Conn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
-	var rejection, rejected string
+	var rejection, rejected, last string
 	for {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
@@ -78,6 +80,9 @@
 			_, _ = io.WriteString(conn, rejection)
 			rejection = ""
 		}
+		if e.repeatsAnswers {
+			_, _ = io.WriteString(conn, last)
+		}
 		e.mu.Lock()
 		rejects := e.rejects(id, e.arrivals[id])
 		e.arrivals[id]++
@@ -91,13 +96,23 @@
 			continue
 		}
 		time.Sleep(20 * time.Millisecond)
-		answer := "id: 1\ndata: 1\n\n"
-		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nContent-Length: %d\r\n\r\n%s", id, len(answer), answer); err != nil {
+		last = e.answer(id)
+		if _, err := io.WriteString(conn, last); err != nil {
 			return
 		}
 	}
 }
 
+// answer returns the answer to a request that has run.
+func (e *lateEndpoint) answer(id string) string {
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\n", id)
+	event := fmt.Sprintf("id: 100\ndata: %s\n\n", id)
+	if e.chunked {
+		return fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(event), event)
+	}
+	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(event), event)
+}
+
 func (e *lateEndpoint) rejection(id string) string {
 	return fmt.Sprintf("HTTP/1.1 %d %s\r\nId: %s\r\nNot-Run: yes\r\nContent-Length: %d\r\n\r\n%s", e.status, http.StatusText(e.status), id, len(e.body), e.body)
 }
@@ -176,6 +191,52 @@
 	}
 }
 
+// Guards against a request being answered 502, or run again, though its answer follows a late copy of that to an earlier request, and
+// against the copy being taken for its answer.
+func TestAnswerAfterALateCopy(t *testing.T) {
+	for _, chunked := range []bool{false, true} {
+		for _, c := range []struct{ path, model string }{{"/plain/", ""}, {"/read/", ""}, {"/chat/", "m"}, {"/resumable/", "m"}} {
+			t.Run(fmt.Sprintf("%s chunked %t", c.path, chunked), func(t *testing.T) {
+				r := newRig(t, nil)
+				late := &lateEndpoint{rejects: func(string, int) bool { return false }, repeatsAnswers: true, chunked: chunked}
+				r.listLateEndpoints(late)
+				for n := range 6 {
+					id := fmt.Sprintf("next-%d", n)
+					got := r.send(id, c.path, c.model)
+					if got.status != http.StatusOK || numbers(got.body) != id || got.err != nil {
+						t.Errorf("request %s: status %d, event of %q, error %v; want its own answer", id, got.status, numbers(got.body), got.err)
+					}
+					late.mu.Lock()
+					if late.arrivals[id] != 1 {
+						t.Errorf("request %s was sent %d times, want once", id, late.arrivals[id])
+					}
+					late.mu.Unlock()
+				}
+			})
+		}
+	}
+}
+
+// Guards against events of another stream in one that is resumed over a connection on which a late copy of that stream arrives.
+func TestStreamResumedAfterALateCopy(t *testing.T) {
+	r := newRig(t, map[string]endpointScript{"engine-1": events(1, 3, true)})
+	late := &lateEndpoint{rejects: func(string, int) bool { return false }, repeatsAnswers: true}
+	r.listLateEndpoints(late)
+	if got := r.send("other", "/chat/", "m"); got.status != http.StatusOK {
+		t.Fatalf("status %d of the other stream, want 200", got.status)
+	}
+	engine := r.endpoints["engine-1"]
+	r.fleet.SetEndpoints([]catalog.Endpoint{engine})
+	resumed := make(chan answer)
+	go func() { resumed <- r.send("4", "/resumable/", "m") }()
+	r.await("the stream has begun", func() bool { return r.attempts("4") > 0 })
+	engine.ID, engine.Address = "engine-0", late.listener.Addr().String()
+	r.fleet.SetEndpoints([]catalog.Endpoint{engine})
+	if got := <-resumed; numbers(got.body) != "1,2,3,4" || got.err != nil || late.arrivals["4"] != 1 {
+		t.Errorf("events %s, error %v, sent %d times; want 1 to 4 of the stream itself", numbers(got.body), got.err, late.arrivals["4"])
+	}
+}
+
 // Guards against what another incarnation at an endpoint's address says of itself being held against the endpoint, and against requests
 // being sent to an endpoint whose address another one has.
 func TestAnswerOfAnotherIncarnation(t *testing.T) {
--- a/internal/sendonce/conn.go
+++ b/internal/sendonce/conn.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 )
@@ -25,6 +24,12 @@
 	carried int64
 	// head is that of the response to the request that uses the connection.
 	head responseHead
+	// awaited is the response to the request that uses the connection; nil once its first bytes have arrived, or if any is taken for it.
+	awaited *awaitedResponse
+	// skipped is the number of responses to other messages that arrived before it.
+	skipped int
+	// ready holds bytes that Read has read and not returned.
+	ready []byte
 }
 
 func newConn(conn net.Conn) *countedConn {
@@ -35,7 +40,7 @@
 
 // acquire waits until no other request uses the connection, and returns how many have used it before. ok is false if the connection was
 // closed, or ctx is done, before.
-func (c *countedConn) acquire(ctx context.Context) (carried int64, ok bool) {
+func (c *countedConn) acquire(ctx context.Context, awaited *awaitedResponse) (carried int64, ok bool) {
 	select {
 	case <-c.free:
 	case <-ctx.Done():
@@ -49,7 +54,11 @@
 		return 0, false
 	}
 	c.carried++
-	c.head = responseHead{}
+	c.head, c.awaited, c.skipped = responseHead{}, nil, 0
+	if c.carried > 1 && awaited.isOther != nil {
+		// On a new connection there are no responses to others.
+		c.awaited = awaited
+	}
 	return c.carried - 1, true
 }
 
@@ -61,13 +70,57 @@
 	}
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It leaves out responses to other messages that arrive before the awaited one.
 func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	if len(c.ready) == 0 {
+		n, err := c.Conn.Read(p)
+		awaited := c.takeAwaited(n)
+		if awaited == nil || awaited.begins(p[:n]) {
+			return c.returned(p, n), err
+		}
+		var skipped int
+		c.ready, skipped = awaited.find(p[:n], c.Conn)
+		c.addSkipped(skipped)
+		if len(c.ready) == 0 {
+			n, err := c.Conn.Read(p)
+			return c.returned(p, n), err
+		}
+	}
+	n := copy(p, c.ready)
+	c.ready = c.ready[n:]
+	return c.returned(p, n), nil
+}
+
+// takeAwaited returns the awaited response if n bytes are the first that arrive for the request that uses the connection.
+func (c *countedConn) takeAwaited(n int) *awaitedResponse {
+	if n == 0 {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	awaited := c.awaited
+	c.awaited = nil
+	return awaited
+}
+
+func (c *countedConn) addSkipped(n int) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.skipped += n
+}
+
+func (c *countedConn) skippedResponses() int {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.skipped
+}
+
+// returned records the bytes that a call of Read returns.
+func (c *countedConn) returned(p []byte, n int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.head.add(p[:n])
-	c.mu.Unlock()
-	return n, err
+	return n
 }
 
 // misframed reports whether the framing of the response is not what net/http takes it for.
@@ -111,11 +164,3 @@
 	c.release()
 	return c.Conn.Close()
 }
-
-func (s *Sent) holds(c *countedConn) bool { return s != nil && slices.Contains(s.conns, c) }
-
-func (s *Sent) add(c *countedConn) {
-	if s != nil {
-		s.conns = append(s.conns, c)
-	}
-}
--- a/internal/sendonce/copies_test.go
+++ b/internal/sendonce/copies_test.go
@@ -123,9 +123,12 @@
 	// net/http logs each copy that arrives on an idle connection.
 	log.SetOutput(io.Discard)
 	defer log.SetOutput(os.Stderr)
-	for _, calm := range []float64{0, 0.9} {
-		t.Run(fmt.Sprintf("calm %.1f", calm), func(t *testing.T) {
-			s := newCopyServer(t, calm)
+	for _, c := range []struct {
+		calm  float64
+		skips bool
+	}{{0, false}, {0.9, false}, {0, true}, {0.9, true}} {
+		t.Run(fmt.Sprintf("calm %.1f, copies are skipped %t", c.calm, c.skips), func(t *testing.T) {
+			s := newCopyServer(t, c.calm)
 			client := New(&http.Transport{MaxIdleConnsPerHost: 4})
 			defer client.transport.(*http.Transport).CloseIdleConnections()
 			var senders sync.WaitGroup
@@ -137,10 +140,13 @@
 				senders.Go(func() {
 					for m := 0; time.Now().Before(stop); m++ {
 						id := fmt.Sprintf("%d-%d", n, m)
-						var sent Sent
+						message := Message{}
+						if c.skips {
+							message = Message{ID: id, IsOther: func(r *http.Response) bool { return r.Header.Get("Id") != id }}
+						}
 						for k := range 4 {
 							sending := fmt.Sprintf("%s-%d", id, k)
-							outcome, maybeSent := sendCopy(t, client, "http://"+s.listener.Addr().String()+"/", &sent, id, sending, n*m+k)
+							outcome, maybeSent := sendCopy(t, client, "http://"+s.listener.Addr().String()+"/", &message, id, sending, n*m+k)
 							mu.Lock()
 							outcomes[outcome]++
 							if !maybeSent {
@@ -167,7 +173,7 @@
 	}
 }
 
-func sendCopy(t *testing.T, client *Client, url string, sent *Sent, id, sending string, n int) (outcome string, maybeSent bool) {
+func sendCopy(t *testing.T, client *Client, url string, message *Message, id, sending string, n int) (outcome string, maybeSent bool) {
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
 	if n%7 == 0 {
@@ -181,7 +187,7 @@
 		r.Header.Set("Id", id)
 		r.Header.Set("Sending", sending)
 		return r
-	}, sent, func(r *http.Response, _ Connection) error {
+	}, message, func(r *http.Response, _ Connection) error {
 		if r.Header.Get("Id") != id {
 			return errMismatch
 		}
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"time"
 
@@ -112,6 +113,8 @@
 	Number uint64
 	// Carried is the number of requests that the connection was used for before.
 	Carried int64
+	// Skipped is the number of responses to other messages that arrived in place of the one to the message.
+	Skipped int
 }
 
 // Discard closes the response's connection, so that no later request can read the data left on it. If the response was read to its end
@@ -125,22 +128,31 @@
 
 // Do sends the request at most once. The response's body must be closed.
 func (c *Client) Do(req *http.Request) (Result, error) {
-	return c.do(req, nil, func(*http.Response, Connection) error { return nil })
+	return c.do(req, &Message{}, func(*http.Response, Connection) error { return nil })
 }
 
-// Sent holds the connections over which a message was sent. It is not safe for concurrent use.
-type Sent struct{ conns []*countedConn }
+// Message is a message that may be sent several times. It is not safe for concurrent use.
+type Message struct {
+	// ID is the value of a header field in the peer's responses to the message, if the peer echoes it in the usual form. It spares
+	// calls of IsOther.
+	ID string
+	// IsOther reports whether a response is one to another message; nil if nothing tells. It must be safe for concurrent use.
+	IsOther func(*http.Response) bool
+	// conns are the connections over which the message was sent.
+	conns []*countedConn
+}
 
 // DoMatched sends a message, which may have been sent before, at most once more, and returns the response only if match accepts it;
 // otherwise it closes the connection and returns the error of match. newRequest is called again if no byte of the earlier request was
 // sent.
 //
-// A peer may send a response a second time, where the next one on the connection is due. match can tell it from the response to this
-// message by what it holds, unless it is a response to the same message; so a connection that has carried the message does not carry
-// it again. A response without a body frees its connection before it is matched; another request waits until it is accepted.
-func (c *Client) DoMatched(newRequest func() *http.Request, sent *Sent, match func(*http.Response, Connection) error) (Result, error) {
+// A peer may send a response a second time, where the next one on the connection is due. Responses that IsOther recognizes are skipped
+// there, and match can tell those that remain from the response to this message by what they hold, unless they are responses to the
+// same message; so a connection that has carried the message does not carry it again. A response without a body frees its connection
+// before it is matched; another request waits until it is accepted.
+func (c *Client) DoMatched(newRequest func() *http.Request, message *Message, match func(*http.Response, Connection) error) (Result, error) {
 	for {
-		result, err := c.do(newRequest(), sent, match)
+		result, err := c.do(newRequest(), message, match)
 		// The connection is closed, so that each of the idle ones is met once at most.
 		if !errors.Is(err, errUnusable) || result.MaybeSent {
 			return result, err
@@ -148,12 +160,13 @@
 	}
 }
 
-func (c *Client) do(req *http.Request, sent *Sent, match func(*http.Response, Connection) error) (Result, error) {
+func (c *Client) do(req *http.Request, message *Message, match func(*http.Response, Connection) error) (Result, error) {
 	if err := req.Context().Err(); err != nil {
 		return Result{attempt: &attempt{}}, err
 	}
 	ctx, cancel := context.WithCancelCause(req.Context())
-	a := &attempt{ctx: ctx, cancel: cancel, sent: sent}
+	a := &attempt{ctx: ctx, cancel: cancel, message: message}
+	a.awaited = awaitedResponse{echo: message.ID, method: req.Method, isOther: message.IsOther}
 	trace := &httptrace.ClientTrace{GetConn: a.getConn, GotConn: a.gotConn}
 	resp, err := c.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
@@ -180,9 +193,10 @@
 
 // attempt tracks the connections that the transport obtains for one request.
 type attempt struct {
-	ctx    context.Context
-	cancel context.CancelCauseFunc
-	sent   *Sent
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	message *Message
+	awaited awaitedResponse
 
 	mu            sync.Mutex
 	connRequested bool
@@ -213,13 +227,13 @@
 
 // use makes the attempt the user of a connection, unless it must not carry the request.
 func (a *attempt) use(c *countedConn) bool {
-	if a.sent.holds(c) {
+	if slices.Contains(a.message.conns, c) {
 		return false
 	}
-	carried, ok := c.acquire(a.ctx)
+	carried, ok := c.acquire(a.ctx, &a.awaited)
 	if ok {
 		a.writtenBefore, a.carriedBefore = c.written.Load(), carried
-		a.sent.add(c)
+		a.message.conns = append(a.message.conns, c)
 	}
 	return ok
 }
@@ -246,7 +260,7 @@
 	if !ok {
 		return Connection{}
 	}
-	return Connection{Number: counted.number, Carried: a.carriedBefore}
+	return Connection{Number: counted.number, Carried: a.carriedBefore, Skipped: counted.skippedResponses()}
 }
 
 // wrote reports whether a byte may have been written to the connection. It first closes the connection, which prevents
--- a/internal/sendonce/sendonce_test.go
+++ b/internal/sendonce/sendonce_test.go
@@ -305,12 +305,12 @@
 	url, connections := newRepeatServer(t)
 	client := New(nil)
 	defer client.transport.(*http.Transport).CloseIdleConnections()
-	var sent Sent
+	var sent Message
 	for range 3 {
 		for _, path := range []string{"/message", "/other"} {
 			history := &sent
 			if path == "/other" {
-				history = &Sent{}
+				history = &Message{}
 			}
 			result, err := client.DoMatched(func() *http.Request {
 				return newRequest(t, http.MethodPost, url+path, "notice", "")
@@ -345,7 +345,7 @@
 			send := func(path string, match func(*http.Response, Connection) error) error {
 				result, err := client.DoMatched(func() *http.Request {
 					return newRequest(t, http.MethodPost, url+path, "notice", "")
-				}, &Sent{}, match)
+				}, &Message{}, match)
 				if err == nil {
 					_, _ = io.Copy(io.Discard, result.Response.Body)
 					_ = result.Response.Body.Close()
