backing: a row of another type does not make its table unreadable

Cause: a listing of the product's own table was decoded as a whole. One row with a field of another type, which another writer has left, made the listing an error, so that no process saw any change of the grants or the declarations while the row was there.

Change: such a row is listed with an error. The grants count it as corrupt and keep what they knew of it, and a declaration that cannot be read is an error as before; a row without a key still makes the listing unusable, because one that is left out would count as deleted.

--- a/internal/atmostonce/sweep.go
+++ b/internal/atmostonce/sweep.go
@@ -138,7 +138,7 @@
 // isExpired reports whether a row may be deleted. A row that cannot be decoded is kept.
 func (c *Claims) isExpired(now time.Time, r backing.Row) bool {
 	var claim Claim
-	if err := json.Unmarshal(r.Value, &claim); err != nil {
+	if r.Err != nil || json.Unmarshal(r.Value, &claim) != nil {
 		return false
 	}
 	return now.Sub(claim.ClaimedAt) > c.options.Retention+skewAllowance
--- a/internal/backing/backing.go
+++ b/internal/backing/backing.go
@@ -46,6 +46,8 @@
 	// increase with each commit.
 	Revision uint64 `json:"revision"`
 	Value    []byte `json:"value"`
+	// Err is set in a listing if the row cannot be read. Only its key is valid then.
+	Err error `json:"-"`
 }
 
 // Condition is a precondition of a transaction: the row is at revision Revision (0: the row is absent).
--- a/internal/backing/otheranswer_test.go
+++ b/internal/backing/otheranswer_test.go
@@ -72,3 +72,29 @@
 		}
 	}
 }
+
+// Guards against a table that nobody can read because one of its rows has a field of another type, and against that row counting as one
+// that does not exist.
+func TestListingWithAnOddRow(t *testing.T) {
+	const good = `{"key":"a/1","revision":7,"value":"b25l"}`
+	for name, odd := range map[string]string{
+		"value of another type":    `{"key":"a/2","revision":8,"value":{"x":1}}`,
+		"value that is not base64": `{"key":"a/2","revision":8,"value":"?"}`,
+		"negative revision":        `{"key":"a/2","revision":-8,"value":"b25l"}`,
+		"revision of another type": `{"key":"a/2","revision":"8"}`,
+	} {
+		listing, err := startFixedTable(t, http.StatusOK, `{"revision":9,"rows":[`+good+`,`+odd+`]}`).List(t.Context(), "a/", 5)
+		if err != nil || len(listing.Rows) != 2 {
+			t.Errorf("%s: %d rows, error %v, want both rows", name, len(listing.Rows), err)
+			continue
+		}
+		if one, two := listing.Rows[0], listing.Rows[1]; one.Err != nil || string(one.Value) != "one" || two.Key != "a/2" || two.Err == nil || two.Value != nil {
+			t.Errorf("%s: rows %+v, want the first one whole and an error for the other", name, listing.Rows)
+		}
+	}
+	for _, odd := range []string{`{"key":5,"revision":8}`, `{"revision":"8"}`, `7`} {
+		if _, err := startFixedTable(t, http.StatusOK, `{"revision":9,"rows":[`+good+`,`+odd+`]}`).List(t.Context(), "a/", 5); !errors.Is(err, ErrUnavailable) {
+			t.Errorf("row %s, which has no key: error %v, want that the listing cannot be used", odd, err)
+		}
+	}
+}
--- a/internal/backing/table.go
+++ b/internal/backing/table.go
@@ -172,8 +172,8 @@
 	if err != nil {
 		return Listing{}, err
 	}
-	var listing Listing
-	if err := json.Unmarshal(resp.body, &listing); err != nil {
+	listing, err := decodeListing(resp.body)
+	if err != nil {
 		return Listing{}, wrapError(ErrUnavailable, err)
 	}
 	if err := listing.check(prefix, after); err != nil {
@@ -183,13 +183,44 @@
 	return listing, nil
 }
 
+// decodeListing decodes a listing. A row with a field of another type is listed with an error, unless nothing tells which row it is: a
+// listing without it would say that it does not exist.
+func decodeListing(body []byte) (Listing, error) {
+	var listing Listing
+	if json.Unmarshal(body, &listing) == nil {
+		return listing, nil
+	}
+	var rows struct {
+		Revision uint64            `json:"revision"`
+		Rows     []json.RawMessage `json:"rows"`
+	}
+	if err := json.Unmarshal(body, &rows); err != nil {
+		return Listing{}, err
+	}
+	listing = Listing{Revision: rows.Revision}
+	for _, raw := range rows.Rows {
+		var row Row
+		if err := json.Unmarshal(raw, &row); err != nil {
+			var keyOnly struct {
+				Key string `json:"key"`
+			}
+			if json.Unmarshal(raw, &keyOnly) != nil || keyOnly.Key == "" {
+				return Listing{}, errors.Wrapf(err, "a row without a key: %.40q", raw)
+			}
+			row = Row{Key: keyOnly.Key, Err: errors.Wrapf(err, "row %.40q", keyOnly.Key)}
+		}
+		listing.Rows = append(listing.Rows, row)
+	}
+	return listing, nil
+}
+
 // check returns an error if a listing cannot be the one of a prefix after a revision.
 func (l *Listing) check(prefix string, after uint64) error {
 	if l.Revision < after {
 		return errors.Errorf("the response is of revision %d", l.Revision)
 	}
 	for _, row := range l.Rows {
-		if !strings.HasPrefix(row.Key, prefix) || row.Revision <= after {
+		if !strings.HasPrefix(row.Key, prefix) || row.Err == nil && row.Revision <= after {
 			return errors.Errorf("the response has row %.40q of revision %d", row.Key, row.Revision)
 		}
 	}
--- a/internal/declarations/table.go
+++ b/internal/declarations/table.go
@@ -29,6 +29,9 @@
 var ErrMalformedRow = errors.New("declarations: malformed row")
 
 func decodeRow(row backing.Row, message proto.Message) error {
+	if row.Err != nil {
+		return errors.Wrap(ErrMalformedRow, row.Err.Error())
+	}
 	if err := proto.Unmarshal(row.Value, message); err != nil {
 		return errors.Wrapf(ErrMalformedRow, "%s: %v", row.Key, err)
 	}
--- a/internal/declarations/table_test.go
+++ b/internal/declarations/table_test.go
@@ -5,6 +5,9 @@
 	"slices"
 	"strings"
 	"sync"
+	"testing"
+
+	"github.com/pkg/errors"
 
 	"balsamsail/internal/backing"
 )
@@ -106,3 +109,16 @@
 	}
 	return content
 }
+
+// Guards against a declaration that cannot be read counting as an empty one, and against one row of another kind making all unreadable.
+func TestDeclarationThatCannotBeRead(t *testing.T) {
+	odd := func(key string) []backing.Row { return []backing.Row{{Key: key, Err: errors.New("odd")}} }
+	for _, key := range []string{headKey, logKey(7), objectPrefix + "model/m"} {
+		if _, err := decodeContent(odd(key)); !errors.Is(err, ErrMalformedRow) {
+			t.Errorf("row %s: error %v, want a malformed row", key, err)
+		}
+	}
+	if _, err := decodeContent(odd(tablePrefix + "note")); err != nil {
+		t.Errorf("row of no declaration: %v", err)
+	}
+}
--- a/internal/replicas/row.go
+++ b/internal/replicas/row.go
@@ -18,7 +18,7 @@
 // DecodeRow decodes a table row and sets its revision.
 func DecodeRow(r backing.Row) (*replicaspb.Row, error) {
 	row := &replicaspb.Row{}
-	if err := proto.Unmarshal(r.Value, row); err != nil {
+	if r.Err != nil || proto.Unmarshal(r.Value, row) != nil {
 		return nil, ErrCorruptRow
 	}
 	if row.Model == "" || Key(row.Model) != r.Key {
