agent: one row that cannot be read does not keep an agent from its grants

Cause: an agent that starts reads the grants of all model versions. One row that could not be decoded, of whichever version, made the read an error, and the agent repeated it without taking any grant.

Change: the row is logged and left out; what is granted of this version arrives from the entries.

Result: TestGrantsBesideARowThatCannotBeRead failed before in 3 of 3 kinds of rows (no grants).

--- a/internal/agent/grants.go
+++ b/internal/agent/grants.go
@@ -55,7 +55,9 @@
 	for _, stored := range listing.Rows {
 		row, err := replicas.DecodeRow(stored)
 		if err != nil {
-			return loading.RowsRead{}, err
+			// The grants of one model version. All others apply, and the next ones of this one arrive from the entries.
+			a.logger.Error("cannot decode table row", "key", stored.Key, "error", err)
+			continue
 		}
 		if replicas.SlotOf(row, a.options.Endpoint, a.options.Host) != nil {
 			read.Rows = append(read.Rows, row)
