gateway: tests of a refusal with another ID on a new connection, and of another incarnation whichever endpoint is chosen first

Since responses to other requests are skipped on a used connection, nothing but the case of a new one tells whether the match after net/http is there: with it taken out, TestLateRejectionOfAnotherRequest passed. The new case of TestFaultsOfEndpoints fails then. The skip and the match both taken out fail five tests.

TestAnswerOfAnotherIncarnation failed once, in a run with an unrelated guard taken out: none of its 30 requests had reached the endpoint, because two idle endpoints are chosen in the order of a map. It sends until one has.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -20,6 +20,10 @@
 		r.Header.Set("Id", "another")
 		good(w, r)
 	}
+	refusesAnother := func(w http.ResponseWriter, r *http.Request) {
+		r.Header.Set("Id", "another")
+		refuses(w, r)
+	}
 	unsigned := func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Id", r.Header.Get("Id"))
 		_, _ = io.WriteString(w, "done")
@@ -50,6 +54,7 @@
 		{"refuses each request", refuses, 503, 503, 2},
 		{"resets the connection", resetsConnection, 502, 502, 1},
 		{"wrong request ID", wrongID, 502, 502, 1},
+		{"refusal with another request's ID", refusesAnother, 502, 502, 1},
 		{"no signature", unsigned, 502, 502, 1},
 		{"unexpected content encoding", encoded, 502, 502, 1},
 		{"503 without a header that confirms that it did not run", unconfirmedStatus, 502, 502, 1},
--- a/internal/gateway/late_test.go
+++ b/internal/gateway/late_test.go
@@ -250,11 +250,15 @@
 				}
 				w.WriteHeader(status)
 			}})
-			for n := range 30 {
-				if got := r.send(fmt.Sprintf("a%d", n), "/plain/", ""); got.status != http.StatusOK {
+			send := func(id string) {
+				if got := r.send(id, "/plain/", ""); got.status != http.StatusOK {
 					t.Fatalf("status %d, want the answer of the other endpoint", got.status)
 				}
 			}
+			r.await("a request reaches the other incarnation", func() bool { send("before"); return reached.Load() > 0 })
+			for range 30 {
+				send("after")
+			}
 			if n, limited := reached.Load(), r.fleet.LimitedEndpoints(); n != 1 || limited > 0 {
 				t.Errorf("%d requests reached the other incarnation, want 1; %d endpoints name a limit, want none", n, limited)
 			}
