watch, platform: a gateway behind a slow link does not fall behind a series of configurations

What callers saw: a gateway on a path of 256 kB/s served a removed route up to 2.36 s after the change (2 s are allowed), after storms of configurations.

Cause: changes are read with every version of a row. While one answer arrives, further versions are written; the next answer has all of them and takes longer, and so on, until one takes more than the second that an answer may, is given up and followed by the whole table. By then more than two seconds are over.

Change: an answer with changes is given up as soon as its length shows that it is longer than the whole table, twice over and 64 KB at least, and the table is read in its place. Counted as `too_long`.

--- a/internal/app/feed_test.go
+++ b/internal/app/feed_test.go
@@ -68,7 +68,7 @@
 	return nil, 1, nil
 }
 
-func (s *countingStore) Changes(ctx context.Context, _ string, after int64, wait time.Duration) ([]watch.Row, int64, error) {
+func (s *countingStore) Changes(ctx context.Context, _ string, after int64, wait time.Duration, _ int) ([]watch.Row, int64, error) {
 	s.count()
 	select {
 	case <-ctx.Done():
--- a/internal/watch/metrics.go
+++ b/internal/watch/metrics.go
@@ -42,6 +42,7 @@
 	resultHistoryGone = "history_gone"
 	resultFailed      = "failed"
 	resultIncomplete  = "incomplete"
+	resultTooLong     = "too_long"
 )
 
 // recordCall counts a call and updates the time since the last answer.
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -19,6 +19,8 @@
 	ErrUnavailable = errors.New("watch: the store is unavailable")
 	// ErrIncomplete means that the store answered, but the answer did not arrive in full in time.
 	ErrIncomplete = errors.New("watch: the answer of the store did not arrive in full")
+	// ErrTooLong means that the answer is longer than the caller takes.
+	ErrTooLong = errors.New("watch: the answer of the store is longer than the limit")
 	// ErrHistoryGone means that the store no longer has the requested changes.
 	ErrHistoryGone = errors.New("watch: the store has dropped this part of its history")
 )
@@ -36,8 +38,9 @@
 	// List returns all rows of a table and the revision at which they were read.
 	List(ctx context.Context, table string) ([]Row, int64, error)
 	// Changes returns the rows that changed after a revision, in order, as soon as there are any, and the revision to
-	// continue from. It returns no rows if none changed within wait.
-	Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]Row, int64, error)
+	// continue from. It returns no rows if none changed within wait, and ErrTooLong if the rows have more than limit bytes; 0 is no
+	// limit.
+	Changes(ctx context.Context, table string, after int64, wait time.Duration, limit int) ([]Row, int64, error)
 }
 
 // Sink receives what a watch reads. Its methods are never called concurrently.
@@ -69,6 +72,14 @@
 // answer within a call's time limit, a watch that asked again would never catch up.
 const maxReplayAge = 2 * time.Second
 
+// Changes are read up to replayFactor times the bytes of the whole table, which is read in their place if there are more: in a series of
+// changes each answer has the versions that were written during the one before, and falls behind on a link that carries them more slowly
+// than they are written. Up to minReplayBytes it is not worth another call.
+const (
+	replayFactor   = 2
+	minReplayBytes = 64 << 10
+)
+
 // Run keeps a replica up to date from the store until ctx ends. It continues at the replica's revision, so that a process
 // that had the table from another one reads only what has changed since.
 func Run(ctx context.Context, source Source, replica *Replica, options Options, logger *slog.Logger) {
@@ -94,6 +105,8 @@
 	// answeredAt is when the store last answered. An answer older than the replica, which a hub may feed as well, does not
 	// confirm the replica; without answeredAt, the table would be read again and again without a pause.
 	answeredAt time.Time
+	// listedBytes is the size of the whole table when it was last read.
+	listedBytes int
 	// failure is how the last call failed; empty while the store is available.
 	failure string
 	backoff time.Duration
@@ -105,8 +118,16 @@
 	if !known || f.relist || time.Since(later(f.replica.ConfirmedAt(), f.answeredAt)) > maxReplayAge {
 		return f.list(ctx)
 	}
-	rows, revision, err := f.source.Changes(ctx, f.table, base, f.wait())
+	rows, revision, err := f.source.Changes(ctx, f.table, base, f.wait(), max(minReplayBytes, replayFactor*f.listedBytes))
 	switch {
+	case errors.Is(err, ErrTooLong):
+		f.options.Metrics.recordCall(f.table, resultTooLong, time.Now())
+		f.relist = true
+		if err := f.list(ctx); err != nil {
+			return err
+		}
+		clock.Pause(ctx, f.options.CoalesceDelay)
+		return nil
 	case errors.Is(err, ErrHistoryGone):
 		f.options.Metrics.recordCall(f.table, resultHistoryGone, time.Now())
 		f.logger.Info("store no longer has the change history; reading the whole table", "event", "watch_restart", "table", f.table, "revision", base)
@@ -144,11 +165,19 @@
 	}
 	f.options.Metrics.recordList(f.table, time.Since(start))
 	f.recordSuccess()
-	f.relist = false
+	f.relist, f.listedBytes = false, size(rows)
 	f.replica.Apply(Change{Replace: true, Rows: rows, Revision: revision, ConfirmedAt: start})
 	return nil
 }
 
+func size(rows []Row) int {
+	n := 0
+	for _, row := range rows {
+		n += len(row.Key) + len(row.Value)
+	}
+	return n
+}
+
 func (f *follower) recordSuccess() {
 	f.answeredAt = time.Now()
 	f.options.Metrics.recordCall(f.table, resultAnswered, f.answeredAt)
@@ -162,7 +191,7 @@
 
 func (f *follower) recordFailure(err error) {
 	result := resultFailed
-	if errors.Is(err, ErrIncomplete) {
+	if errors.Is(err, ErrIncomplete) || errors.Is(err, ErrTooLong) {
 		result = resultIncomplete
 	}
 	f.options.Metrics.recordCall(f.table, result, time.Now())
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -52,7 +52,7 @@
 	return rows, s.revision, nil
 }
 
-func (s *scriptedStore) Changes(ctx context.Context, _ string, after int64, wait time.Duration) ([]Row, int64, error) {
+func (s *scriptedStore) Changes(ctx context.Context, _ string, after int64, wait time.Duration, _ int) ([]Row, int64, error) {
 	s.mu.Lock()
 	s.calls++
 	s.mu.Unlock()
@@ -224,7 +224,7 @@
 // incompleteChanges is a store whose answers to calls for changes do not arrive in full.
 type incompleteChanges struct{ *scriptedStore }
 
-func (incompleteChanges) Changes(context.Context, string, int64, time.Duration) ([]Row, int64, error) {
+func (incompleteChanges) Changes(context.Context, string, int64, time.Duration, int) ([]Row, int64, error) {
 	return nil, 0, ErrIncomplete
 }
 
