control: a message of the coordinator that cannot be decoded is not used in part

Cause: a gateway took limits, its share of them and the form of its own messages from the coordinator's message before it looked at the error of reading it. What had been decoded up to the fault was believed, until a later message said otherwise.

Change: the error is looked at first, as at all other places that read a message.

Result: TestMessageOfTheCoordinatorThatCannotBeDecoded failed before (1 endpoint with a limit, want 0).

--- a/internal/control/link_test.go
+++ b/internal/control/link_test.go
@@ -8,6 +8,9 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
 	"balsamsail/internal/clock"
 	"balsamsail/internal/control/controlpb"
 	"balsamsail/internal/wire"
@@ -87,3 +90,47 @@
 		t.Error("the agent got the command that was given up")
 	}
 }
+
+// Guards against a part of the coordinator's message being used although the whole cannot be decoded.
+func TestMessageOfTheCoordinatorThatCannotBeDecoded(t *testing.T) {
+	good := &controlpb.Demand{LimitShare: shareUnit / 2, Limits: []*controlpb.EndpointLimit{{EndpointId: "e1", Named: true, PerSecond: 2}}}
+	encoded, err := proto.Marshal(good)
+	if err != nil {
+		t.Fatal(err)
+	}
+	odd := &controlpb.Demand{}
+	// A group that has no end.
+	odd.ProtoReflect().SetUnknown(protowire.AppendTag(encoded, 1000, protowire.StartGroupType))
+	for _, c := range []struct {
+		name    string
+		message *controlpb.Demand
+		want    int
+	}{{"whole", good, 1}, {"not whole", odd, 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			gateways, _ := startSite(t, 1)
+			g := gateways[0]
+			eventually(t, "the gateway knows the engine", g.engineReported)
+			listener := listenLoopback(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			var running sync.WaitGroup
+			defer running.Wait()
+			defer cancel()
+			var sent atomic.Int64
+			running.Go(func() {
+				_ = wire.Serve(ctx, listener, WireOptions(time.Second), discardLogger, func(ctx context.Context, _ *wirepb.StreamHeader, stream *wire.Stream) {
+					if err := stream.Write(c.message); err != nil {
+						t.Error(err)
+					}
+					sent.Add(1)
+					clock.Pause(ctx, 200*time.Millisecond)
+				})
+			})
+			stop := g.peers.follow(ctx, listener.Addr().String())
+			defer stop()
+			eventually(t, "two messages are sent", func() bool { return sent.Load() >= 2 })
+			if n := g.fleet.LimitedEndpoints(); n != c.want {
+				t.Errorf("%d endpoints with a limit, want %d", n, c.want)
+			}
+		})
+	}
+}
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -285,15 +285,15 @@
 		},
 		receive: func(stream *wire.Stream) error {
 			reply := &controlpb.Demand{}
-			err := stream.Read(reply)
+			if err := stream.Read(reply); err != nil {
+				return err
+			}
 			out.takesChanges.Store(reply.TakesChanges)
 			now := time.Now()
 			p.fleet.ApplyLimits(now, decodeLimits(now, reply.Limits))
 			p.setGivenShare(now, reply.LimitShare)
-			if err == nil {
-				p.facts.apply(now, reply.Facts)
-			}
-			return err
+			p.facts.apply(now, reply.Facts)
+			return nil
 		},
 	}
 	p.mu.Lock()
