--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -265,11 +265,8 @@
 		target.Model = call.Model
 	}
 	return &request{
-		call: call,
-		message: sendonce.Message{ID: call.ID, IsOther: func(response *http.Response) bool {
-			a := g.codec.ReadResponse(response)
-			return a.ID != "" && a.ID != call.ID
-		}},
+		call:    call,
+		message: sendonce.Message{ID: call.ID, IsOther: g.namesOther(call.ID)},
 		content: contentOf(r, call, body),
 		parts:   partsOf(call),
 		route:   route,
@@ -286,6 +283,14 @@
 	}
 }
 
+// namesOther returns a function that reports whether a response names another request than the one with the given ID.
+func (g *Gateway) namesOther(id string) func(*http.Response) bool {
+	return func(response *http.Response) bool {
+		named := g.codec.ReadResponse(response).ID
+		return named != "" && named != id
+	}
+}
+
 // repeatable reports whether a request that may have run may be sent again.
 func (q *request) repeatable() bool {
 	return q.route.Repeat == catalog.Idempotent || q.route.Streaming && q.route.Resumable
