--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -59,7 +59,7 @@
 		return g.handleFailure(parent, q, choice, result, err)
 	}
 	defer result.Response.Body.Close()
-	if a.isOfOther(choice) {
+	if a.isFromAnother(choice) {
 		g.fleet.Replaced(choice)
 	} else {
 		g.fleet.ObserveResponse(time.Now(), choice, time.Since(began))
@@ -233,7 +233,7 @@
 	g.metrics.countAttempt("refused")
 	g.fleet.Observe(time.Now(), choice, routing.OutcomeRefused, 0)
 	switch {
-	case a.isOfOther(choice):
+	case a.isFromAnother(choice):
 		q.mismatches++
 	case a.Absent:
 		g.fleet.Absent(time.Now(), choice, &q.fleetRequest)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -70,9 +70,9 @@
 	LimitInvalid bool
 }
 
-// isOfOther reports whether another incarnation than the chosen one has responded at its address. What such a response says of load and
+// isFromAnother reports whether another incarnation than the chosen one has responded at its address. What such a response says of load and
 // limit is not of the chosen one, which is gone.
-func (r Response) isOfOther(choice fleet.Choice) bool {
+func (r Response) isFromAnother(choice fleet.Choice) bool {
 	return r.Incarnation != "" && r.Incarnation != choice.ID
 }
 
