gateway, fleet: one check for an answer that names another request; a field that nothing read

Found in reading the change again; behaviour is the same.

- Whether an answer names another request was written twice, for the match and for what is left out before it.
Both call Response.namesOther, so that the two guards cannot come to differ.
- Fleet.ObserveLimit filled in the process of an observation that only ApplyLimits reads, of observations of others.
- The comment of the tests' rawServer described parameters under other names.

--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -81,7 +81,7 @@
 	if e == nil {
 		return false
 	}
-	o := ObservedLimit{Process: crashes.Process{EndpointID: e.ID, Started: e.started}, RateLimit: limit, ObservedAt: now}
+	o := ObservedLimit{RateLimit: limit, ObservedAt: now}
 	if !limit.Named {
 		// The endpoint may have begun its answer as soon as it had the request, before it named a limit in another answer.
 		o.ObservedAt = sentAt
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -170,7 +170,7 @@
 	switch {
 	case a.ID == "" && c.Carried > 0:
 		return errors.Wrap(errInvalidResponse, "it has no request ID, and its connection has carried other requests")
-	case a.ID != "" && a.ID != q.call.ID:
+	case a.namesOther(q.call.ID):
 		return errors.Wrapf(errInvalidResponse, "it has the ID of another request, %.40q", a.ID)
 	}
 	return nil
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -70,12 +70,17 @@
 	LimitInvalid bool
 }
 
-// isFromAnother reports whether another incarnation than the chosen one has responded at its address. What such a response says of load and
-// limit is not of the chosen one, which is gone.
+// isFromAnother reports whether another incarnation than the chosen one has responded at its address. What such a response says of load
+// and limit is not of the chosen one, which is gone.
 func (r Response) isFromAnother(choice fleet.Choice) bool {
 	return r.Incarnation != "" && r.Incarnation != choice.ID
 }
 
+// namesOther reports whether a response names another request than the one with the given ID.
+func (r Response) namesOther(id string) bool {
+	return r.ID != "" && r.ID != id
+}
+
 // Codec translates between HTTP messages and the gateway's types.
 type Codec interface {
 	// ReadCall decodes a client's request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -266,7 +266,7 @@
 	}
 	return &request{
 		call:    call,
-		message: sendonce.Message{ID: call.ID, IsOther: g.namesOther(call.ID)},
+		message: sendonce.Message{ID: call.ID, IsOther: g.isOther(call.ID)},
 		content: contentOf(r, call, body),
 		parts:   partsOf(call),
 		route:   route,
@@ -283,12 +283,9 @@
 	}
 }
 
-// namesOther returns a function that reports whether a response names another request than the one with the given ID.
-func (g *Gateway) namesOther(id string) func(*http.Response) bool {
-	return func(response *http.Response) bool {
-		named := g.codec.ReadResponse(response).ID
-		return named != "" && named != id
-	}
+// isOther returns sendonce.Message.IsOther for a request.
+func (g *Gateway) isOther(id string) func(*http.Response) bool {
+	return func(response *http.Response) bool { return g.codec.ReadResponse(response).namesOther(id) }
 }
 
 // repeatable reports whether a request that may have run may be sent again.
--- a/internal/sendonce/awaited_test.go
+++ b/internal/sendonce/awaited_test.go
@@ -29,13 +29,13 @@
 	return b.String() + "0\r\n\r\n"
 }
 
-// rawServer answers the requests on each connection with what reply returns, in pieces of a number of bytes, and then closes the
-// connection if close is set. Requests to pathWarm are answered with a response to "warm".
+// rawServer answers each request with the same bytes, one to pathWarm with a response to the message "warm".
 type rawServer struct {
 	url         string
 	connections atomic.Int64
 }
 
+// newRawServer starts a server that writes its reply in pieces of a number of bytes, and then closes the connection if closes is set.
 func newRawServer(t *testing.T, reply string, piece int, closes bool) *rawServer {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
