settings: the host's limits of memory and descriptors

No process knew what its host gives it: what clients can make it hold was bounded by constants, or not at all. The templates pass the platform's limits on as [resources], checked like all settings; a deployment that names none gets the defaults. Nothing uses them yet.

--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -14,18 +14,19 @@
 
 // Agent holds the settings of an agent.
 type Agent struct {
-	Agent    AgentProcess `section:"agent" doc:"The process itself."`
-	Endpoint Endpoint     `section:"endpoint" doc:"The endpoint beside which the agent runs."`
-	Platform Platform     `section:"platform" doc:"The platform's services."`
-	Order    Order        `section:"order" doc:"Orders to the engine."`
-	Queue    Queue        `section:"queue" doc:"Requests that wait at the agent."`
-	Requests Requests     `section:"requests" doc:"Requests that run."`
-	Idle     Idle         `section:"idle" doc:"How long idle models stay loaded."`
-	Control  Control      `section:"control" doc:"Control streams and the table."`
-	Wire     Wire         `section:"wire" doc:"Connections between entries and agents."`
-	Drain    AgentDrain   `section:"drain" doc:"The planned stop."`
-	Timeline Timeline     `section:"timeline" doc:"The time line of events."`
-	Log      Log          `section:"log" doc:"Logs."`
+	Agent     AgentProcess `section:"agent" doc:"The process itself."`
+	Endpoint  Endpoint     `section:"endpoint" doc:"The endpoint beside which the agent runs."`
+	Platform  Platform     `section:"platform" doc:"The platform's services."`
+	Order     Order        `section:"order" doc:"Orders to the engine."`
+	Queue     Queue        `section:"queue" doc:"Requests that wait at the agent."`
+	Requests  Requests     `section:"requests" doc:"Requests that run."`
+	Idle      Idle         `section:"idle" doc:"How long idle models stay loaded."`
+	Control   Control      `section:"control" doc:"Control streams and the table."`
+	Wire      Wire         `section:"wire" doc:"Connections between entries and agents."`
+	Drain     AgentDrain   `section:"drain" doc:"The planned stop."`
+	Resources Resources    `section:"resources" doc:"The host's limits of the process."`
+	Timeline  Timeline     `section:"timeline" doc:"The time line of events."`
+	Log       Log          `section:"log" doc:"Logs."`
 
 	// Credentials are read from the endpoint's credentials file; empty where none is named.
 	Credentials Secret
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -19,6 +19,7 @@
 	Claims       Claims       `section:"claims" doc:"Claims of idempotency keys."`
 	Wire         Wire         `section:"wire" doc:"Connections between entries and agents."`
 	Drain        EntryDrain   `section:"drain" doc:"The planned stop."`
+	Resources    Resources    `section:"resources" doc:"The host's limits of the process."`
 	Timeline     Timeline     `section:"timeline" doc:"The time line of events."`
 	Log          Log          `section:"log" doc:"Logs."`
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -8,12 +8,13 @@
 
 // Gateway holds the settings of a gateway.
 type Gateway struct {
-	Gateway GatewayProcess `section:"gateway" doc:"The process itself."`
-	Store   Store          `section:"store" doc:"The platform's store."`
-	Control ControlLinks   `section:"control" doc:"Links between gateways and the agents beside engines."`
-	Retries SharedRetries  `section:"retries" doc:"Budget of repeated attempts."`
-	Drain   GatewayDrain   `section:"drain" doc:"The planned stop."`
-	Log     Log            `section:"log" doc:"Logs."`
+	Gateway   GatewayProcess `section:"gateway" doc:"The process itself."`
+	Store     Store          `section:"store" doc:"The platform's store."`
+	Control   ControlLinks   `section:"control" doc:"Links between gateways and the agents beside engines."`
+	Retries   SharedRetries  `section:"retries" doc:"Budget of repeated attempts."`
+	Drain     GatewayDrain   `section:"drain" doc:"The planned stop."`
+	Resources Resources      `section:"resources" doc:"The host's limits of the process."`
+	Log       Log            `section:"log" doc:"Logs."`
 
 	reload func() (*Gateway, error)
 }
@@ -93,10 +94,11 @@
 
 // EngineAgent holds the settings of an agent beside an engine.
 type EngineAgent struct {
-	Agent   EngineAgentProcess `section:"engine_agent" doc:"The process itself."`
-	Control ControlLinks       `section:"control" doc:"Links between gateways and the agents beside engines."`
-	Orders  EngineOrders       `section:"orders" doc:"Reports and orders of the engine."`
-	Log     Log                `section:"log" doc:"Logs."`
+	Agent     EngineAgentProcess `section:"engine_agent" doc:"The process itself."`
+	Control   ControlLinks       `section:"control" doc:"Links between gateways and the agents beside engines."`
+	Orders    EngineOrders       `section:"orders" doc:"Reports and orders of the engine."`
+	Resources Resources          `section:"resources" doc:"The host's limits of the process."`
+	Log       Log                `section:"log" doc:"Logs."`
 
 	reload func() (*EngineAgent, error)
 }
--- a/internal/settings/template_test.go
+++ b/internal/settings/template_test.go
@@ -8,7 +8,11 @@
 	"testing"
 )
 
-var placeholder = regexp.MustCompile(`\{\{([a-z_.0-9]+)\}\}`)
+var (
+	placeholder = regexp.MustCompile(`\{\{([a-z_.0-9]+)\}\}`)
+	// sectionMark begins or ends a part of a template that depends on a value. All values are given here.
+	sectionMark = regexp.MustCompile(`\{\{[#/][a-z_.0-9]+\}\}`)
+)
 
 // renderTemplate returns a template from the platform's folder with its placeholders filled in as the platform does it.
 func renderTemplate(t *testing.T, name string) string {
@@ -21,8 +25,9 @@
 		"node_name": "host-1", "zone": "domain-1", "ip": "10.0.0.1", "app": "10.0.0.1:8145", "listen.frontend": "10.0.0.1:8149",
 		"listen.readiness": "10.0.0.1:8141", "platform.address": "10.0.9.1:8142", "internal_ports.0": "7380", "internal_ports.1": "7395",
 		"bounds.retry_budget_ratio": "0.2", "bounds.budget_extra_retries": "54", "bounds.budget_window_s": "10", "bounds.grace_s": "8",
+		"limits.memory_mb": "284", "limits.max_fds": "4100",
 	}
-	return placeholder.ReplaceAllStringFunc(string(text), func(field string) string {
+	return placeholder.ReplaceAllStringFunc(sectionMark.ReplaceAllString(string(text), ""), func(field string) string {
 		value, ok := values[field[2:len(field)-2]]
 		if !ok {
 			t.Fatalf("%s: no value for %s", name, field)
@@ -58,11 +63,15 @@
 		{"a wait beyond what the store allows", "gateway.ini", "address = 10.0.9.1:8142", "address = 10.0.9.1:8142\nwait = 1m", []string{"[store]", "wait", "30s"}},
 		{"a minimum backoff above the maximum", "gateway.ini", "address = 10.0.9.1:8142", "address = 10.0.9.1:8142\nmin_backoff = 5s", []string{"[store]", "min_backoff"}},
 		{"a negative share of the processor", "gateway.ini", "metrics_listen = 10.0.0.1:9464", "processor_share = -1", []string{"[gateway]", "processor_share", "0"}},
+		{"a memory without a unit", "gateway.ini", "memory = 284MB", "memory = 284", []string{"[resources]", "memory", "unit"}},
+		{"less memory than a process needs", "engine-agent.ini", "memory = 284MB", "memory = 20MB", []string{"[resources]", "memory", "64MB"}},
+		{"no descriptors beside those of files", "gateway.ini", "descriptors = 4100", "descriptors = 4100\nfile_descriptors = 4099", []string{"[resources]", "descriptors", "file_descriptors"}},
+		{"no descriptors", "engine-agent.ini", "descriptors = 4100", "descriptors = 0", []string{"[resources]", "descriptors", "256"}},
 		{"an unknown log level", "gateway.ini", "level = info", "level = loud", []string{"[log]", "level", "debug"}},
 		{"no port of the agents", "engine-agent.ini", "agent_port = 7380", "agent_port = 0", []string{"[control]", "agent_port", "1"}},
 		{"a silence limit that one late heartbeat exceeds", "engine-agent.ini", "agent_port = 7380", "agent_port = 7380\nsilence_limit = 300ms", []string{"[control]", "silence_limit", "heartbeat"}},
 		{"an engine without an address", "engine-agent.ini", "engine = 10.0.0.1:8145", "engine =", []string{"[engine_agent]", "engine"}},
-		{"a line that is not a setting", "engine-agent.ini", "[log]", "log:\n[log]", []string{":12:", "key = value"}},
+		{"a line that is not a setting", "engine-agent.ini", "[log]", "log:\n[log]", []string{":16:", "key = value"}},
 	}
 	for _, template := range []string{"gateway.ini", "engine-agent.ini"} {
 		if _, err := CheckFile(writeSettings(t, renderTemplate(t, template))); err != nil {
