test/clients: crowds of clients that do not behave, before any mend

Processes on loopback with the limits of a host of 96 MB, and small crowds: heads of very many short or odd lines, heads that do not end, large bodies whole, short of their end, in chunks, half-closed and cancelled, trailers, streams and responses that are not read, silent and idle connections. Memory and sockets are read from /proc, and an ordinary request has to be answered beside the crowd.

--- a/internal/childprocess/childprocess.go
+++ b/internal/childprocess/childprocess.go
@@ -102,6 +102,16 @@
 	}
 }
 
+// Pid returns the ID of the process that was started last; 0 before the first start.
+func (p *Process) Pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // Exited returns a channel that is closed when the process that was started last has exited; nil before the first start.
 func (p *Process) Exited() <-chan struct{} {
 	p.mu.Lock()
--- /dev/null
+++ b/test/clients/crowd_test.go
@@ -0,0 +1,132 @@
+package clients
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// crowd is a number of connections that stay open for the rest of a test.
+type crowd struct {
+	wg   sync.WaitGroup
+	sent atomic.Int64
+}
+
+const (
+	// settle is how long a crowd stays before its effect is measured. What is judged does not depend on it.
+	settle = 1500 * time.Millisecond
+	// crowdTimeout bounds what one member of a crowd sends.
+	crowdTimeout = 20 * time.Second
+)
+
+// join opens n connections at once. Each writes what write says and stays open; what the other side closes is not opened again.
+func join(t *testing.T, address string, n int, write func(conn net.Conn, i int)) *crowd {
+	t.Helper()
+	c := &crowd{}
+	for i := range n {
+		c.wg.Go(func() {
+			conn, err := net.DialTimeout("tcp", address, 5*time.Second)
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+			_ = conn.SetDeadline(time.Now().Add(crowdTimeout))
+			write(conn, i)
+			c.sent.Add(1)
+		})
+	}
+	c.wg.Wait()
+	time.Sleep(settle)
+	return c
+}
+
+// say returns a function that writes a text.
+func say(text func(i int) string) func(net.Conn, int) {
+	return func(conn net.Conn, i int) { _, _ = io.WriteString(conn, text(i)) }
+}
+
+// distinctName returns a short field name, a different one for each n.
+func distinctName(n int) string {
+	const letters = "abcdefghijklmnopqrstuvwxyz0123456789"
+	name := ""
+	for {
+		name += letters[n%len(letters) : n%len(letters)+1]
+		if n /= len(letters); n == 0 {
+			return "z" + name
+		}
+	}
+}
+
+// shortLines returns header lines of so many bytes at most, as many as there is room for.
+func shortLines(size int) string {
+	var b strings.Builder
+	for n := 0; ; n++ {
+		line := distinctName(n) + ":\n"
+		if b.Len()+len(line) > size {
+			return b.String()
+		}
+		b.WriteString(line)
+	}
+}
+
+// trailerLines returns short lines as a trailer may have them: each ends with a carriage return and a newline.
+func trailerLines(size int) string {
+	var b strings.Builder
+	for n := 0; ; n++ {
+		line := distinctName(n) + ":\r\n"
+		if b.Len()+len(line) > size {
+			return b.String()
+		}
+		b.WriteString(line)
+	}
+}
+
+// oddLines returns header lines of all odd kinds that a head may have, of so many bytes at most: names of symbols, repeated names,
+// empty and long values, tabs, bare newlines and continued lines.
+func oddLines(size int) string {
+	kinds := []func(n int) string{
+		func(int) string { return "!#$%&'*+-.^_`|~:\r\n" },
+		func(int) string { return "x:\n" },
+		func(n int) string { return distinctName(n) + ":\t \t\r\n" },
+		func(n int) string { return distinctName(n) + ": \"" + strings.Repeat("\xff", 20) + "\"\r\n" },
+		func(n int) string { return distinctName(n) + ":,,,;;=\n" },
+		func(n int) string { return distinctName(n) + ":a\r\n b\r\n\tc\r\n" },
+		func(int) string { return "Accept: *\r\n" },
+	}
+	var b strings.Builder
+	for n := 0; ; n++ {
+		line := kinds[n%len(kinds)](n)
+		if b.Len()+len(line) > size {
+			return b.String()
+		}
+		b.WriteString(line)
+	}
+}
+
+// headOf returns the whole head of a request that has size bytes with the given lines.
+func (r *rig) headOf(method, path, framing string, lines func(size int) string, size int) string {
+	head := r.requestHead(method, path) + framing
+	return head + lines(size-len(head)-2) + "\r\n"
+}
+
+// wholeBody is a body at the limit.
+var wholeBody = bytes.Repeat([]byte("b"), maxBodyBytes)
+
+// chunked returns a body in chunks, without its last part.
+func chunked(body []byte, size int) []byte {
+	var b bytes.Buffer
+	for len(body) > 0 {
+		n := min(size, len(body))
+		fmt.Fprintf(&b, "%x\r\n", n)
+		b.Write(body[:n])
+		b.WriteString("\r\n")
+		body = body[n:]
+	}
+	return b.Bytes()
+}
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -23,7 +23,7 @@
 
 # The tests of these packages run many real processes against time limits. Each package has the machine to itself, and the others run
 # on half of it at a time.
-clusters=(balsamsail/soak balsamsail/test)
+clusters=(balsamsail/soak balsamsail/test balsamsail/test/clients)
 others=$(go list ./... | grep -vxF "$(printf '%s\n' "${clusters[@]}")")
 status=0
 "${run[@]}" -p "$((($(nproc) + 1) / 2))" $others || status=$?
