gateway: bodies are held within the budget of all clients

Callers saw a gateway end, out of memory, while some clients sent large bodies of legal size: 60 bodies of 4 MiB, whole, in pieces, half-closed or cancelled, took 345 to 438 MB of a host of 96 MB.

Cause: a body was read to its end whatever others held, in a buffer that grows by copies, and stayed as long as its request waited.

A body is read in steps that each are charged. One whose declared length has no room is refused before any of it is read, as not run, with a time to return; a client that stops short of its end gives way as soon as another needs the room.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -16,6 +15,7 @@
 	"balsamsail/internal/catalog"
 	"balsamsail/internal/crashes"
 	"balsamsail/internal/fleet"
+	"balsamsail/internal/inbound"
 	"balsamsail/internal/routing"
 	"balsamsail/internal/sendonce"
 	"balsamsail/internal/streams"
@@ -177,9 +177,6 @@
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
-	if limits.MaxBodyBytes > 0 && r.ContentLength > limits.MaxBodyBytes {
-		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge}
-	}
 	if timeout == 0 {
 		timeout = bodyTimeout
 	}
@@ -187,20 +184,17 @@
 	if err := control.SetReadDeadline(arrived.Add(timeout)); err != nil {
 		g.logger.Debug("cannot change the read deadline of the request body", "error", err)
 	}
-	source := io.Reader(r.Body)
-	if limits.MaxBodyBytes > 0 {
-		source = http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes)
-	}
-	body, err := io.ReadAll(source)
+	body, err := inbound.ReadBody(r, r.Body, limits.MaxBodyBytes)
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
 		g.logger.Debug("cannot change the read deadline of the request body", "error", err)
 	}
-	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
 		return body, nil
-	case errors.As(err, &tooLarge):
-		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge}
+	case errors.Is(err, inbound.ErrTooLong):
+		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonBodyTooLarge, closeConn: true}
+	case errors.Is(err, inbound.ErrNoRoom), errors.Is(err, inbound.ErrYielded):
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: reasonNoRoom, detail: err.Error(), retryAfter: inbound.RetryAfter(), closeConn: true}
 	default:
 		return nil, &refusal{status: http.StatusBadRequest, reason: reasonBodyIncomplete, detail: err.Error(), closeConn: true}
 	}
