gateway: a response that its client does not read counts as that client's

Callers that ask for a long response got 502 for a time because others did not read theirs: buffered responses share 16 MB, whatever the host has, and kept them until their clients had read them. A response that found no room counted as a fault of its endpoint, and the request was run again elsewhere, to find no room there.

The common bound now holds responses only while endpoints send them. What finds no room ends as before, with 502, but blames no endpoint and is not repeated.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"balsamsail/internal/fleet"
+	"balsamsail/internal/inbound"
 	"balsamsail/internal/routing"
 	"balsamsail/internal/sendonce"
 )
@@ -280,8 +281,17 @@
 // retried or refused.
 func (g *Gateway) forwardBuffered(parent context.Context, out *response, q *request, choice fleet.Choice, result sendonce.Result, began time.Time) verdict {
 	resp := result.Response
-	body, err := g.buffers.readAll(resp.Body)
-	defer g.buffers.release(body)
+	body, err := g.buffers.readAll(resp.Body, func(by int64) error { return inbound.Hold(q.inbound, by) })
+	// While it is written, the response counts as held by its client only: one that does not read must not keep others from theirs.
+	g.buffers.release(body)
+	if errors.Is(err, inbound.ErrNoRoom) || errors.Is(err, inbound.ErrYielded) {
+		// The endpoint is sound, and another one's response would find no more room.
+		result.Discard()
+		q.mayHaveRun = true
+		g.metrics.countAttempt("unanswered")
+		g.requestLog.write(time.Now(), true, "response dropped", "event", "response_dropped", "request", q.call.ID, "endpoint", choice.ID, "error", err)
+		return failed
+	}
 	if err != nil {
 		result.Discard()
 		return g.handleFailure(parent, q, choice, result, err)
--- a/internal/gateway/buffers.go
+++ b/internal/gateway/buffers.go
@@ -14,9 +14,10 @@
 // have this process killed for its memory, with all that it serves.
 type buffers struct{ used atomic.Int64 }
 
-// readAll reads a body. It takes the memory that it needs in steps of the buffer's growth; the caller releases the length that
-// is returned. It returns errInvalidResponse for a body that is longer than any response, and errBuffersFull.
-func (b *buffers) readAll(body io.Reader) ([]byte, error) {
+// readAll reads a body. It takes the memory that it needs in steps of the buffer's growth, and calls hold with each; the caller releases
+// the length that is returned. It returns errInvalidResponse for a body that is longer than any response, errBuffersFull, and the errors
+// of hold.
+func (b *buffers) readAll(body io.Reader, hold func(by int64) error) ([]byte, error) {
 	data := make([]byte, 0, readBufferSize)
 	b.used.Add(int64(cap(data)))
 	for {
@@ -29,6 +30,10 @@
 				b.used.Add(-int64(cap(data)))
 				return data, errBuffersFull
 			}
+			if err := hold(int64(cap(data))); err != nil {
+				b.used.Add(-int64(cap(data)))
+				return data, err
+			}
 			data = append(make([]byte, 0, grown), data...)
 		}
 		n, err := body.Read(data[len(data):cap(data)])
--- a/test/clients/crowd_test.go
+++ b/test/clients/crowd_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -25,13 +26,24 @@
 	crowdTimeout = 20 * time.Second
 )
 
+// dialer makes connections with a small buffer, so that each read of a member that reads slowly opens the window.
+var dialer = net.Dialer{Timeout: 5 * time.Second, Control: func(_, _ string, c syscall.RawConn) error {
+	const bytes = 8 << 10
+	var sockErr error
+	err := c.Control(func(fd uintptr) { sockErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes) })
+	if err != nil {
+		return err
+	}
+	return sockErr
+}}
+
 // join opens n connections at once. Each writes what write says and stays open; what the other side closes is not opened again.
 func join(t *testing.T, address string, n int, write func(conn net.Conn, i int)) *crowd {
 	t.Helper()
 	c := &crowd{}
 	for i := range n {
 		c.wg.Go(func() {
-			conn, err := net.DialTimeout("tcp", address, 5*time.Second)
+			conn, err := dialer.Dial("tcp", address)
 			if err != nil {
 				return
 			}
--- a/test/clients/gateway_test.go
+++ b/test/clients/gateway_test.go
@@ -19,6 +19,7 @@
 	crowdOfTrailers    = 900
 	crowdOfSilence     = 400
 	crowdOfNonReaders  = 60
+	crowdOfSlowReaders = 20
 	crowdOfStreams     = 500
 	crowdOfEmptyLines  = 60
 	headAtTheLimit     = maxHeaderBytes - 64
@@ -172,6 +173,28 @@
 	r.checkCrowd(descriptors)
 }
 
+// Guards against clients that read long responses so slowly that they never end: others must get theirs.
+func TestLongResponsesThatAreReadSlowly(t *testing.T) {
+	r := startGateway(t, descriptors)
+	request := r.requestHead(http.MethodGet, prefixLarge) + "\r\n"
+	join(t, r.clients, crowdOfSlowReaders, func(conn net.Conn, i int) {
+		// One after the other, so that each finds what those before it have left.
+		time.Sleep(time.Duration(i) * 100 * time.Millisecond)
+		_, _ = io.WriteString(conn, request)
+		_ = conn.SetDeadline(time.Time{})
+		go func() {
+			for {
+				if _, err := conn.Read(make([]byte, 4<<10)); err != nil {
+					return
+				}
+				time.Sleep(500 * time.Millisecond)
+			}
+		}()
+	})
+	r.checkServes(prefixLarge, nil)
+	r.checkCrowd(descriptors)
+}
+
 // Guards against clients that do not read streams.
 func TestStreamsThatAreNotRead(t *testing.T) {
 	r := startGateway(t, descriptors)
--- a/test/clients/rig_test.go
+++ b/test/clients/rig_test.go
@@ -52,7 +52,7 @@
 )
 
 // largeBytes is the length of a long response.
-const largeBytes = 1 << 20
+const largeBytes = 6 << 20
 
 var binary string
 
