control, process: listeners of links, readiness, metrics and agents are bounded too

Silent connections to a gateway's readiness, metrics and links took 427 sockets of 300, those to an agent beside an engine 803, to an agent of the product's own interface 402, so that none was left for clients, store and peers.

Each listener has a share of the sockets, and connections that say nothing give way to new ones: links after two seconds, as a message is due on them every 250 ms. What they make the process hold comes out of the same budget. The runtime's memory limit and the metrics are those of the gateway.

Guards that passed before: heads, unread metrics and garbage at these listeners, a crowd beside a drain, a restart and a lost store.

--- a/internal/app/agent.go
+++ b/internal/app/agent.go
@@ -13,6 +13,7 @@
 	"balsamsail/internal/backing"
 	"balsamsail/internal/clock"
 	"balsamsail/internal/endpoint"
+	"balsamsail/internal/inbound"
 	"balsamsail/internal/loading"
 	"balsamsail/internal/loading/idle"
 	"balsamsail/internal/process"
@@ -22,6 +23,7 @@
 
 // RunAgent runs an agent until ctx ends and it has drained.
 func RunAgent(ctx context.Context, s *settings.Agent, out Output) error {
+	limitRuntimeMemory(s.Resources)
 	container := dig.New()
 	if err := provideCommon(container, s.Endpoint.Name, s.Log, s.Timeline, out); err != nil {
 		return err
@@ -29,6 +31,9 @@
 	err := provideAll(container,
 		func() *settings.Agent { return s },
 		func() platformClients { return newPlatformClients(s.Platform) },
+		func(l *slog.Logger, r prometheus.Registerer) (*inbound.Budget, error) {
+			return newBudget(s.Resources, l, r)
+		},
 		newEngineClient,
 		newCaller,
 		newIdlePolicy,
@@ -48,6 +53,7 @@
 	Settings *settings.Agent
 	Agent    *agent.Agent
 	Server   *process.Server
+	Budget   *inbound.Budget
 	Logger   *slog.Logger
 	Recorder *timeline.Recorder
 }
@@ -149,9 +155,9 @@
 	drained, stop := context.WithCancel(groupCtx)
 	group.Go(func() error {
 		defer stop()
-		return r.Agent.Run(ctx, listener)
+		return r.Agent.Run(ctx, listenForLinks(listener, r.Budget, hostResources(r.Settings.Resources).AgentConnections()))
 	})
-	serveHTTP(drained, group, operators, r.Server, process.ServeOptions{Logger: r.Logger})
+	serveHTTP(drained, group, operators, r.Server, auxiliary("metrics", r.Settings.Resources, r.Budget, r.Logger))
 	recordListening(r.Logger, r.Recorder, "entries", listener.Addr())
 	return group.Wait()
 }
--- a/internal/app/engineagent.go
+++ b/internal/app/engineagent.go
@@ -12,6 +12,7 @@
 
 	"balsamsail/internal/control"
 	"balsamsail/internal/engineagent"
+	"balsamsail/internal/inbound"
 	"balsamsail/internal/netconn"
 	"balsamsail/internal/process"
 	"balsamsail/internal/settings"
@@ -25,6 +26,7 @@
 	defer reloads.stop()
 	out, flush := asyncOutput(logs)
 	defer flush()
+	limitRuntimeMemory(s.Resources)
 	container := dig.New()
 	err := provideAll(container,
 		func() *settings.EngineAgent { return s },
@@ -32,6 +34,9 @@
 		process.NewRegistry,
 		func(r *prometheus.Registry) prometheus.Registerer { return r },
 		engineagent.NewMetrics,
+		func(l *slog.Logger, r prometheus.Registerer) (*inbound.Budget, error) {
+			return newBudget(s.Resources, l, r)
+		},
 		newEngineAgent,
 	)
 	if err != nil {
@@ -59,6 +64,7 @@
 
 	Settings *settings.EngineAgent
 	Agent    *engineagent.Agent
+	Budget   *inbound.Budget
 	Registry *prometheus.Registry
 	Logger   *slog.Logger
 }
@@ -77,9 +83,10 @@
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { r.Agent.Run(ctx); return nil })
-	group.Go(func() error { return r.Agent.Serve(ctx, links) })
+	accounted := listenForLinks(links, r.Budget, hostResources(r.Settings.Resources).AgentConnections())
+	group.Go(func() error { return r.Agent.Serve(ctx, accounted) })
 	server := process.NewServer(process.Options{Name: r.Settings.Agent.Host, Metrics: r.Registry, Logger: r.Logger})
-	serveHTTP(ctx, group, metrics, server, process.ServeOptions{Logger: r.Logger})
+	serveHTTP(ctx, group, metrics, server, auxiliary("metrics", r.Settings.Resources, r.Budget, r.Logger))
 	r.Logger.Info("listening", "event", "started", "links", links.Addr().String(), "engine", string(r.Settings.Agent.Engine))
 	err = group.Wait()
 	r.Logger.Info("stopped", "event", "stopped", "error", err)
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -54,9 +54,8 @@
 		func(r *prometheus.Registry) prometheus.Registerer { return r },
 		func() *fleet.Fleet { return fleet.New(s.Gateway.FailureDomain, rand.Uint64()) },
 		gateway.NewMetrics,
-		inbound.NewMetrics,
-		func(l *slog.Logger, m *inbound.Metrics) *inbound.Budget {
-			return inbound.NewBudget(hostResources(s.Resources), l, m)
+		func(l *slog.Logger, r prometheus.Registerer) (*inbound.Budget, error) {
+			return newBudget(s.Resources, l, r)
 		},
 		newGateway,
 		func() control.Options { return linkOptions(s.Control) },
@@ -97,9 +96,6 @@
 			return err
 		}
 		go reloads.handle(ctx, role.reload)
-		if err := inbound.RegisterBudget(role.Registry, role.Budget); err != nil {
-			return err
-		}
 		return role.run(ctx)
 	})
 }
@@ -258,7 +254,8 @@
 	for _, run := range []func(context.Context){r.Sync.run, r.Agents.Run, r.Hub.Run, r.Upstream.Run, r.Peers.Run, r.Placement.Run} {
 		group.Go(func() error { run(ctx); return nil })
 	}
-	group.Go(func() error { return r.Peers.Serve(ctx, listeners.control) })
+	links := listenForLinks(listeners.control, r.Budget, hostResources(r.Settings.Resources).LinkConnections())
+	group.Go(func() error { return r.Peers.Serve(ctx, links) })
 }
 
 // serveClients accepts client requests until ctx ends, then drains those in flight.
--- a/internal/app/resources.go
+++ b/internal/app/resources.go
@@ -2,8 +2,11 @@
 
 import (
 	"log/slog"
+	"net"
 	"runtime/debug"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"balsamsail/internal/inbound"
 	"balsamsail/internal/process"
 	"balsamsail/internal/settings"
@@ -23,7 +26,25 @@
 	return inbound.Resources{Memory: int64(r.Memory), Sockets: r.Descriptors - r.FileDescriptors}
 }
 
-// auxiliary returns the options of a listener that is not one of clients.
+// newBudget returns the budget of a process and registers its metrics.
+func newBudget(r settings.Resources, l *slog.Logger, registerer prometheus.Registerer) (*inbound.Budget, error) {
+	metrics, err := inbound.NewMetrics(registerer)
+	if err != nil {
+		return nil, err
+	}
+	budget := inbound.NewBudget(hostResources(r), l, metrics)
+	return budget, inbound.RegisterBudget(registerer, budget)
+}
+
+// listenForLinks returns a listener for at most so many links; nil if the listener is nil.
+func listenForLinks(l net.Listener, budget *inbound.Budget, most int) net.Listener {
+	if l == nil {
+		return nil
+	}
+	return budget.Listen(l, inbound.Options{Name: "links", MaxConnections: most, Links: true})
+}
+
+// auxiliary returns the options of a listener of readiness, metrics or operators.
 func auxiliary(name string, r settings.Resources, budget *inbound.Budget, logger *slog.Logger) process.ServeOptions {
 	return process.ServeOptions{
 		Budget:   budget,
--- a/internal/inbound/budget.go
+++ b/internal/inbound/budget.go
@@ -48,13 +48,16 @@
 	// requests to one wait.
 	serviceShare = 3.0 / 4
 
-	// clientSockets, idleSockets and auxiliarySockets are the parts of the process's sockets for connections of clients, for idle
-	// ones to endpoints, and for each listener of peers, agents or operators. A request in flight uses a client's connection and one to an
-	// endpoint; the rest, a quarter less what the listeners take, is for the store and for the links to peers and agents.
-	clientSockets    = 3.0 / 8
+	// clientSockets, idleSockets, linkSockets and auxiliarySockets are the parts of the process's sockets for connections of clients,
+	// for idle ones to endpoints, for links of peers, and for each listener of readiness, metrics or operators. A request in flight
+	// uses a client's connection and one to an endpoint; a tenth remains for the store and the process's own links.
+	clientSockets    = 11.0 / 32
 	idleSockets      = 1.0 / 16
-	auxiliarySockets = 1.0 / 32
-	// minAuxiliary is the least number of connections of such a listener.
+	linkSockets      = 1.0 / 8
+	auxiliarySockets = 1.0 / 64
+	// agentSockets is the part for links of an agent, which has no clients.
+	agentSockets = 1.0 / 2
+	// minAuxiliary is the least number of connections of a listener.
 	minAuxiliary = 8
 )
 
@@ -79,9 +82,17 @@
 // IdleConnections returns how many idle connections to endpoints may be kept.
 func (r Resources) IdleConnections() int { return max(1, int(float64(r.Sockets)*idleSockets)) }
 
-// AuxiliaryConnections returns how many connections a listener may have open that is not one of clients.
-func (r Resources) AuxiliaryConnections() int {
-	return max(minAuxiliary, int(float64(r.Sockets)*auxiliarySockets))
+// LinkConnections returns how many links of peers a gateway may have open.
+func (r Resources) LinkConnections() int { return r.connections(linkSockets) }
+
+// AgentConnections returns how many links an agent may have open.
+func (r Resources) AgentConnections() int { return r.connections(agentSockets) }
+
+// AuxiliaryConnections returns how many connections a listener of readiness, metrics or operators may have open.
+func (r Resources) AuxiliaryConnections() int { return r.connections(auxiliarySockets) }
+
+func (r Resources) connections(share float64) int {
+	return max(minAuxiliary, int(float64(r.Sockets)*share))
 }
 
 const (
@@ -89,6 +100,8 @@
 	// to others; idleStall is the same between requests. A lost packet is sent again within a few hundred milliseconds.
 	readStall = time.Second
 	idleStall = 200 * time.Millisecond
+	// linkStall is the same for links, on which a message is due every 250 ms.
+	linkStall = 2 * time.Second
 	// retryAfter is when room that is taken by clients who stand still is free again.
 	retryAfter = readStall
 	// logInterval bounds the log lines on refusals.
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -70,6 +70,8 @@
 	switch {
 	case c.yielded || c.closed:
 		return false
+	case c.listener.options.Links:
+		return still >= linkStall
 	case c.writing, c.phase == phaseBody, c.phase == phaseHead && c.headBytes > 0:
 		return still >= readStall
 	case c.phase == phaseHead:
