entry: what callers send counts against the budget of all callers

Callers of the product's own interface saw an entry end: 20 chats of 16 MiB that stop short of their end took 411 MB of a host of 96 MB, 100 unfinished heads of short lines at each listener 257 MB, and silent connections 805 sockets of 300.

The callers' and the operators' listeners have the bounds of a gateway's. A chat whose body finds no room is refused as overloaded, which says not run, with a time to return.

--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -15,6 +15,7 @@
 	"balsamsail/internal/clock"
 	"balsamsail/internal/declarations"
 	"balsamsail/internal/entry"
+	"balsamsail/internal/inbound"
 	"balsamsail/internal/loading/permits"
 	"balsamsail/internal/membership"
 	"balsamsail/internal/operator"
@@ -27,6 +28,7 @@
 
 // RunEntry runs an entry until ctx ends and it has drained.
 func RunEntry(ctx context.Context, s *settings.Entry, out Output) error {
+	limitRuntimeMemory(s.Resources)
 	container := dig.New()
 	if err := provideCommon(container, s.Entry.ID, s.Log, s.Timeline, out); err != nil {
 		return err
@@ -34,6 +36,9 @@
 	err := provideAll(container,
 		func() *settings.Entry { return s },
 		func() platformClients { return newPlatformClients(s.Platform) },
+		func(l *slog.Logger, r prometheus.Registerer) (*inbound.Budget, error) {
+			return newBudget(s.Resources, l, r)
+		},
 		newMembership,
 		newDeclarationStore,
 		newClaims,
@@ -55,6 +60,7 @@
 	Entry    *entry.Entry
 	Replicas *replicas.Manager
 	Operator *process.Server
+	Budget   *inbound.Budget
 	Logger   *slog.Logger
 	Recorder *timeline.Recorder
 }
@@ -190,11 +196,14 @@
 			LameDuck:     r.Settings.Drain.ReadinessDelay,
 			DrainTimeout: r.Settings.Drain.Timeout,
 			OnStop:       r.Entry.StartDrain,
+			Budget:       r.Budget,
+			Listener:     inbound.Options{Name: "callers", MaxConnections: hostResources(r.Settings.Resources).ClientConnections()},
+			Refuse:       r.Entry.RefuseForRoom,
 			Logger:       r.Logger,
 		})
 	})
-	serveHTTP(work, group, listeners.operators, r.Operator, process.ServeOptions{Logger: r.Logger})
-	serveHTTP(work, group, listeners.metrics, r.Operator, process.ServeOptions{Logger: r.Logger})
+	serveHTTP(work, group, listeners.operators, r.Operator, auxiliary("operators", r.Settings.Resources, r.Budget, r.Logger))
+	serveHTTP(work, group, listeners.metrics, r.Operator, auxiliary("metrics", r.Settings.Resources, r.Budget, r.Logger))
 	recordListening(r.Logger, r.Recorder, "callers", listeners.callers.Addr(), "operators", listeners.operators.Addr())
 	return group.Wait()
 }
--- a/internal/entry/callerbody.go
+++ b/internal/entry/callerbody.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"balsamsail/internal/inbound"
 	"balsamsail/internal/wire"
 )
 
@@ -105,18 +106,31 @@
 	return badRequest("the body ended early")
 }
 
-// readAll reads the whole body.
-func (b *callerBody) readAll() ([]byte, *apiError) {
+// readAll reads the whole body of a request.
+func (b *callerBody) readAll(r *http.Request) ([]byte, *apiError) {
 	if refusal := b.checkLength(); refusal != nil {
 		return nil, refusal
 	}
-	body, err := io.ReadAll(b)
-	if err != nil {
+	body, err := inbound.ReadBody(r, b, 0)
+	switch {
+	case errors.Is(err, inbound.ErrNoRoom), errors.Is(err, inbound.ErrYielded):
+		return nil, noRoom(inbound.RetryAfter())
+	case err != nil:
 		return nil, b.readError(err)
 	}
 	return body, nil
 }
 
+// noRoom returns the error response to a request that has no room beside those of other callers.
+func noRoom(retryAfter time.Duration) *apiError {
+	return notRun(http.StatusTooManyRequests, CodeOverloaded, "no room for the request beside those of other callers", retryAfter)
+}
+
+// RefuseForRoom refuses a request that has no room beside those of other callers. It implements inbound.RefuseFunc.
+func (e *Entry) RefuseForRoom(w http.ResponseWriter, _ *http.Request, retryAfter time.Duration) {
+	e.writeError(w, e.newRequestID(), noRoom(retryAfter))
+}
+
 // readFirst reads the first part of the body; rest is nil when there is no more.
 func (b *callerBody) readFirst() (first []byte, rest io.Reader, refusal *apiError) {
 	if refusal := b.checkLength(); refusal != nil {
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -43,7 +43,7 @@
 		return
 	}
 	incoming.setLimits(e.options.MaxBody, deadline)
-	body, refusal := incoming.readAll()
+	body, refusal := incoming.readAll(r)
 	if refusal != nil {
 		e.writeError(w, id, refusal)
 		return
