--- a/test/clients/rig_test.go
+++ b/test/clients/rig_test.go
@@ -72,7 +72,7 @@
 
 // rig is a gateway with the store and the endpoints that it needs.
 type rig struct {
-	t        *testing.T
+	t        testing.TB
 	process  *childprocess.Process
 	store    *standin.Store
 	operator *standin.Operator
@@ -84,7 +84,7 @@
 }
 
 // startGateway starts a gateway that may have so many descriptors, and waits until it is ready.
-func startGateway(t *testing.T, descriptors int) *rig {
+func startGateway(t testing.TB, descriptors int) *rig {
 	t.Helper()
 	r := &rig{t: t, store: standin.NewStore()}
 	store := httptest.NewServer(r.store)
@@ -142,7 +142,7 @@
 }
 
 // printEnd prints the last lines of a process's log.
-func printEnd(t *testing.T, file string) {
+func printEnd(t testing.TB, file string) {
 	const kept = 4 << 10
 	text, err := os.ReadFile(file)
 	if err != nil {
@@ -189,7 +189,7 @@
 }
 
 // freePorts returns addresses on which nothing listens.
-func freePorts(t *testing.T, n int) (addresses []string) {
+func freePorts(t testing.TB, n int) (addresses []string) {
 	t.Helper()
 	for range n {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -268,7 +268,7 @@
 }
 
 // checkWithin checks that a process lives and has stayed within its memory and its descriptors.
-func checkWithin(t *testing.T, p *childprocess.Process, descriptors int) {
+func checkWithin(t testing.TB, p *childprocess.Process, descriptors int) {
 	t.Helper()
 	if !p.Signal(0) {
 		t.Errorf("%s has ended: %v", p.Name, p.ExitError())
@@ -285,7 +285,7 @@
 }
 
 // peakMemory returns the largest resident memory that a process has had, in bytes.
-func peakMemory(t *testing.T, pid int) int {
+func peakMemory(t testing.TB, pid int) int {
 	t.Helper()
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
@@ -305,7 +305,7 @@
 }
 
 // sockets returns the number of sockets that a process has open.
-func sockets(t *testing.T, pid int) (n int) {
+func sockets(t testing.TB, pid int) (n int) {
 	t.Helper()
 	dir := fmt.Sprintf("/proc/%d/fd", pid)
 	entries, err := os.ReadDir(dir)
