--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -18,6 +18,7 @@
 	"balsamsail/internal/fleet"
 	"balsamsail/internal/gateway"
 	"balsamsail/internal/hubs"
+	"balsamsail/internal/inbound"
 	"balsamsail/internal/netconn"
 	"balsamsail/internal/placement"
 	"balsamsail/internal/process"
@@ -44,6 +45,7 @@
 	defer reloads.stop()
 	out, flush := asyncOutput(logs)
 	defer flush()
+	limitRuntimeMemory(s.Resources)
 	container := dig.New()
 	err := provideAll(container,
 		func() *settings.Gateway { return s },
@@ -52,6 +54,9 @@
 		func(r *prometheus.Registry) prometheus.Registerer { return r },
 		func() *fleet.Fleet { return fleet.New(s.Gateway.FailureDomain, rand.Uint64()) },
 		gateway.NewMetrics,
+		func(l *slog.Logger, r prometheus.Registerer) (*inbound.Budget, error) {
+			return newBudget(s.Resources, l, r)
+		},
 		newGateway,
 		func() control.Options { return linkOptions(s.Control) },
 		func(o control.Options, f *fleet.Fleet, l *slog.Logger) *control.Agents {
@@ -163,16 +168,18 @@
 
 func newGateway(s *settings.Gateway, f *fleet.Fleet, p *control.Peers, c *crashes.Tracker, parts *crashes.Parts, st *streams.Registry, l *slog.Logger, m *gateway.Metrics) *gateway.Gateway {
 	options := gateway.Options{
-		Seed:         rand.Uint64(),
-		Budget:       retryBudget(s.Retries),
-		GatewayCount: func() int { return max(p.GatewayCount(), minGateways) },
-		Crashes:      c,
-		Parts:        parts,
-		Streams:      st,
-		InContact:    func() bool { return p.InContact(time.Now()) },
+		MaxPerService: hostResources(s.Resources).RequestsPerService(),
+		Seed:          rand.Uint64(),
+		Budget:        retryBudget(s.Retries),
+		GatewayCount:  func() int { return max(p.GatewayCount(), minGateways) },
+		Crashes:       c,
+		Parts:         parts,
+		Streams:       st,
+		InContact:     func() bool { return p.InContact(time.Now()) },
 	}
 	transport := &http.Transport{
 		DialContext:         netconn.DialAbortive(),
+		MaxIdleConns:        hostResources(s.Resources).IdleConnections(),
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
@@ -196,6 +203,7 @@
 	Upstream     *control.Upstream
 	Peers        *control.Peers
 	Placement    *placement.Manager
+	Budget       *inbound.Budget
 	WatchMetrics *watch.Metrics
 	Registry     *prometheus.Registry
 	Logger       *slog.Logger
@@ -246,7 +254,8 @@
 	for _, run := range []func(context.Context){r.Sync.run, r.Agents.Run, r.Hub.Run, r.Upstream.Run, r.Peers.Run, r.Placement.Run} {
 		group.Go(func() error { run(ctx); return nil })
 	}
-	group.Go(func() error { return r.Peers.Serve(ctx, listeners.control) })
+	links := listenForLinks(listeners.control, r.Budget, hostResources(r.Settings.Resources).LinkConnections())
+	group.Go(func() error { return r.Peers.Serve(ctx, links) })
 }
 
 // serveClients accepts client requests until ctx ends, then drains those in flight.
@@ -261,10 +270,23 @@
 			r.Gateway.ShutdownAt(time.Now().Add(drain.Grace - drain.Reserve))
 			r.Logger.Info("shutting down", "event", "stopping", "active", r.Gateway.Active())
 		},
+		Budget: r.Budget,
+		Listener: inbound.Options{
+			Name: "clients", MaxConnections: hostResources(r.Settings.Resources).ClientConnections(), MaxHeadBytes: r.maxHeadBytes,
+		},
+		Refuse: r.Gateway.RefuseForRoom,
 		Logger: r.Logger,
 	})
 }
 
+// maxHeadBytes returns the operator's limit of a request's head; 0 before the first configuration.
+func (r gatewayRole) maxHeadBytes() int {
+	if config := r.Fleet.Config(); config != nil {
+		return config.Limits.MaxHeaderBytes
+	}
+	return 0
+}
+
 // serveReadiness serves the load balancer's readiness probe and the metrics until ctx ends.
 func (r gatewayRole) serveReadiness(ctx context.Context, group *errgroup.Group, listeners gatewayListeners, stopping *atomic.Bool) {
 	ready := func() []string {
@@ -284,8 +306,8 @@
 		}
 		w.WriteHeader(status)
 	})
-	serveHTTP(ctx, group, listeners.readiness, server, process.ServeOptions{Logger: r.Logger})
-	serveHTTP(ctx, group, listeners.metrics, server, process.ServeOptions{Logger: r.Logger})
+	serveHTTP(ctx, group, listeners.readiness, server, auxiliary("readiness", r.Settings.Resources, r.Budget, r.Logger))
+	serveHTTP(ctx, group, listeners.metrics, server, auxiliary("metrics", r.Settings.Resources, r.Budget, r.Logger))
 }
 
 // directoryWait is the long-poll timeout of a watch of a table that rarely changes.
