soak: crowds of clients that do not behave

Silent connections, unfinished heads of short lines, bodies that stop short of their end and clients that send a byte now and then come to a gateway and stay until it is gone, beside all other faults. The processes have the limits of the smallest host.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -128,6 +128,7 @@
 	{"request that ends endpoints", 3, 0, 0, func(s *site, pick uint64, _ time.Duration) func() { s.sendEnding(pick); return nil }},
 	{"requests with a part that ends endpoints", 3, 12 * second, 18 * second, func(s *site, pick uint64, _ time.Duration) func() { return s.sendBadParts(pick) }},
 	{"connections skewed", 3, 4 * second, 8 * second, func(s *site, pick uint64, _ time.Duration) func() { return s.skew(pick) }},
+	{"clients that do not behave", 3, second, 6 * second, func(s *site, pick uint64, _ time.Duration) func() { return s.sendCrowd(s.gateway(pick)) }},
 	{"endpoint ends answers with their connection", 3, second, 5 * second, endpointFault(func(f *standin.EndpointFaults) { f.Unframed = 0.7 })},
 	{"endpoint ends answers with their connection, some of them early", 2, second, 4 * second, endpointFault(func(f *standin.EndpointFaults) { f.Unframed, f.Truncates = 0.7, 0.4 })},
 	{"orders late", 3, second, 5 * second, endpointFault(func(f *standin.EndpointFaults) { f.LateOrders = 0.5 })},
--- a/soak/site.go
+++ b/soak/site.go
@@ -53,6 +53,9 @@
 	retryWindow     = 10 * time.Second
 )
 
+// maxBodyBytes is the limit of a request's body that the site declares.
+const maxBodyBytes = 1 << 20
+
 // The names of the site's services and its host name for clients.
 const (
 	engineService = "advisory"
@@ -187,6 +190,7 @@
 		"platform.address": path.Address(), "internal_ports.0": fmt.Sprint(portAgent), "internal_ports.1": fmt.Sprint(portPeers),
 		"bounds.retry_budget_ratio": fmt.Sprint(retryRatio), "bounds.budget_extra_retries": fmt.Sprint(retryExtra),
 		"bounds.budget_window_s": fmt.Sprint(retryWindow.Seconds()), "bounds.grace_s": fmt.Sprint(grace.Seconds()),
+		"limits.memory_mb": fmt.Sprint(maxMemoryMB), "limits.max_fds": fmt.Sprint(maxDescriptors),
 	})
 	s.gateways = append(s.gateways, h)
 	return err
@@ -244,6 +248,7 @@
 	return s.configureProcess(p.agent, root, binary, "engine-agent", map[string]string{
 		"node_name": p.agent.name, "zone": failureDomain(i), "ip": ip, "app": p.listen,
 		"internal_ports.0": fmt.Sprint(portAgent), "internal_ports.1": fmt.Sprint(portPeers),
+		"limits.memory_mb": fmt.Sprint(maxMemoryMB), "limits.max_fds": fmt.Sprint(maxDescriptors),
 	})
 }
 
@@ -380,7 +385,7 @@
 		})
 	}
 	config, when, ok := s.operator.Change(func(c *standin.Config) {
-		c.Limits = standin.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeoutMS: 5000, IdleTimeoutMS: 30000}
+		c.Limits = standin.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: maxBodyBytes, HeaderTimeoutMS: 5000, IdleTimeoutMS: 30000}
 		c.Services = []standin.Service{{Name: engineService, MaxConnections: 500, Engine: class}, {Name: ledgerService, MaxConnections: 500}, {Name: padsService, MaxConnections: 500}}
 		c.Routes = []standin.Route{route(prefixRead, standin.RouteSafe, padsService), route(prefixNotice, standin.RouteUnsafe, ledgerService), chat, once}
 		for i := range idleRoutes {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -52,6 +52,7 @@
 	{54, 20 * time.Second, "requests with a part", "the stand-in: an engine that had ended wrote its registration again"},
 	{8102, 20 * time.Second, "", "the stand-in: streams without length or chunks seemed whole when their engine had ended"},
 	{61, 15 * time.Second, "sheds and repeats answers", "a copy of a rejection was taken for the answer to another request, and to the same one sent again"},
+	{71, 20 * time.Second, "do not behave,gateway killed,gateway stopped,store down,connections skewed", "none; crowds of clients that do not behave, beside stops and a lost store"},
 	{31, 20 * time.Second, "gateway killed,gateway stopped,endpoint crashed,broken off,truncates", "streams went on at another software version"},
 }
 
