inbound: the rest of a body that the handler leaves is no head

A client whose request was refused before its body was read, such as one without a route or before the first configuration, got 431 in place of its answer if the body was longer than the limit of heads. net/http reads the rest of such a body after the handler has returned, and the connection counted as awaiting the next head from there on.

It does so now from net/http's own sign that it is idle. The time between is that of a body: a client that stops in it gives way. The bytes of a head are charged three times, as they are kept in the request's fields, in its decoded path and in the request that is sent on.

TestBodyThatTheHandlerDoesNotRead failed before, with 431.

--- a/internal/inbound/budget.go
+++ b/internal/inbound/budget.go
@@ -28,11 +28,14 @@
 	// requestBytes is the memory of a request in flight beyond its head and body: the connection to its endpoint with two
 	// goroutines and two buffers, and the buffer of its response.
 	requestBytes = 32 << 10
+	// headCopies is how often the bytes of a head are in memory: as the fields of the request, as its decoded path and query, and
+	// as those of the request that is sent on.
+	headCopies = 3
 	// lineBytes is the memory of one header line in the parsed form of a head and the copy that is sent on, beyond the line's own
 	// length: an entry in each map, and the slices of values.
 	lineBytes = 256
 	// freeHeadBytes is the cost of a head that is part of connectionBytes; an ordinary head has a dozen lines.
-	freeHeadBytes = 4 << 10
+	freeHeadBytes = 8 << 10
 	// smallBytes bounds what one client holds for it to count as small.
 	smallBytes = 64 << 10
 
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -16,7 +16,7 @@
 	phaseHead phase = iota
 	// phaseServing: a handler works on a request.
 	phaseServing
-	// phaseBody: a handler reads a request's body.
+	// phaseBody: a handler reads a request's body, or net/http what the handler has left of it.
 	phaseBody
 )
 
@@ -58,10 +58,11 @@
 	headBytes, headLines int
 	headCost             int64
 	headEnded            bool
-	// behind counts the bytes after the end of the head, and extraLines the lines among those that net/http may have read beyond
-	// the end of the request.
-	behind     int64
-	extraLines int
+	// contentLength is the length of the request's body, -1 if it is not known. behind counts the bytes after the end of the head, and
+	// extraLines the lines among those that net/http may have read beyond the end of the request.
+	contentLength int64
+	behind        int64
+	extraLines    int
 }
 
 // standsStill reports whether the connection may give way to others.
@@ -198,7 +199,7 @@
 
 // headCharge returns what has to be charged for the head beyond what was, and counts it as charged.
 func (c *Conn) headCharge() int64 {
-	cost := max(0, int64(c.headBytes)+int64(c.headLines)*lineBytes-freeHeadBytes)
+	cost := max(0, int64(c.headBytes)*headCopies+int64(c.headLines)*lineBytes-freeHeadBytes)
 	by := cost - c.headCost
 	c.headCost = cost
 	return by
@@ -289,13 +290,14 @@
 	return c.Conn.Close()
 }
 
-// beginRequest accounts for a request whose head is read. It returns an error if the request may not be served.
-func (c *Conn) beginRequest() error {
+// beginRequest accounts for a request whose head is read. contentLength is the length of its body, -1 if it is not known. It returns an
+// error if the request may not be served.
+func (c *Conn) beginRequest(contentLength int64) error {
 	b := c.listener.budget
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c.phase = phaseServing
+	c.phase, c.contentLength = phaseServing, contentLength
 	c.restart(now)
 	// A head that was pipelined whole has not been charged yet.
 	err := b.growLocked(now, c, requestBytes+c.headCharge())
@@ -305,8 +307,18 @@
 	return err
 }
 
-// endRequest returns what a request has held. contentLength is the length of its body, -1 if it is not known.
-func (c *Conn) endRequest(contentLength int64) {
+// handlerDone notes that the handler has returned. net/http may still read the rest of the request, and write that of the response.
+func (c *Conn) handlerDone() {
+	b := c.listener.budget
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c.phase = phaseBody
+	c.restart(now)
+}
+
+// endRequest returns what a request has held, once the connection awaits the next one.
+func (c *Conn) endRequest() {
 	b := c.listener.budget
 	now := time.Now()
 	b.mu.Lock()
@@ -315,7 +327,7 @@
 	c.phase = phaseHead
 	c.restart(now)
 	c.headBytes, c.headLines, c.headEnded = 0, 0, false
-	if contentLength < 0 || c.behind > contentLength {
+	if c.contentLength < 0 || c.behind > c.contentLength {
 		// The beginning of the next head may be in the buffer of net/http.
 		c.headLines = c.extraLines
 	}
--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -55,7 +55,7 @@
 	options.Name = "test"
 	s := &testSite{t: t, budget: newBudget(t, memory, io.Discard), address: raw.Addr().String()}
 	s.listener = s.budget.Listen(raw, options)
-	server := &http.Server{Handler: Handler(handler, nil), ConnContext: ConnContext}
+	server := &http.Server{Handler: Handler(handler, nil), ConnContext: ConnContext, ConnState: ConnState}
 	done := make(chan struct{})
 	go func() { defer close(done); _ = server.Serve(s.listener) }()
 	t.Cleanup(func() {
@@ -245,6 +245,24 @@
 	}
 }
 
+// Guards against the rest of a body, which net/http reads after the handler has answered, that counts as the next head.
+func TestBodyThatTheHandlerDoesNotRead(t *testing.T) {
+	s := startSite(t, 64<<20, Options{MaxConnections: 10, MaxHeadBytes: func() int { return 1 << 10 }}, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNotFound)
+	})
+	conn := s.dial()
+	reader := bufio.NewReader(conn)
+	for range 3 {
+		const length = 100_000
+		_, _ = io.WriteString(conn, fmt.Sprintf("POST / HTTP/1.1\r\nHost: s\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("b", length)))
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil || response.StatusCode != http.StatusNotFound {
+			t.Fatalf("%v, %v", response, err)
+		}
+		_ = response.Body.Close()
+	}
+}
+
 // Guards against a head over the operator's limit that is read on, and against a limit that one at the limit meets.
 func TestLimitOfHeads(t *testing.T) {
 	const limit = 8 << 10
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -163,6 +163,13 @@
 	return ctx
 }
 
+// ConnState is a ConnState of http.Server, by which a Listener's connections know that a request has ended.
+func ConnState(conn net.Conn, state http.ConnState) {
+	if c, ok := conn.(*Conn); ok && state == http.StateIdle {
+		c.endRequest()
+	}
+}
+
 // connOf returns the connection of a request, or nil if it is not accounted for.
 func connOf(r *http.Request) *Conn {
 	c, _ := r.Context().Value(connKey{}).(*Conn)
@@ -183,9 +190,8 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		length := r.ContentLength
-		defer c.endRequest(length)
-		if c.beginRequest() != nil {
+		defer c.handlerDone()
+		if c.beginRequest(r.ContentLength) != nil {
 			w.Header().Set("Connection", "close")
 			refuse(w, r, RetryAfter())
 			return
--- a/internal/process/serve.go
+++ b/internal/process/serve.go
@@ -132,6 +132,7 @@
 		IdleTimeout:       options.IdleTimeout,
 		MaxHeaderBytes:    options.MaxHeaderBytes,
 		ConnContext:       inbound.ConnContext,
+		ConnState:         inbound.ConnState,
 		ErrorLog:          slog.NewLogLogger(options.Logger.Handler(), slog.LevelDebug),
 	}
 }
