process: buffered log lines are bounded in bytes

While the reader of a process's logs stands still, 4,096 lines are kept. A line on a request holds its ID and model as the client has sent them, up to 16 kB each, so that clients could have a process hold 67 MB of log.

The lines are bounded in bytes too, at 2 MB: as many as before of the usual length. TestStoppedReaderOfLongLines failed before, with 67,092,480 bytes.

--- a/internal/process/asyncwriter.go
+++ b/internal/process/asyncwriter.go
@@ -4,10 +4,16 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 )
 
-// asyncWriterCapacity is the number of buffered lines: about four seconds at a gateway's maximum log rate.
-const asyncWriterCapacity = 4096
+const (
+	// asyncWriterCapacity is the number of buffered lines: about four seconds at a gateway's maximum log rate.
+	asyncWriterCapacity = 4096
+	// asyncWriterBytes bounds them in bytes: a line may hold what a client has sent. That is room for as many lines of the usual
+	// 400 bytes.
+	asyncWriterBytes = 2 << 20
+)
 
 // AsyncWriter writes lines in a separate goroutine.
 //
@@ -16,6 +22,8 @@
 type AsyncWriter struct {
 	lines chan []byte
 	done  chan struct{}
+	// buffered is the length of the lines.
+	buffered atomic.Int64
 
 	mu      sync.Mutex
 	closed  bool
@@ -30,6 +38,7 @@
 		for line := range a.lines {
 			// A failed write of the log itself cannot be logged.
 			_, _ = w.Write(line)
+			a.buffered.Add(-int64(len(line)))
 		}
 	}()
 	return a
@@ -42,18 +51,29 @@
 	if a.closed {
 		return len(line), nil
 	}
-	if a.dropped > 0 && len(a.lines) < cap(a.lines)-1 {
-		a.lines <- fmt.Appendf(nil, `{"level":"WARN","msg":"log lines dropped","event":"log_dropped","lines":%d}`+"\n", a.dropped)
+	fits := a.buffered.Load()+int64(len(line)) <= asyncWriterBytes
+	if a.dropped > 0 && fits && len(a.lines) < cap(a.lines)-1 {
+		a.push(fmt.Appendf(nil, `{"level":"WARN","msg":"log lines dropped","event":"log_dropped","lines":%d}`+"\n", a.dropped))
 		a.dropped = 0
 	}
-	select {
-	case a.lines <- append([]byte(nil), line...):
-	default:
+	if !fits || !a.push(append([]byte(nil), line...)) {
 		a.dropped++
 	}
 	return len(line), nil
 }
 
+// push buffers a line unless there are too many. The caller holds mu.
+func (a *AsyncWriter) push(line []byte) bool {
+	a.buffered.Add(int64(len(line)))
+	select {
+	case a.lines <- line:
+		return true
+	default:
+		a.buffered.Add(-int64(len(line)))
+		return false
+	}
+}
+
 // Close waits until all buffered lines are written or abort is closed. Later writes are discarded.
 func (a *AsyncWriter) Close(abort <-chan struct{}) {
 	a.mu.Lock()
--- a/internal/process/asyncwriter_test.go
+++ b/internal/process/asyncwriter_test.go
@@ -46,3 +46,21 @@
 		t.Errorf("the last lines are %q, want the number of dropped lines and the new line", text[max(0, len(text)-200):])
 	}
 }
+
+// Guards against long lines, which hold what clients have sent, that fill the memory while the reader of the logs stands still.
+func TestStoppedReaderOfLongLines(t *testing.T) {
+	reader, writer := io.Pipe()
+	a := NewAsyncWriter(writer)
+	line := bytes.Repeat([]byte("x"), 16<<10)
+	for range asyncWriterCapacity {
+		_, _ = a.Write(line)
+	}
+	if held := len(a.lines) * len(line); held > asyncWriterBytes {
+		t.Errorf("%d bytes are buffered", held)
+	}
+	abort := make(chan struct{})
+	close(abort)
+	_ = reader.Close()
+	a.Close(abort)
+	<-a.done
+}
