inbound: who has stood still longest does not follow the time of day

Connections were ordered by the wall clock's reading of when they last made progress. The times are compared by the steady clock that they hold.

--- a/internal/inbound/budget.go
+++ b/internal/inbound/budget.go
@@ -4,7 +4,6 @@
 package inbound
 
 import (
-	"cmp"
 	"log/slog"
 	"slices"
 	"sync"
@@ -182,7 +181,7 @@
 			list = append(list, c)
 		}
 	}
-	slices.SortFunc(list, func(x, y *Conn) int { return cmp.Compare(x.progressAt.UnixNano(), y.progressAt.UnixNano()) })
+	slices.SortFunc(list, func(x, y *Conn) int { return x.progressAt.Compare(y.progressAt) })
 	return list
 }
 
