inbound: neither the log nor the fleet holds up the accounting

Each read and write of a client takes the budget's lock, and the log line on refusals was written, and the operator's limit of heads asked for, under it: a reader of the log that stands still, in processes that write their log directly, or a long decision under the fleet's lock would have held up all connections. The line is written beside, one at a time, and the limit is read before. Found by reading; no run has shown it.

--- a/internal/inbound/budget.go
+++ b/internal/inbound/budget.go
@@ -119,9 +119,10 @@
 	mu    sync.Mutex
 	used  int64
 	conns map[*Conn]struct{}
-	// refused counts the refusals since they were logged last.
+	// refused counts the refusals since they were logged last, and logging is set while they are being logged.
 	refused  map[string]int
 	loggedAt time.Time
+	logging  bool
 }
 
 // NewBudget returns the budget of a process.
@@ -189,12 +190,20 @@
 func (b *Budget) noteRefusal(now time.Time, listener, reason string) {
 	b.metrics.refused.WithLabelValues(listener, reason).Inc()
 	b.refused[listener+": "+reason]++
-	if now.Sub(b.loggedAt) < logInterval {
+	if b.logging || now.Sub(b.loggedAt) < logInterval {
 		return
 	}
-	b.loggedAt = now
-	b.logger.Warn("clients refused or cut off, for want of room", "event", "clients_refused", "counts", b.refused, "held_bytes", b.used, "connections", len(b.conns))
-	clear(b.refused)
+	b.loggedAt, b.logging = now, true
+	// The log may block, which must not hold up all connections.
+	go b.logRefusals(b.refused, b.used, len(b.conns))
+	b.refused = make(map[string]int)
+}
+
+func (b *Budget) logRefusals(counts map[string]int, held int64, connections int) {
+	b.logger.Warn("clients refused or cut off, for want of room", "event", "clients_refused", "counts", counts, "held_bytes", held, "connections", connections)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.logging = false
 }
 
 // Held returns the bytes that clients make the process hold beyond their connections.
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -140,7 +140,7 @@
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	b := c.listener.budget
+	b, limit := c.listener.budget, c.listener.options.headLimit()
 	now := time.Now()
 	b.mu.Lock()
 	inHead := c.phase == phaseHead && !c.listener.options.Links
@@ -160,7 +160,7 @@
 	switch {
 	case c.listener.options.Links || n == 0:
 	case inHead && !c.headEnded:
-		status = c.readHead(now, p[:n])
+		status = c.readHead(now, p[:n], limit)
 	default:
 		c.readBehind(p, p[:n])
 	}
@@ -172,9 +172,9 @@
 	return n, err
 }
 
-// readHead accounts for bytes of a head. It returns the status line with which the request is to be refused; empty if it is not. The
+// readHead accounts for bytes of a head, which may have so many; 0 means no limit. It returns the status line with which the request is to be refused; empty if it is not. The
 // caller holds mu.
-func (c *Conn) readHead(now time.Time, p []byte) (status string) {
+func (c *Conn) readHead(now time.Time, p []byte, limit int) (status string) {
 	head := p
 	if end := headEnd(p); end >= 0 {
 		c.headEnded = true
@@ -183,15 +183,15 @@
 	}
 	c.headBytes += len(head)
 	c.headLines += bytes.Count(head, newline)
-	b, o := c.listener.budget, c.listener.options
-	if limit := o.headLimit(); limit > 0 && c.headBytes > limit+bufferBytes {
+	b, name := c.listener.budget, c.listener.options.Name
+	if limit > 0 && c.headBytes > limit+bufferBytes {
 		c.giveUp()
-		b.noteRefusal(now, o.Name, "head too long")
+		b.noteRefusal(now, name, "head too long")
 		return statusHeadTooLong
 	}
 	if b.growLocked(now, c, c.headCharge()) != nil {
 		c.giveUp()
-		b.noteRefusal(now, o.Name, "no room for the head")
+		b.noteRefusal(now, name, "no room for the head")
 		return statusNoRoom
 	}
 	return ""
--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -338,10 +338,23 @@
 	var log bytes.Buffer
 	b := newBudget(t, 1<<20, &log)
 	start := time.Now()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for i := range 10_000 {
-		b.noteRefusal(start.Add(time.Duration(i)*time.Millisecond), "test", "idle")
+	note := func(at time.Time) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.noteRefusal(at, "test", "idle")
+	}
+	logged := func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return !b.logging
+	}
+	for second := range 10 {
+		for i := range 1000 {
+			note(start.Add(time.Duration(second)*time.Second + time.Duration(i)*time.Millisecond))
+		}
+		for !logged() {
+			time.Sleep(time.Millisecond)
+		}
 	}
 	if lines := strings.Count(log.String(), "\n"); lines != 10 {
 		t.Errorf("%d lines on 10,000 refusals in 10 s", lines)
