--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -55,13 +56,23 @@
 	options.Name = "test"
 	s := &testSite{t: t, budget: newBudget(t, memory, io.Discard), address: raw.Addr().String()}
 	s.listener = s.budget.Listen(raw, options)
-	server := &http.Server{Handler: Handler(handler, nil), ConnContext: ConnContext, ConnState: ConnState}
+	// net/http serves a connection for a while after Close if its client may still be sending.
+	var served atomic.Int64
+	server := &http.Server{Handler: Handler(handler, nil), ConnContext: ConnContext, ConnState: func(conn net.Conn, state http.ConnState) {
+		ConnState(conn, state)
+		switch state {
+		case http.StateNew:
+			served.Add(1)
+		case http.StateClosed:
+			served.Add(-1)
+		}
+	}}
 	done := make(chan struct{})
 	go func() { defer close(done); _ = server.Serve(s.listener) }()
 	t.Cleanup(func() {
 		_ = server.Close()
 		<-done
-		s.await("all connections are gone", func() bool { return s.open() == 0 })
+		s.await("all connections are gone", func() bool { return s.open() == 0 && served.Load() == 0 })
 		if held := s.budget.Held(); held != 0 {
 			t.Errorf("%d bytes are held without a connection", held)
 		}
