gateway: a refusal before the first configuration does not await the body

A client that came before the first configuration got its 503, which says not run, only once it had sent its whole request, or never if it stopped within it: net/http reads the rest of a body of up to 256 kB before it answers, unless the connection closes with the answer. It does now, as with the refusals that came with the budgets.

TestRefusalDoesNotAwaitTheBody: without a configuration it failed before, with no answer in 5 s; the two newer refusals passed.

--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"balsamsail/internal/fleet"
 )
 
 // Guards against a part of a request's body being sent to an endpoint as the whole.
@@ -44,3 +46,37 @@
 		}
 	}
 }
+
+// Guards against a refusal as not run that its client gets only once it has sent the whole request, if it ever does.
+func TestRefusalDoesNotAwaitTheBody(t *testing.T) {
+	unconfigured := newRig(t, nil)
+	unconfigured.gateway.fleet = fleet.New("here", 1)
+	full := newRig(t, nil)
+	full.gateway.options.MaxPerService = 1
+	full.gateway.inFlight["plain"] = 1
+	for name, c := range map[string]struct {
+		rig  *rig
+		head string
+	}{
+		"without a configuration":   {unconfigured, "POST /plain/x HTTP/1.1\r\n"},
+		"while the service is full": {full, "POST /plain/x HTTP/1.1\r\n"},
+		"of an unknown model":       {newRig(t, nil), "POST /chat/x HTTP/1.1\r\nModel: unknown\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", c.rig.server.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+			_, _ = io.WriteString(conn, c.head+"Host: site\r\nId: a\r\nContent-Length: 10\r\n\r\nhalf")
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatalf("no answer: %v", err)
+			}
+			if response.StatusCode != http.StatusServiceUnavailable || !response.Close {
+				t.Errorf("status %d, to be closed: %v", response.StatusCode, response.Close)
+			}
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -141,7 +141,7 @@
 	arrived := time.Now()
 	config := g.fleet.Config()
 	if config == nil {
-		g.refuse(w, refusal{status: http.StatusServiceUnavailable, reason: reasonNoConfig, retryAfter: retryAfterNoConfig})
+		g.refuse(w, refusal{status: http.StatusServiceUnavailable, reason: reasonNoConfig, retryAfter: retryAfterNoConfig, closeConn: hasBody(r)})
 		return
 	}
 	call, err := g.codec.ReadCall(r)
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -172,8 +172,8 @@
 	return n, err
 }
 
-// readHead accounts for bytes of a head, which may have so many; 0 means no limit. It returns the status line with which the request is to be refused; empty if it is not. The
-// caller holds mu.
+// readHead accounts for bytes of a head; a limit of 0 means none. It returns the status with which the request is to be refused, or
+// nothing. The caller holds mu.
 func (c *Conn) readHead(now time.Time, p []byte, limit int) (status string) {
 	head := p
 	if end := headEnd(p); end >= 0 {
