--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -209,8 +209,8 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// Hold changes what the client of a request makes the process hold, by so many bytes. It returns an error if there is no room; a
-// decrease always succeeds. All is returned when the request ends.
+// Hold changes what the client of a request makes the process hold, by so many bytes. It returns an error if there is no room
+// for more, or if the client has given way to others. All is returned when the request ends.
 func Hold(r *http.Request, by int64) error {
 	if c := connOf(r); c != nil {
 		return c.listener.budget.grow(c, by)
