test/clients: one loop fills heads and trailers with lines

The lines are the same; the tests of heads, trailers and the request at all limits pass (not the whole package again).

--- a/test/clients/crowd_test.go
+++ b/test/clients/crowd_test.go
@@ -74,28 +74,26 @@
 	}
 }
 
-// shortLines returns header lines of so many bytes at most, as many as there is room for.
-func shortLines(size int) string {
+// fill returns as many lines as so many bytes have room for.
+func fill(size int, line func(n int) string) string {
 	var b strings.Builder
 	for n := 0; ; n++ {
-		line := distinctName(n) + ":\n"
-		if b.Len()+len(line) > size {
+		next := line(n)
+		if b.Len()+len(next) > size {
 			return b.String()
 		}
-		b.WriteString(line)
+		b.WriteString(next)
 	}
 }
 
+// shortLines returns header lines of so many bytes at most, as many as there is room for.
+func shortLines(size int) string {
+	return fill(size, func(n int) string { return distinctName(n) + ":\n" })
+}
+
 // trailerLines returns short lines as a trailer may have them: each ends with a carriage return and a newline.
 func trailerLines(size int) string {
-	var b strings.Builder
-	for n := 0; ; n++ {
-		line := distinctName(n) + ":\r\n"
-		if b.Len()+len(line) > size {
-			return b.String()
-		}
-		b.WriteString(line)
-	}
+	return fill(size, func(n int) string { return distinctName(n) + ":\r\n" })
 }
 
 // oddLines returns header lines of all odd kinds that a head may have, of so many bytes at most: names of symbols, repeated names,
@@ -110,14 +108,7 @@
 		func(n int) string { return distinctName(n) + ":a\r\n b\r\n\tc\r\n" },
 		func(int) string { return "Accept: *\r\n" },
 	}
-	var b strings.Builder
-	for n := 0; ; n++ {
-		line := kinds[n%len(kinds)](n)
-		if b.Len()+len(line) > size {
-			return b.String()
-		}
-		b.WriteString(line)
-	}
+	return fill(size, func(n int) string { return kinds[n%len(kinds)](n) })
 }
 
 // headOf returns the whole head of a request that has size bytes with the given lines.
