netconn: reads report a reset that a write has met

Callers saw: an endpoint answered an upload before it had read it, with 200 and neither a length nor chunks, sent a part of the body and reset the connection. The client got the part as a whole answer, on safe, unsafe and stream routes.

Cause: the kernel returns the error of a connection to one call only, the first that meets it. During an upload that is often the write of the request: it gets "connection reset by peer", and the read beside it an end of file, as after an orderly close. The state of the socket is CLOSE at that end of file.

Change: connections made through netconn.ReportResets keep the first error of their writes. At an end of file on a socket that no longer exists they wait for the write in progress, which ends at once, and return its error unless it was EPIPE. sendonce (gateway, agent, administration of engines, services behind the entry) and the clients of the platform's engine and store use it. What ends with a FIN is whole as before, also early and beside a write that is blocked.

--- a/internal/backing/unframed_test.go
+++ b/internal/backing/unframed_test.go
@@ -15,3 +15,11 @@
 		return err
 	})
 }
+
+// Guards against a service of the platform that answers a write before it has read it and resets the connection.
+func TestEarlyAnswersToWrites(t *testing.T) {
+	unframedtest.CheckUpload(t, "", `{"revision":1}`, func(t *testing.T, address string) error {
+		_, err := newServiceClient("http://"+address, Options{Timeout: 5 * time.Second}, &http.Client{}).write(t.Context(), http.MethodPut, "/x", make([]byte, unframedtest.UploadBytes))
+		return err
+	})
+}
--- a/internal/endpoint/unframed_test.go
+++ b/internal/endpoint/unframed_test.go
@@ -1,6 +1,7 @@
 package endpoint_test
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"testing"
@@ -19,21 +20,35 @@
 	})
 	t.Run("request", func(t *testing.T) {
 		unframedtest.Check(t, "", "answer", func(t *testing.T, address string) error {
-			caller, err := endpoint.NewHTTPCaller("http://"+address, endpoint.CallerOptions{})
-			if err != nil {
-				t.Fatal(err)
-			}
-			request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+"/x", http.NoBody)
-			if err != nil {
-				t.Fatal(err)
-			}
-			response, err := caller.Call(request)
-			if err != nil {
-				return err
-			}
-			defer func() { _ = response.Body.Close() }()
-			_, err = io.ReadAll(response.Body)
-			return err
+			return call(t, address, http.NoBody)
 		})
 	})
 }
+
+// call sends a request with a body to the endpoint at an address and reads the answer.
+func call(t *testing.T, address string, body io.Reader) error {
+	t.Helper()
+	caller, err := endpoint.NewHTTPCaller("http://"+address, endpoint.CallerOptions{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/x", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := caller.Call(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.ReadAll(response.Body)
+	return err
+}
+
+// Guards against an endpoint that answers an upload before it has read it and resets the connection: the sender learns of the reset,
+// and the part of the answer that has arrived counts as whole.
+func TestEarlyAnswersToUploads(t *testing.T) {
+	unframedtest.CheckUpload(t, "", "answer", func(t *testing.T, address string) error {
+		return call(t, address, bytes.NewReader(make([]byte, unframedtest.UploadBytes)))
+	})
+}
--- a/internal/faultlink/unframedtest/unframedtest.go
+++ b/internal/faultlink/unframedtest/unframedtest.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"io"
 	"net"
 	"net/http"
@@ -16,10 +17,14 @@
 
 // Answer is what a server sends before its connection ends.
 type Answer struct {
+	// Version is the HTTP version; HTTP/1.1 if it is empty.
+	Version string
 	// Head holds the header fields, each with its line end, and Body the body.
 	Head, Body string
 	// Reset makes the connection end with a reset once the body is sent.
 	Reset bool
+	// Early makes the server answer when it has read the head of the request. It reads no more of it before a reset.
+	Early bool
 }
 
 // Start starts a server that sends the answer to each request and then ends the connection. It returns the server's address.
@@ -50,10 +55,12 @@
 	if err != nil {
 		return
 	}
-	if _, err := io.Copy(io.Discard, request.Body); err != nil {
-		return
+	if !a.Early {
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
 	}
-	if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+a.Head+"Connection: close\r\n\r\n"+a.Body); err != nil {
+	if _, err := io.WriteString(conn, cmp.Or(a.Version, "HTTP/1.1")+" 200 OK\r\n"+a.Head+"Connection: close\r\n\r\n"+a.Body); err != nil {
 		return
 	}
 	if !a.Reset {
@@ -82,3 +89,45 @@
 		}
 	})
 }
+
+const (
+	// UploadBytes is the size of a request that is still being sent when the server answers: more than the buffers of a connection hold.
+	UploadBytes = 4 << 20
+	// uploads is the number of calls for each answer. It varies whether the sender or the reader of the caller meets the reset first.
+	uploads = 20
+)
+
+// EarlyAnswers calls check for each form of an answer to a request that is still being sent: with the whole body, and with a reset in
+// the middle of it.
+func EarlyAnswers(t *testing.T, head, body string, check func(t *testing.T, a Answer)) {
+	t.Helper()
+	for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		t.Run("whole, "+version, func(t *testing.T) {
+			check(t, Answer{Version: version, Head: head, Body: body, Early: true})
+		})
+		t.Run("reset, "+version, func(t *testing.T) {
+			check(t, Answer{Version: version, Head: head, Body: body[:len(body)/2], Early: true, Reset: true})
+		})
+	}
+}
+
+// CheckUpload makes calls that send UploadBytes to servers that answer before they have read them.
+func CheckUpload(t *testing.T, head, body string, call func(t *testing.T, address string) error) {
+	t.Helper()
+	EarlyAnswers(t, head, body, func(t *testing.T, a Answer) {
+		address := Start(t, a)
+		failed := 0
+		for range uploads {
+			err := call(t, address)
+			if err != nil {
+				failed++
+			}
+			if err != nil && !a.Reset {
+				t.Fatalf("a whole answer failed: %v", err)
+			}
+		}
+		if a.Reset && failed < uploads {
+			t.Errorf("%d of %d answers that were reset on their way count as whole", uploads-failed, uploads)
+		}
+	})
+}
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"log/slog"
@@ -222,8 +223,17 @@
 
 // sendUntil is sendTo of a client that leaves when ctx is done.
 func (r *rig) sendUntil(ctx context.Context, path string, header http.Header, to io.Writer) answer {
+	return r.exchange(ctx, path, header, strings.NewReader("body"), to)
+}
+
+// upload is sendTo of a request with a given body.
+func (r *rig) upload(path string, header http.Header, body []byte, to io.Writer) answer {
+	return r.exchange(r.t.Context(), path, header, bytes.NewReader(body), to)
+}
+
+func (r *rig) exchange(ctx context.Context, path string, header http.Header, body io.Reader, to io.Writer) answer {
 	r.t.Helper()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, r.server.URL+path, strings.NewReader("body"))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, r.server.URL+path, body)
 	if err != nil {
 		r.t.Fatal(err)
 	}
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -6,6 +6,9 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+
+	"balsamsail/internal/catalog"
+	"balsamsail/internal/faultlink/unframedtest"
 )
 
 // endsWithConnection answers with a body of neither a length nor chunks and ends the connection; with a reset, if reset is set.
@@ -74,3 +77,34 @@
 		})
 	}
 }
+
+// Guards against an endpoint that answers an upload before it has read it and resets the connection: the sender learns of the reset,
+// and the client gets the part of the answer that has arrived as a whole one. A whole answer is forwarded however early it comes.
+func TestEarlyAnswersToUploads(t *testing.T) {
+	const uploads = 10
+	upload := make([]byte, unframedtest.UploadBytes)
+	for _, route := range []struct{ service, path, model, body string }{
+		{"plain", "/plain/", "", "answer"}, {"plain", "/read/", "", "answer"},
+		{"engine", "/chat/", "m", "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"},
+	} {
+		t.Run(route.path, func(t *testing.T) {
+			unframedtest.EarlyAnswers(t, "Id: a\r\nSigned: yes\r\n", route.body, func(t *testing.T, answer unframedtest.Answer) {
+				r := newRig(t, nil)
+				r.fleet.SetEndpoints([]catalog.Endpoint{{ID: route.service + "-1", Service: route.service, Address: unframedtest.Start(t, answer), Models: []string{"m"}, Revision: 1}})
+				for range uploads {
+					var body strings.Builder
+					a := r.upload(route.path, http.Header{"Id": {"a"}, "Model": {route.model}}, upload, &body)
+					whole := a.err == nil && a.status == http.StatusOK
+					switch {
+					case whole && answer.Reset:
+						t.Errorf("the client got %q as a whole answer", body.String())
+					case !answer.Reset && (!whole || body.String() != route.body):
+						t.Fatalf("status %d, body %q, error %v", a.status, body.String(), a.err)
+					case answer.Reset && a.err == nil && a.status != http.StatusBadGateway && a.status != http.StatusGatewayTimeout:
+						t.Errorf("status %d for a request that may have run", a.status)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"balsamsail/internal/netconn"
 )
 
 // ErrRepeated is the error of a request that net/http tried to send a second time.
@@ -54,6 +56,7 @@
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
+	dial = netconn.ReportResets(dial)
 	clone.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
