httpstrict: responses that HTTP/1 does not allow are failures

Callers saw: a response with `X Y: 1` or `Content-Length : 3` in its head was answered 200; in the second case with another body than the endpoint sent, as the field was ignored and all up to the end of the connection counted.

Cause: net/http accepts a blank in a field's name, and keeps the field under that name, where nothing finds it. It also accepts a status of 000 to 099, 600 to 999, +20 and -00, the versions HTTP/0.9, 2.0 and 9.9, control bytes in the reason, and a blank in the name of a trailer field. Control bytes in names it rejects. The gateway rejected every status below 200 itself; it passed 600 and 999 on. The health check of plain services took 000 for sound, as any status below 500.

Change: httpstrict.Transport closes such a response and returns an error, so that the outcome is unknown, as after any failure that comes once a request was sent. All clients use it: sendonce (gateway, agents, services behind the entry), the platform's engine and store, other entries, operators' commands, timelines and the load tool; the last four report resets too. Bodies end with an error if the trailer is not valid. Interim responses are not checked: the hook of net/http that shows them lifts its bound on their number.

--- a/internal/backing/unframed_test.go
+++ b/internal/backing/unframed_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"balsamsail/internal/faultlink/invalidtest"
 	"balsamsail/internal/faultlink/unframedtest"
 )
 
@@ -23,3 +24,20 @@
 		return err
 	})
 }
+
+// Guards against a service of the platform whose answers are not valid in HTTP.
+func TestInvalidAnswers(t *testing.T) {
+	for name, call := range map[string]func(s serviceClient) error{
+		"read": func(s serviceClient) error { _, err := s.read(t.Context(), "/x"); return err },
+		"write": func(s serviceClient) error {
+			_, err := s.write(t.Context(), http.MethodPut, "/x", []byte("x"))
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			invalidtest.Run(t, "", `{"revision":1}`, func(_ *testing.T, address string) error {
+				return call(newServiceClient("http://"+address, Options{Timeout: time.Second}, &http.Client{}))
+			})
+		})
+	}
+}
--- a/internal/endpoint/unframed_test.go
+++ b/internal/endpoint/unframed_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"balsamsail/internal/endpoint"
+	"balsamsail/internal/faultlink/invalidtest"
 	"balsamsail/internal/faultlink/unframedtest"
 )
 
@@ -52,3 +53,26 @@
 		return call(t, address, bytes.NewReader(make([]byte, unframedtest.UploadBytes)))
 	})
 }
+
+// Guards against an endpoint whose answers are not valid in HTTP, and that counts as sound or as having carried out an order.
+func TestInvalidAnswers(t *testing.T) {
+	engine := func(address string) *endpoint.HTTPEngine {
+		return endpoint.NewHTTPEngine("http://"+address, "", endpoint.Timeouts{})
+	}
+	const (
+		head = "Content-Type: application/json\r\n"
+		body = `{"incarnation":"i","models":[]}`
+	)
+	t.Run("state", func(t *testing.T) {
+		invalidtest.Run(t, head, body, func(t *testing.T, address string) error { _, err := engine(address).State(t.Context()); return err })
+	})
+	t.Run("request", func(t *testing.T) {
+		invalidtest.Run(t, head, body, func(t *testing.T, address string) error { return call(t, address, http.NoBody) })
+	})
+	t.Run("order", func(t *testing.T) {
+		// The status is the result of an order.
+		invalidtest.RunHeads(t, head, body, func(t *testing.T, address string) error {
+			return engine(address).Do(t.Context(), endpoint.Order{})
+		})
+	})
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"balsamsail/internal/backing"
+	"balsamsail/internal/httpstrict"
 	"balsamsail/internal/operator"
 )
 
@@ -83,6 +84,8 @@
 	return list
 }
 
+var peerClient = &http.Client{Transport: httpstrict.Wrap(nil)}
+
 func fetchPeerRevision(ctx context.Context, address string) (operator.ProcessRevision, error) {
 	var answer operator.ProcessRevision
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
@@ -93,7 +96,7 @@
 	}
 	// Queries are rare.
 	request.Close = true
-	response, err := http.DefaultClient.Do(request)
+	response, err := peerClient.Do(request)
 	if err != nil {
 		return answer, errors.Wrap(errPeer, err.Error())
 	}
--- a/internal/entry/unframed_test.go
+++ b/internal/entry/unframed_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"balsamsail/internal/faultlink/invalidtest"
 	"balsamsail/internal/faultlink/unframedtest"
 )
 
@@ -13,3 +14,11 @@
 		return err
 	})
 }
+
+// Guards against another entry whose answers are not valid in HTTP.
+func TestInvalidPeerAnswers(t *testing.T) {
+	invalidtest.Run(t, "Content-Type: application/json\r\n", `{"revision":17}`, func(t *testing.T, address string) error {
+		_, err := fetchPeerRevision(t.Context(), address)
+		return err
+	})
+}
--- a/internal/faultlink/unframedtest/unframedtest.go
+++ b/internal/faultlink/unframedtest/unframedtest.go
@@ -17,8 +17,8 @@
 
 // Answer is what a server sends before its connection ends.
 type Answer struct {
-	// Version is the HTTP version; HTTP/1.1 if it is empty.
-	Version string
+	// Version is the HTTP version, and Status the rest of the status line; HTTP/1.1 and 200 OK if they are empty.
+	Version, Status string
 	// Head holds the header fields, each with its line end, and Body the body.
 	Head, Body string
 	// Reset makes the connection end with a reset once the body is sent.
@@ -60,7 +60,7 @@
 			return
 		}
 	}
-	if _, err := io.WriteString(conn, cmp.Or(a.Version, "HTTP/1.1")+" 200 OK\r\n"+a.Head+"Connection: close\r\n\r\n"+a.Body); err != nil {
+	if _, err := io.WriteString(conn, cmp.Or(a.Version, "HTTP/1.1")+" "+cmp.Or(a.Status, "200 OK")+"\r\n"+a.Head+"Connection: close\r\n\r\n"+a.Body); err != nil {
 		return
 	}
 	if !a.Reset {
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"balsamsail/internal/catalog"
+	"balsamsail/internal/faultlink/invalidtest"
 	"balsamsail/internal/faultlink/unframedtest"
 )
 
@@ -108,3 +109,23 @@
 		})
 	}
 }
+
+// Guards against an endpoint whose answers are not valid in HTTP, and whose client gets them as answers: with the line that is not valid,
+// or with a body that the endpoint did not send. The client gets a failure that says that the request may have run.
+func TestInvalidAnswers(t *testing.T) {
+	const stream = "id: 1\ndata: 1\n\n"
+	for _, route := range []struct{ service, path, model, body string }{
+		{"plain", "/plain/", "", "answer"}, {"plain", "/read/", "", "answer"}, {"engine", "/chat/", "m", stream}, {"engine", "/resumable/", "m", stream},
+	} {
+		for name, answer := range invalidtest.Answers("Id: a\r\nSigned: yes\r\n", route.body) {
+			t.Run(route.path+" "+name, func(t *testing.T) {
+				r := newRig(t, nil)
+				r.fleet.SetEndpoints([]catalog.Endpoint{{ID: route.service + "-1", Service: route.service, Address: unframedtest.Start(t, answer), Models: []string{"m"}, Revision: 1}})
+				a := r.send("a", route.path, route.model)
+				if a.err == nil && a.status != http.StatusBadGateway && a.status != http.StatusGatewayTimeout {
+					t.Errorf("status %d, body %q, header %v", a.status, a.body, a.header)
+				}
+			})
+		}
+	}
+}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"balsamsail/internal/httpstrict"
 )
 
 // Run sends the planned load and returns when every call has ended. When ctx is done, no further calls are sent and those
@@ -44,7 +46,7 @@
 
 // runner executes one run.
 type runner struct {
-	transport *http.Transport
+	transport *httpstrict.Transport
 	client    *http.Client
 	options   *Options
 	stats     *runStats
@@ -56,7 +58,7 @@
 
 // newRunner returns a runner for checked options. Planned times are relative to this call.
 func newRunner(options *Options, stats *runStats, w watcher) *runner {
-	transport := newTransport(options.Concurrency)
+	transport := httpstrict.Wrap(newTransport(options.Concurrency))
 	return &runner{
 		transport: transport,
 		client:    &http.Client{Transport: transport, CheckRedirect: disableRedirects},
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"balsamsail/internal/httpstrict"
 )
 
 // Timeouts of one request to one entry.
@@ -39,6 +41,7 @@
 func NewClient(entries []string, httpClient *http.Client) *Client {
 	client := *httpClient
 	client.CheckRedirect = disableRedirects
+	client.Transport = httpstrict.Wrap(client.Transport)
 	return &Client{entries: entries, http: &client, readTimeout: readTimeout, editResponseTimeout: editResponseTimeout}
 }
 
--- a/internal/operator/unframed_test.go
+++ b/internal/operator/unframed_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"testing"
 
+	"balsamsail/internal/faultlink/invalidtest"
 	"balsamsail/internal/faultlink/unframedtest"
 )
 
@@ -14,3 +15,11 @@
 		return err
 	})
 }
+
+// Guards against an entry whose answers are not valid in HTTP.
+func TestInvalidAnswers(t *testing.T) {
+	invalidtest.Run(t, "Content-Type: application/json\r\n", `{}         `, func(t *testing.T, address string) error {
+		_, err := NewClient([]string{"http://" + address}, http.DefaultClient).Status(t.Context())
+		return err
+	})
+}
--- a/internal/sendonce/awaited.go
+++ b/internal/sendonce/awaited.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"io"
 	"net/http"
+
+	"balsamsail/internal/httpstrict"
 )
 
 // maxSkippedBytes bounds the responses to other messages that are read while that to a message is awaited. The longest streams of
@@ -48,7 +50,7 @@
 	begin := 0
 	for {
 		response, err := http.ReadResponse(source, request)
-		if err != nil {
+		if err != nil || httpstrict.CheckHead(response) != nil {
 			break
 		}
 		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
--- a/internal/sendonce/copies_test.go
+++ b/internal/sendonce/copies_test.go
@@ -130,7 +130,7 @@
 		t.Run(fmt.Sprintf("calm %.1f, copies are skipped %t", c.calm, c.skips), func(t *testing.T) {
 			s := newCopyServer(t, c.calm)
 			client := New(&http.Transport{MaxIdleConnsPerHost: 4})
-			defer client.transport.(*http.Transport).CloseIdleConnections()
+			defer client.CloseIdleConnections()
 			var senders sync.WaitGroup
 			var mu sync.Mutex
 			outcomes := make(map[string]int)
--- a/internal/sendonce/sendonce.go
+++ b/internal/sendonce/sendonce.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"balsamsail/internal/httpstrict"
 	"balsamsail/internal/netconn"
 )
 
@@ -33,7 +34,7 @@
 // httptrace.GotConn before it writes to the connection. If bytes were written to an earlier connection, the new one is
 // closed at once. If none were written, the retry is allowed. Redirects are returned to the caller.
 type Client struct {
-	transport http.RoundTripper
+	transport *httpstrict.Transport
 	// traced is set if the transport is known to report its connections through httptrace.
 	traced bool
 }
@@ -46,7 +47,7 @@
 	}
 	base, ok := transport.(*http.Transport)
 	if !ok {
-		return &Client{transport: transport}
+		return &Client{transport: httpstrict.Wrap(transport)}
 	}
 	clone := base.Clone()
 	if clone.MaxResponseHeaderBytes == 0 {
@@ -64,14 +65,12 @@
 		}
 		return newConn(conn), nil
 	}
-	return &Client{transport: clone, traced: true}
+	return &Client{transport: &httpstrict.Transport{Base: clone}, traced: true}
 }
 
 // CloseIdleConnections closes the connections that no request uses.
 func (c *Client) CloseIdleConnections() {
-	if t, ok := c.transport.(interface{ CloseIdleConnections() }); ok {
-		t.CloseIdleConnections()
-	}
+	c.transport.CloseIdleConnections()
 }
 
 // MaxHeaderBytes bounds the head of a response; those of endpoints have some 500 bytes. The default of net/http, 10 MB, is more
--- a/internal/sendonce/sendonce_test.go
+++ b/internal/sendonce/sendonce_test.go
@@ -144,7 +144,7 @@
 			t.Run("Client", func(t *testing.T) {
 				b := newAbortServer(t)
 				client := New(nil)
-				defer client.transport.(*http.Transport).CloseIdleConnections()
+				defer client.CloseIdleConnections()
 				warmUp(t, client.transport, b.url(pathWarm))
 				result, err := client.Do(newRequest(t, c.method, b.url(pathCall), c.body, c.header))
 				if err == nil {
@@ -179,7 +179,7 @@
 	go server.Serve(listener)
 	defer server.Close()
 	client := New(nil)
-	defer client.transport.(*http.Transport).CloseIdleConnections()
+	defer client.CloseIdleConnections()
 	result, err := client.Do(newRequest(t, http.MethodPost, "http://"+listener.Addr().String()+pathCall, "slot", ""))
 	if err != nil {
 		t.Fatal(err)
@@ -304,7 +304,7 @@
 func TestConnectionCarriesAMessageOnce(t *testing.T) {
 	url, connections := newRepeatServer(t)
 	client := New(nil)
-	defer client.transport.(*http.Transport).CloseIdleConnections()
+	defer client.CloseIdleConnections()
 	var sent Message
 	for range 3 {
 		for _, path := range []string{"/message", "/other"} {
@@ -339,7 +339,7 @@
 		t.Run(fmt.Sprintf("accepted %t", accepted), func(t *testing.T) {
 			url, connections := newRepeatServer(t)
 			client := New(nil)
-			defer client.transport.(*http.Transport).CloseIdleConnections()
+			defer client.CloseIdleConnections()
 			next := make(chan error, 1)
 			errNotMatched := errors.New("not matched")
 			send := func(path string, match func(*http.Response, Connection) error) error {
@@ -388,7 +388,7 @@
 	}))
 	defer server.Close()
 	client := New(nil)
-	defer client.transport.(*http.Transport).CloseIdleConnections()
+	defer client.CloseIdleConnections()
 	first, err := client.Do(newRequest(t, http.MethodPost, server.URL+"/first", "", ""))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/timeline/collect.go
+++ b/internal/timeline/collect.go
@@ -14,6 +14,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
+
+	"balsamsail/internal/httpstrict"
 )
 
 var (
@@ -45,7 +47,9 @@
 
 // NewCollector returns a collector of the events that the filter selects.
 func NewCollector(client *http.Client, filter Filter) *Collector {
-	return &Collector{client: client, filter: filter, merger: NewMerger()}
+	strict := *client
+	strict.Transport = httpstrict.Wrap(client.Transport)
+	return &Collector{client: &strict, filter: filter, merger: NewMerger()}
 }
 
 // Collection is the merged result of reading processes or logs.
--- a/internal/timeline/cut_test.go
+++ b/internal/timeline/cut_test.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"balsamsail/internal/faultlink/cuttest"
+	"balsamsail/internal/faultlink/invalidtest"
 )
 
 // Guards against a process that ends its connection in the middle of its timeline, which counts as whole.
@@ -23,3 +24,13 @@
 		}
 	}})
 }
+
+// Guards against a process whose answers are not valid in HTTP, and whose timeline counts as read.
+func TestInvalidAnswers(t *testing.T) {
+	invalidtest.Run(t, "", `{"process":"p"}`+"\n", func(t *testing.T, address string) error {
+		for _, note := range NewCollector(&http.Client{}, Filter{}).Collect(t.Context(), []string{"http://" + address}).Notes {
+			return errors.Errorf("%+v", note)
+		}
+		return nil
+	})
+}
