gateway: forwarding events leaves no garbage

Cause: each read of a stream copied the events in it. The copies are garbage at the rate of the streams, of which the runtime keeps up to three quarters of the memory, and at full speed more; the program and its buffers come on top.

Change: eventReader returns the events where they lie, and drops them with the next call; the gateway has written them by then.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -138,9 +138,11 @@
 // eventReader splits a body into complete events. An engine that crashes may stop in the middle of an event; the client
 // must not get a part of an event that another engine then sends again.
 type eventReader struct {
-	source  io.Reader
-	pending []byte
-	buffer  [readBufferSize]byte
+	source io.Reader
+	// pending holds what was read, and returned is how many bytes of it the last call of next has returned.
+	pending  []byte
+	returned int
+	buffer   [readBufferSize]byte
 	// skipUpTo is the last event that the client has; events up to it are skipped.
 	skipUpTo string
 }
@@ -148,21 +150,20 @@
 var eventEnd = []byte("\n\n")
 
 // next returns the complete events of the next read and the ID of the last one. It returns io.EOF at the end of a
-// complete stream.
+// complete stream. The events are valid until the next call.
 func (r *eventReader) next() (data []byte, lastID string, err error) {
 	n, err := r.source.Read(r.buffer[:])
+	r.pending = append(r.pending[:0], r.pending[r.returned:]...)
 	r.pending = append(r.pending, r.buffer[:n]...)
-	end := bytes.LastIndex(r.pending, eventEnd)
-	if end >= 0 {
-		end += len(eventEnd)
-		data = bytes.Clone(r.pending[:end])
-		r.pending = append(r.pending[:0], r.pending[end:]...)
-		data, lastID = r.skipSeen(data)
+	r.returned = 0
+	if end := bytes.LastIndex(r.pending, eventEnd); end >= 0 {
+		r.returned = end + len(eventEnd)
 	}
-	switch {
-	case len(r.pending) > maxEventBytes:
+	data, lastID = r.skipSeen(r.pending[:r.returned])
+	switch rest := len(r.pending) - r.returned; {
+	case rest > maxEventBytes:
 		return data, lastID, errors.Wrap(errInvalidResponse, "an event is too large")
-	case err == io.EOF && len(r.pending) > 0:
+	case err == io.EOF && rest > 0:
 		return data, lastID, errors.Wrap(errInvalidResponse, "the stream ends within an event")
 	}
 	return data, lastID, err
