sendonce: a response's head has 256 lines at most

What happened: an engine that answers with a head of 30 KB of short fields, and then goes on slowly, takes the memory of the gateway's host: 640 MB of 284 with the 1,083 connections that such a host takes, 222 to 231 MB of 96 with 366. The sum over all calls counts: one call holds some 600 KB.

Cause: heads were bounded by their bytes (32 KB) only. In net/http's parsed form each line takes some 100 bytes beyond its text, however short it is; heads of clients are accounted with their lines, those of endpoints were not.

Change: the connection counts the lines of heads as they arrive, and ends the call at more than 256, those of interim responses anew each; an ordinary head has a dozen. The request may have run. Responses to other messages that are skipped are held back until their head is whole and short enough.

--- a/internal/faultlink/endless.go
+++ b/internal/faultlink/endless.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -74,23 +75,44 @@
 	}
 }
 
+const (
+	// longHeadBytes and longEventBytes are just under what callers accept of a head and of an event.
+	longHeadBytes  = 30 << 10
+	longEventBytes = 60 << 10
+)
+
+// shortHeaderFields returns as many fields with names of their own as so many bytes have room for.
+func shortHeaderFields(size int) string {
+	var b strings.Builder
+	for n := 0; b.Len() < size; n++ {
+		fmt.Fprintf(&b, "%s:\r\n", strconv.FormatInt(int64(n), 36))
+	}
+	return b.String()
+}
+
 // EndlessAnswers are answers without end, by name: in the head, in a body of known and unknown length, and as a stream of whole
 // events. Header fields that callers require come first.
 func EndlessAnswers(fields string) map[string]*Endless {
 	chunked := "Transfer-Encoding: chunked\r\n"
 	ok := "HTTP/1.1 200 OK\r\n" + fields
 	line := func(n int) string { return strings.Repeat("x", n) }
+	longField := "X: " + line(longHeadBytes-len(ok)-len(chunked)) + "\r\n"
+	shortLines := shortHeaderFields(longHeadBytes - len(ok) - len(chunked))
 	events := strings.Repeat("id: 1\ndata: abc\n\n", 240)
 	return map[string]*Endless{
-		"one header field":         {Head: ok + "X: ", Chunk: line(4096)},
-		"many header fields":       {Head: ok, Chunk: "X: " + line(1000) + "\r\n"},
-		"interim responses":        {Head: "HTTP/1.1 103 Early Hints\r\n\r\n", Chunk: "HTTP/1.1 103 Early Hints\r\n\r\n"},
-		"bytes that are no HTTP":   {Head: line(100), Chunk: line(4096)},
-		"body in chunks":           {Head: ok + chunked + "\r\n", Chunk: "1000\r\n" + line(4096) + "\r\n"},
-		"body without length":      {Head: ok + "\r\n", Chunk: line(4096)},
-		"body longer than said":    {Head: ok + "Content-Length: 1000000000000\r\n\r\n", Chunk: line(4096)},
-		"slow body":                {Head: ok + chunked + "\r\n", Chunk: "1\r\nx\r\n", Pause: 50 * time.Millisecond},
-		"events":                   {Head: ok + chunked + "\r\n", Chunk: fmt.Sprintf("%x\r\n%s\r\n", len(events), events)},
-		"one event without an end": {Head: ok + chunked + "\r\n6\r\ndata: \r\n", Chunk: "1000\r\n" + line(4096) + "\r\n"},
+		"one header field":               {Head: ok + "X: ", Chunk: line(4096)},
+		"many header fields":             {Head: ok, Chunk: "X: " + line(1000) + "\r\n"},
+		"interim responses":              {Head: "HTTP/1.1 103 Early Hints\r\n\r\n", Chunk: "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"bytes that are no HTTP":         {Head: line(100), Chunk: line(4096)},
+		"body in chunks":                 {Head: ok + chunked + "\r\n", Chunk: "1000\r\n" + line(4096) + "\r\n"},
+		"body without length":            {Head: ok + "\r\n", Chunk: line(4096)},
+		"body longer than said":          {Head: ok + "Content-Length: 1000000000000\r\n\r\n", Chunk: line(4096)},
+		"slow body":                      {Head: ok + chunked + "\r\n", Chunk: "1\r\nx\r\n", Pause: 50 * time.Millisecond},
+		"events":                         {Head: ok + chunked + "\r\n", Chunk: fmt.Sprintf("%x\r\n%s\r\n", len(events), events)},
+		"slow head of short fields":      {Head: ok + shortLines, Chunk: "x", Pause: 500 * time.Millisecond},
+		"slow body after short fields":   {Head: ok + chunked + shortLines + "\r\n", Chunk: "1\r\nx\r\n", Pause: 500 * time.Millisecond},
+		"long head and long event, slow": {Head: ok + chunked + longField + "\r\n" + fmt.Sprintf("%x\r\n%s\r\n", longEventBytes, line(longEventBytes)), Chunk: "1\r\nx\r\n", Pause: 500 * time.Millisecond},
+		"long event that goes on slowly": {Head: ok + chunked + "\r\n" + fmt.Sprintf("%x\r\n%s\r\n", longEventBytes, line(longEventBytes)), Chunk: "1\r\nx\r\n", Pause: 500 * time.Millisecond},
+		"one event without an end":       {Head: ok + chunked + "\r\n6\r\ndata: \r\n", Chunk: "1000\r\n" + line(4096) + "\r\n"},
 	}
 }
--- a/internal/sendonce/awaited.go
+++ b/internal/sendonce/awaited.go
@@ -45,10 +45,10 @@
 func (a *awaitedResponse) find(first []byte, rest io.Reader) (data []byte, skipped int) {
 	var read bytes.Buffer
 	limited := io.LimitReader(io.MultiReader(bytes.NewReader(first), rest), maxSkippedBytes)
-	source := bufio.NewReader(io.TeeReader(limited, &read))
+	source := bufio.NewReaderSize(io.TeeReader(limited, &read), MaxHeaderBytes)
 	request := &http.Request{Method: a.method}
 	begin := 0
-	for {
+	for hasWholeHead(source) {
 		response, err := http.ReadResponse(source, request)
 		if err != nil || httpstrict.CheckHead(response) != nil {
 			break
@@ -68,3 +68,20 @@
 	}
 	return read.Bytes()[begin:], skipped
 }
+
+// hasWholeHead waits until a whole head is in the buffer of a reader. It reports false if the head has too many lines, or is too long or
+// cut.
+func hasWholeHead(source *bufio.Reader) bool {
+	var scanner headScanner
+	for scanned := 0; !scanner.ended; {
+		if _, err := source.Peek(scanned + 1); err != nil {
+			return false
+		}
+		buffered, _ := source.Peek(source.Buffered())
+		scanned += scanner.scan(buffered[scanned:])
+		if scanner.lines > maxHeadLines {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/sendonce/conn.go
+++ b/internal/sendonce/conn.go
@@ -76,19 +76,19 @@
 		n, err := c.Conn.Read(p)
 		awaited := c.takeAwaited(n)
 		if awaited == nil || awaited.begins(p[:n]) {
-			return c.returned(p, n), err
+			return c.returned(p, n, err)
 		}
 		var skipped int
 		c.ready, skipped = awaited.find(p[:n], c.Conn)
 		c.addSkipped(skipped)
 		if len(c.ready) == 0 {
 			n, err := c.Conn.Read(p)
-			return c.returned(p, n), err
+			return c.returned(p, n, err)
 		}
 	}
 	n := copy(p, c.ready)
 	c.ready = c.ready[n:]
-	return c.returned(p, n), nil
+	return c.returned(p, n, nil)
 }
 
 // takeAwaited returns the awaited response if n bytes are the first that arrive for the request that uses the connection.
@@ -115,12 +115,14 @@
 	return c.skipped
 }
 
-// returned records the bytes that a call of Read returns.
-func (c *countedConn) returned(p []byte, n int) int {
+// returned records the bytes that a call of Read returns with an error, and returns its results.
+func (c *countedConn) returned(p []byte, n int, err error) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head.add(p[:n])
-	return n
+	if headErr := c.head.add(p[:n]); headErr != nil {
+		return 0, headErr
+	}
+	return n, err
 }
 
 // misframed reports whether the framing of the response is not what net/http takes it for.
--- a/internal/sendonce/fuzz_test.go
+++ b/internal/sendonce/fuzz_test.go
@@ -43,7 +43,7 @@
 		}
 		// The responses are read out of all bytes: net/http looks ahead for the end of a trailer.
 		source := bytes.NewReader(data)
-		out := bufio.NewReader(source)
+		out := bufio.NewReaderSize(source, MaxHeaderBytes)
 		for range skipped {
 			r, err := http.ReadResponse(out, &http.Request{Method: a.method})
 			for err == nil && r.StatusCode < http.StatusOK && r.StatusCode != http.StatusSwitchingProtocols {
