gateway: requests that arrive whole late in a planned stop are refused

Callers saw: a request whose body was still being sent when the gateway was told to stop, and ended late in the grace, was passed on; at the end of the grace its stream was cut in the middle, and what may run once was given up as of unknown outcome. Another gateway would have served it.

Cause: after the lame-duck period the listener and unused connections close, so that no new request comes; but a body that makes progress is read as long as the grace lasts, and nothing looked at what was left of it then.

Change: a request that has arrived whole after the lame-duck period is refused as not run, with Retry-After, unless its deadline is before the end of the grace. Requests that arrived before, or wait for an endpoint, are handled as before.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -267,7 +267,8 @@
 		OnStop: func() {
 			stopping.Store(true)
 			r.Hub.Drain()
-			r.Gateway.ShutdownAt(time.Now().Add(drain.Grace - drain.Reserve))
+			now := time.Now()
+			r.Gateway.ShutdownAt(now.Add(drain.LameDuck), now.Add(drain.Grace-drain.Reserve))
 			r.Logger.Info("shutting down", "event", "stopping", "active", r.Gateway.Active())
 		},
 		Budget: r.Budget,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,9 +72,8 @@
 	buffers buffers
 
 	active atomic.Int64
-	// waitDeadline is when requests that wait for an endpoint are refused because of the shutdown, in Unix nanoseconds;
-	// 0 while no shutdown is planned.
-	waitDeadline atomic.Int64
+	// shutdown is nil while none is planned.
+	shutdown atomic.Pointer[shutdown]
 	// abortCtx is cancelled when requests in flight are aborted because of the shutdown.
 	abortCtx context.Context
 	abort    context.CancelFunc
@@ -118,19 +117,34 @@
 	abortBeforeExit         = 150 * time.Millisecond
 )
 
-// ShutdownAt announces that the process exits at the given time. Requests that wait for an endpoint keep waiting until
-// shortly before; then they are refused as not run, so that their clients try another gateway. Requests that endpoints
-// have not answered by then get an answer that the outcome is unknown; from a closed connection alone, clients could
-// not distinguish the two cases.
-func (g *Gateway) ShutdownAt(exitAt time.Time) {
-	g.waitDeadline.Store(exitAt.Add(-refuseWaitingBeforeExit).UnixNano())
-	time.AfterFunc(time.Until(exitAt.Add(-abortBeforeExit)), g.abort)
+// shutdown is a planned exit of the process.
+type shutdown struct {
+	// acceptUntil is until when requests are accepted whatever their deadline, waitUntil until when they wait for an endpoint, and
+	// abortAt when those at endpoints are aborted.
+	acceptUntil, waitUntil, abortAt time.Time
+}
+
+// ShutdownAt announces that the process accepts connections until one given time and exits at another. Requests that have arrived whole
+// in between are refused as not run, unless they end before the exit: uploads end late, and would be cut at their endpoints. Requests that
+// wait for an endpoint keep waiting until shortly before the exit; then they are refused as not run, so that their clients try another
+// gateway. Requests that endpoints have not answered by then get an answer that the outcome is unknown; from a closed connection alone,
+// clients could not distinguish the two cases.
+func (g *Gateway) ShutdownAt(acceptUntil, exitAt time.Time) {
+	s := &shutdown{acceptUntil: acceptUntil, waitUntil: exitAt.Add(-refuseWaitingBeforeExit), abortAt: exitAt.Add(-abortBeforeExit)}
+	g.shutdown.Store(s)
+	time.AfterFunc(time.Until(s.abortAt), g.abort)
 }
 
 // waitDeadlinePassed reports whether waiting requests are refused because of the shutdown.
 func (g *Gateway) waitDeadlinePassed(now time.Time) bool {
-	deadline := g.waitDeadline.Load()
-	return deadline != 0 && now.UnixNano() >= deadline
+	s := g.shutdown.Load()
+	return s != nil && !now.Before(s.waitUntil)
+}
+
+// mayBeCut reports whether a request with the given deadline, which has arrived whole now, may still run when the shutdown aborts it.
+func (g *Gateway) mayBeCut(deadline time.Time) bool {
+	s := g.shutdown.Load()
+	return s != nil && time.Now().After(s.acceptUntil) && deadline.After(s.abortAt)
 }
 
 // ServeHTTP implements http.Handler. It writes an answer or aborts the connection: when a handler returns, net/http completes
@@ -175,7 +189,12 @@
 		g.refuse(w, *refused)
 		return
 	}
-	g.serve(w, r, g.newRequest(r, call, route, service, config, body, arrived))
+	q := g.newRequest(r, call, route, service, config, body, arrived)
+	if g.mayBeCut(q.deadline) {
+		g.refuse(w, refusal{status: http.StatusServiceUnavailable, reason: reasonShutdown, id: call.ID, version: config.Version, retryAfter: randomRetryAfter()})
+		return
+	}
+	g.serve(w, r, q)
 }
 
 // pickService returns the service that a request on a route goes to.
@@ -441,6 +460,7 @@
 	reasonOtherVersions  refusalReason = "the version that began the stream does not serve its model"
 	reasonRetryBudget    refusalReason = "the retry budget allows no further attempt in time"
 	reasonDeadline       refusalReason = "no endpoint in time"
+	reasonShutdown       refusalReason = "the gateway stops before the request may have ended"
 	reasonNoEndpoint     refusalReason = "no endpoint takes the request now"
 )
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -207,7 +207,8 @@
 	go func() { waiting <- r.send("w", "/chat/x", "not-loaded") }()
 	go func() { running <- r.send("r", "/plain/x", "") }()
 	time.Sleep(100 * time.Millisecond)
-	r.gateway.ShutdownAt(time.Now().Add(refuseWaitingBeforeExit + 300*time.Millisecond))
+	exitAt := time.Now().Add(refuseWaitingBeforeExit + 300*time.Millisecond)
+	r.gateway.ShutdownAt(exitAt, exitAt)
 	if got := <-waiting; got.status != 503 || got.header.Get("Retry-After") == "" {
 		t.Errorf("waiting: status %d, Retry-After %q, error %v, want 503 with Retry-After", got.status, got.header.Get("Retry-After"), got.err)
 	}
@@ -374,3 +375,29 @@
 		t.Errorf("one failure: status %d after %v, want 200", got.status, got.took)
 	}
 }
+
+// Guards against a gateway that passes on requests that arrive late in a shutdown, as at the end of an upload, and cuts them at its end.
+// One that ends before is served.
+func TestRequestsLateInAShutdown(t *testing.T) {
+	r := newRig(t, map[string]endpointScript{"plain-1": good, "engine-1": events(1, 3, false)})
+	now := time.Now()
+	r.gateway.ShutdownAt(now, now.Add(3*time.Second))
+	for _, c := range []struct {
+		id, path, model, timeout string
+		want                     int
+	}{
+		{"long", "/plain/", "", "5000", http.StatusServiceUnavailable},
+		{"long-read", "/read/", "", "5000", http.StatusServiceUnavailable},
+		{"long-stream", "/chat/", "m", "5000", http.StatusServiceUnavailable},
+		{"short", "/plain/", "", "1000", http.StatusOK},
+		{"short-stream", "/chat/", "m", "1000", http.StatusOK},
+	} {
+		a := r.sendTo(c.path, http.Header{"Id": {c.id}, "Model": {c.model}, "Timeout": {c.timeout}}, io.Discard)
+		if a.status != c.want || a.err != nil {
+			t.Errorf("%s: status %d, error %v, want %d", c.id, a.status, a.err, c.want)
+		}
+		if refused := a.status == http.StatusServiceUnavailable; refused && (r.attempts(c.id) != 0 || a.header.Get("Retry-After") == "") {
+			t.Errorf("%s: %d attempts, Retry-After %q", c.id, r.attempts(c.id), a.header.Get("Retry-After"))
+		}
+	}
+}
