soak, test/clients: early answers and invalid heads at real processes

The soak has a fault more: endpoints that send heads with a blank before the colon of the field that says where the body ends.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -131,6 +131,7 @@
 	{"clients that do not behave", 3, second, 6 * second, func(s *site, pick uint64, _ time.Duration) func() { return s.sendCrowd(s.gateway(pick)) }},
 	{"endpoint ends answers with their connection", 3, second, 5 * second, endpointFault(func(f *standin.EndpointFaults) { f.Unframed = 0.7 })},
 	{"endpoint ends answers with their connection, some of them early", 2, second, 4 * second, endpointFault(func(f *standin.EndpointFaults) { f.Unframed, f.Truncates = 0.7, 0.4 })},
+	{"endpoint sends heads that are not valid", 2, second, 4 * second, endpointFault(func(f *standin.EndpointFaults) { f.Invalid = 0.5 })},
 	{"orders late", 3, second, 5 * second, endpointFault(func(f *standin.EndpointFaults) { f.LateOrders = 0.5 })},
 
 	{"configuration changed", 5, 0, 0, func(s *site, pick uint64, _ time.Duration) func() { s.reconfigure(pick); return nil }},
--- a/test/clients/endpoints_test.go
+++ b/test/clients/endpoints_test.go
@@ -1,6 +1,7 @@
 package clients
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -12,82 +13,93 @@
 
 	"balsamsail/internal/childprocess"
 	"balsamsail/internal/faultlink"
+	"balsamsail/internal/faultlink/unframedtest"
 	"balsamsail/platform/standin"
 )
 
 const (
-	prefixEndless       = "/endless/"
-	prefixEndlessEvents = "/endless-events/"
-	// endlessID is the ID of all requests to endpoints that send without end: their answers echo one ID.
-	endlessID = "endless"
-	// endlessTimeout is the time that their clients have.
-	endlessTimeout = 3 * time.Second
+	// endpointID is the ID of all requests of these tests: what the endpoints send echoes one ID.
+	endpointID = "endpoint"
+	// endpointTimeout is the time that the clients have, and probeTimeout that of requests that ask whether a route is in force.
+	endpointTimeout = 3 * time.Second
+	probeTimeout    = 100 * time.Millisecond
+	// maxAnswerBytes bounds what is read of an answer to a single request.
+	maxAnswerBytes = 64 << 10
 	// crowdOfEndless is more than a gateway has connections. One of plainRequests requests is no stream.
 	crowdOfEndless = 400
 	plainRequests  = 4
 )
 
-// declareEndless declares two services whose endpoints send without end, one for plain requests and one for streams.
-func (r *rig) declareEndless(answer *faultlink.Endless) {
+// declareAt declares a service of each kind of route, whose names begin with a text, with one endpoint at the address. It returns the
+// prefixes of the routes once they are in force.
+func (r *rig) declareAt(address, name string) (prefixes []string) {
 	r.t.Helper()
-	if err := answer.Start(); err != nil {
-		r.t.Fatal(err)
-	}
 	r.operator.Change(func(c *standin.Config) {
-		for prefix, kind := range map[string]string{prefixEndless: standin.RouteUnsafe, prefixEndlessEvents: standin.RouteStreaming} {
-			service := prefix[1 : len(prefix)-1]
-			c.Routes = append(c.Routes, standin.Route{Name: service, Host: siteHost, Prefix: prefix, Type: kind, TimeoutMS: 60_000, TargetLatencyMS: 500, TargetGapMS: 300, Service: service, MaxAttempts: 2})
+		for _, kind := range []string{standin.RouteUnsafe, standin.RouteSafe, standin.RouteStreaming} {
+			service := name + "-" + kind
+			prefixes = append(prefixes, "/"+service+"/")
+			c.Routes = append(c.Routes, standin.Route{Name: service, Host: siteHost, Prefix: "/" + service + "/", Type: kind, TimeoutMS: 60_000, TargetLatencyMS: 500, TargetGapMS: 300, Service: service, MaxAttempts: 2})
 			c.Services = append(c.Services, standin.Service{Name: service, MaxConnections: 4000})
 			r.store.Put(standin.EndpointTable, "e-"+service, map[string]any{
-				"service": service, "address": answer.Address(), "zone": "domain-1", "version": "v1", "slots": 4000, "state": "ready", "born": time.Now().UnixMilli(),
+				"service": service, "address": address, "zone": "domain-1", "version": "v1", "slots": 4000, "state": "ready", "born": time.Now().UnixMilli(),
 			})
 		}
 	})
-	r.await("the routes are in force", func() bool {
-		return answer.Sent() > 0 || r.try(prefixEndless, 100*time.Millisecond) != "HTTP/1.1 404 Not Found\r\n"
-	})
+	for _, prefix := range prefixes {
+		r.await("the route "+prefix+" is in force", func() bool {
+			status, _, _ := r.exchange(prefix, probeTimeout, nil)
+			return status != http.StatusNotFound
+		})
+	}
+	return prefixes
 }
 
-// try sends a request to a prefix and returns the first line of the response; empty without one.
-func (r *rig) try(prefix string, timeout time.Duration) string {
+// exchange sends a request to a path and returns the answer; a status of 0 stands for none.
+func (r *rig) exchange(path string, timeout time.Duration, body []byte) (status int, answer string, whole bool) {
 	conn, err := net.Dial("tcp", r.clients)
 	if err != nil {
-		return ""
+		return 0, "", false
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(timeout + 2*time.Second))
-	_, _ = io.WriteString(conn, endlessRequest(prefix, timeout))
-	line := make([]byte, 64)
-	n, _ := conn.Read(line)
-	for i := range n {
-		if line[i] == '\n' {
-			return string(line[:i+1])
-		}
+	go func() {
+		_, _ = io.WriteString(conn, endpointRequest(path, timeout, len(body)))
+		_, _ = conn.Write(body)
+	}()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, "", false
 	}
-	return ""
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	return response.StatusCode, string(data), err == nil && len(data) < maxAnswerBytes
 }
 
-func endlessRequest(prefix string, timeout time.Duration) string {
-	return fmt.Sprintf("POST %sx HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: 0\r\n\r\n", prefix, siteHost, standin.HeaderRequestID, endlessID, standin.HeaderDeadline, timeout.Milliseconds())
+func endpointRequest(path string, timeout time.Duration, length int) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n",
+		path, siteHost, standin.HeaderRequestID, endpointID, standin.HeaderDeadline, timeout.Milliseconds(), length)
 }
 
 // Guards against endpoints that send without end, in a head, a body or a stream, to all requests of a gateway at once: the sum of what it
 // keeps of them takes the memory of its host, and the requests of other clients end with it.
 func TestEndpointsThatSendWithoutEnd(t *testing.T) {
-	fields := fmt.Sprintf("%s: %s\r\n%s: %s\r\n", standin.HeaderRequestID, endlessID, standin.HeaderSignature, standin.Signature(endlessID))
+	fields := fmt.Sprintf("%s: %s\r\n%s: %s\r\n", standin.HeaderRequestID, endpointID, standin.HeaderSignature, standin.Signature(endpointID))
 	for name, answer := range faultlink.EndlessAnswers(fields) {
 		t.Run(name, func(t *testing.T) {
 			r := startGateway(t, descriptors)
 			t.Cleanup(answer.Close)
-			r.declareEndless(answer)
+			if err := answer.Start(); err != nil {
+				t.Fatal(err)
+			}
+			prefixes := r.declareAt(answer.Address(), "endless")
 			var crowd sync.WaitGroup
 			crowd.Go(func() {
 				visit(t, r.clients, crowdOfEndless, func(conn net.Conn, i int) {
-					prefix := prefixEndlessEvents
+					prefix := prefixes[len(prefixes)-1]
 					if i%plainRequests == 0 {
-						prefix = prefixEndless
+						prefix = prefixes[0]
 					}
-					_, _ = io.WriteString(conn, endlessRequest(prefix, endlessTimeout))
+					_, _ = io.WriteString(conn, endpointRequest(prefix, endpointTimeout, 0))
 					_, _ = io.Copy(io.Discard, conn)
 				})
 			})
@@ -99,6 +111,32 @@
 	}
 }
 
+// Guards against endpoints that answer an upload at once, send a part and reset the connection, whose part reaches clients as a whole
+// answer. Whole answers that end with their connection, and come as early, are passed on.
+func TestEarlyAnswersToUploads(t *testing.T) {
+	const uploads = 20
+	head := fmt.Sprintf("%s: %s\r\n%s: %s\r\n", standin.HeaderRequestID, endpointID, standin.HeaderSignature, standin.Signature(endpointID))
+	r := startGateway(t, descriptors)
+	services := 0
+	unframedtest.EarlyAnswers(t, head, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n", func(t *testing.T, answer unframedtest.Answer) {
+		services++
+		prefixes := r.declareAt(unframedtest.Start(t, answer), fmt.Sprintf("early-%d", services))
+		for i := range uploads * len(prefixes) {
+			prefix := prefixes[i%len(prefixes)]
+			// Endpoints that reset connections may have ended under a request, which is not sent on after a few times.
+			status, body, whole := r.exchange(fmt.Sprint(prefix, i), endpointTimeout, wholeBody)
+			switch {
+			case answer.Reset && whole && status == http.StatusOK:
+				t.Errorf("%s: the client got %q as a whole answer", prefix, body)
+			case answer.Reset && whole && status != http.StatusBadGateway && status != http.StatusGatewayTimeout:
+				t.Errorf("%s: status %d for a request that may have run", prefix, status)
+			case !answer.Reset && (status != http.StatusOK || !whole || body != answer.Body):
+				t.Errorf("%s: status %d, %q, whole: %t", prefix, status, body, whole)
+			}
+		}
+	})
+}
+
 // Guards against an engine that sends without end to the agent beside it.
 func TestEngineThatSendsWithoutEnd(t *testing.T) {
 	r := startGateway(t, descriptors)
