inbound: a broken stream resets the connection of an HTTP/1.0 client

Callers saw: a client of HTTP/1.0 got the part of a stream that broke off at its endpoint as a whole answer.

Cause: without chunks, such an answer ends with its connection, and an aborted handler closes it in good order.

Change: while a request of HTTP/1.0 is handled, closing its connection resets it, also when the process is ended; once the handler has returned, it is closed in order.

Evidence: the new test with a real gateway failed before (the two events that had arrived, and an end of file), and passed 4 times since; whole streams to such clients end in order.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -109,7 +109,7 @@
 	b.noteRefusal(time.Now(), c.listener.options.Name, reason)
 	c.giveUp()
 	if c.writing || c.listener.options.Links {
-		setLinger(c.Conn)
+		setLinger(c.Conn, resetOnClose)
 		_ = c.Conn.Close()
 		return
 	}
@@ -131,9 +131,15 @@
 	c.held, c.headCost = 0, 0
 }
 
-func setLinger(conn net.Conn) {
+// The values of SetLinger: what is not sent yet is discarded and the peer gets a reset, or it is sent first.
+const (
+	resetOnClose = 0
+	closeInOrder = -1
+)
+
+func setLinger(conn net.Conn, linger int) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+		_ = tcp.SetLinger(linger)
 	}
 }
 
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -196,10 +196,23 @@
 			refuse(w, r, RetryAfter())
 			return
 		}
-		next.ServeHTTP(w, r)
+		c.serve(next, w, r)
 	})
 }
 
+// serve calls the handler of a request. A response of HTTP/1.0 without a length ends with its connection, so that one that is cut, by the
+// handler or the end of the process, must not end in good order.
+func (c *Conn) serve(next http.Handler, w http.ResponseWriter, r *http.Request) {
+	if r.ProtoAtLeast(1, 1) {
+		next.ServeHTTP(w, r)
+		return
+	}
+	setLinger(c.Conn, resetOnClose)
+	next.ServeHTTP(w, r)
+	// A handler that aborts its response panics.
+	setLinger(c.Conn, closeInOrder)
+}
+
 // RetryAfter returns when a client is to come back whose request found no room. The random part keeps those apart that were refused
 // together.
 func RetryAfter() time.Duration { return retryAfter + rand.N(retryAfter) }
--- a/test/clients/endpoints_test.go
+++ b/test/clients/endpoints_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -189,3 +190,31 @@
 		p.Kill()
 	}
 }
+
+// Guards against a stream that breaks off and looks whole to a client of HTTP/1.0, for which it ends with the connection.
+func TestBrokenStreamsOfOldClients(t *testing.T) {
+	const events = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"
+	head := fmt.Sprintf("%s: %s\r\n%s: %s\r\n", standin.HeaderRequestID, endpointID, standin.HeaderSignature, standin.Signature(endpointID))
+	r := startGateway(t, descriptors)
+	for name, answer := range map[string]unframedtest.Answer{
+		"whole": {Head: head, Body: events}, "reset": {Head: head, Body: events, Reset: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			prefixes := r.declareAt(unframedtest.Start(t, answer), "old-"+name)
+			conn, err := net.Dial("tcp", r.clients)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			_ = conn.SetDeadline(time.Now().Add(endpointTimeout))
+			request := endpointRequest(prefixes[len(prefixes)-1]+"old", endpointTimeout, 0)
+			if _, err := io.WriteString(conn, strings.Replace(request, "HTTP/1.1", "HTTP/1.0", 1)); err != nil {
+				t.Fatal(err)
+			}
+			data, err := io.ReadAll(conn)
+			if !strings.HasSuffix(string(data), events) || (err != nil) != answer.Reset {
+				t.Errorf("%q, %v", data, err)
+			}
+		})
+	}
+}
