test/clients: services are declared in one place, and awaited with their endpoints

TestEarlyAnswersToUploads failed 5 times in 8 runs beside soaks ("status 503"): it waited until a route was in force, and its endpoint is a row of another table, which the gateway may read up to half a second later. The gateway's refusal was true.

Comments of the change are clearer.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -84,6 +84,7 @@
 	return list
 }
 
+// peerClient makes the calls to other entries.
 var peerClient = &http.Client{Transport: httpstrict.Wrap(nil)}
 
 func fetchPeerRevision(ctx context.Context, address string) (operator.ProcessRevision, error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -125,9 +125,9 @@
 }
 
 // ShutdownAt announces that the process accepts connections until one given time and exits at another. Requests that have arrived whole
-// in between are refused as not run, unless they end before the exit: uploads end late, and would be cut at their endpoints. Requests that
-// wait for an endpoint keep waiting until shortly before the exit; then they are refused as not run, so that their clients try another
-// gateway. Requests that endpoints have not answered by then get an answer that the outcome is unknown; from a closed connection alone,
+// in between, as at the end of an upload, are refused as not run, unless their deadline is before the exit: they would be cut at their
+// endpoints. Requests that wait for an endpoint keep waiting until shortly before the exit; then they are refused as not run, so that
+// their clients try another gateway. Requests that endpoints have not answered by then get an answer that the outcome is unknown; from a closed connection alone,
 // clients could not distinguish the two cases.
 func (g *Gateway) ShutdownAt(acceptUntil, exitAt time.Time) {
 	s := &shutdown{acceptUntil: acceptUntil, waitUntil: exitAt.Add(-refuseWaitingBeforeExit), abortAt: exitAt.Add(-abortBeforeExit)}
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -131,7 +131,7 @@
 	c.held, c.headCost = 0, 0
 }
 
-// The values of SetLinger: what is not sent yet is discarded and the peer gets a reset, or it is sent first.
+// Values of TCPConn.SetLinger. After resetOnClose, closing discards what is not sent yet, and the peer gets a reset.
 const (
 	resetOnClose = 0
 	closeInOrder = -1
--- a/test/clients/endpoints_test.go
+++ b/test/clients/endpoints_test.go
@@ -21,7 +21,7 @@
 const (
 	// endpointID is the ID of all requests of these tests: what the endpoints send echoes one ID.
 	endpointID = "endpoint"
-	// endpointTimeout is the time that the clients have, and probeTimeout that of requests that ask whether a route is in force.
+	// endpointTimeout is the time that the clients have, and probeTimeout that of requests that ask whether they reach an endpoint.
 	endpointTimeout = 3 * time.Second
 	probeTimeout    = 100 * time.Millisecond
 	// maxAnswerBytes bounds what is read of an answer to a single request.
@@ -31,30 +31,6 @@
 	plainRequests  = 4
 )
 
-// declareAt declares a service of each kind of route, whose names begin with a text, with one endpoint at the address. It returns the
-// prefixes of the routes once they are in force.
-func (r *rig) declareAt(address, name string) (prefixes []string) {
-	r.t.Helper()
-	r.operator.Change(func(c *standin.Config) {
-		for _, kind := range []string{standin.RouteUnsafe, standin.RouteSafe, standin.RouteStreaming} {
-			service := name + "-" + kind
-			prefixes = append(prefixes, "/"+service+"/")
-			c.Routes = append(c.Routes, standin.Route{Name: service, Host: siteHost, Prefix: "/" + service + "/", Type: kind, TimeoutMS: 60_000, TargetLatencyMS: 500, TargetGapMS: 300, Service: service, MaxAttempts: 2})
-			c.Services = append(c.Services, standin.Service{Name: service, MaxConnections: 4000})
-			r.store.Put(standin.EndpointTable, "e-"+service, map[string]any{
-				"service": service, "address": address, "zone": "domain-1", "version": "v1", "slots": 4000, "state": "ready", "born": time.Now().UnixMilli(),
-			})
-		}
-	})
-	for _, prefix := range prefixes {
-		r.await("the route "+prefix+" is in force", func() bool {
-			status, _, _ := r.exchange(prefix, probeTimeout, nil)
-			return status != http.StatusNotFound
-		})
-	}
-	return prefixes
-}
-
 // exchange sends a request to a path and returns the answer; a status of 0 stands for none.
 func (r *rig) exchange(path string, timeout time.Duration, body []byte) (status int, answer string, whole bool) {
 	conn, err := net.Dial("tcp", r.clients)
--- a/test/clients/rig_test.go
+++ b/test/clients/rig_test.go
@@ -128,6 +128,30 @@
 	return r
 }
 
+// declareAt declares a service of each kind of route, whose names begin with a text, with one endpoint at the address. It returns the
+// prefixes of the routes once requests to them reach the endpoint.
+func (r *rig) declareAt(address, name string) (prefixes []string) {
+	r.t.Helper()
+	r.operator.Change(func(c *standin.Config) {
+		for _, kind := range []string{standin.RouteUnsafe, standin.RouteSafe, standin.RouteStreaming} {
+			service := name + "-" + kind
+			prefixes = append(prefixes, "/"+service+"/")
+			c.Routes = append(c.Routes, standin.Route{Name: service, Host: siteHost, Prefix: "/" + service + "/", Type: kind, TimeoutMS: 60_000, TargetLatencyMS: 500, TargetGapMS: 300, Service: service, MaxAttempts: 2})
+			c.Services = append(c.Services, standin.Service{Name: service, MaxConnections: 4000})
+			r.store.Put(standin.EndpointTable, "e-"+service, map[string]any{
+				"service": service, "address": address, "zone": "domain-1", "version": "v1", "slots": 4000, "state": "ready", "born": time.Now().UnixMilli(),
+			})
+		}
+	})
+	for _, prefix := range prefixes {
+		r.await("requests to "+prefix+" reach the endpoint", func() bool {
+			status, _, _ := r.exchange(prefix, probeTimeout, nil)
+			return status != 0 && status != http.StatusNotFound && status != http.StatusServiceUnavailable
+		})
+	}
+	return prefixes
+}
+
 // configure writes the settings file of a role from its template and returns the process, which ends with the test.
 func (r *rig) configure(role string, values map[string]string, args ...string) *childprocess.Process {
 	r.t.Helper()
--- a/test/clients/stop_test.go
+++ b/test/clients/stop_test.go
@@ -24,8 +24,6 @@
 	// stopStep is the time between two requests.
 	stopStep = 150 * time.Millisecond
 
-	prefixSlow       = "/slow/"
-	prefixSlowEvents = "/slow-events/"
 	// eventPause is the time between two events of a slow stream.
 	eventPause = 50 * time.Millisecond
 )
@@ -56,7 +54,7 @@
 	}
 	w.Header().Set(standin.HeaderRequestID, id)
 	w.Header().Set(standin.HeaderSignature, standin.Signature(id))
-	if !strings.HasPrefix(r.URL.Path, prefixSlowEvents) {
+	if !strings.Contains(r.URL.Path, standin.RouteStreaming) {
 		select {
 		case <-time.After(work):
 			_, _ = io.WriteString(w, "done")
@@ -72,28 +70,6 @@
 	}
 }
 
-// declareSlow declares services whose endpoint works for as long as a request says.
-func (r *rig) declareSlow() *slowEndpoint {
-	r.t.Helper()
-	e := &slowEndpoint{arrived: make(map[string]bool)}
-	server := httptest.NewServer(e)
-	r.t.Cleanup(server.Close)
-	r.operator.Change(func(c *standin.Config) {
-		for prefix, kind := range map[string]string{prefixSlow: standin.RouteUnsafe, prefixSlowEvents: standin.RouteStreaming} {
-			service := strings.Trim(prefix, "/")
-			c.Routes = append(c.Routes, standin.Route{Name: service, Host: siteHost, Prefix: prefix, Type: kind, TimeoutMS: 60_000, TargetLatencyMS: 500, TargetGapMS: 300, Service: service, MaxAttempts: 2})
-			c.Services = append(c.Services, standin.Service{Name: service, MaxConnections: 4000})
-			r.store.Put(standin.EndpointTable, "s-"+service, map[string]any{
-				"service": service, "address": server.Listener.Addr().String(), "zone": "domain-1", "version": "v1", "slots": 4000, "state": "ready", "born": time.Now().UnixMilli(),
-			})
-		}
-	})
-	for _, prefix := range []string{prefixSlow, prefixSlowEvents} {
-		r.checkServes(prefix+"1ms?", nil)
-	}
-	return e
-}
-
 // lateRequest is a request that is sent around a planned stop.
 type lateRequest struct {
 	id, path, body string
@@ -132,7 +108,10 @@
 // at every moment of the grace, on connections that were opened before and during it, that were used or not or have sent a part.
 func TestRequestsDuringAPlannedStop(t *testing.T) {
 	r := startGateway(t, descriptors)
-	endpoint := r.declareSlow()
+	endpoint := &slowEndpoint{arrived: make(map[string]bool)}
+	server := httptest.NewServer(endpoint)
+	t.Cleanup(server.Close)
+	prefixes := r.declareAt(server.Listener.Addr().String(), "slow")
 	var requests []*lateRequest
 	var sending sync.WaitGroup
 	signal := time.Now().Add(time.Second)
@@ -146,8 +125,10 @@
 	// Each kind opens a connection and sends what comes before the last bytes of the request, which it returns; the connection is nil if it
 	// was refused.
 	kinds := map[string]func(q *lateRequest, at time.Duration) (conn net.Conn, rest string){
-		"opened before, not used":         func(q *lateRequest, _ time.Duration) (net.Conn, string) { return dial(), q.text() },
-		"opened before, used":             func(q *lateRequest, _ time.Duration) (net.Conn, string) { return usedConn(dial()), q.text() },
+		"opened before, not used": func(q *lateRequest, _ time.Duration) (net.Conn, string) { return dial(), q.text() },
+		"opened before, used": func(q *lateRequest, _ time.Duration) (net.Conn, string) {
+			return usedConn(dial(), prefixes[0]), q.text()
+		},
 		"opened before, with a part sent": func(q *lateRequest, _ time.Duration) (net.Conn, string) { return sendPart(dial(), q) },
 		"opened before, sent slowly": func(q *lateRequest, at time.Duration) (net.Conn, string) {
 			return sendSlowly(dial(), q, signal.Add(at))
@@ -170,11 +151,7 @@
 	for name, open := range kinds {
 		for at := -5 * stopStep; at < stopGrace; at += stopStep {
 			n++
-			prefix := prefixSlow
-			if n%3 == 0 {
-				prefix = prefixSlowEvents
-			}
-			q := &lateRequest{id: fmt.Sprintf("%s, at %v, %d", name, at, n), path: prefix + works[n%len(works)], body: "body"}
+			q := &lateRequest{id: fmt.Sprintf("%s, at %v, %d", name, at, n), path: prefixes[n%len(prefixes)] + works[n%len(works)], body: "body"}
 			requests = append(requests, q)
 			sending.Go(func() {
 				conn, rest := open(q, at)
@@ -211,11 +188,11 @@
 }
 
 // usedConn sends a request that is answered at once, so that the connection is kept.
-func usedConn(conn net.Conn) net.Conn {
+func usedConn(conn net.Conn, prefix string) net.Conn {
 	if conn == nil {
 		return nil
 	}
-	first := &lateRequest{id: "first " + conn.LocalAddr().String(), path: prefixSlow + "1ms", body: "body"}
+	first := &lateRequest{id: "first " + conn.LocalAddr().String(), path: prefix + "1ms", body: "body"}
 	_ = conn.SetDeadline(time.Now().Add(stopGrace))
 	if _, err := io.WriteString(conn, first.text()); err != nil {
 		return nil
